--- /dev/null
+++ b/kelptrail/dispatch/rules.py
@@ -0,0 +1,535 @@
+"""All decisions of kelptrail: where an activation goes, when copies are added, what is given up on.
+
+How to invoke it: build the parts with their few settings and a `Dispatcher` from them, tell it what happens
+(`taken`, `answered`, `told`, `left`, `listed`, `beat`), then pull `decide(now)` until it returns None.
+Its interface (activations, sends, workers, copies) is in `terms.py`, its due times in `agenda.py`; the host
+that does this for the bench is `kelptrail/drill`.  The design and each departure: `docs/design.md`.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from zlib import crc32
+
+from kelptrail.dispatch.agenda import Agenda
+from kelptrail.dispatch.terms import (
+    NEVER_RAN,
+    Activation,
+    Copy,
+    Effect,
+    Function,
+    Order,
+    Outcome,
+    Send,
+    State,
+    Worker,
+)
+
+Decision = Send | Order | Activation | str
+
+
+class Gate:
+    """The five rules, enforced where every send, order and final answer passes."""
+
+    def __init__(self, parallel: bool, most_sends: int, tip: float, tip_ms: float, cold_share: float,
+                 cold_ms: float, loads: bool, loads_free: float, loads_share: float, loads_ms: float) -> None:
+        self._parallel, self._most_sends = parallel, most_sends
+        self._tip, self._tip_ms, self._cold_share, self._cold_ms = tip, tip_ms, cold_share, cold_ms
+        self._loads, self._free, self._share, self._span = loads, loads_free, loads_share, loads_ms
+        self._orders: deque[float] = deque()
+        self._taken: deque[float] = deque()
+        self._warm: deque[float] = deque()  # sends to warm workers: what a worker of its size carries
+        self._warm_size = 1.0
+
+    def took(self, now: float) -> None:
+        if self._span:
+            self._taken.append(now)
+
+    def sized(self, now: float, workers: Iterable[Worker]) -> None:
+        warm = [w.size for w in workers if w.state is State.LIVE and self.warmth(now, w) >= 1]
+        self._warm_size = sum(warm) or 1.0
+        _shed(self._warm, now - self._tip_ms)
+        _shed(self._taken, now - self._span)
+
+    def warmth(self, now: float, worker: Worker) -> float:
+        """The share of its capacity that a worker has at least, by its age."""
+        age = now - worker.started if worker.started is not None else self._cold_ms
+        cold = min(1.0, max(0.0, 1 - age / self._cold_ms))
+        return 1 - cold * (1 - self._cold_share)
+
+    def open(self, now: float, act: Activation) -> bool:
+        """Rules 1 and 2, as far as they do not depend on the worker."""
+        if act.verdict or now >= act.deadline or len(act.sends) >= self._most_sends:
+            return False
+        out = sum(send.outcome is None for send in act.sends)
+        if out and (out > 1 or not self._parallel):
+            return False
+        first = next((send for send in act.sends if send.outcome not in NEVER_RAN), None)
+        if first is None or act.type.effect is Effect.REPEATABLE:
+            return True
+        return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
+
+    def may_send(self, now: float, act: Activation, worker: Worker) -> bool:
+        if worker.state is not State.LIVE or not self.open(now, act):
+            return False
+        if act.type.effect is Effect.DEDUPLICATED and act.type.scope != "all":
+            first = next((s.copy.worker for s in act.sends if s.outcome not in NEVER_RAN), worker)
+            if getattr(first, act.type.scope) != getattr(worker, act.type.scope):
+                return False
+        warmth = self.warmth(now, worker)
+        if warmth >= 1:
+            return True
+        # A cold worker's budget over any window: a part of what warm workers of its size carry from here.  As
+        # each dispatcher stays under its own part of the whole, all together stay under the multiple.
+        _shed(worker.recent, now - self._tip_ms)
+        usual = len(self._warm) * worker.size / self._warm_size
+        return len(worker.recent) < max(1.0, 0.5 * self._tip * warmth * usual)
+
+    def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
+        if not self.may_send(now, act, copy.worker):
+            return None
+        (copy.worker.recent if self.warmth(now, copy.worker) < 1 else self._warm).append(now)
+        send = Send(act, copy, len(act.sends), now)
+        act.sends.append(send)
+        return send
+
+    def order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
+        """A hold order within the ration; `spare` of the ration is left for others.  Count 0 only asks."""
+        if not self._loads:
+            return None
+        if count:
+            _shed(self._orders, now - self._span)
+            _shed(self._taken, now - self._span + 1)
+            ration = (self._free + self._share * len(self._taken)) * (1 - spare)
+            if copy.worker.state is not State.LIVE or (self._span and len(self._orders) + 1 > ration):
+                return None
+            self._orders.append(now)
+        return Order(copy, count, now)
+
+    def end(self, act: Activation) -> Activation:
+        """The one final answer: rejected where that promises the truth, else aborted."""
+        harmless = act.type.effect is Effect.REPEATABLE or all(s.outcome in NEVER_RAN for s in act.sends) or (
+            act.type.effect is Effect.DEDUPLICATED and act.type.scope == "all")
+        act.verdict = "rejected" if harmless else "aborted"
+        return act
+
+
+class Health:
+    """Judges workers by how unusual their silence is, by failures and by broken connections."""
+
+    def __init__(self, bar_ms: float = 500.0, longest_ms: float = 8000.0) -> None:
+        self._bar_ms, self._longest_ms = bar_ms, longest_ms
+
+    def usable(self, now: float, worker: Worker) -> bool:
+        """A worker whose bar has run out gets one send at a time until it has shown itself well."""
+        if worker.state is not State.LIVE or worker.suspect or now < worker.barred_until:
+            return False
+        return not worker.bar_ms or not worker.sends
+
+    def sent(self, now: float, worker: Worker) -> None:
+        if not worker.sends:
+            worker.quiet_since = now
+
+    def heard(self, now: float, worker: Worker, failed: bool) -> None:
+        """An answer.  One that fails fast must not look least loaded: failures bar, longer each time."""
+        gap = now - worker.quiet_since
+        worker.stray += 0.05 * (abs(gap - worker.gap) - worker.stray) if worker.gap else gap
+        worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
+        worker.quiet_since, worker.suspect = now, False
+        worker.fails += 0.2 * (failed - worker.fails)
+        if failed and worker.fails > 0.3:
+            self.bar(now, worker)
+        elif not failed and worker.fails < 0.3:
+            worker.bar_ms = 0.0
+
+    def bar(self, now: float, worker: Worker) -> None:
+        if now >= worker.barred_until:
+            worker.bar_ms = min(self._longest_ms, max(self._bar_ms, 2 * worker.bar_ms))
+            worker.barred_until = now + worker.bar_ms
+
+    def fell_silent(self, now: float, worker: Worker) -> bool:
+        """True when a worker's present silence has just become unusual, given the gaps seen before."""
+        if worker.suspect or not worker.sends or not worker.gap:
+            return False
+        worker.suspect = now - worker.quiet_since > 50 + worker.gap + 10 * worker.stray
+        return worker.suspect
+
+
+class Placement:
+    """Where a send and a new copy go.  Load is own sends out plus reports, for the size and the warmth."""
+
+    def __init__(self, gate: Gate, health: Health, zone: int) -> None:
+        self._gate, self._health, self._zone = gate, health, zone
+
+    def load(self, now: float, worker: Worker) -> float:
+        loading = sum(copy.order is not None for copy in worker.copies.values())
+        busy = len(worker.sends) + loading + worker.report.get("x1", 0.0) + 4 * worker.report.get("util", 0.0)
+        return (busy + 1) / (worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails))
+
+    def lane(self, now: float, act: Activation) -> Copy | None:
+        """The least loaded believed free lane, own zone before others where loads are alike."""
+        best, best_load = None, 0.0
+        for copy in act.function.copies.values():
+            worker = copy.worker
+            if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window:
+                continue
+            if not self._health.usable(now, worker) or any(s in worker.sends for s in act.sends):
+                continue
+            if worker.bar_ms and act.type.effect is Effect.ONCE_ONLY:
+                continue  # a worker on trial is tried with what may run again
+            if not self._gate.may_send(now, act, worker):
+                continue
+            load = self.load(now, worker) + (worker.zone != self._zone) * 0.5
+            if best is None or load < best_load:
+                best, best_load = copy, load
+        return best
+
+    def host(self, now: float, function: Function, workers: Iterable[Worker]) -> tuple[Worker | None, bool]:
+        """The worker for a new copy, and whether it is below average.
+
+        Loads within one step of the average are equal; among equals one that holds none of the function, then
+        the one that a hash of function and worker ranks first: so dispatchers that cannot talk share copies.
+        """
+        able = [w for w in workers if self._health.usable(now, w) and (
+            w not in function.copies or now >= function.copies[w].barred_until)]
+        if not able:
+            return None, False
+        loads = {w: self.load(now, w) for w in able}
+        heard = [loads[w] for w in able if w.gap] or [1.0]
+        mean = sum(heard) / len(heard)
+        best = min(able, key=lambda w: (
+            int((loads[w] if w.gap else mean) / (1.5 * mean + 1)),
+            w in function.copies and function.copies[w].standing > 0,
+            w in function.copies and function.copies[w].order is not None,
+            crc32(f"{function.id} {w.id}".encode()), w.id))
+        return best, loads[best] < mean or not best.gap
+
+
+class Copies:
+    """What is believed to stand where: holding, renewing, expiring."""
+
+    def __init__(self, agenda: Agenda, keep_ms: float, idle_stop_ms: float = 10_000.0) -> None:
+        self._agenda, self._keep_ms, self._idle_stop_ms = agenda, keep_ms, idle_stop_ms
+
+    def at(self, function: Function, worker: Worker) -> Copy:
+        if worker not in function.copies:
+            function.copies[worker] = worker.copies[function] = Copy(function, worker)
+        return function.copies[worker]
+
+    def stands(self, now: float, copy: Copy, count: int) -> None:
+        """`count` copies were reported; a void count leaves nothing believed."""
+        if count and not copy.standing:
+            self._agenda.add(now + 0.8 * self._keep_ms, copy)
+        copy.standing, copy.touched = count, now
+
+    def due(self, now: float, copy: Copy) -> bool:
+        """Whether the copy should be renewed now; a copy past its keep-alive is forgotten."""
+        if not copy.standing:
+            return False
+        if copy.sends:
+            copy.touched = now
+        if now >= copy.touched + self._keep_ms:
+            copy.standing = 0
+            if copy.order is None:
+                self.forget(copy)
+            return False
+        near = now >= copy.touched + 0.8 * self._keep_ms - 1
+        self._agenda.add(copy.touched + (1.0 if near else 0.8) * self._keep_ms, copy)
+        return near and copy.order is None and now - copy.used < self._idle_stop_ms
+
+    def void(self, worker: Worker) -> None:
+        """The worker's process died: nothing stands there any more."""
+        for copy in list(worker.copies.values()):
+            copy.standing = 0
+
+    def forget(self, copy: Copy) -> None:
+        copy.function.copies.pop(copy.worker, None)
+        copy.worker.copies.pop(copy.function, None)
+
+
+class Queues:
+    """Lag, limit, bound and fairness of the queues, one for each function."""
+
+    def __init__(self, balancers: int, limit: int = 4, per_lane: int = 4) -> None:
+        self._balancers, self._limit, self._per_lane = balancers, limit, per_lane
+
+    def over_share(self, now: float, act: Activation) -> bool:
+        """Whether the customer sends beyond its share, taking this dispatcher's part for an even one."""
+        if act.customer is None:
+            return False
+        _shed(act.customer.taken, now - 2000)
+        return len(act.customer.taken) * self._balancers > 2 * act.customer.allowed_per_s
+
+    def beyond(self, now: float, act: Activation, lanes: int) -> bool:
+        """Whether the lag is past its bound; for what exceeds a share the bound is half."""
+        bound = self._per_lane * max(lanes, act.function.lanes)
+        return len(act.function.waiting) >= (bound / 2 if self.over_share(now, act) else bound)
+
+    def limit(self, now: float, function: Function, room: bool) -> int:
+        """How many copies the function may have; lag that outlasts a load time raises it by one."""
+        function.limit = function.limit or self._limit
+        if not function.waiting:
+            function.lag_since = None
+        elif function.lag_since is None:
+            function.lag_since = now
+        elif room and now - function.lag_since > (function.load_ms or 1000.0):
+            function.limit, function.lag_since = function.limit + 1, now
+        return function.limit
+
+
+class Dispatcher:
+    """Joins the parts: inputs update what is known, `decide` hands out one decision after the other."""
+
+    beat_ms = 50.0
+
+    def __init__(self, gate: Gate, health: Health, placement: Placement, copies: Copies, queues: Queues,
+                 agenda: Agenda, cancels: bool, loads_itself: bool, longest_return_ms: float) -> None:
+        self._gate, self._health, self._placement = gate, health, placement
+        self._copies, self._queues, self.agenda = copies, queues, agenda
+        self._cancels, self._loads_itself = cancels, loads_itself
+        self._longest_return_ms = longest_return_ms
+        self.workers: list[Worker] = []
+        self._owed: deque[Decision] = deque()
+        self._stirred: dict[Function, None] = {}
+        self._lagging: dict[Function, None] = {}
+        self._lines = 200  # log lines left
+
+    # What happens.
+
+    def taken(self, now: float, act: Activation) -> None:
+        self._gate.took(now)
+        if act.customer is not None:
+            act.customer.taken.append(now)
+        act.function.last_taken = now
+        act.function.arrivals.append(act)
+        self._stirred[act.function] = None
+
+    def left(self, act: Activation) -> None:
+        act.verdict = act.verdict or "left"
+        self._revoke(act)
+
+    def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool,
+                 company: int, report: dict[str, float] | None) -> None:
+        """How a send ended; `company`: others of the function at the worker when it came, where told."""
+        send.outcome = outcome
+        act, copy, worker = send.act, send.copy, send.copy.worker
+        function = copy.function
+        worker.sends.pop(send, None)
+        copy.sends -= 1
+        if report:
+            worker.report = report
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
+            self._health.heard(now, worker, outcome is Outcome.ERROR and not load_failed)
+        if outcome is Outcome.COMPLETED:
+            copy.used = copy.touched = now
+            took = now - send.sent
+            function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
+            # The worker's window: narrowed by answers past the target, widened by those in time.
+            if took > act.type.target_ms:
+                worker.window = max(2.0, worker.window * 0.9)
+            elif len(worker.sends) >= worker.window / 2:
+                worker.window += 1 / worker.window
+        elif outcome is Outcome.FULL:
+            worker.window = max(1.0, 0.8 * len(worker.sends))
+        elif outcome is Outcome.MISS:
+            copy.standing = 0
+        elif outcome in (Outcome.UNREACHABLE, Outcome.BROKEN):
+            self._copies.void(worker)
+            self._health.bar(now, worker)
+            self._log(f"worker {worker.id} {outcome.value}")
+        if over:
+            act.verdict = act.verdict or "completed"
+            self._revoke(act)
+        elif act.verdict is None:
+            self._again(now, act)
+        for waiting in worker.copies:
+            if waiting.waiting:
+                self._stirred[waiting] = None
+        self._stirred[function] = None
+
+    def told(self, now: float, order: Order, outcome: Outcome, standing: int) -> None:
+        """The answer to a hold order."""
+        copy = order.copy
+        copy.order = None
+        if outcome in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
+            self._copies.stands(now, copy, standing)
+        else:
+            copy.standing = 0
+            self._health.bar(now, copy.worker)
+        if outcome is not Outcome.COMPLETED:
+            copy.barred_until = now + (copy.function.load_ms or 1000.0)
+        if not copy.standing and not copy.sends and now >= copy.barred_until:
+            self._copies.forget(copy)
+        self._stirred[copy.function] = None
+
+    def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
+        """The worker list changed: workers that are gone keep only their sends, restarted ones are empty."""
+        for worker in restarted:
+            self._copies.void(worker)
+            worker.barred_until = worker.bar_ms = worker.fails = 0.0
+            worker.suspect = False
+        for worker in self.workers:
+            if worker.state is not State.LIVE:
+                for copy in list(worker.copies.values()):
+                    self._stirred[copy.function] = None
+                    self._copies.forget(copy)
+                self._rescue(now, worker, worker.state is State.GONE)
+        self.workers = workers
+        for worker in workers:
+            worker.window = worker.window or 16.0 * worker.size
+        self._gate.sized(now, workers)
+
+    def beat(self, now: float) -> None:
+        """The periodic work: silence is judged, queues that lag are looked at again."""
+        self._gate.sized(now, self.workers)
+        for worker in self.workers:
+            if self._health.fell_silent(now, worker):
+                self._log(f"worker {worker.id} unusually silent")
+                self._rescue(now, worker, True)
+                self._stirred.update(dict.fromkeys(worker.copies))
+        for function in list(self._lagging):
+            self._stirred[function] = None
+            if not function.waiting:
+                del self._lagging[function]
+
+    def forgotten(self) -> list[Function]:
+        """Functions that have neither work nor copies here and were not asked for lately."""
+        return []
+
+    # What to do.
+
+    def decide(self, now: float) -> Decision | None:
+        """The next decision: a send (or a revoked one to call off), an order, a final answer, a log line."""
+        while (item := self.agenda.pop_due(now)) is not None:
+            if isinstance(item, Copy):
+                if self._copies.due(now, item) and self._health.usable(now, item.worker):
+                    order = self._order(now, item, item.standing, 0.5)
+                    if order:
+                        return order
+            elif item.verdict is None and (item.queued or now >= item.deadline - 5):
+                return self._gate.end(item)
+        if self._owed:
+            return self._owed.popleft()
+        while self._stirred:
+            function = next(iter(self._stirred))
+            decision = self._serve(now, function)
+            if decision is not None:
+                return decision
+            del self._stirred[function]
+        return None
+
+    def _serve(self, now: float, function: Function) -> Decision | None:
+        held = loading = count = 0
+        for copy in function.copies.values():
+            usable = not copy.worker.bar_ms and not copy.worker.suspect
+            held += copy.standing * function.lanes * usable
+            extra = max(0, copy.order.count - copy.standing) if copy.order else 0
+            young = copy.order is not None and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0)
+            loading += extra * function.lanes * young
+            count += copy.standing * usable + extra
+        while function.arrivals:
+            act = function.arrivals.popleft()
+            if act.verdict:
+                continue
+            if self._queues.beyond(now, act, held + loading):
+                act.return_ms = min(self._longest_return_ms, function.load_ms or 1000.0)
+                return self._gate.end(act)
+            act.queued = True
+            function.waiting.append(act)
+            self.agenda.add(act.deadline - 5, act)
+        while function.waiting:
+            act = function.waiting[0]
+            if act.verdict or not act.queued or not self._gate.open(now, act):
+                function.waiting.popleft()
+                act.queued = False
+                if not act.verdict and all(send.outcome for send in act.sends):
+                    return self._gate.end(act)
+                continue
+            copy = self._placement.lane(now, act)
+            if copy is None:
+                break
+            return self._send(now, act, copy)
+        if not function.waiting:
+            self._queues.limit(now, function, False)
+            return None
+        self._lagging[function] = None
+        if len(function.waiting) > held + loading:
+            return self._grow(now, function, count)
+        return None
+
+    def _grow(self, now: float, function: Function, count: int) -> Decision | None:
+        worker, room = self._placement.host(now, function, self.workers)
+        if worker is None or count >= self._queues.limit(now, function, room):
+            return None
+        copy = self._copies.at(function, worker)
+        if copy.order is not None:
+            return None
+        order = self._order(now, copy, copy.standing + 1)
+        if order is None and self._loads_itself and not copy.standing:
+            # The ration is spent: where workers load by themselves the send itself brings the copy.
+            self._copies.stands(now, copy, 1)
+            copy.used = now
+            if self._placement.lane(now, function.waiting[0]) is copy:
+                return self._send(now, function.waiting[0], copy)
+        if order is None and not copy.standing and not copy.sends:
+            self._copies.forget(copy)
+        return order
+
+    def _order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
+        order = self._gate.order(now, copy, count, spare)
+        if order:
+            copy.order = order
+        return order
+
+    def _send(self, now: float, act: Activation, copy: Copy) -> Send | None:
+        send = self._gate.send(now, act, copy)
+        if send:
+            act.function.waiting.popleft()
+            act.queued = False
+            self._health.sent(now, copy.worker)
+            copy.worker.sends[send] = None
+            copy.sends += 1
+            copy.used = now
+        return send
+
+    def _again(self, now: float, act: Activation) -> None:
+        """A send ended without an answer for the client: queue for another send, or give up at once."""
+        if act.queued:
+            return
+        if self._gate.open(now, act):
+            act.queued = True
+            act.function.waiting.appendleft(act)
+            self._stirred[act.function] = None
+        elif all(send.outcome for send in act.sends):
+            self._owed.append(self._gate.end(act))
+
+    def _rescue(self, now: float, worker: Worker, lost: bool) -> None:
+        """What is out at a worker that is lost goes elsewhere, where that is allowed."""
+        for send in reversed(list(worker.sends) if lost else []):
+            if send.act.verdict or send.revoked or send.act.type.effect is Effect.ONCE_ONLY:
+                continue
+            if self._gate.open(now, send.act):
+                self._again(now, send.act)
+            elif sum(s.outcome is None for s in send.act.sends) == 1:
+                self._call_off(send)  # only one send at a time: its end makes the way free
+
+    def _revoke(self, act: Activation) -> None:
+        for send in act.sends:
+            if send.outcome is None and not send.revoked:
+                self._call_off(send)
+
+    def _call_off(self, send: Send) -> None:
+        if self._cancels:
+            send.revoked = True
+            self._owed.append(send)
+
+    def _log(self, line: str) -> None:
+        if self._lines > 0:
+            self._lines -= 1
+            self._owed.append(line)
+
+
+def _shed(times: deque[float], before: float) -> None:
+    while times and times[0] <= before:
+        times.popleft()
--- /dev/null
+++ b/kelptrail/dispatch/terms.py
@@ -0,0 +1,164 @@
+"""What the decisions are about: activations, sends, workers, copies, namespace types.
+
+Plain state without a decision: `rules.py` alone reads and writes it to decide.  Objects point to each
+other; ids are used only at the door, by whoever hosts a dispatcher.  Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a second run of an activation does."""
+
+    REPEATABLE = "repeatable"
+    DEDUPLICATED = "deduplicated"
+    ONCE_ONLY = "once-only"
+
+
+class Outcome(Enum):
+    """How a send ended; `NEVER_RAN` lists the ends that prove that it never ran."""
+
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    REVOKED = "revoked"
+    UNSENT = "unsent"
+    MISS = "miss"
+
+
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.MISS})
+
+
+class State(Enum):
+    """What the worker list says of a worker."""
+
+    LIVE = "live"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(slots=True, eq=False)
+class NamespaceType:
+    """One of the kinds of activation that a deployment serves."""
+
+    name: str
+    effect: Effect
+    target_ms: float
+    utility: float
+    late_share: float = 0.0
+    scope: str = "all"  # who drops repeats of a deduplicated activation: "all", "zone" or "cell"
+    remembered_ms: float = 0.0  # for how long they do
+
+
+@dataclass(slots=True, eq=False)
+class Customer:
+    """Who shares the fleet; beyond `allowed_per_s` over all dispatchers an activation is worth little."""
+
+    name: str
+    allowed_per_s: float
+    taken: deque[float] = field(default_factory=deque)
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """A worker as the list tells of it, and what this dispatcher has seen of it."""
+
+    id: str
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    size: float = 1.0
+    state: State = State.LIVE
+    started: float | None = None  # None: long ago
+    sends: dict[Send, None] = field(default_factory=dict)  # still out, oldest first
+    copies: dict[Function, Copy] = field(default_factory=dict)
+    report: dict[str, float] = field(default_factory=dict)
+    recent: deque[float] = field(default_factory=deque)  # sends while it was cold
+    waited_for: dict[Function, None] = field(default_factory=dict)  # functions with nowhere else to go
+    window: float = 0.0  # sends that it is believed to bear at once
+    quiet_since: float = 0.0
+    gap: float = 0.0  # usual silence while something is out, and how far it strays
+    stray: float = 0.0
+    fails: float = 0.0  # recent share of answers that were failures
+    barred_until: float = 0.0
+    bar_ms: float = 0.0
+    suspect: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Function:
+    """A function (a model) and its queue at this dispatcher."""
+
+    id: str
+    type: NamespaceType
+    memory_mb: float
+    lanes: int
+    load_ms: float | None = None
+    arrivals: deque[Activation] = field(default_factory=deque)  # taken, not yet looked at
+    waiting: deque[Activation] = field(default_factory=deque)
+    copies: dict[Worker, Copy] = field(default_factory=dict)
+    limit: int = 0
+    lag_since: float | None = None
+    grown: float = 0.0
+    last_taken: float = 0.0
+    usual_ms: float = 0.0  # usual time from a send to its answer
+
+
+@dataclass(slots=True, eq=False)
+class Copy:
+    """The copies of one function at one worker, as far as this dispatcher believes in them."""
+
+    function: Function
+    worker: Worker
+    standing: int = 0
+    order: Order | None = None  # a hold order that is out
+    sends: int = 0
+    used: float = 0.0  # last send or answer
+    touched: float = 0.0  # since when it idles at the worker, at the earliest
+    barred_until: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Activation:
+    """A piece of work that a running dispatcher has taken and owes one final answer."""
+
+    id: str
+    type: NamespaceType
+    function: Function
+    customer: Customer | None
+    taken: float
+    deadline: float
+    effort_ms: float | None = None
+    sends: list[Send] = field(default_factory=list)
+    queued: bool = False
+    verdict: str | None = None  # "completed", "rejected", "aborted"; once set it stays
+    return_ms: float = 0.0  # with a rejection: when to come back
+
+
+@dataclass(slots=True, eq=False)
+class Send:
+    """One send of an activation to a worker."""
+
+    act: Activation
+    copy: Copy
+    number: int
+    sent: float
+    outcome: Outcome | None = None
+    revoked: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """A hold order: keep at least `count` copies there; 0 only asks."""
+
+    copy: Copy
+    count: int
+    placed: float
+    renewal: bool = False
--- /dev/null
+++ b/kelptrail/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the bench's wire and the dispatch package."""
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,71 @@
+"""The one helper file: a dispatcher with its parts, and short ways to talk to it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from kelptrail.dispatch.agenda import Agenda
+from kelptrail.dispatch.rules import Copies, Dispatcher, Gate, Health, Placement, Queues
+from kelptrail.dispatch.terms import (
+    Activation,
+    Customer,
+    Effect,
+    Function,
+    NamespaceType,
+    Order,
+    Send,
+    Worker,
+)
+
+GATE = {
+    "parallel": True,
+    "most_sends": 4,
+    "tip": 3.0,
+    "tip_ms": 2000.0,
+    "cold_share": 0.2,
+    "cold_ms": 10_000.0,
+    "loads": True,
+    "loads_free": 5.0,
+    "loads_share": 0.3,
+    "loads_ms": 5000.0,
+}
+
+
+def make(workers: int = 3, loads_itself: bool = False, return_ms: float = 500.0, **gate: Any) -> Dispatcher:
+    """A dispatcher with live, warm workers."""
+    rules, agenda, health = Gate(**(GATE | gate)), Agenda(), Health()
+    dispatcher = Dispatcher(
+        rules,
+        health,
+        Placement(rules, health, 0),
+        Copies(agenda, 8000.0),
+        Queues(2),
+        agenda,
+        True,
+        loads_itself,
+        return_ms,
+    )
+    dispatcher.listed(0.0, [Worker(f"w{n}", zone=n % 2, cell=n % 2) for n in range(workers)], [])
+    return dispatcher
+
+
+def kind(effect: Effect = Effect.REPEATABLE, scope: str = "all") -> NamespaceType:
+    return NamespaceType(effect.value, effect, 500.0, 2.0, 0.3, scope, 5000.0)
+
+
+def model(name: str = "f", lanes: int = 2, type_: NamespaceType | None = None) -> Function:
+    return Function(name, type_ or kind(), 300.0, lanes)
+
+
+def activation(
+    function: Function, now: float, n: int = 0, ms: float = 3000.0, of: Customer | None = None
+) -> Activation:
+    return Activation(f"{function.id}/{n}", function.type, function, of, now, now + ms)
+
+
+def pull(dispatcher: Dispatcher, now: float) -> list[Send | Order | Activation | str]:
+    """All decisions of the moment."""
+    found = []
+    while (decision := dispatcher.decide(now)) is not None:
+        found.append(decision)
+    return found
