Load is a running average of own sends, times the reported use

Cause: with two or three sends out at a time the present count is mostly noise, so hash-first placement piled functions on few workers (late answers from copies that stood warm).

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -164,8 +164,9 @@
 
     def load(self, now: float, worker: Worker) -> float:
         loading = sum(copy.order is not None for copy in worker.copies.values())
-        busy = len(worker.sends) + loading + worker.report.get("x1", 0.0) + 4 * worker.report.get("util", 0.0)
-        return (busy + 1) / (worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails))
+        busy = 1 + len(worker.sends) + worker.busy + loading + worker.report.get("x1", 0.0)
+        able = worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails)
+        return busy * (0.3 + worker.report.get("util", 0.7)) / able
 
     def lane(self, now: float, act: Activation) -> Copy | None:
         """The least loaded believed free lane, own zone before others where loads are alike."""
@@ -199,7 +200,7 @@
         heard = [loads[w] for w in able if w.gap] or [1.0]
         mean = sum(heard) / len(heard)
         best = min(able, key=lambda w: (
-            int((loads[w] if w.gap else mean) / (1.5 * mean + 1)),
+            int((loads[w] if w.gap else mean) / (1.4 * mean)),
             w in function.copies and function.copies[w].standing > 0,
             w in function.copies and function.copies[w].order is not None,
             crc32(f"{function.id} {w.id}".encode()), w.id))
@@ -384,6 +385,7 @@
         """The periodic work: silence is judged, queues that lag are looked at again."""
         self._gate.sized(now, self.workers)
         for worker in self.workers:
+            worker.busy += 0.03 * (len(worker.sends) - worker.busy)
             if self._health.fell_silent(now, worker):
                 self._log(f"worker {worker.id} unusually silent")
                 self._rescue(now, worker, True)
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -81,7 +81,7 @@
     copies: dict[Function, Copy] = field(default_factory=dict)
     report: dict[str, float] = field(default_factory=dict)
     recent: deque[float] = field(default_factory=deque)  # sends while it was cold
-    waited_for: dict[Function, None] = field(default_factory=dict)  # functions with nowhere else to go
+    busy: float = 0.0  # sends out, on the recent average
     window: float = 0.0  # sends that it is believed to bear at once
     quiet_since: float = 0.0
     gap: float = 0.0  # usual silence while something is out, and how far it strays
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -39,6 +39,7 @@
     "N": Outcome.UNSENT,
     "M": Outcome.MISS,
 }
+REPORTED = {"cpu": "util"}
 BEAT, DUE = "beat", "due"
 
 
@@ -132,7 +133,7 @@
         if send.outcome is not None:
             return
         stats = e["stats"]
-        report = dict(zip(self._fields, stats, strict=True)) if stats else None
+        report = dict(zip((REPORTED.get(f, f) for f in self._fields), stats, strict=True)) if stats else None
         note = e["remark"] or 0
         self._dispatcher.answered(
             now,
