--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -123,9 +123,9 @@
 
     def usable(self, now: float, worker: Worker) -> bool:
         """A worker whose bar has run out gets one send at a time until it has shown itself well."""
-        if worker.state is not State.LIVE or worker.suspect or now < worker.barred_until:
+        if worker.state is not State.LIVE or now < worker.barred_until:
             return False
-        return not worker.bar_ms or not worker.sends
+        return not worker.bar_ms or not any(send.sent >= worker.barred_until for send in worker.sends)
 
     def sent(self, now: float, worker: Worker) -> None:
         if not worker.sends:
@@ -136,7 +136,7 @@
         gap = now - worker.quiet_since
         worker.stray += 0.05 * (abs(gap - worker.gap) - worker.stray) if worker.gap else gap
         worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
-        worker.quiet_since, worker.suspect = now, False
+        worker.quiet_since = now
         worker.fails += 0.2 * (failed - worker.fails)
         if failed and worker.fails > 0.3:
             self.bar(now, worker)
@@ -150,10 +150,12 @@
 
     def fell_silent(self, now: float, worker: Worker) -> bool:
         """True when a worker's present silence has just become unusual, given the gaps seen before."""
-        if worker.suspect or not worker.sends or not worker.gap:
+        if now < worker.barred_until or not worker.sends or not worker.gap:
             return False
-        worker.suspect = now - worker.quiet_since > 50 + worker.gap + 10 * worker.stray
-        return worker.suspect
+        if now - max(worker.quiet_since, worker.barred_until) <= 50 + worker.gap + 10 * worker.stray:
+            return False
+        self.bar(now, worker)
+        return True
 
 
 class Placement:
@@ -263,9 +265,21 @@
         return len(act.customer.taken) * self._balancers > 2 * act.customer.allowed_per_s
 
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
-        """Whether the lag is past its bound; for what exceeds a share the bound is half."""
-        bound = self._per_lane * max(lanes, act.function.lanes)
-        return len(act.function.waiting) >= (bound / 2 if self.over_share(now, act) else bound)
+        """Whether the lag is past its bound, in activations a lane or in time; beyond a share half of it holds.
+
+        In time: at the pace of late releases the newcomer would miss its target latency in the queue alone.
+        """
+        function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
+        if len(function.waiting) >= part * self._per_lane * max(lanes, function.lanes):
+            return True
+        return len(function.waiting) * function.pace_ms > part * act.type.target_ms
+
+    def released(self, now: float, function: Function) -> None:
+        """A send left the queue: how fast does it move while something waits?"""
+        if function.lag_since is not None:
+            since = now - max(function.lag_since, function.released)
+            function.pace_ms += 0.2 * (since - function.pace_ms)
+        function.released = now
 
     def limit(self, now: float, function: Function, room: bool) -> int:
         """How many copies the function may have; lag that outlasts a load time raises it by one."""
@@ -369,7 +383,6 @@
         for worker in restarted:
             self._copies.void(worker)
             worker.barred_until = worker.bar_ms = worker.fails = 0.0
-            worker.suspect = False
         for worker in self.workers:
             if worker.state is not State.LIVE:
                 for copy in list(worker.copies.values()):
@@ -424,7 +437,7 @@
     def _serve(self, now: float, function: Function) -> Decision | None:
         held = loading = count = 0
         for copy in function.copies.values():
-            usable = not copy.worker.bar_ms and not copy.worker.suspect
+            usable = not copy.worker.bar_ms
             held += copy.standing * function.lanes * usable
             extra = max(0, copy.order.count - copy.standing) if copy.order else 0
             young = copy.order is not None and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0)
@@ -489,6 +502,7 @@
         if send:
             act.function.waiting.popleft()
             act.queued = False
+            self._queues.released(now, act.function)
             self._health.sent(now, copy.worker)
             copy.worker.sends[send] = None
             copy.sends += 1
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -89,7 +89,6 @@
     fails: float = 0.0  # recent share of answers that were failures
     barred_until: float = 0.0
     bar_ms: float = 0.0
-    suspect: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -106,7 +105,8 @@
     copies: dict[Worker, Copy] = field(default_factory=dict)
     limit: int = 0
     lag_since: float | None = None
-    grown: float = 0.0
+    pace_ms: float = 0.0  # usual time between two releases while something waits
+    released: float = 0.0
     last_taken: float = 0.0
     usual_ms: float = 0.0  # usual time from a send to its answer
 
