What can only be late waits behind what can be in time, and needs half the window

Cause: in overload first-come order makes every activation late. May harm: where every activation is late anyway, late ones wait longest.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -170,12 +170,15 @@
         able = worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails)
         return busy * (0.3 + worker.report.get("util", 0.7)) / able
 
-    def lane(self, now: float, act: Activation) -> Copy | None:
-        """The least loaded believed free lane, own zone before others where loads are alike."""
-        best, best_load = None, 0.0
+    def lane(self, now: float, act: Activation, late: bool) -> Copy | None:
+        """The least loaded believed free lane, own zone before others where loads are alike.
+
+        What can only be late goes where half the window is free: it must not make others late too.
+        """
+        best, best_load, part = None, 0.0, 0.5 if late else 1.0
         for copy in act.function.copies.values():
             worker = copy.worker
-            if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window:
+            if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
             if not self._health.usable(now, worker) or any(s in worker.sends for s in act.sends):
                 continue
@@ -284,7 +287,7 @@
     def limit(self, now: float, function: Function, room: bool) -> int:
         """How many copies the function may have; lag that outlasts a load time raises it by one."""
         function.limit = function.limit or self._limit
-        if not function.waiting:
+        if not function.waiting and not function.late:
             function.lag_since = None
         elif function.lag_since is None:
             function.lag_since = now
@@ -359,7 +362,7 @@
         elif act.verdict is None:
             self._again(now, act)
         for waiting in worker.copies:
-            if waiting.waiting:
+            if waiting.waiting or waiting.late:
                 self._stirred[waiting] = None
         self._stirred[function] = None
 
@@ -405,7 +408,7 @@
                 self._stirred.update(dict.fromkeys(worker.copies))
         for function in list(self._lagging):
             self._stirred[function] = None
-            if not function.waiting:
+            if not function.waiting and not function.late:
                 del self._lagging[function]
 
     def forgotten(self) -> list[Function]:
@@ -453,23 +456,27 @@
             act.queued = True
             function.waiting.append(act)
             self.agenda.add(act.deadline - 5, act)
-        while function.waiting:
-            act = function.waiting[0]
+        while queue := function.waiting or function.late:
+            act = queue[0]
             if act.verdict or not act.queued or not self._gate.open(now, act):
-                function.waiting.popleft()
+                queue.popleft()
                 act.queued = False
                 if not act.verdict and all(send.outcome for send in act.sends):
                     return self._gate.end(act)
                 continue
-            copy = self._placement.lane(now, act)
+            if queue is function.waiting and now + 0.5 * function.usual_ms > act.taken + act.type.target_ms:
+                function.late.append(queue.popleft())
+                continue
+            copy = self._placement.lane(now, act, queue is function.late)
             if copy is None:
                 break
             return self._send(now, act, copy)
-        if not function.waiting:
+        waiting = len(function.waiting) + len(function.late)
+        if not waiting:
             self._queues.limit(now, function, False)
             return None
         self._lagging[function] = None
-        if len(function.waiting) > held + loading:
+        if waiting > held + loading:
             return self._grow(now, function, count)
         return None
 
@@ -485,8 +492,9 @@
             # The ration is spent: where workers load by themselves the send itself brings the copy.
             self._copies.stands(now, copy, 1)
             copy.used = now
-            if self._placement.lane(now, function.waiting[0]) is copy:
-                return self._send(now, function.waiting[0], copy)
+            first = (function.waiting or function.late)[0]
+            if self._placement.lane(now, first, not function.waiting) is copy:
+                return self._send(now, first, copy)
         if order is None and not copy.standing and not copy.sends:
             self._copies.forget(copy)
         return order
@@ -500,7 +508,7 @@
     def _send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         send = self._gate.send(now, act, copy)
         if send:
-            act.function.waiting.popleft()
+            (act.function.waiting or act.function.late).popleft()
             act.queued = False
             self._queues.released(now, act.function)
             self._health.sent(now, copy.worker)
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -102,6 +102,7 @@
     load_ms: float | None = None
     arrivals: deque[Activation] = field(default_factory=deque)  # taken, not yet looked at
     waiting: deque[Activation] = field(default_factory=deque)
+    late: deque[Activation] = field(default_factory=deque)  # those that can only be late, served after
     copies: dict[Worker, Copy] = field(default_factory=dict)
     limit: int = 0
     lag_since: float | None = None
