A worker's window narrows from half the target latency on

Cause: answers from standing copies came late because the window gave way only after the target had passed.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -344,7 +344,7 @@
             took = now - send.sent
             function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
             # The worker's window: narrowed by answers past the target, widened by those in time.
-            if took > act.type.target_ms:
+            if took > act.type.target_ms / 2:
                 worker.window = max(2.0, worker.window * 0.9)
             elif len(worker.sends) >= worker.window / 2:
                 worker.window += 1 / worker.window
