--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -180,7 +180,7 @@
             worker = copy.worker
             if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
-            if not self._health.usable(now, worker) or any(s in worker.sends for s in act.sends):
+            if now < copy.barred_until or not self._health.usable(now, worker) or any(s in worker.sends for s in act.sends):
                 continue
             if worker.bar_ms and act.type.effect is Effect.ONCE_ONLY:
                 continue  # a worker on trial is tried with what may run again
@@ -257,8 +257,12 @@
 class Queues:
     """Lag, limit, bound and fairness of the queues, one for each function."""
 
-    def __init__(self, balancers: int, limit: int = 4, per_lane: int = 4) -> None:
-        self._balancers, self._limit, self._per_lane = balancers, limit, per_lane
+    def __init__(self, balancers: int, by_work: bool, limit: int = 4, per_lane: int = 4) -> None:
+        self._balancers, self._by_work, self._limit, self._per_lane = balancers, by_work, limit, per_lane
+
+    def worth(self, function: Function) -> float:
+        """Which of two lagging queues comes first where both wait for one worker: utility for its work."""
+        return function.type.utility / (1.0 if self._by_work else max(1.0, function.usual_ms))
 
     def over_share(self, now: float, act: Activation) -> bool:
         """Whether the customer sends beyond its share, taking this dispatcher's part for an even one."""
@@ -349,7 +353,12 @@
             elif len(worker.sends) >= worker.window / 2:
                 worker.window += 1 / worker.window
         elif outcome is Outcome.FULL:
-            worker.window = max(1.0, 0.8 * len(worker.sends))
+            # Turned away: none of the function runs there, so no copy stands and none fits; else the queue is full.
+            if company:
+                worker.window = max(2.0, 0.9 * worker.window)
+            else:
+                copy.standing = 0
+            copy.barred_until = now + (function.load_ms or 1000.0)
         elif outcome is Outcome.MISS:
             copy.standing = 0
         elif outcome in (Outcome.UNREACHABLE, Outcome.BROKEN):
@@ -361,9 +370,8 @@
             self._revoke(act)
         elif act.verdict is None:
             self._again(now, act)
-        for waiting in worker.copies:
-            if waiting.waiting or waiting.late:
-                self._stirred[waiting] = None
+        lagging = [f for f in worker.copies if f.waiting or f.late]
+        self._stirred.update(dict.fromkeys(sorted(lagging, key=self._queues.worth, reverse=True)))
         self._stirred[function] = None
 
     def told(self, now: float, order: Order, outcome: Outcome, standing: int) -> None:
@@ -375,7 +383,7 @@
         else:
             copy.standing = 0
             self._health.bar(now, copy.worker)
-        if outcome is not Outcome.COMPLETED:
+        if not standing:
             copy.barred_until = now + (copy.function.load_ms or 1000.0)
         if not copy.standing and not copy.sends and now >= copy.barred_until:
             self._copies.forget(copy)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -18,6 +18,7 @@
 }
 ENV = {
     "balancers": 1,
+    "counted_by": "request",
     "classes": [CLASS],
     "customers": [],
     "my_zone": 0,
