--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -13,18 +13,7 @@
 from zlib import crc32
 
 from kelptrail.dispatch.agenda import Agenda
-from kelptrail.dispatch.terms import (
-    NEVER_RAN,
-    Activation,
-    Copy,
-    Effect,
-    Function,
-    Order,
-    Outcome,
-    Send,
-    State,
-    Worker,
-)
+from kelptrail.dispatch.terms import Activation, Copy, Effect, Function, Order, Outcome, Send, State, Worker
 
 Decision = Send | Order | Activation | str
 
@@ -39,17 +28,17 @@
         self._loads, self._free, self._share, self._span = loads, loads_free, loads_share, loads_ms
         self._orders: deque[float] = deque()
         self._taken: deque[float] = deque()
-        self._warm: deque[float] = deque()  # sends to warm workers: what a worker of its size carries
-        self._warm_size = 1.0
+        self._warm: deque[tuple[float, Worker]] = deque()  # sends to warm workers
+        self._usual = 0.0  # what a warm worker of size 1 is sent from here in the time of the budget
 
     def took(self, now: float) -> None:
-        if self._span:
-            self._taken.append(now)
+        self._taken.append(now)
 
     def sized(self, now: float, workers: Iterable[Worker]) -> None:
-        warm = [w.size for w in workers if w.state is State.LIVE and self.warmth(now, w) >= 1]
-        self._warm_size = sum(warm) or 1.0
-        _shed(self._warm, now - self._tip_ms)
+        warm = {w: w.size for w in workers if w.state is State.LIVE and self.warmth(now, w) >= 1}
+        while self._warm and self._warm[0][0] <= now - self._tip_ms:
+            self._warm.popleft()
+        self._usual = sum(worker in warm for _, worker in self._warm) / (sum(warm.values()) or 1.0)
         _shed(self._taken, now - self._span)
 
     def warmth(self, now: float, worker: Worker) -> float:
@@ -65,7 +54,7 @@
         out = sum(send.outcome is None for send in act.sends)
         if out and (out > 1 or not self._parallel):
             return False
-        first = next((send for send in act.sends if send.outcome not in NEVER_RAN), None)
+        first = next((send for send in act.sends if send.may_have_run), None)
         if first is None or act.type.effect is Effect.REPEATABLE:
             return True
         return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
@@ -74,7 +63,7 @@
         if worker.state is not State.LIVE or not self.open(now, act):
             return False
         if act.type.effect is Effect.DEDUPLICATED and act.type.scope != "all":
-            first = next((s.copy.worker for s in act.sends if s.outcome not in NEVER_RAN), worker)
+            first = next((s.copy.worker for s in act.sends if s.may_have_run), worker)
             if getattr(first, act.type.scope) != getattr(worker, act.type.scope):
                 return False
         warmth = self.warmth(now, worker)
@@ -83,13 +72,15 @@
         # A cold worker's budget over any window: a part of what warm workers of its size carry from here.  As
         # each dispatcher stays under its own part of the whole, all together stay under the multiple.
         _shed(worker.recent, now - self._tip_ms)
-        usual = len(self._warm) * worker.size / self._warm_size
-        return len(worker.recent) < max(1.0, 0.5 * self._tip * warmth * usual)
+        return len(worker.recent) < max(1.0, 0.5 * self._tip * warmth * self._usual * worker.size)
 
     def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         if not self.may_send(now, act, copy.worker):
             return None
-        (copy.worker.recent if self.warmth(now, copy.worker) < 1 else self._warm).append(now)
+        if self.warmth(now, copy.worker) < 1:
+            copy.worker.recent.append(now)
+        else:
+            self._warm.append((now, copy.worker))
         send = Send(act, copy, len(act.sends), now)
         act.sends.append(send)
         return send
@@ -109,7 +100,7 @@
 
     def end(self, act: Activation) -> Activation:
         """The one final answer: rejected where that promises the truth, else aborted."""
-        harmless = act.type.effect is Effect.REPEATABLE or all(s.outcome in NEVER_RAN for s in act.sends) or (
+        harmless = act.type.effect is Effect.REPEATABLE or not any(s.may_have_run for s in act.sends) or (
             act.type.effect is Effect.DEDUPLICATED and act.type.scope == "all")
         act.verdict = "rejected" if harmless else "aborted"
         return act
@@ -152,7 +143,11 @@
         """True when a worker's present silence has just become unusual, given the gaps seen before."""
         if now < worker.barred_until or not worker.sends or not worker.gap:
             return False
-        if now - max(worker.quiet_since, worker.barred_until) <= 50 + worker.gap + 10 * worker.stray:
+        silence = now - max(worker.quiet_since, worker.barred_until)
+        if silence <= 50 + worker.gap + 10 * worker.stray:
+            return False
+        oldest = next(iter(worker.sends))  # its function may just be slow everywhere
+        if now - oldest.sent <= 4 * (oldest.act.function.usual_ms or oldest.act.type.target_ms):
             return False
         self.bar(now, worker)
         return True
@@ -165,8 +160,7 @@
         self._gate, self._health, self._zone = gate, health, zone
 
     def load(self, now: float, worker: Worker) -> float:
-        loading = sum(copy.order is not None for copy in worker.copies.values())
-        busy = 1 + len(worker.sends) + worker.busy + loading + worker.report.get("x1", 0.0)
+        busy = 1 + len(worker.sends) + worker.busy + worker.loading + worker.report.get("x1", 0.0)
         able = worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails)
         return busy * (0.3 + worker.report.get("util", 0.7)) / able
 
@@ -180,12 +174,12 @@
             worker = copy.worker
             if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
-            if now < copy.barred_until or not self._health.usable(now, worker) or any(s in worker.sends for s in act.sends):
+            if now < copy.barred_until or not self._health.usable(now, worker):
+                continue
+            if any(send in worker.sends for send in act.sends) or not self._gate.may_send(now, act, worker):
                 continue
             if worker.bar_ms and act.type.effect is Effect.ONCE_ONLY:
                 continue  # a worker on trial is tried with what may run again
-            if not self._gate.may_send(now, act, worker):
-                continue
             load = self.load(now, worker) + (worker.zone != self._zone) * 0.5
             if best is None or load < best_load:
                 best, best_load = copy, load
@@ -246,7 +240,7 @@
 
     def void(self, worker: Worker) -> None:
         """The worker's process died: nothing stands there any more."""
-        for copy in list(worker.copies.values()):
+        for copy in worker.copies.values():
             copy.standing = 0
 
     def forget(self, copy: Copy) -> None:
@@ -272,13 +266,11 @@
         return len(act.customer.taken) * self._balancers > 2 * act.customer.allowed_per_s
 
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
-        """Whether the lag is past its bound, in activations a lane or in time; beyond a share half of it holds.
-
-        In time: at the pace of late releases the newcomer would miss its target latency in the queue alone.
-        """
+        """Whether the lag is past its bound, in activations a lane or in time; beyond a share at half of it."""
         function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
         if len(function.waiting) >= part * self._per_lane * max(lanes, function.lanes):
             return True
+        # At the pace of late releases the newcomer would miss its target latency in the queue alone.
         return len(function.waiting) * function.pace_ms > part * act.type.target_ms
 
     def released(self, now: float, function: Function) -> None:
@@ -353,7 +345,7 @@
             elif len(worker.sends) >= worker.window / 2:
                 worker.window += 1 / worker.window
         elif outcome is Outcome.FULL:
-            # Turned away: none of the function runs there, so no copy stands and none fits; else the queue is full.
+            # Turned away: if none of the function runs there no copy stands and none fits; else it is full.
             if company:
                 worker.window = max(2.0, 0.9 * worker.window)
             else:
@@ -378,6 +370,7 @@
         """The answer to a hold order."""
         copy = order.copy
         copy.order = None
+        copy.worker.loading -= 1
         if outcome in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
             self._copies.stands(now, copy, standing)
         else:
@@ -419,10 +412,6 @@
             if not function.waiting and not function.late:
                 del self._lagging[function]
 
-    def forgotten(self) -> list[Function]:
-        """Functions that have neither work nor copies here and were not asked for lately."""
-        return []
-
     # What to do.
 
     def decide(self, now: float) -> Decision | None:
@@ -446,7 +435,7 @@
         return None
 
     def _serve(self, now: float, function: Function) -> Decision | None:
-        held = loading = count = 0
+        held = loading = count = 0  # lanes held, lanes loading, copies that stand or load
         for copy in function.copies.values():
             usable = not copy.worker.bar_ms
             held += copy.standing * function.lanes * usable
@@ -484,7 +473,8 @@
             self._queues.limit(now, function, False)
             return None
         self._lagging[function] = None
-        if waiting > held + loading:
+        if waiting > held + loading and (not count or now >= function.looked + 25):
+            function.looked = now  # CPU: a lagging queue looks for a worker only so often
             return self._grow(now, function, count)
         return None
 
@@ -508,10 +498,9 @@
         return order
 
     def _order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
-        order = self._gate.order(now, copy, count, spare)
-        if order:
-            copy.order = order
-        return order
+        copy.order = self._gate.order(now, copy, count, spare)
+        copy.worker.loading += copy.order is not None
+        return copy.order
 
     def _send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         send = self._gate.send(now, act, copy)
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -44,7 +44,7 @@
     GONE = "gone"
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class NamespaceType:
     """One of the kinds of activation that a deployment serves."""
 
@@ -57,7 +57,7 @@
     remembered_ms: float = 0.0  # for how long they do
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Customer:
     """Who shares the fleet; beyond `allowed_per_s` over all dispatchers an activation is worth little."""
 
@@ -66,7 +66,7 @@
     taken: deque[float] = field(default_factory=deque)
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Worker:
     """A worker as the list tells of it, and what this dispatcher has seen of it."""
 
@@ -81,6 +81,7 @@
     copies: dict[Function, Copy] = field(default_factory=dict)
     report: dict[str, float] = field(default_factory=dict)
     recent: deque[float] = field(default_factory=deque)  # sends while it was cold
+    loading: int = 0  # hold orders out
     busy: float = 0.0  # sends out, on the recent average
     window: float = 0.0  # sends that it is believed to bear at once
     quiet_since: float = 0.0
@@ -91,7 +92,7 @@
     bar_ms: float = 0.0
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Function:
     """A function (a model) and its queue at this dispatcher."""
 
@@ -108,11 +109,12 @@
     lag_since: float | None = None
     pace_ms: float = 0.0  # usual time between two releases while something waits
     released: float = 0.0
+    looked: float = 0.0  # when a worker for another copy was last looked for
     last_taken: float = 0.0
     usual_ms: float = 0.0  # usual time from a send to its answer
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Copy:
     """The copies of one function at one worker, as far as this dispatcher believes in them."""
 
@@ -126,7 +128,7 @@
     barred_until: float = 0.0
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Activation:
     """A piece of work that a running dispatcher has taken and owes one final answer."""
 
@@ -143,7 +145,7 @@
     return_ms: float = 0.0  # with a rejection: when to come back
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Send:
     """One send of an activation to a worker."""
 
@@ -154,8 +156,13 @@
     outcome: Outcome | None = None
     revoked: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Unless its end proves that it never ran; one still out may have run."""
+        return self.outcome not in NEVER_RAN
 
-@dataclass(slots=True, eq=False)
+
+@dataclass(slots=True, eq=False, repr=False)
 class Order:
     """A hold order: keep at least `count` copies there; 0 only asks."""
 
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -195,8 +195,6 @@
         if e["token"] == BEAT:
             self._beats = False
             self._dispatcher.beat(now)
-            for function in self._dispatcher.forgotten():
-                self._functions.pop(function.id, None)
         else:
             self._armed = None
 
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,184 @@
+"""Seeded random runs that check the five rules after every step, and that removing a guard is seen."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from helpers import GATE, activation, kind, make, model
+
+from kelptrail.dispatch.rules import Decision, Dispatcher, Gate
+from kelptrail.dispatch.terms import NEVER_RAN, Activation, Effect, Order, Outcome, Send, State, Worker
+
+KINDS = [kind(), kind(Effect.DEDUPLICATED), kind(Effect.DEDUPLICATED, "zone"), kind(Effect.ONCE_ONLY)]
+SLACK_MS = 16.0
+
+
+class Watch:
+    """Judges decisions by the rules' own words, knowing nothing of how they were reached."""
+
+    def __init__(self, **gate: Any) -> None:
+        self.gate = GATE | gate
+        self.ended: dict[Activation, float] = {}
+        self.taken: list[float] = []
+        self.orders: list[float] = []
+        self.sends: list[Send] = []
+        self.told: dict[Worker, float] = {}  # when a start was told
+        self.fleet: list[Worker] = []
+
+    def end(self, now: float, act: Activation) -> None:
+        assert act not in self.ended, "one final answer"
+        assert now <= act.deadline + SLACK_MS, "in time"
+        self.ended[act] = now
+
+    def see(self, now: float, decision: Decision) -> None:
+        if isinstance(decision, Activation):
+            self.end(now, decision)
+            if decision.verdict == "rejected":
+                doubtful = [s for s in decision.sends if s.outcome not in NEVER_RAN]
+                effect, scope = decision.type.effect, decision.type.scope
+                assert (
+                    not doubtful
+                    or effect is Effect.REPEATABLE
+                    or (effect is Effect.DEDUPLICATED and scope == "all")
+                ), "a rejection promises the truth"
+        elif isinstance(decision, Order) and decision.count:
+            assert decision.copy.worker.state is State.LIVE, "drains kept for orders"
+            self.orders.append(now)
+            span = now - self.gate["loads_ms"]
+            allowed = self.gate["loads_free"] + self.gate["loads_share"] * sum(t > span for t in self.taken)
+            assert sum(t > span for t in self.orders) <= allowed, "orders rationed"
+        elif isinstance(decision, Send) and not decision.revoked:
+            self.sent(now, decision)
+
+    def sent(self, now: float, send: Send) -> None:
+        act, worker = send.act, send.copy.worker
+        assert act not in self.ended and act.verdict is None, "nothing sent after the end"
+        assert worker.state is State.LIVE, "drains kept for sends"
+        earlier = act.sends[:-1]
+        assert len(act.sends) <= self.gate["most_sends"]
+        assert sum(s.outcome is None for s in earlier) <= (1 if self.gate["parallel"] else 0)
+        doubtful = [s for s in earlier if s.outcome not in NEVER_RAN]
+        if doubtful and act.type.effect is not Effect.REPEATABLE:
+            assert act.type.effect is Effect.DEDUPLICATED, "once-only is never sent twice"
+            assert now <= doubtful[0].sent + act.type.remembered_ms, "within what runners remember"
+            assert act.type.scope == "all" or worker.zone == doubtful[0].copy.worker.zone, "inside the group"
+        self.sends.append(send)
+        if worker.started is not None and now - worker.started < self.gate["cold_ms"]:
+            span = now - self.gate["tip_ms"]
+            mine = sum(s.sent > max(span, self.told[worker]) and s.copy.worker is worker for s in self.sends)
+            warm_ms, least = self.gate["cold_ms"], self.gate["cold_share"]
+            others = [w for w in self.fleet if w.state is State.LIVE and now - (w.started or -1e9) >= warm_ms]
+            warm = sum(s.sent > span and s.copy.worker in others for s in self.sends)
+            share = least + (1 - least) * (now - worker.started) / warm_ms
+            usual = warm / max(1, len(others))
+            assert mine <= max(1.0, self.gate["tip"] * share * usual), "a cold worker is not pushed over"
+
+
+def play(seed: int, steps: int = 1500, **gate: Any) -> tuple[Dispatcher, Watch]:
+    """A random life of one dispatcher; every decision passes the watch."""
+    chance, watch = random.Random(seed), Watch(**gate)
+    dispatcher = make(workers=6, loads_itself=seed % 2 == 1, **gate)
+    fleet = watch.fleet = list(dispatcher.workers)
+    functions = [model(f"f{n}", chance.choice((1, 2, 4)), KINDS[n % len(KINDS)]) for n in range(8)]
+    now, serial, out, orders, open_acts = 0.0, 0, [], [], []
+    for step in range(steps + 400):
+        due = dispatcher.agenda.next_due()  # the host never sleeps past a due time
+        now = min(
+            now + (chance.choice((0.0, 1.0, 4.0, 15.0)) if step < steps else 50.0), max(now, due or now) + 4
+        )
+        for _ in range(chance.randrange(4) if step < steps else 0):
+            serial += 1
+            act = activation(chance.choice(functions), now, serial, chance.choice((300.0, 1500.0, 4000.0)))
+            watch.taken.append(now)
+            open_acts.append(act)
+            dispatcher.taken(now, act)
+        for order in [o for o in orders if chance.random() < 0.05]:
+            orders.remove(order)
+            dispatcher.told(
+                now,
+                order,
+                chance.choice([Outcome.COMPLETED] * 6 + [Outcome.FULL, Outcome.BROKEN]),
+                chance.randrange(order.count + 2),
+            )
+        for send in [s for s in out if s.copy.worker is not fleet[seed % 6] and chance.random() < 0.1]:
+            out.remove(send)
+            outcome = (
+                Outcome.REVOKED
+                if send.revoked
+                else chance.choice([Outcome.COMPLETED] * 9 + list(Outcome)[1:])
+            )
+            if outcome is Outcome.COMPLETED and send.act.verdict is None and now <= send.act.deadline:
+                watch.end(now, send.act)
+                dispatcher.answered(now, send, outcome, True, False, 0, None)
+            else:
+                ended = send.act in watch.ended
+                dispatcher.answered(
+                    now,
+                    send,
+                    outcome if outcome is not Outcome.COMPLETED else Outcome.SILENT,
+                    ended,
+                    False,
+                    0,
+                    None,
+                )
+        for act in [a for a in open_acts if a.verdict is None and chance.random() < 0.0005]:
+            watch.end(now, act)
+            dispatcher.left(act)
+        if chance.random() < 0.02:
+            worker = chance.choice(fleet[:3])
+            worker.state = chance.choice([State.LIVE, State.LIVE, State.DRAINING, State.GONE])
+            restarted = [worker] if worker.state is State.LIVE and chance.random() < 0.7 else []
+            for again in restarted:
+                again.started, watch.told[again] = now - chance.choice((0.0, 500.0)), now
+            dispatcher.listed(now, [w for w in fleet if w.state is not State.GONE], restarted)
+        if step % 5 == 0:
+            dispatcher.beat(now)
+        while (decision := dispatcher.decide(now)) is not None:
+            watch.see(now, decision)
+            if isinstance(decision, Send) and not decision.revoked:
+                out.append(decision)
+            elif isinstance(decision, Order):
+                orders.append(decision)
+    assert len(watch.ended) == serial, "every activation got its final answer"
+    assert len(watch.sends) > steps / 10 and watch.orders
+    return dispatcher, watch
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_lives_keep_the_rules(seed: int) -> None:
+    play(seed, parallel=seed % 3 != 0)
+
+
+def always(answer: Any) -> Callable[..., Any]:
+    return lambda *_: answer
+
+
+def reject(_: Gate, act: Activation) -> Activation:
+    act.verdict = "rejected"
+    return act
+
+
+@pytest.mark.parametrize(
+    ("guard", "instead", "message"),
+    [
+        ("open", always(True), "once-only is never sent twice|end|remember|assert"),
+        (
+            "may_send",
+            lambda self, now, act, worker: self.open(now, act),
+            "drains kept|inside the group|pushed over",
+        ),
+        ("warmth", always(1.0), "pushed over"),
+        ("end", reject, "promises the truth"),
+        ("order", lambda self, now, copy, count, spare=0.0: Order(copy, count, now), "rationed|drains kept"),
+    ],
+)
+def test_a_missing_guard_is_seen(
+    monkeypatch: pytest.MonkeyPatch, guard: str, instead: Any, message: str
+) -> None:
+    monkeypatch.setattr(Gate, guard, instead)
+    with pytest.raises(AssertionError, match=message):
+        for seed in range(4):
+            play(seed)
