Hopeless activations are refused at once; shares are judged on own traffic

What the client will not wait for is refused at once, and a customer is over its share by its part of this dispatcher's own traffic (the even split over dispatchers was wrong where most carry little). May harm: a function that was slow for a while refuses what would now be in time, until answers show it.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from zlib import crc32
 
-from kelptrail.dispatch.agenda import Agenda
-from kelptrail.dispatch.terms import Activation, Copy, Effect, Function, Order, Outcome, Send, State, Worker
+from .agenda import Agenda
+from .terms import Activation, Copy, Customer, Effect, Function, Order, Outcome, Send, Worker
 
 Decision = Send | Order | Activation | str
 
@@ -35,7 +35,7 @@
         self._taken.append(now)
 
     def sized(self, now: float, workers: Iterable[Worker]) -> None:
-        warm = {w: w.size for w in workers if w.state is State.LIVE and self.warmth(now, w) >= 1}
+        warm = {w: w.size for w in workers if w.live and self.warmth(now, w) >= 1}
         while self._warm and self._warm[0][0] <= now - self._tip_ms:
             self._warm.popleft()
         self._usual = sum(worker in warm for _, worker in self._warm) / (sum(warm.values()) or 1.0)
@@ -60,7 +60,7 @@
         return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
 
     def may_send(self, now: float, act: Activation, worker: Worker) -> bool:
-        if worker.state is not State.LIVE or not self.open(now, act):
+        if not worker.live or not self.open(now, act):
             return False
         if act.type.effect is Effect.DEDUPLICATED and act.type.scope != "all":
             first = next((s.copy.worker for s in act.sends if s.may_have_run), worker)
@@ -93,7 +93,7 @@
             _shed(self._orders, now - self._span)
             _shed(self._taken, now - self._span + 1)
             ration = (self._free + self._share * len(self._taken)) * (1 - spare)
-            if copy.worker.state is not State.LIVE or (self._span and len(self._orders) + 1 > ration):
+            if not copy.worker.live or (self._span and len(self._orders) + 1 > ration):
                 return None
             self._orders.append(now)
         return Order(copy, count, now)
@@ -114,7 +114,7 @@
 
     def usable(self, now: float, worker: Worker) -> bool:
         """A worker whose bar has run out gets one send at a time until it has shown itself well."""
-        if worker.state is not State.LIVE or now < worker.barred_until:
+        if not worker.live or now < worker.barred_until:
             return False
         return not worker.bar_ms or not any(send.sent >= worker.barred_until for send in worker.sends)
 
@@ -188,20 +188,18 @@
     def host(self, now: float, function: Function, workers: Iterable[Worker]) -> tuple[Worker | None, bool]:
         """The worker for a new copy, and whether it is below average.
 
-        Loads within one step of the average are equal; among equals one that holds none of the function, then
-        the one that a hash of function and worker ranks first: so dispatchers that cannot talk share copies.
+        Loads within one step are equal; among equals one that holds none of the function, then the first by a
+        hash of function and worker: so dispatchers that cannot talk share copies.
         """
-        able = [w for w in workers if self._health.usable(now, w) and (
-            w not in function.copies or now >= function.copies[w].barred_until)]
-        if not able:
+        fresh = Copy(function, Worker(""))
+        held = {w: function.copies.get(w, fresh) for w in workers if self._health.usable(now, w)}
+        loads = {w: self.load(now, w) for w, copy in held.items() if now >= copy.barred_until}
+        if not loads:
             return None, False
-        loads = {w: self.load(now, w) for w in able}
-        heard = [loads[w] for w in able if w.gap] or [1.0]
+        heard = [load for w, load in loads.items() if w.gap] or [1.0]
         mean = sum(heard) / len(heard)
-        best = min(able, key=lambda w: (
-            int((loads[w] if w.gap else mean) / (1.4 * mean)),
-            w in function.copies and function.copies[w].standing > 0,
-            w in function.copies and function.copies[w].order is not None,
+        best = min(loads, key=lambda w: (
+            int((loads[w] if w.gap else mean) / (1.4 * mean)), held[w].standing > 0, bool(held[w].order),
             crc32(f"{function.id} {w.id}".encode()), w.id))
         return best, loads[best] < mean or not best.gap
 
@@ -225,13 +223,14 @@
 
     def due(self, now: float, copy: Copy) -> bool:
         """Whether the copy should be renewed now; a copy past its keep-alive is forgotten."""
-        if not copy.standing:
+        if copy.function.copies.get(copy.worker) is not copy:
             return False
         if copy.sends:
             copy.touched = now
         if now >= copy.touched + self._keep_ms:
             copy.standing = 0
-            if copy.order is None:
+        if not copy.standing:
+            if copy.order is None and not copy.sends and now >= copy.barred_until:
                 self.forget(copy)
             return False
         near = now >= copy.touched + 0.8 * self._keep_ms - 1
@@ -251,22 +250,28 @@
 class Queues:
     """Lag, limit, bound and fairness of the queues, one for each function."""
 
-    def __init__(self, balancers: int, by_work: bool, limit: int = 4, per_lane: int = 4) -> None:
-        self._balancers, self._by_work, self._limit, self._per_lane = balancers, by_work, limit, per_lane
+    def __init__(self, customers: list[Customer], by_work: bool, limit: int = 4, per_lane: int = 4) -> None:
+        self._customers, self._by_work, self._limit, self._per_lane = customers, by_work, limit, per_lane
 
     def worth(self, function: Function) -> float:
         """Which of two lagging queues comes first where both wait for one worker: utility for its work."""
         return function.type.utility / (1.0 if self._by_work else max(1.0, function.usual_ms))
 
     def over_share(self, now: float, act: Activation) -> bool:
-        """Whether the customer sends beyond its share, taking this dispatcher's part for an even one."""
+        # Guards against a customer's surge or retrying client that crowds out the rest.
         if act.customer is None:
             return False
-        _shed(act.customer.taken, now - 2000)
-        return len(act.customer.taken) * self._balancers > 2 * act.customer.allowed_per_s
+        for customer in self._customers:
+            _shed(customer.taken, now - 2000)
+        allowed = act.customer.allowed_per_s / sum(customer.allowed_per_s for customer in self._customers)
+        return len(act.customer.taken) > 1.25 * allowed * sum(len(c.taken) for c in self._customers)
+
+    def hopeless(self, now: float, act: Activation) -> bool:
+        # Guards against runs that nobody waits for: impatient clients, late hours of a queue.
+        return act.deadline - now < max(5.0, 0.5 * act.function.usual_ms)
 
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
-        """Whether the lag is past its bound, in activations a lane or in time; beyond a share at half of it."""
+        """Whether the lag is past its bound, by activations or by time; beyond a share at half of it."""
         function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
         if len(function.waiting) >= part * self._per_lane * max(lanes, function.lanes):
             return True
@@ -368,18 +373,14 @@
 
     def told(self, now: float, order: Order, outcome: Outcome, standing: int) -> None:
         """The answer to a hold order."""
-        copy = order.copy
-        copy.order = None
+        copy, order.copy.order = order.copy, None
         copy.worker.loading -= 1
-        if outcome in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
-            self._copies.stands(now, copy, standing)
-        else:
-            copy.standing = 0
+        self._copies.stands(now, copy, standing)
+        if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
             self._health.bar(now, copy.worker)
         if not standing:
             copy.barred_until = now + (copy.function.load_ms or 1000.0)
-        if not copy.standing and not copy.sends and now >= copy.barred_until:
-            self._copies.forget(copy)
+            self.agenda.add(copy.barred_until, copy)
         self._stirred[copy.function] = None
 
     def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
@@ -388,11 +389,12 @@
             self._copies.void(worker)
             worker.barred_until = worker.bar_ms = worker.fails = 0.0
         for worker in self.workers:
-            if worker.state is not State.LIVE:
+            if not worker.live:
                 for copy in list(worker.copies.values()):
                     self._stirred[copy.function] = None
                     self._copies.forget(copy)
-                self._rescue(now, worker, worker.state is State.GONE)
+                if worker.gone:
+                    self._rescue(now, worker)
         self.workers = workers
         for worker in workers:
             worker.window = worker.window or 16.0 * worker.size
@@ -405,7 +407,7 @@
             worker.busy += 0.03 * (len(worker.sends) - worker.busy)
             if self._health.fell_silent(now, worker):
                 self._log(f"worker {worker.id} unusually silent")
-                self._rescue(now, worker, True)
+                self._rescue(now, worker)
                 self._stirred.update(dict.fromkeys(worker.copies))
         for function in list(self._lagging):
             self._stirred[function] = None
@@ -447,7 +449,7 @@
             act = function.arrivals.popleft()
             if act.verdict:
                 continue
-            if self._queues.beyond(now, act, held + loading):
+            if self._queues.beyond(now, act, held + loading) or self._queues.hopeless(now, act):
                 act.return_ms = min(self._longest_return_ms, function.load_ms or 1000.0)
                 return self._gate.end(act)
             act.queued = True
@@ -455,7 +457,7 @@
             self.agenda.add(act.deadline - 5, act)
         while queue := function.waiting or function.late:
             act = queue[0]
-            if act.verdict or not act.queued or not self._gate.open(now, act):
+            if act.verdict or not self._gate.open(now, act) or self._queues.hopeless(now, act):
                 queue.popleft()
                 act.queued = False
                 if not act.verdict and all(send.outcome for send in act.sends):
@@ -482,8 +484,7 @@
         worker, room = self._placement.host(now, function, self.workers)
         if worker is None or count >= self._queues.limit(now, function, room):
             return None
-        copy = self._copies.at(function, worker)
-        if copy.order is not None:
+        if (copy := self._copies.at(function, worker)).order is not None:
             return None
         order = self._order(now, copy, copy.standing + 1)
         if order is None and self._loads_itself and not copy.standing:
@@ -525,25 +526,21 @@
         elif all(send.outcome for send in act.sends):
             self._owed.append(self._gate.end(act))
 
-    def _rescue(self, now: float, worker: Worker, lost: bool) -> None:
+    def _rescue(self, now: float, worker: Worker) -> None:
         """What is out at a worker that is lost goes elsewhere, where that is allowed."""
-        for send in reversed(list(worker.sends) if lost else []):
+        for send in reversed(list(worker.sends)):
             if send.act.verdict or send.revoked or send.act.type.effect is Effect.ONCE_ONLY:
                 continue
             if self._gate.open(now, send.act):
                 self._again(now, send.act)
             elif sum(s.outcome is None for s in send.act.sends) == 1:
-                self._call_off(send)  # only one send at a time: its end makes the way free
+                self._revoke(send.act)  # only one send at a time: its end makes the way free
 
     def _revoke(self, act: Activation) -> None:
         for send in act.sends:
-            if send.outcome is None and not send.revoked:
-                self._call_off(send)
-
-    def _call_off(self, send: Send) -> None:
-        if self._cancels:
-            send.revoked = True
-            self._owed.append(send)
+            if self._cancels and send.outcome is None and not send.revoked:
+                send.revoked = True
+                self._owed.append(send)
 
     def _log(self, line: str) -> None:
         if self._lines > 0:
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -91,6 +91,16 @@
     barred_until: float = 0.0
     bar_ms: float = 0.0
 
+    @property
+    def live(self) -> bool:
+        """Whether it may be sent anything new."""
+        return self.state is State.LIVE
+
+    @property
+    def gone(self) -> bool:
+        """Whether the list has removed it."""
+        return self.state is State.GONE
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class Function:
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -87,7 +87,7 @@
             health,
             Placement(gate, health, env["my_zone"]),
             Copies(agenda, extras["idle_life_us"] / 1000),
-            Queues(env["balancers"], env["counted_by"] == "work"),
+            Queues(self._customers, env["counted_by"] == "work"),
             agenda,
             bounds["may_cancel"],
             extras["not_loaded"] == "load" or not extras["load_control"],
