--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -306,8 +306,7 @@
                  agenda: Agenda, cancels: bool, loads_itself: bool, longest_return_ms: float) -> None:
         self._gate, self._health, self._placement = gate, health, placement
         self._copies, self._queues, self.agenda = copies, queues, agenda
-        self._cancels, self._loads_itself = cancels, loads_itself
-        self._longest_return_ms = longest_return_ms
+        self._cancels, self._loads_itself, self._longest_return_ms = cancels, loads_itself, longest_return_ms
         self.workers: list[Worker] = []
         self._owed: deque[Decision] = deque()
         self._stirred: dict[Function, None] = {}
@@ -332,8 +331,7 @@
                  company: int, report: dict[str, float] | None) -> None:
         """How a send ended; `company`: others of the function at the worker when it came, where told."""
         send.outcome = outcome
-        act, copy, worker = send.act, send.copy, send.copy.worker
-        function = copy.function
+        act, copy, worker, function = send.act, send.copy, send.copy.worker, send.copy.function
         worker.sends.pop(send, None)
         copy.sends -= 1
         if report:
@@ -484,7 +482,8 @@
         worker, room = self._placement.host(now, function, self.workers)
         if worker is None or count >= self._queues.limit(now, function, room):
             return None
-        if (copy := self._copies.at(function, worker)).order is not None:
+        copy = self._copies.at(function, worker)
+        if copy.order is not None:
             return None
         order = self._order(now, copy, copy.standing + 1)
         if order is None and self._loads_itself and not copy.standing:
@@ -543,8 +542,8 @@
                 self._owed.append(send)
 
     def _log(self, line: str) -> None:
-        if self._lines > 0:
-            self._lines -= 1
+        self._lines -= 1
+        if self._lines >= 0:
             self._owed.append(line)
 
 
