--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -193,7 +193,8 @@
         """
         fresh = Copy(function, Worker(""))
         held = {w: function.copies.get(w, fresh) for w in workers if self._health.usable(now, w)}
-        loads = {w: self.load(now, w) for w, copy in held.items() if now >= copy.barred_until}
+        loads = {w: self.load(now, w) for w, copy in held.items()
+                 if now >= copy.barred_until and len(w.sends) < max(2, w.window / 2)}
         if not loads:
             return None, False
         heard = [load for w, load in loads.items() if w.gap] or [1.0]
@@ -438,7 +439,8 @@
         held = loading = count = 0  # lanes held, lanes loading, copies that stand or load
         for copy in function.copies.values():
             usable = not copy.worker.bar_ms
-            held += copy.standing * function.lanes * usable
+            room = max(0, int(copy.worker.window) - len(copy.worker.sends))
+            held += min(copy.standing * function.lanes, copy.sends + room) * usable
             extra = max(0, copy.order.count - copy.standing) if copy.order else 0
             young = copy.order is not None and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0)
             loading += extra * function.lanes * young
