--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -193,8 +193,8 @@
         """
         fresh = Copy(function, Worker(""))
         held = {w: function.copies.get(w, fresh) for w in workers if self._health.usable(now, w)}
-        loads = {w: self.load(now, w) for w, copy in held.items()
-                 if now >= copy.barred_until and len(w.sends) < max(2, w.window / 2)}
+        roomy = [w for w, copy in held.items() if now >= copy.barred_until and len(w.sends) < max(2, w.window / 2)]
+        loads = {w: self.load(now, w) for w in roomy}
         if not loads:
             return None, False
         heard = [load for w, load in loads.items() if w.gap] or [1.0]
@@ -277,7 +277,8 @@
         if len(function.waiting) >= part * self._per_lane * max(lanes, function.lanes):
             return True
         # At the pace of late releases the newcomer would miss its target latency in the queue alone.
-        return len(function.waiting) * function.pace_ms > part * act.type.target_ms
+        ahead = len(function.waiting) * function.pace_ms
+        return ahead > 0 and ahead + 0.5 * function.usual_ms > part * act.type.target_ms
 
     def released(self, now: float, function: Function) -> None:
         """A send left the queue: how fast does it move while something waits?"""
@@ -396,7 +397,7 @@
                     self._rescue(now, worker)
         self.workers = workers
         for worker in workers:
-            worker.window = worker.window or 16.0 * worker.size
+            worker.window = worker.window or 6.0
         self._gate.sized(now, workers)
 
     def beat(self, now: float) -> None:
