Windows narrow by answers from warm copies; idle functions are forgotten

Where answers tell warmth only a copy found loaded speaks of a crowd; where they do not, own sends must fill half the window.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -27,25 +27,21 @@
         self._tip, self._tip_ms, self._cold_share, self._cold_ms = tip, tip_ms, cold_share, cold_ms
         self._loads, self._free, self._share, self._span = loads, loads_free, loads_share, loads_ms
         self._orders: deque[float] = deque()
-        self._taken: deque[float] = deque()
+        self.taken: deque[float] = deque()
         self._warm: deque[tuple[float, Worker]] = deque()  # sends to warm workers
         self._usual = 0.0  # what a warm worker of size 1 is sent from here in the time of the budget
 
-    def took(self, now: float) -> None:
-        self._taken.append(now)
-
     def sized(self, now: float, workers: Iterable[Worker]) -> None:
         warm = {w: w.size for w in workers if w.live and self.warmth(now, w) >= 1}
         while self._warm and self._warm[0][0] <= now - self._tip_ms:
             self._warm.popleft()
         self._usual = sum(worker in warm for _, worker in self._warm) / (sum(warm.values()) or 1.0)
-        _shed(self._taken, now - self._span)
+        _shed(self.taken, now - self._span)
 
     def warmth(self, now: float, worker: Worker) -> float:
         """The share of its capacity that a worker has at least, by its age."""
         age = now - worker.started if worker.started is not None else self._cold_ms
-        cold = min(1.0, max(0.0, 1 - age / self._cold_ms))
-        return 1 - cold * (1 - self._cold_share)
+        return 1 - min(1.0, max(0.0, 1 - age / self._cold_ms)) * (1 - self._cold_share)
 
     def open(self, now: float, act: Activation) -> bool:
         """Rules 1 and 2, as far as they do not depend on the worker."""
@@ -91,8 +87,8 @@
             return None
         if count:
             _shed(self._orders, now - self._span)
-            _shed(self._taken, now - self._span + 1)
-            ration = (self._free + self._share * len(self._taken)) * (1 - spare)
+            _shed(self.taken, now - self._span + 1)
+            ration = (self._free + self._share * len(self.taken)) * (1 - spare)
             if not copy.worker.live or (self._span and len(self._orders) + 1 > ration):
                 return None
             self._orders.append(now)
@@ -118,10 +114,6 @@
             return False
         return not worker.bar_ms or not any(send.sent >= worker.barred_until for send in worker.sends)
 
-    def sent(self, now: float, worker: Worker) -> None:
-        if not worker.sends:
-            worker.quiet_since = now
-
     def heard(self, now: float, worker: Worker, failed: bool) -> None:
         """An answer.  One that fails fast must not look least loaded: failures bar, longer each time."""
         gap = now - worker.quiet_since
@@ -144,10 +136,9 @@
         if now < worker.barred_until or not worker.sends or not worker.gap:
             return False
         silence = now - max(worker.quiet_since, worker.barred_until)
-        if silence <= 50 + worker.gap + 10 * worker.stray:
-            return False
         oldest = next(iter(worker.sends))  # its function may just be slow everywhere
-        if now - oldest.sent <= 4 * (oldest.act.function.usual_ms or oldest.act.type.target_ms):
+        slow = 4 * (oldest.act.function.usual_ms or oldest.act.type.target_ms)
+        if silence <= 50 + worker.gap + 10 * worker.stray or now - oldest.sent <= slow:
             return False
         self.bar(now, worker)
         return True
@@ -161,8 +152,8 @@
 
     def load(self, now: float, worker: Worker) -> float:
         busy = 1 + len(worker.sends) + worker.busy + worker.loading + worker.report.get("x1", 0.0)
-        able = worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails)
-        return busy * (0.3 + worker.report.get("util", 0.7)) / able
+        busy *= 0.3 + worker.report.get("util", 0.7)
+        return busy / (worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails))
 
     def lane(self, now: float, act: Activation, late: bool) -> Copy | None:
         """The least loaded believed free lane, own zone before others where loads are alike.
@@ -186,22 +177,18 @@
         return best
 
     def host(self, now: float, function: Function, workers: Iterable[Worker]) -> tuple[Worker | None, bool]:
-        """The worker for a new copy, and whether it is below average.
-
-        Loads within one step are equal; among equals one that holds none of the function, then the first by a
-        hash of function and worker: so dispatchers that cannot talk share copies.
-        """
+        """The worker for a new copy, and whether it is below average.  Loads within one step are equal."""
         fresh = Copy(function, Worker(""))
-        held = {w: function.copies.get(w, fresh) for w in workers if self._health.usable(now, w)}
-        roomy = [w for w, copy in held.items() if now >= copy.barred_until and len(w.sends) < max(2, w.window / 2)]
-        loads = {w: self.load(now, w) for w in roomy}
+        roomy = [w for w in workers if self._health.usable(now, w) and len(w.sends) < max(2, w.window / 2)]
+        held = {w: function.copies.get(w, fresh) for w in roomy}
+        loads = {w: self.load(now, w) for w in roomy if now >= held[w].barred_until}
         if not loads:
             return None, False
         heard = [load for w, load in loads.items() if w.gap] or [1.0]
         mean = sum(heard) / len(heard)
         best = min(loads, key=lambda w: (
             int((loads[w] if w.gap else mean) / (1.4 * mean)), held[w].standing > 0, bool(held[w].order),
-            crc32(f"{function.id} {w.id}".encode()), w.id))
+            crc32(f"{function.id} {w.id}".encode()), w.id))  # so dispatchers that cannot talk share copies
         return best, loads[best] < mean or not best.gap
 
 
@@ -290,9 +277,7 @@
     def limit(self, now: float, function: Function, room: bool) -> int:
         """How many copies the function may have; lag that outlasts a load time raises it by one."""
         function.limit = function.limit or self._limit
-        if not function.waiting and not function.late:
-            function.lag_since = None
-        elif function.lag_since is None:
+        if function.lag_since is None:
             function.lag_since = now
         elif room and now - function.lag_since > (function.load_ms or 1000.0):
             function.limit, function.lag_since = function.limit + 1, now
@@ -313,15 +298,16 @@
         self._owed: deque[Decision] = deque()
         self._stirred: dict[Function, None] = {}
         self._lagging: dict[Function, None] = {}
+        self._known: dict[Function, None] = {}
         self._lines = 200  # log lines left
 
-    # What happens.
-
     def taken(self, now: float, act: Activation) -> None:
-        self._gate.took(now)
+        self._gate.taken.append(now)
         if act.customer is not None:
             act.customer.taken.append(now)
         act.function.last_taken = now
+        self._known.pop(act.function, None)
+        self._known[act.function] = None  # the one longest not asked for stands first
         act.function.arrivals.append(act)
         self._stirred[act.function] = None
 
@@ -330,8 +316,8 @@
         self._revoke(act)
 
     def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool,
-                 company: int, report: dict[str, float] | None) -> None:
-        """How a send ended; `company`: others of the function at the worker when it came, where told."""
+                 warm: bool | None, company: int, report: dict[str, float] | None) -> None:
+        """How a send ended.  `company`: others of the function there; `warm`: None where it is not told."""
         send.outcome = outcome
         act, copy, worker, function = send.act, send.copy, send.copy.worker, send.copy.function
         worker.sends.pop(send, None)
@@ -345,19 +331,20 @@
             took = now - send.sent
             function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
             # The worker's window: narrowed by answers past the target, widened by those in time.
-            if took > act.type.target_ms / 2:
+            # Where a load is not told from a crowd, only own sends that fill half the window speak of one.
+            crowd = warm if warm is not None else 2 * len(worker.sends) >= worker.window - 1
+            if crowd and took > act.type.target_ms / 2:
                 worker.window = max(2.0, worker.window * 0.9)
             elif len(worker.sends) >= worker.window / 2:
                 worker.window += 1 / worker.window
-        elif outcome is Outcome.FULL:
+        elif outcome in (Outcome.FULL, Outcome.MISS):
             # Turned away: if none of the function runs there no copy stands and none fits; else it is full.
             if company:
                 worker.window = max(2.0, 0.9 * worker.window)
             else:
                 copy.standing = 0
-            copy.barred_until = now + (function.load_ms or 1000.0)
-        elif outcome is Outcome.MISS:
-            copy.standing = 0
+            if outcome is Outcome.FULL:
+                copy.barred_until = now + (function.load_ms or 1000.0)
         elif outcome in (Outcome.UNREACHABLE, Outcome.BROKEN):
             self._copies.void(worker)
             self._health.bar(now, worker)
@@ -400,8 +387,8 @@
             worker.window = worker.window or 6.0
         self._gate.sized(now, workers)
 
-    def beat(self, now: float) -> None:
-        """The periodic work: silence is judged, queues that lag are looked at again."""
+    def beat(self, now: float) -> Function | None:
+        """The periodic work: silence is judged, lagging queues are seen to; returns a function to forget."""
         self._gate.sized(now, self.workers)
         for worker in self.workers:
             worker.busy += 0.03 * (len(worker.sends) - worker.busy)
@@ -413,8 +400,13 @@
             self._stirred[function] = None
             if not function.waiting and not function.late:
                 del self._lagging[function]
-
-    # What to do.
+        stale = next(iter(self._known), None)
+        if stale is None or now - stale.last_taken < 60_000 or stale.busy:
+            return None
+        for copy in list(stale.copies.values()):
+            self._copies.forget(copy)
+        del self._known[stale]
+        return stale
 
     def decide(self, now: float) -> Decision | None:
         """The next decision: a send (or a revoked one to call off), an order, a final answer, a log line."""
@@ -473,7 +465,7 @@
             return self._send(now, act, copy)
         waiting = len(function.waiting) + len(function.late)
         if not waiting:
-            self._queues.limit(now, function, False)
+            function.lag_since = None
             return None
         self._lagging[function] = None
         if waiting > held + loading and (not count or now >= function.looked + 25):
@@ -485,8 +477,7 @@
         worker, room = self._placement.host(now, function, self.workers)
         if worker is None or count >= self._queues.limit(now, function, room):
             return None
-        copy = self._copies.at(function, worker)
-        if copy.order is not None:
+        if (copy := self._copies.at(function, worker)).order is not None:
             return None
         order = self._order(now, copy, copy.standing + 1)
         if order is None and self._loads_itself and not copy.standing:
@@ -511,7 +502,7 @@
             (act.function.waiting or act.function.late).popleft()
             act.queued = False
             self._queues.released(now, act.function)
-            self._health.sent(now, copy.worker)
+            copy.worker.quiet_since = copy.worker.quiet_since if copy.worker.sends else now
             copy.worker.sends[send] = None
             copy.sends += 1
             copy.used = now
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -123,6 +123,12 @@
     last_taken: float = 0.0
     usual_ms: float = 0.0  # usual time from a send to its answer
 
+    @property
+    def busy(self) -> bool:
+        """Whether anything of it waits or is out."""
+        queued = self.arrivals or self.waiting or self.late
+        return bool(queued) or any(copy.order or copy.sends for copy in self.copies.values())
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class Copy:
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -67,7 +67,7 @@
         ]
         self._customers = [Customer(c["name"], c["allowance_per_s"]) for c in env.get("customers") or []]
         self._fields = env["report"]["fields"]
-        self._names_load = extras["says_company"], extras["says_warm"]
+        self._tells_warm = extras["says_warm"]
         agenda = Agenda()
         gate = Gate(
             parallel=bounds["parallel_tries"],
@@ -135,14 +135,9 @@
         stats = e["stats"]
         report = dict(zip((REPORTED.get(f, f) for f in self._fields), stats, strict=True)) if stats else None
         note = e["remark"] or 0
+        warm = note % 8 == 1 if self._tells_warm else None
         self._dispatcher.answered(
-            now,
-            send,
-            OUTCOMES[e["ending"]],
-            e["done_flag"],
-            note % 8 == 4,
-            note // 8 if note >= 8 else 0,
-            report,
+            now, send, OUTCOMES[e["ending"]], e["done_flag"], note % 8 == 4, warm, note // 8, report
         )
         self._settle(act)
 
@@ -161,6 +156,8 @@
         out = self._orders.get((e["runner"], e["fn"]))
         if out:
             self._dispatcher.told(now, out.popleft(), OUTCOMES[e["ending"]], e["copies"])
+            if not out:
+                del self._orders[e["runner"], e["fn"]]
 
     def listed(self, now: float, e: Fields, entries: list[Fields] | None) -> None:
         if e["how"] == "X":
@@ -194,7 +191,9 @@
     def timer(self, now: float, e: Fields) -> None:
         if e["token"] == BEAT:
             self._beats = False
-            self._dispatcher.beat(now)
+            stale = self._dispatcher.beat(now)
+            if stale is not None:
+                del self._functions[stale.id]
         else:
             self._armed = None
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,7 +112,7 @@
             )
             if outcome is Outcome.COMPLETED and send.act.verdict is None and now <= send.act.deadline:
                 watch.end(now, send.act)
-                dispatcher.answered(now, send, outcome, True, False, 0, None)
+                dispatcher.answered(now, send, outcome, True, False, None, 0, None)
             else:
                 ended = send.act in watch.ended
                 dispatcher.answered(
@@ -121,7 +121,7 @@
                     outcome if outcome is not Outcome.COMPLETED else Outcome.SILENT,
                     ended,
                     False,
-                    0,
+                    None, 0,
                     None,
                 )
         for act in [a for a in open_acts if a.verdict is None and chance.random() < 0.0005]:
