--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,10 +7,20 @@
 from typing import Any
 
 import pytest
-from helpers import GATE, activation, kind, make, model
+from helpers import GATE, activation, kind, make, model, pull
 
 from kelptrail.dispatch.rules import Decision, Dispatcher, Gate
-from kelptrail.dispatch.terms import NEVER_RAN, Activation, Effect, Order, Outcome, Send, State, Worker
+from kelptrail.dispatch.terms import (
+    NEVER_RAN,
+    Activation,
+    Effect,
+    Function,
+    Order,
+    Outcome,
+    Send,
+    State,
+    Worker,
+)
 
 KINDS = [kind(), kind(Effect.DEDUPLICATED), kind(Effect.DEDUPLICATED, "zone"), kind(Effect.ONCE_ONLY)]
 SLACK_MS = 16.0
@@ -121,7 +131,8 @@
                     outcome if outcome is not Outcome.COMPLETED else Outcome.SILENT,
                     ended,
                     False,
-                    None, 0,
+                    None,
+                    0,
                     None,
                 )
         for act in [a for a in open_acts if a.verdict is None and chance.random() < 0.0005]:
@@ -182,3 +193,140 @@
     with pytest.raises(AssertionError, match=message):
         for seed in range(4):
             play(seed)
+
+
+# Plain cases, each a failure met once or a step of the mechanism.
+
+
+def ready(dispatcher: Dispatcher, function: Function, now: float = 0.0, copies: int = 1) -> Worker:
+    """Have one activation ordered for, its copies standing, and its send answered."""
+    act = activation(function, now)
+    dispatcher.taken(now, act)
+    (order,) = pull(dispatcher, now)
+    assert isinstance(order, Order)
+    dispatcher.told(now, order, Outcome.COMPLETED, copies)
+    (send,) = pull(dispatcher, now)
+    assert isinstance(send, Send)
+    complete(dispatcher, send, now + 50)
+    return send.copy.worker
+
+
+def complete(dispatcher: Dispatcher, send: Send, now: float) -> None:
+    dispatcher.answered(now, send, Outcome.COMPLETED, True, False, True, 0, None)
+
+
+def take(
+    dispatcher: Dispatcher, function: Function, now: float, count: int, ms: float = 3000.0
+) -> list[Decision]:
+    for n in range(count):
+        dispatcher.taken(now, activation(function, now, n, ms))
+    return pull(dispatcher, now)
+
+
+def test_activations_wait_for_lanes_then_lag_orders_and_the_bound_refuses() -> None:
+    dispatcher, function = make(), model(lanes=2)
+    first = ready(dispatcher, function)
+    found = take(dispatcher, function, 100.0, 30)
+    assert [d.copy.worker for d in found if isinstance(d, Send)] == [first] * 2, "two lanes, on its own copy"
+    orders = [d for d in found if isinstance(d, Order)]
+    assert orders and all(o.count == 1 and o.copy.worker is not first for o in orders), "one that holds none"
+    refused = [d for d in found if isinstance(d, Activation)]
+    assert refused and all(a.verdict == "rejected" and a.return_ms > 0 for a in refused)
+    assert len(function.waiting) + 2 == 8, "four a lane, two of them sent on"
+
+
+def test_dispatchers_that_share_nothing_choose_the_same_worker() -> None:
+    function = [model(f"m{n}") for n in range(20)]
+    hosts = [
+        [ready(dispatcher, model(f.id)).id for f in function]
+        for dispatcher in (make(8, loads_free=99.0), make(8, loads_free=99.0))
+    ]
+    assert sum(a == b for a, b in zip(*hosts, strict=True)) > 10 and len(set(hosts[0])) > 3
+
+
+def test_a_miss_orders_again_and_sends_again() -> None:
+    dispatcher, function = make(), model(type_=kind(Effect.ONCE_ONLY))
+    ready(dispatcher, function)
+    (send,) = take(dispatcher, function, 100.0, 1)
+    dispatcher.answered(101.0, send, Outcome.MISS, False, False, None, 0, None)
+    (order,) = pull(dispatcher, 101.0)
+    assert isinstance(order, Order) and order.count == 1
+    dispatcher.told(900.0, order, Outcome.COMPLETED, 1)
+    (again,) = pull(dispatcher, 900.0)
+    assert again.act is send.act and again.number == 1
+
+
+def test_a_used_copy_is_renewed_and_an_idle_one_runs_out() -> None:
+    dispatcher, function = make(), model()
+    worker = ready(dispatcher, function)
+    (renewal,) = pull(dispatcher, 6500.0)
+    assert isinstance(renewal, Order) and renewal.copy.worker is worker and renewal.count == 1
+    dispatcher.told(6501.0, renewal, Outcome.COMPLETED, 1)
+    assert pull(dispatcher, 13000.0) == [], "idle for more than ten seconds"
+    pull(dispatcher, 14600.0)
+    assert not function.copies
+
+
+def test_a_hung_worker_neither_stalls_its_queue_nor_keeps_what_may_run_again() -> None:
+    for effect, again in ((Effect.REPEATABLE, True), (Effect.DEDUPLICATED, True), (Effect.ONCE_ONLY, False)):
+        dispatcher, function = make(), model(lanes=4, type_=kind(effect))
+        hung = ready(dispatcher, function)
+        for n in range(20):
+            (send,) = take(dispatcher, function, 100.0 + 60 * n, 1)
+            complete(dispatcher, send, 150.0 + 60 * n)
+        (send,) = take(dispatcher, function, 2000.0, 1, 5000.0)
+        found = []
+        for step in range(60):
+            dispatcher.beat(2000.0 + 50 * step)
+            found += pull(dispatcher, 2000.0 + 50 * step)
+        assert any(isinstance(d, str) and hung.id in d for d in found), "the log names it"
+        orders = [d for d in found if isinstance(d, Order) and d.copy.worker is not hung]
+        assert bool(orders) is again
+        if again:
+            dispatcher.told(5000.0, orders[0], Outcome.COMPLETED, 1)
+            assert [d.act for d in pull(dispatcher, 5000.0) if isinstance(d, Send)] == [send.act]
+
+
+def test_a_worker_that_fails_fast_is_barred_then_tried_with_one_send() -> None:
+    dispatcher, function = make(workers=1), model(lanes=4)
+    worker, now = ready(dispatcher, function), 100.0
+    for send in take(dispatcher, function, now, 4):
+        dispatcher.answered(now + 1, send, Outcome.ERROR, False, False, None, 0, None)
+    assert [d for d in pull(dispatcher, now + 2) if isinstance(d, Send)] == [], (
+        "the errors come back to the queue"
+    )
+    tried = [d for step in range(15) for d in pull(dispatcher, stir(dispatcher, now + 50 * step))]
+    assert len([d for d in tried if isinstance(d, Send)]) == 1 and worker.bar_ms > 0
+
+
+def stir(dispatcher: Dispatcher, now: float) -> float:
+    dispatcher.beat(now)
+    return now
+
+
+def test_what_a_client_will_not_wait_for_is_refused_at_once() -> None:
+    dispatcher, function = make(), model()
+    ready(dispatcher, function)
+    function.usual_ms = 400.0
+    (end,) = take(dispatcher, function, 100.0, 1, 150.0)
+    assert isinstance(end, Activation) and end.verdict == "rejected"
+
+
+def test_a_send_turned_away_bars_that_copy_and_leaves_its_worker_open() -> None:
+    dispatcher, function, other = make(workers=1), model("a"), model("b")
+    worker = ready(dispatcher, function)
+    ready(dispatcher, other, 60.0)
+    (send,) = take(dispatcher, function, 200.0, 1)
+    dispatcher.answered(201.0, send, Outcome.FULL, False, False, None, 0, None)
+    assert not [d for d in pull(dispatcher, 201.0) if isinstance(d, Send)]
+    assert [d.copy.worker for d in take(dispatcher, other, 202.0, 1) if isinstance(d, Send)] == [worker]
+
+
+def test_functions_no_longer_asked_for_and_finished_activations_are_forgotten() -> None:
+    dispatcher = make(loads_free=99.0)
+    for n in range(30):
+        ready(dispatcher, model(f"scan{n}"), 200.0 * n)
+    gone = [dispatcher.beat(80_000.0 + n) for n in range(40)]
+    pull(dispatcher, 90_000.0)
+    assert sum(f is not None for f in gone) == 30 and not dispatcher.agenda
+    assert not any(w.copies or w.sends for w in dispatcher.workers)
