--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -458,6 +458,11 @@
                 continue
             if queue is function.waiting and now + 0.5 * function.usual_ms > act.taken + act.type.target_ms:
                 function.late.append(queue.popleft())
+                if len(function.late) > max(held, function.lanes):
+                    act = function.late.popleft()
+                    act.queued = False
+                    if all(send.outcome for send in act.sends):
+                        return self._gate.end(act)
                 continue
             copy = self._placement.lane(now, act, queue is function.late)
             if copy is None:
