--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -261,10 +261,11 @@
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
         """Whether the lag is past its bound, by activations or by time; beyond a share at half of it."""
         function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
-        if len(function.waiting) >= part * self._per_lane * max(lanes, function.lanes):
+        lag = len(function.waiting) + len(function.late)
+        if lag >= part * self._per_lane * max(lanes, function.lanes):
             return True
         # At the pace of late releases the newcomer would miss its target latency in the queue alone.
-        ahead = len(function.waiting) * function.pace_ms
+        ahead = lag * function.pace_ms
         return ahead > 0 and ahead + 0.5 * function.usual_ms > part * act.type.target_ms
 
     def released(self, now: float, function: Function) -> None:
@@ -458,11 +459,6 @@
                 continue
             if queue is function.waiting and now + 0.5 * function.usual_ms > act.taken + act.type.target_ms:
                 function.late.append(queue.popleft())
-                if len(function.late) > max(held, function.lanes):
-                    act = function.late.popleft()
-                    act.queued = False
-                    if all(send.outcome for send in act.sends):
-                        return self._gate.end(act)
                 continue
             copy = self._placement.lane(now, act, queue is function.late)
             if copy is None:
