Broken connections count as failures: two in a row bar, none voids a copy

Guards also against fast failures and crashes in one path. May harm: a crashed worker that returns before the list says so is sent to until it misses.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -114,17 +114,18 @@
             return False
         return not worker.bar_ms or not any(send.sent >= worker.barred_until for send in worker.sends)
 
-    def heard(self, now: float, worker: Worker, failed: bool) -> None:
-        """An answer.  One that fails fast must not look least loaded: failures bar, longer each time."""
+    def heard(self, now: float, worker: Worker, failed: bool) -> bool:
+        """An answer; True if it bars.  One that fails fast must not look least loaded: failures bar."""
         gap = now - worker.quiet_since
         worker.stray += 0.05 * (abs(gap - worker.gap) - worker.stray) if worker.gap else gap
         worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
         worker.quiet_since = now
         worker.fails += 0.2 * (failed - worker.fails)
-        if failed and worker.fails > 0.3:
+        if failed and worker.fails > 0.3:  # the second of two in a row
             self.bar(now, worker)
         elif not failed and worker.fails < 0.3:
             worker.bar_ms = 0.0
+        return failed and worker.barred_until == now + worker.bar_ms
 
     def bar(self, now: float, worker: Worker) -> None:
         if now >= worker.barred_until:
@@ -325,8 +326,11 @@
         copy.sends -= 1
         if report:
             worker.report = report
-        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
-            self._health.heard(now, worker, outcome is Outcome.ERROR and not load_failed)
+        # A broken connection is a failure like another: maybe the link, so it voids no copy; one bars nobody.
+        failed = outcome in (Outcome.BROKEN, Outcome.UNREACHABLE, *([Outcome.ERROR] * (not load_failed)))
+        spoke = failed or outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
+        if spoke and self._health.heard(now, worker, failed):
+            self._log(f"worker {worker.id} fails often, last {outcome.value}")
         if outcome is Outcome.COMPLETED:
             copy.used = copy.touched = now
             took = now - send.sent
@@ -346,10 +350,6 @@
                 copy.standing = 0
             if outcome is Outcome.FULL:
                 copy.barred_until = now + (function.load_ms or 1000.0)
-        elif outcome in (Outcome.UNREACHABLE, Outcome.BROKEN):
-            self._copies.void(worker)
-            self._health.bar(now, worker)
-            self._log(f"worker {worker.id} {outcome.value}")
         if over:
             act.verdict = act.verdict or "completed"
             self._revoke(act)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -330,3 +330,14 @@
     pull(dispatcher, 90_000.0)
     assert sum(f is not None for f in gone) == 30 and not dispatcher.agenda
     assert not any(w.copies or w.sends for w in dispatcher.workers)
+
+
+def test_one_broken_connection_bars_nobody_and_voids_nothing_two_in_a_row_bar() -> None:
+    dispatcher, function = make(workers=1), model(lanes=4)
+    worker = ready(dispatcher, function)
+    first, second, *_ = take(dispatcher, function, 100.0, 3)
+    dispatcher.answered(101.0, first, Outcome.BROKEN, False, False, None, 0, None)
+    assert [d.act for d in pull(dispatcher, 101.0) if isinstance(d, Send)] == [first.act]
+    dispatcher.answered(102.0, second, Outcome.BROKEN, False, False, None, 0, None)
+    assert worker.barred_until > 102.0 and function.copies[worker].standing == 1
+    assert not [d for d in pull(dispatcher, 102.0) if isinstance(d, Send)]
