--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -262,11 +262,10 @@
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
         """Whether the lag is past its bound, by activations or by time; beyond a share at half of it."""
         function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
-        lag = len(function.waiting) + len(function.late)
-        if lag >= part * self._per_lane * max(lanes, function.lanes):
+        if function.lag >= part * self._per_lane * max(lanes, function.lanes):
             return True
         # At the pace of late releases the newcomer would miss its target latency in the queue alone.
-        ahead = lag * function.pace_ms
+        ahead = function.lag * function.pace_ms
         return ahead > 0 and ahead + 0.5 * function.usual_ms > part * act.type.target_ms
 
     def released(self, now: float, function: Function) -> None:
@@ -335,7 +334,7 @@
             copy.used = copy.touched = now
             took = now - send.sent
             function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
-            # The worker's window: narrowed by answers past the target, widened by those in time.
+            # The worker's window: narrowed by answers past half the target, widened by earlier ones.
             # Where a load is not told from a crowd, only own sends that fill half the window speak of one.
             crowd = warm if warm is not None else 2 * len(worker.sends) >= worker.window - 1
             if crowd and took > act.type.target_ms / 2:
@@ -355,7 +354,7 @@
             self._revoke(act)
         elif act.verdict is None:
             self._again(now, act)
-        lagging = [f for f in worker.copies if f.waiting or f.late]
+        lagging = [f for f in worker.copies if f.lag]
         self._stirred.update(dict.fromkeys(sorted(lagging, key=self._queues.worth, reverse=True)))
         self._stirred[function] = None
 
@@ -399,7 +398,7 @@
                 self._stirred.update(dict.fromkeys(worker.copies))
         for function in list(self._lagging):
             self._stirred[function] = None
-            if not function.waiting and not function.late:
+            if not function.lag:
                 del self._lagging[function]
         stale = next(iter(self._known), None)
         if stale is None or now - stale.last_taken < 60_000 or stale.busy:
@@ -464,12 +463,11 @@
             if copy is None:
                 break
             return self._send(now, act, copy)
-        waiting = len(function.waiting) + len(function.late)
-        if not waiting:
+        if not function.lag:
             function.lag_since = None
             return None
         self._lagging[function] = None
-        if waiting > held + loading and (not count or now >= function.looked + 25):
+        if function.lag > held + loading and (not count or now >= function.looked + 25):
             function.looked = now  # CPU: a lagging queue looks for a worker only so often
             return self._grow(now, function, count)
         return None
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -123,11 +123,16 @@
     last_taken: float = 0.0
     usual_ms: float = 0.0  # usual time from a send to its answer
 
+    @property
+    def lag(self) -> int:
+        """How many wait, in time or late."""
+        return len(self.waiting) + len(self.late)
+
     @property
     def busy(self) -> bool:
         """Whether anything of it waits or is out."""
-        queued = self.arrivals or self.waiting or self.late
-        return bool(queued) or any(copy.order or copy.sends for copy in self.copies.values())
+        out = any(copy.order or copy.sends for copy in self.copies.values())
+        return out or bool(self.arrivals or self.lag)
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -185,4 +190,3 @@
     copy: Copy
     count: int
     placed: float
-    renewal: bool = False
