Hosts are walked in a function's order; a spent ration no longer starves a queue

Change: workers in one order a function, walked until one fits; only workers at work are looked at on a beat; 16 copies an order at most; with the ration spent a send goes unordered, a miss bars that copy. Harm: a function with no copy anywhere tries some workers in vain, a round trip each.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -29,18 +29,25 @@
         self._orders: deque[float] = deque()
         self.taken: deque[float] = deque()
         self._warm: deque[tuple[float, Worker]] = deque()  # sends to warm workers
-        self._usual = 0.0  # what a warm worker of size 1 is sent from here in the time of the budget
+        self.listed([])
 
-    def sized(self, now: float, workers: Iterable[Worker]) -> None:
-        warm = {w: w.size for w in workers if w.live and self.warmth(now, w) >= 1}
-        while self._warm and self._warm[0][0] <= now - self._tip_ms:
-            self._warm.popleft()
-        self._usual = sum(worker in warm for _, worker in self._warm) / (sum(warm.values()) or 1.0)
-        _shed(self.taken, now - self._span)
+    def listed(self, workers: list[Worker]) -> None:
+        self._fleet, self._sized, self._usual = workers, -1e9, 0.0
+
+    def usual(self, now: float) -> float:
+        """What a warm worker of size 1 is sent from here in the time of the budget."""
+        if now >= self._sized + 50:
+            self._sized = now
+            while self._warm and self._warm[0][0] <= now - self._tip_ms:
+                self._warm.popleft()
+            warm = {w: w.size for w in self._fleet if w.live and self.warmth(now, w) >= 1}
+            self._usual = sum(worker in warm for _, worker in self._warm) / (sum(warm.values()) or 1.0)
+        return self._usual
 
     def warmth(self, now: float, worker: Worker) -> float:
         """The share of its capacity that a worker has at least, by its age."""
-        age = now - worker.started if worker.started is not None else self._cold_ms
+        if worker.started is None or (age := now - worker.started) >= self._cold_ms:
+            return 1.0
         return 1 - min(1.0, max(0.0, 1 - age / self._cold_ms)) * (1 - self._cold_share)
 
     def open(self, now: float, act: Activation) -> bool:
@@ -55,6 +62,10 @@
             return True
         return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
 
+    def took(self, now: float) -> None:
+        self.taken.append(now)
+        _shed(self.taken, now - self._span)
+
     def may_send(self, now: float, act: Activation, worker: Worker) -> bool:
         if not worker.live or not self.open(now, act):
             return False
@@ -68,7 +79,7 @@
         # A cold worker's budget over any window: a part of what warm workers of its size carry from here.  As
         # each dispatcher stays under its own part of the whole, all together stay under the multiple.
         _shed(worker.recent, now - self._tip_ms)
-        return len(worker.recent) < max(1.0, 0.5 * self._tip * warmth * self._usual * worker.size)
+        return len(worker.recent) < max(1.0, 0.5 * self._tip * warmth * self.usual(now) * worker.size)
 
     def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         if not self.may_send(now, act, copy.worker):
@@ -77,6 +88,7 @@
             copy.worker.recent.append(now)
         else:
             self._warm.append((now, copy.worker))
+            self.usual(now)
         send = Send(act, copy, len(act.sends), now)
         act.sends.append(send)
         return send
@@ -92,7 +104,7 @@
             if not copy.worker.live or (self._span and len(self._orders) + 1 > ration):
                 return None
             self._orders.append(now)
-        return Order(copy, count, now)
+        return Order(copy, min(count, 16), now)  # the most that an order may name
 
     def end(self, act: Activation) -> Activation:
         """The one final answer: rejected where that promises the truth, else aborted."""
@@ -150,6 +162,7 @@
 
     def __init__(self, gate: Gate, health: Health, zone: int) -> None:
         self._gate, self._health, self._zone = gate, health, zone
+        self._mean, self._weighed = 1.0, -1e9  # average load, and when it was taken
 
     def load(self, now: float, worker: Worker) -> float:
         busy = 1 + len(worker.sends) + worker.busy + worker.loading + worker.report.get("x1", 0.0)
@@ -177,20 +190,29 @@
                 best, best_load = copy, load
         return best
 
-    def host(self, now: float, function: Function, workers: Iterable[Worker]) -> tuple[Worker | None, bool]:
+    def host(self, now: float, function: Function, workers: list[Worker]) -> tuple[Worker | None, bool]:
         """The worker for a new copy, and whether it is below average.  Loads within one step are equal."""
-        fresh = Copy(function, Worker(""))
-        roomy = [w for w in workers if self._health.usable(now, w) and len(w.sends) < max(2, w.window / 2)]
-        held = {w: function.copies.get(w, fresh) for w in roomy}
-        loads = {w: self.load(now, w) for w in roomy if now >= held[w].barred_until}
-        if not loads:
-            return None, False
-        heard = [load for w, load in loads.items() if w.gap] or [1.0]
-        mean = sum(heard) / len(heard)
-        best = min(loads, key=lambda w: (
-            int((loads[w] if w.gap else mean) / (1.4 * mean)), held[w].standing > 0, bool(held[w].order),
-            crc32(f"{function.id} {w.id}".encode()), w.id))  # so dispatchers that cannot talk share copies
-        return best, loads[best] < mean or not best.gap
+        if function.listed is not workers:  # so dispatchers that cannot talk share copies
+            function.listed = workers
+            function.homes = sorted(workers, key=lambda w: (crc32(f"{function.id} {w.id}".encode()), w.id))
+        if now >= self._weighed + 200:  # CPU: a large fleet is not weighed for each order
+            heard = [self.load(now, w) for w in workers if w.live and w.gap] or [1.0]
+            self._mean, self._weighed = sum(heard) / len(heard), now
+        best, best_key, best_load = None, (0, False, False), 0.0
+        for worker in function.homes:
+            copy = function.copies.get(worker)
+            if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2):
+                continue
+            if not self._health.usable(now, worker):
+                continue
+            load = self.load(now, worker) if worker.gap else self._mean
+            held, ordered = (copy.standing > 0, copy.order is not None) if copy else (False, False)
+            key = (int(load / (1.4 * self._mean)), held, ordered)
+            if best is None or key < best_key:
+                best, best_key, best_load = worker, key, load
+            if best_key == (0, False, False):
+                break
+        return best, best is not None and (best_load < self._mean or not best.gap)
 
 
 class Copies:
@@ -291,19 +313,20 @@
     beat_ms = 50.0
 
     def __init__(self, gate: Gate, health: Health, placement: Placement, copies: Copies, queues: Queues,
-                 agenda: Agenda, cancels: bool, loads_itself: bool, longest_return_ms: float) -> None:
+                 agenda: Agenda, cancels: bool, longest_return_ms: float) -> None:
         self._gate, self._health, self._placement = gate, health, placement
         self._copies, self._queues, self.agenda = copies, queues, agenda
-        self._cancels, self._loads_itself, self._longest_return_ms = cancels, loads_itself, longest_return_ms
+        self._cancels, self._longest_return_ms = cancels, longest_return_ms
         self.workers: list[Worker] = []
         self._owed: deque[Decision] = deque()
         self._stirred: dict[Function, None] = {}
         self._lagging: dict[Function, None] = {}
+        self._at_work: dict[Worker, None] = {}
         self._known: dict[Function, None] = {}
         self._lines = 200  # log lines left
 
     def taken(self, now: float, act: Activation) -> None:
-        self._gate.taken.append(now)
+        self._gate.took(now)
         if act.customer is not None:
             act.customer.taken.append(now)
         act.function.last_taken = now
@@ -347,7 +370,7 @@
                 worker.window = max(2.0, 0.9 * worker.window)
             else:
                 copy.standing = 0
-            if outcome is Outcome.FULL:
+            if outcome is Outcome.FULL or not copy.ordered:
                 copy.barred_until = now + (function.load_ms or 1000.0)
         if over:
             act.verdict = act.verdict or "completed"
@@ -382,17 +405,19 @@
                     self._copies.forget(copy)
                 if worker.gone:
                     self._rescue(now, worker)
-        self.workers = workers
+        self.workers = [worker for worker in workers if not worker.gone]
         for worker in workers:
             worker.window = worker.window or 6.0
-        self._gate.sized(now, workers)
+        self._gate.listed(self.workers)
 
     def beat(self, now: float) -> Function | None:
         """The periodic work: silence is judged, lagging queues are seen to; returns a function to forget."""
-        self._gate.sized(now, self.workers)
-        for worker in self.workers:
+        for worker in list(self._at_work):  # CPU: most workers of a large fleet have nothing from here
             worker.busy += 0.03 * (len(worker.sends) - worker.busy)
-            if self._health.fell_silent(now, worker):
+            if not worker.sends and worker.busy < 0.05:
+                worker.busy = 0.0
+                del self._at_work[worker]
+            elif self._health.fell_silent(now, worker):
                 self._log(f"worker {worker.id} unusually silent")
                 self._rescue(now, worker)
                 self._stirred.update(dict.fromkeys(worker.copies))
@@ -467,7 +492,7 @@
             function.lag_since = None
             return None
         self._lagging[function] = None
-        if function.lag > held + loading and (not count or now >= function.looked + 25):
+        if function.lag > held + loading and now >= function.looked + 25:
             function.looked = now  # CPU: a lagging queue looks for a worker only so often
             return self._grow(now, function, count)
         return None
@@ -479,8 +504,9 @@
         if (copy := self._copies.at(function, worker)).order is not None:
             return None
         order = self._order(now, copy, copy.standing + 1)
-        if order is None and self._loads_itself and not copy.standing:
-            # The ration is spent: where workers load by themselves the send itself brings the copy.
+        if order is None and not copy.standing:
+            # The ration is spent: the copy may stand for others, or the worker load it by itself.  Guards against
+            # queues that starve behind the ration of a dispatcher with little traffic; a miss bars the copy.
             self._copies.stands(now, copy, 1)
             copy.used = now
             first = (function.waiting or function.late)[0]
@@ -491,7 +517,7 @@
         return order
 
     def _order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
-        copy.order = self._gate.order(now, copy, count, spare)
+        copy.order = copy.ordered = self._gate.order(now, copy, count, spare)
         copy.worker.loading += copy.order is not None
         return copy.order
 
@@ -502,7 +528,7 @@
             act.queued = False
             self._queues.released(now, act.function)
             copy.worker.quiet_since = copy.worker.quiet_since if copy.worker.sends else now
-            copy.worker.sends[send] = None
+            copy.worker.sends[send] = self._at_work[copy.worker] = None
             copy.sends += 1
             copy.used = now
         return send
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -119,7 +119,9 @@
     lag_since: float | None = None
     pace_ms: float = 0.0  # usual time between two releases while something waits
     released: float = 0.0
-    looked: float = 0.0  # when a worker for another copy was last looked for
+    listed: list[Worker] | None = None  # the list that `homes` was made from
+    homes: list[Worker] = field(default_factory=list)  # workers by preference
+    looked: float = -1e9  # when a worker for another copy was last looked for
     last_taken: float = 0.0
     usual_ms: float = 0.0  # usual time from a send to its answer
 
@@ -143,6 +145,7 @@
     worker: Worker
     standing: int = 0
     order: Order | None = None  # a hold order that is out
+    ordered: Order | None = None  # the last one, out or answered
     sends: int = 0
     used: float = 0.0  # last send or answer
     touched: float = 0.0  # since when it idles at the worker, at the earliest
