A hot function spreads over more of its workers as answers tell of company there

Change: company met at a copy moves the function's spread, the number of its preferred workers that it goes to by chance; crowded copies count as lag and grow ahead. Harm: a few needless copies after a burst.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -160,8 +160,8 @@
 class Placement:
     """Where a send and a new copy go.  Load is own sends out plus reports, for the size and the warmth."""
 
-    def __init__(self, gate: Gate, health: Health, zone: int) -> None:
-        self._gate, self._health, self._zone = gate, health, zone
+    def __init__(self, gate: Gate, health: Health, zone: int, seed: int) -> None:
+        self._gate, self._health, self._zone, self._seed, self._draws = gate, health, zone, seed, 0
         self._mean, self._weighed = 1.0, -1e9  # average load, and when it was taken
 
     def load(self, now: float, worker: Worker) -> float:
@@ -169,6 +169,18 @@
         busy *= 0.3 + worker.report.get("util", 0.7)
         return busy / (worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails))
 
+    def met(self, now: float, copy: Copy, company: int) -> None:
+        """An answer told how many others were there.  Guards against dispatchers that cannot talk and crowd
+        one worker with a hot function: it spreads over more workers until it meets half a copy's room."""
+        function, room = copy.function, min(copy.worker.window, max(1, copy.standing) * copy.function.lanes)
+        copy.company, copy.met = copy.company + 0.5 * (company - copy.company), now
+        function.spread *= 1 + 0.25 * (min(4.0, 2 * company / room) - 1)
+        function.spread = min(max(1.0, function.spread), max(1.0, len(function.homes)))
+
+    def crowd(self, now: float, copy: Copy) -> float:
+        """Others there for each lane, as far as known; what was met fades."""
+        return copy.company * max(0.0, 1 - (now - copy.met) / 10_000) / (copy.standing * copy.function.lanes)
+
     def lane(self, now: float, act: Activation, late: bool) -> Copy | None:
         """The least loaded believed free lane, own zone before others where loads are alike.
 
@@ -185,7 +197,7 @@
                 continue
             if worker.bar_ms and act.type.effect is Effect.ONCE_ONLY:
                 continue  # a worker on trial is tried with what may run again
-            load = self.load(now, worker) + (worker.zone != self._zone) * 0.5
+            load = self.load(now, worker) + self.crowd(now, copy) + (worker.zone != self._zone) * 0.5
             if best is None or load < best_load:
                 best, best_load = copy, load
         return best
@@ -198,7 +210,9 @@
         if now >= self._weighed + 200:  # CPU: a large fleet is not weighed for each order
             heard = [self.load(now, w) for w in workers if w.live and w.gap] or [1.0]
             self._mean, self._weighed = sum(heard) / len(heard), now
-        best, best_key, best_load = None, (0, False, False), 0.0
+        best, best_key, best_load = None, (0, False, False, 0), 0.0
+        self._draws, seen, spread = self._draws + 1, 0, int(function.spread + 0.5)
+        first = crc32(f"{self._seed} {self._draws}".encode()) % spread
         for worker in function.homes:
             copy = function.copies.get(worker)
             if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2):
@@ -207,10 +221,12 @@
                 continue
             load = self.load(now, worker) if worker.gap else self._mean
             held, ordered = (copy.standing > 0, copy.order is not None) if copy else (False, False)
-            key = (int(load / (1.4 * self._mean)), held, ordered)
+            rank = (seen - first) % spread if seen < spread else seen
+            key = (int(load / (1.4 * self._mean)), held, ordered, rank)
             if best is None or key < best_key:
                 best, best_key, best_load = worker, key, load
-            if best_key == (0, False, False):
+            seen += 1
+            if best_key[:3] == (0, False, False) and (seen >= spread or not best_key[3]):
                 break
         return best, best is not None and (best_load < self._mean or not best.gap)
 
@@ -304,7 +320,7 @@
             function.lag_since = now
         elif room and now - function.lag_since > (function.load_ms or 1000.0):
             function.limit, function.lag_since = function.limit + 1, now
-        return function.limit
+        return max(function.limit, int(function.spread))
 
 
 class Dispatcher:
@@ -372,6 +388,8 @@
                 copy.standing = 0
             if outcome is Outcome.FULL or not copy.ordered:
                 copy.barred_until = now + (function.load_ms or 1000.0)
+        if outcome is Outcome.COMPLETED or (outcome is Outcome.FULL and company):
+            self._placement.met(now, copy, company)
         if over:
             act.verdict = act.verdict or "completed"
             self._revoke(act)
@@ -490,6 +508,9 @@
             return self._send(now, act, copy)
         if not function.lag:
             function.lag_since = None
+            if 0 < count < int(function.spread) and now >= function.looked + (function.load_ms or 1000.0):
+                function.looked = now  # crowded copies count as lag
+                return self._grow(now, function, count)
             return None
         self._lagging[function] = None
         if function.lag > held + loading and now >= function.looked + 25:
@@ -504,9 +525,9 @@
         if (copy := self._copies.at(function, worker)).order is not None:
             return None
         order = self._order(now, copy, copy.standing + 1)
-        if order is None and not copy.standing:
-            # The ration is spent: the copy may stand for others, or the worker load it by itself.  Guards against
-            # queues that starve behind the ration of a dispatcher with little traffic; a miss bars the copy.
+        if order is None and not copy.standing and function.lag:
+            # The ration is spent: the copy may stand for others, or the worker load it by itself.  Guards
+            # against queues that starve behind the ration of a small dispatcher; a miss bars the copy.
             self._copies.stands(now, copy, 1)
             copy.used = now
             first = (function.waiting or function.late)[0]
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -116,6 +116,7 @@
     late: deque[Activation] = field(default_factory=deque)  # those that can only be late, served after
     copies: dict[Worker, Copy] = field(default_factory=dict)
     limit: int = 0
+    spread: float = 1.0  # over how many of its preferred workers it goes
     lag_since: float | None = None
     pace_ms: float = 0.0  # usual time between two releases while something waits
     released: float = 0.0
@@ -148,6 +149,8 @@
     ordered: Order | None = None  # the last one, out or answered
     sends: int = 0
     used: float = 0.0  # last send or answer
+    company: float = 0.0  # others of the function met there, on the recent average
+    met: float = 0.0
     touched: float = 0.0  # since when it idles at the worker, at the earliest
     barred_until: float = 0.0
 
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -85,7 +85,7 @@
         self._dispatcher = Dispatcher(
             gate,
             health,
-            Placement(gate, health, env["my_zone"]),
+            Placement(gate, health, env["my_zone"], seed),
             Copies(agenda, extras["idle_life_us"] / 1000),
             Queues(self._customers, env["counted_by"] == "work"),
             agenda,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,7 +37,7 @@
     dispatcher = Dispatcher(
         rules,
         health,
-        Placement(rules, health, 0),
+        Placement(rules, health, 0, 1),
         Copies(agenda, 8000.0),
         Queues([], False),
         agenda,
