--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -13,7 +13,7 @@
 from zlib import crc32
 
 from .agenda import Agenda
-from .terms import Activation, Copy, Customer, Effect, Function, Order, Outcome, Send, Worker
+from .terms import Activation, Copy, Customer, Effect, Function, NamespaceType, Order, Outcome, Send, Worker
 
 Decision = Send | Order | Activation | str
 
@@ -115,46 +115,61 @@
 
 
 class Health:
-    """Judges workers by how unusual their silence is, by failures and by broken connections."""
+    """Judges workers, for each namespace type, by how unusual their silence is and by failures."""
 
     def __init__(self, bar_ms: float = 500.0, longest_ms: float = 8000.0) -> None:
         self._bar_ms, self._longest_ms = bar_ms, longest_ms
 
-    def usable(self, now: float, worker: Worker) -> bool:
+    def usable(self, now: float, worker: Worker, type_: NamespaceType) -> bool:
         """A worker whose bar has run out gets one send at a time until it has shown itself well."""
-        if not worker.live or now < worker.barred_until:
+        view = worker.views[type_]
+        if not worker.live or now < view.barred_until or now < worker.barred_until:
             return False
-        return not worker.bar_ms or not any(send.sent >= worker.barred_until for send in worker.sends)
+        tried = (s for s in worker.sends if s.act.type is type_ and s.sent >= view.barred_until)
+        return not view.bar_ms or next(tried, None) is None
 
-    def heard(self, now: float, worker: Worker, failed: bool) -> bool:
-        """An answer; True if it bars.  One that fails fast must not look least loaded: failures bar."""
+    def heard(self, now: float, worker: Worker) -> None:
         gap = now - worker.quiet_since
         worker.stray += 0.05 * (abs(gap - worker.gap) - worker.stray) if worker.gap else gap
         worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
         worker.quiet_since = now
-        worker.fails += 0.2 * (failed - worker.fails)
-        if failed and worker.fails > 0.3:  # the second of two in a row
-            self.bar(now, worker)
-        elif not failed and worker.fails < 0.3:
-            worker.bar_ms = 0.0
-        return failed and worker.barred_until == now + worker.bar_ms
-
-    def bar(self, now: float, worker: Worker) -> None:
-        if now >= worker.barred_until:
-            worker.bar_ms = min(self._longest_ms, max(self._bar_ms, 2 * worker.bar_ms))
-            worker.barred_until = now + worker.bar_ms
-
-    def fell_silent(self, now: float, worker: Worker) -> bool:
-        """True when a worker's present silence has just become unusual, given the gaps seen before."""
-        if now < worker.barred_until or not worker.sends or not worker.gap:
-            return False
+
+    def judge(self, now: float, worker: Worker, failed: bool, *types: NamespaceType) -> bool:
+        """An answer, or none in time; True if it bars.  One that fails fast must not look least loaded."""
+        for type_ in types:
+            view = worker.views[type_]
+            view.fails += 0.2 * (failed - view.fails)
+            if failed and view.fails > 0.3:  # the second of two in a row
+                self.bar(now, worker, type_)
+            elif not failed and view.fails < 0.3:
+                view.bar_ms = 0.0
+        return failed and any(worker.views[t].barred_until == now + worker.views[t].bar_ms for t in types)
+
+    def bar(self, now: float, worker: Worker, *types: NamespaceType) -> None:
+        """Guards against workers that fail one type and serve the others; two types barred bar them all."""
+        for view in (worker.views[type_] for type_ in types):
+            if now >= view.barred_until:
+                view.bar_ms = min(self._longest_ms, max(self._bar_ms, 2 * view.bar_ms))
+                view.barred_until = now + view.bar_ms
+        worker.barred_until = sorted((0.0, *(view.barred_until for view in worker.views.values())))[-2]
+
+    def overdue(self, now: float, worker: Worker) -> list[Send]:
+        """What is out unusually long: all, if the worker's silence is unusual for the gaps seen before; else
+        one by one, as a worker may answer others and lose some, or hang for one type."""
+        usual = {s: s.act.function.usual_ms or s.act.type.target_ms for s in worker.sends if not s.lost}
+        late = [send for send, ms in usual.items() if now - send.sent > 4 * ms]
+        if not late:
+            return late
         silence = now - max(worker.quiet_since, worker.barred_until)
-        oldest = next(iter(worker.sends))  # its function may just be slow everywhere
-        slow = 4 * (oldest.act.function.usual_ms or oldest.act.type.target_ms)
-        if silence <= 50 + worker.gap + 10 * worker.stray or now - oldest.sent <= slow:
-            return False
-        self.bar(now, worker)
-        return True
+        if worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
+            self.bar(now, worker, *worker.views)
+            late = list(usual)
+        else:
+            late = [send for send in late if now - send.sent > 8 * usual[send]]
+        for send in late:
+            send.lost = True
+            self.judge(now, worker, True, send.act.type)
+        return late
 
 
 class Placement:
@@ -164,10 +179,11 @@
         self._gate, self._health, self._zone, self._seed, self._draws = gate, health, zone, seed, 0
         self._mean, self._weighed = 1.0, -1e9  # average load, and when it was taken
 
-    def load(self, now: float, worker: Worker) -> float:
+    def load(self, now: float, worker: Worker, type_: NamespaceType | None = None) -> float:
         busy = 1 + len(worker.sends) + worker.busy + worker.loading + worker.report.get("x1", 0.0)
         busy *= 0.3 + worker.report.get("util", 0.7)
-        return busy / (worker.size * self._gate.warmth(now, worker) * max(0.1, 1 - worker.fails))
+        well = max(0.1, 1 - worker.views[type_].fails) if type_ else 1.0
+        return busy / (worker.size * self._gate.warmth(now, worker) * well)
 
     def met(self, now: float, copy: Copy, company: int) -> None:
         """An answer told how many others were there.  Guards against dispatchers that cannot talk and crowd
@@ -191,13 +207,14 @@
             worker = copy.worker
             if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
-            if now < copy.barred_until or not self._health.usable(now, worker):
+            if now < copy.barred_until or not self._health.usable(now, worker, act.type):
                 continue
             if any(send in worker.sends for send in act.sends) or not self._gate.may_send(now, act, worker):
                 continue
-            if worker.bar_ms and act.type.effect is Effect.ONCE_ONLY:
+            if worker.views[act.type].bar_ms and act.type.effect is Effect.ONCE_ONLY:
                 continue  # a worker on trial is tried with what may run again
-            load = self.load(now, worker) + self.crowd(now, copy) + (worker.zone != self._zone) * 0.5
+            crowd = self.crowd(now, copy)
+            load = self.load(now, worker, act.type) + crowd + 0.5 * (worker.zone != self._zone)
             if best is None or load < best_load:
                 best, best_load = copy, load
         return best
@@ -217,9 +234,9 @@
             copy = function.copies.get(worker)
             if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2):
                 continue
-            if not self._health.usable(now, worker):
+            if not self._health.usable(now, worker, function.type):
                 continue
-            load = self.load(now, worker) if worker.gap else self._mean
+            load = self.load(now, worker, function.type) if worker.gap else self._mean
             held, ordered = (copy.standing > 0, copy.order is not None) if copy else (False, False)
             rank = (seen - first) % spread if seen < spread else seen
             key = (int(load / (1.4 * self._mean)), held, ordered, rank)
@@ -264,11 +281,6 @@
         self._agenda.add(copy.touched + (1.0 if near else 0.8) * self._keep_ms, copy)
         return near and copy.order is None and now - copy.used < self._idle_stop_ms
 
-    def void(self, worker: Worker) -> None:
-        """The worker's process died: nothing stands there any more."""
-        for copy in worker.copies.values():
-            copy.standing = 0
-
     def forget(self, copy: Copy) -> None:
         copy.function.copies.pop(copy.worker, None)
         copy.worker.copies.pop(copy.function, None)
@@ -365,10 +377,12 @@
         if report:
             worker.report = report
         # A broken connection is a failure like another: maybe the link, so it voids no copy; one bars nobody.
-        failed = outcome in (Outcome.BROKEN, Outcome.UNREACHABLE, *([Outcome.ERROR] * (not load_failed)))
-        spoke = failed or outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
-        if spoke and self._health.heard(now, worker, failed):
-            self._log(f"worker {worker.id} fails often, last {outcome.value}")
+        cut = outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)
+        if cut or outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
+            self._health.heard(now, worker)
+            failed = cut or (outcome is Outcome.ERROR and not load_failed)
+            if self._health.judge(now, worker, failed, *(worker.views if cut else (act.type,))):
+                self._log(f"worker {worker.id} fails often, last {outcome.value}")
         if outcome is Outcome.COMPLETED:
             copy.used = copy.touched = now
             took = now - send.sent
@@ -405,7 +419,7 @@
         copy.worker.loading -= 1
         self._copies.stands(now, copy, standing)
         if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
-            self._health.bar(now, copy.worker)
+            self._health.bar(now, copy.worker, *copy.worker.views)
         if not standing:
             copy.barred_until = now + (copy.function.load_ms or 1000.0)
             self.agenda.add(copy.barred_until, copy)
@@ -414,15 +428,17 @@
     def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
         """The worker list changed: workers that are gone keep only their sends, restarted ones are empty."""
         for worker in restarted:
-            self._copies.void(worker)
-            worker.barred_until = worker.bar_ms = worker.fails = 0.0
+            for copy in worker.copies.values():  # its process died: nothing stands there any more
+                copy.standing = 0
+            worker.views.clear()
+            worker.barred_until = 0.0
         for worker in self.workers:
             if not worker.live:
                 for copy in list(worker.copies.values()):
                     self._stirred[copy.function] = None
                     self._copies.forget(copy)
                 if worker.gone:
-                    self._rescue(now, worker)
+                    self._rescue(now, worker.sends)
         self.workers = [worker for worker in workers if not worker.gone]
         for worker in workers:
             worker.window = worker.window or 6.0
@@ -435,9 +451,9 @@
             if not worker.sends and worker.busy < 0.05:
                 worker.busy = 0.0
                 del self._at_work[worker]
-            elif self._health.fell_silent(now, worker):
-                self._log(f"worker {worker.id} unusually silent")
-                self._rescue(now, worker)
+            elif lost := self._health.overdue(now, worker):
+                self._log(f"worker {worker.id} unusually silent, {len(lost)} out")
+                self._rescue(now, lost)
                 self._stirred.update(dict.fromkeys(worker.copies))
         for function in list(self._lagging):
             self._stirred[function] = None
@@ -455,7 +471,7 @@
         """The next decision: a send (or a revoked one to call off), an order, a final answer, a log line."""
         while (item := self.agenda.pop_due(now)) is not None:
             if isinstance(item, Copy):
-                if self._copies.due(now, item) and self._health.usable(now, item.worker):
+                if self._copies.due(now, item) and self._health.usable(now, item.worker, item.function.type):
                     order = self._order(now, item, item.standing, 0.5)
                     if order:
                         return order
@@ -474,7 +490,7 @@
     def _serve(self, now: float, function: Function) -> Decision | None:
         held = loading = count = 0  # lanes held, lanes loading, copies that stand or load
         for copy in function.copies.values():
-            usable = not copy.worker.bar_ms
+            usable = not copy.worker.views[function.type].bar_ms
             room = max(0, int(copy.worker.window) - len(copy.worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
             extra = max(0, copy.order.count - copy.standing) if copy.order else 0
@@ -565,9 +581,9 @@
         elif all(send.outcome for send in act.sends):
             self._owed.append(self._gate.end(act))
 
-    def _rescue(self, now: float, worker: Worker) -> None:
-        """What is out at a worker that is lost goes elsewhere, where that is allowed."""
-        for send in reversed(list(worker.sends)):
+    def _rescue(self, now: float, sends: Iterable[Send]) -> None:
+        """What is out and believed lost goes elsewhere, where that is allowed."""
+        for send in reversed(list(sends)):
             if send.act.verdict or send.revoked or send.act.type.effect is Effect.ONCE_ONLY:
                 continue
             if self._gate.open(now, send.act):
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -66,6 +66,15 @@
     taken: deque[float] = field(default_factory=deque)
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class View:
+    """What this dispatcher has seen of one namespace type at a worker."""
+
+    fails: float = 0.0  # recent share of answers that were failures
+    barred_until: float = 0.0
+    bar_ms: float = 0.0
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class Worker:
     """A worker as the list tells of it, and what this dispatcher has seen of it."""
@@ -87,9 +96,8 @@
     quiet_since: float = 0.0
     gap: float = 0.0  # usual silence while something is out, and how far it strays
     stray: float = 0.0
-    fails: float = 0.0  # recent share of answers that were failures
-    barred_until: float = 0.0
-    bar_ms: float = 0.0
+    views: dict[NamespaceType, View] = field(default_factory=lambda: defaultdict(View))
+    barred_until: float = 0.0  # for all namespace types
 
     @property
     def live(self) -> bool:
@@ -182,6 +190,7 @@
     sent: float
     outcome: Outcome | None = None
     revoked: bool = False
+    lost: bool = False  # out for unusually long
 
     @property
     def may_have_run(self) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -296,7 +296,7 @@
         "the errors come back to the queue"
     )
     tried = [d for step in range(15) for d in pull(dispatcher, stir(dispatcher, now + 50 * step))]
-    assert len([d for d in tried if isinstance(d, Send)]) == 1 and worker.bar_ms > 0
+    assert len([d for d in tried if isinstance(d, Send)]) == 1 and worker.views[function.type].bar_ms > 0
 
 
 def stir(dispatcher: Dispatcher, now: float) -> float:
@@ -339,5 +339,5 @@
     dispatcher.answered(101.0, first, Outcome.BROKEN, False, False, None, 0, None)
     assert [d.act for d in pull(dispatcher, 101.0) if isinstance(d, Send)] == [first.act]
     dispatcher.answered(102.0, second, Outcome.BROKEN, False, False, None, 0, None)
-    assert worker.barred_until > 102.0 and function.copies[worker].standing == 1
+    assert worker.whole.barred_until > 102.0 and function.copies[worker].standing == 1
     assert not [d for d in pull(dispatcher, 102.0) if isinstance(d, Send)]
