Cold budgets hold for many small dispatchers; company met weighs on its worker

Change: a budget under one is drawn by chance, span by span; only completed sends measure a warm worker. Spread follows strong company at once, company met weighs on its worker for all functions; the worker is judged whole and by namespace type apart, one good answer clears the whole.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -13,7 +13,8 @@
 from zlib import crc32
 
 from .agenda import Agenda
-from .terms import Activation, Copy, Customer, Effect, Function, NamespaceType, Order, Outcome, Send, Worker
+from .terms import Activation, Copy, Customer, Effect, Function, Order, Outcome, Send, View, Worker
+from .terms import NamespaceType as Type
 
 Decision = Send | Order | Activation | str
 
@@ -21,27 +22,26 @@
 class Gate:
     """The five rules, enforced where every send, order and final answer passes."""
 
-    def __init__(self, parallel: bool, most_sends: int, tip: float, tip_ms: float, cold_share: float,
-                 cold_ms: float, loads: bool, loads_free: float, loads_share: float, loads_ms: float) -> None:
-        self._parallel, self._most_sends = parallel, most_sends
+    def __init__(self, seed: int, parallel: bool, most_sends: int, tip: float, tip_ms: float,
+                 cold_share: float, cold_ms: float, loads: bool, loads_free: float, loads_share: float,
+                 loads_ms: float) -> None:
+        self._seed, self._parallel, self._most_sends = seed, parallel, most_sends
         self._tip, self._tip_ms, self._cold_share, self._cold_ms = tip, tip_ms, cold_share, cold_ms
         self._loads, self._free, self._share, self._span = loads, loads_free, loads_share, loads_ms
         self._orders: deque[float] = deque()
-        self.taken: deque[float] = deque()
-        self._warm: deque[tuple[float, Worker]] = deque()  # sends to warm workers
+        self._taken: deque[float] = deque()
         self.listed([])
 
     def listed(self, workers: list[Worker]) -> None:
         self._fleet, self._sized, self._usual = workers, -1e9, 0.0
 
     def usual(self, now: float) -> float:
-        """What a warm worker of size 1 is sent from here in the time of the budget."""
+        """What a warm worker of size 1 completes from here in the time of the budget."""
         if now >= self._sized + 50:
             self._sized = now
-            while self._warm and self._warm[0][0] <= now - self._tip_ms:
-                self._warm.popleft()
-            warm = {w: w.size for w in self._fleet if w.live and self.warmth(now, w) >= 1}
-            self._usual = sum(worker in warm for _, worker in self._warm) / (sum(warm.values()) or 1.0)
+            warm = [w for w in self._fleet if w.live and self.warmth(now, w) >= 1]
+            done = sum(len(_shed(w.recent, now - self._tip_ms)) for w in warm)
+            self._usual = done / (sum(w.size for w in warm) or 1.0)
         return self._usual
 
     def warmth(self, now: float, worker: Worker) -> float:
@@ -63,8 +63,7 @@
         return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
 
     def took(self, now: float) -> None:
-        self.taken.append(now)
-        _shed(self.taken, now - self._span)
+        _shed(self._taken, now - self._span).append(now)
 
     def may_send(self, now: float, act: Activation, worker: Worker) -> bool:
         if not worker.live or not self.open(now, act):
@@ -78,17 +77,18 @@
             return True
         # A cold worker's budget over any window: a part of what warm workers of its size carry from here.  As
         # each dispatcher stays under its own part of the whole, all together stay under the multiple.
-        _shed(worker.recent, now - self._tip_ms)
-        return len(worker.recent) < max(1.0, 0.5 * self._tip * warmth * self.usual(now) * worker.size)
+        budget = 0.5 * self._tip * warmth * self.usual(now) * worker.size
+        if budget < 1:  # of many small dispatchers only some may send in each span
+            span = int((now - (worker.started or 0.0)) / self._tip_ms)
+            if crc32(f"{self._seed} {worker.id} {span}".encode()) >= budget * 2**32:
+                return False
+        return len(_shed(worker.recent, now - self._tip_ms)) < max(1.0, budget)
 
     def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         if not self.may_send(now, act, copy.worker):
             return None
         if self.warmth(now, copy.worker) < 1:
             copy.worker.recent.append(now)
-        else:
-            self._warm.append((now, copy.worker))
-            self.usual(now)
         send = Send(act, copy, len(act.sends), now)
         act.sends.append(send)
         return send
@@ -98,14 +98,18 @@
         if not self._loads:
             return None
         if count:
-            _shed(self._orders, now - self._span)
-            _shed(self.taken, now - self._span + 1)
-            ration = (self._free + self._share * len(self.taken)) * (1 - spare)
-            if not copy.worker.live or (self._span and len(self._orders) + 1 > ration):
+            ration = self._free + self._share * len(_shed(self._taken, now - self._span + 1))
+            orders = len(_shed(self._orders, now - self._span)) + 1
+            if not copy.worker.live or (self._span and orders > ration * (1 - spare)):
                 return None
             self._orders.append(now)
         return Order(copy, min(count, 16), now)  # the most that an order may name
 
+    def completed(self, now: float, worker: Worker) -> None:
+        """Only what warm workers complete tells what one can carry: in overload they are sent far more."""
+        if self.warmth(now, worker) >= 1:
+            _shed(worker.recent, now - self._tip_ms).append(now)
+
     def end(self, act: Activation) -> Activation:
         """The one final answer: rejected where that promises the truth, else aborted."""
         harmless = act.type.effect is Effect.REPEATABLE or not any(s.may_have_run for s in act.sends) or (
@@ -120,13 +124,14 @@
     def __init__(self, bar_ms: float = 500.0, longest_ms: float = 8000.0) -> None:
         self._bar_ms, self._longest_ms = bar_ms, longest_ms
 
-    def usable(self, now: float, worker: Worker, type_: NamespaceType) -> bool:
+    def usable(self, now: float, worker: Worker, type_: Type) -> bool:
         """A worker whose bar has run out gets one send at a time until it has shown itself well."""
-        view = worker.views[type_]
-        if not worker.live or now < view.barred_until or now < worker.barred_until:
-            return False
-        tried = (s for s in worker.sends if s.act.type is type_ and s.sent >= view.barred_until)
-        return not view.bar_ms or next(tried, None) is None
+        for view in (worker.whole, worker.views[type_]):
+            if now < view.barred_until:
+                return False
+            if view.bar_ms and any(send.sent >= view.barred_until for send in worker.sends):
+                return False
+        return worker.live
 
     def heard(self, now: float, worker: Worker) -> None:
         gap = now - worker.quiet_since
@@ -134,24 +139,27 @@
         worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
         worker.quiet_since = now
 
-    def judge(self, now: float, worker: Worker, failed: bool, *types: NamespaceType) -> bool:
-        """An answer, or none in time; True if it bars.  One that fails fast must not look least loaded."""
-        for type_ in types:
-            view = worker.views[type_]
-            view.fails += 0.2 * (failed - view.fails)
-            if failed and view.fails > 0.3:  # the second of two in a row
-                self.bar(now, worker, type_)
-            elif not failed and view.fails < 0.3:
-                view.bar_ms = 0.0
-        return failed and any(worker.views[t].barred_until == now + worker.views[t].bar_ms for t in types)
-
-    def bar(self, now: float, worker: Worker, *types: NamespaceType) -> None:
-        """Guards against workers that fail one type and serve the others; two types barred bar them all."""
-        for view in (worker.views[type_] for type_ in types):
-            if now >= view.barred_until:
-                view.bar_ms = min(self._longest_ms, max(self._bar_ms, 2 * view.bar_ms))
-                view.barred_until = now + view.bar_ms
-        worker.barred_until = sorted((0.0, *(view.barred_until for view in worker.views.values())))[-2]
+    def judge(self, now: float, worker: Worker, type_: Type, failed: bool, cut: bool = False) -> bool:
+        """An answer, or none in time; True if it bars.  One that fails fast must not look least loaded.
+
+        Guards against workers that fail one namespace type and serve the rest: a second one must fail too.
+        """
+        view = worker.views[type_]
+        whole = failed and (cut or any(v.fails > 0.1 for v in worker.views.values() if v is not view))
+        return self._note(now, view, failed) | self._note(now, worker.whole, whole)
+
+    def _note(self, now: float, view: View, failed: bool) -> bool:
+        view.fails += 0.2 * (failed - view.fails)
+        if not failed and view.fails < 0.3:
+            view.bar_ms = 0.0
+        return failed and view.fails > 0.3 and self.bar(now, view)  # the second of two in a row
+
+    def bar(self, now: float, view: View) -> bool:
+        if now < view.barred_until:
+            return False
+        view.bar_ms = min(self._longest_ms, max(self._bar_ms, 2 * view.bar_ms))
+        view.barred_until = now + view.bar_ms
+        return True
 
     def overdue(self, now: float, worker: Worker) -> list[Send]:
         """What is out unusually long: all, if the worker's silence is unusual for the gaps seen before; else
@@ -160,15 +168,15 @@
         late = [send for send, ms in usual.items() if now - send.sent > 4 * ms]
         if not late:
             return late
-        silence = now - max(worker.quiet_since, worker.barred_until)
+        silence = now - max(worker.quiet_since, worker.whole.barred_until)
         if worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
-            self.bar(now, worker, *worker.views)
+            self.bar(now, worker.whole)
             late = list(usual)
         else:
             late = [send for send in late if now - send.sent > 8 * usual[send]]
         for send in late:
             send.lost = True
-            self.judge(now, worker, True, send.act.type)
+            self._note(now, worker.views[send.act.type], True)
         return late
 
 
@@ -179,19 +187,25 @@
         self._gate, self._health, self._zone, self._seed, self._draws = gate, health, zone, seed, 0
         self._mean, self._weighed = 1.0, -1e9  # average load, and when it was taken
 
-    def load(self, now: float, worker: Worker, type_: NamespaceType | None = None) -> float:
+    def load(self, now: float, worker: Worker, type_: Type | None = None) -> float:
         busy = 1 + len(worker.sends) + worker.busy + worker.loading + worker.report.get("x1", 0.0)
+        busy += self.others(now, worker)
         busy *= 0.3 + worker.report.get("util", 0.7)
-        well = max(0.1, 1 - worker.views[type_].fails) if type_ else 1.0
+        well = max(0.1, 1 - max(worker.whole.fails, worker.views[type_].fails if type_ else 0.0))
         return busy / (worker.size * self._gate.warmth(now, worker) * well)
 
-    def met(self, now: float, copy: Copy, company: int) -> None:
+    def met(self, now: float, copy: Copy, company: float) -> None:
         """An answer told how many others were there.  Guards against dispatchers that cannot talk and crowd
         one worker with a hot function: it spreads over more workers until it meets half a copy's room."""
         function, room = copy.function, min(copy.worker.window, max(1, copy.standing) * copy.function.lanes)
         copy.company, copy.met = copy.company + 0.5 * (company - copy.company), now
-        function.spread *= 1 + 0.25 * (min(4.0, 2 * company / room) - 1)
+        function.spread *= min(4.0, max(company / room, 0.75 + 0.5 * company / room))
         function.spread = min(max(1.0, function.spread), max(1.0, len(function.homes)))
+        worker = copy.worker
+        worker.others, worker.met = self.others(now, worker) * 0.7 + 0.3 * company, now
+
+    def others(self, now: float, worker: Worker) -> float:
+        return worker.others * max(0.0, 1 - (now - worker.met) / 10_000)
 
     def crowd(self, now: float, copy: Copy) -> float:
         """Others there for each lane, as far as known; what was met fades."""
@@ -211,7 +225,7 @@
                 continue
             if any(send in worker.sends for send in act.sends) or not self._gate.may_send(now, act, worker):
                 continue
-            if worker.views[act.type].bar_ms and act.type.effect is Effect.ONCE_ONLY:
+            if (worker.whole.bar_ms or worker.views[act.type].bar_ms) and act.type.effect is Effect.ONCE_ONLY:
                 continue  # a worker on trial is tried with what may run again
             crowd = self.crowd(now, copy)
             load = self.load(now, worker, act.type) + crowd + 0.5 * (worker.zone != self._zone)
@@ -300,10 +314,9 @@
         # Guards against a customer's surge or retrying client that crowds out the rest.
         if act.customer is None:
             return False
-        for customer in self._customers:
-            _shed(customer.taken, now - 2000)
+        seen = sum(len(_shed(customer.taken, now - 2000)) for customer in self._customers)
         allowed = act.customer.allowed_per_s / sum(customer.allowed_per_s for customer in self._customers)
-        return len(act.customer.taken) > 1.25 * allowed * sum(len(c.taken) for c in self._customers)
+        return len(act.customer.taken) > 1.25 * allowed * seen
 
     def hopeless(self, now: float, act: Activation) -> bool:
         # Guards against runs that nobody waits for: impatient clients, late hours of a queue.
@@ -338,7 +351,7 @@
 class Dispatcher:
     """Joins the parts: inputs update what is known, `decide` hands out one decision after the other."""
 
-    beat_ms = 50.0
+    beat_ms = 100.0
 
     def __init__(self, gate: Gate, health: Health, placement: Placement, copies: Copies, queues: Queues,
                  agenda: Agenda, cancels: bool, longest_return_ms: float) -> None:
@@ -351,7 +364,6 @@
         self._lagging: dict[Function, None] = {}
         self._at_work: dict[Worker, None] = {}
         self._known: dict[Function, None] = {}
-        self._lines = 200  # log lines left
 
     def taken(self, now: float, act: Activation) -> None:
         self._gate.took(now)
@@ -381,9 +393,10 @@
         if cut or outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             self._health.heard(now, worker)
             failed = cut or (outcome is Outcome.ERROR and not load_failed)
-            if self._health.judge(now, worker, failed, *(worker.views if cut else (act.type,))):
-                self._log(f"worker {worker.id} fails often, last {outcome.value}")
+            if self._health.judge(now, worker, act.type, failed, cut):
+                self._owed.append(f"worker {worker.id} fails often, last {outcome.value}")
         if outcome is Outcome.COMPLETED:
+            self._gate.completed(now, worker)
             copy.used = copy.touched = now
             took = now - send.sent
             function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
@@ -402,8 +415,8 @@
                 copy.standing = 0
             if outcome is Outcome.FULL or not copy.ordered:
                 copy.barred_until = now + (function.load_ms or 1000.0)
-        if outcome is Outcome.COMPLETED or (outcome is Outcome.FULL and company):
-            self._placement.met(now, copy, company)
+        if outcome in (Outcome.COMPLETED, Outcome.FULL):
+            self._placement.met(now, copy, max(company, worker.window * (outcome is Outcome.FULL)))
         if over:
             act.verdict = act.verdict or "completed"
             self._revoke(act)
@@ -419,7 +432,7 @@
         copy.worker.loading -= 1
         self._copies.stands(now, copy, standing)
         if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
-            self._health.bar(now, copy.worker, *copy.worker.views)
+            self._health.bar(now, copy.worker.whole)
         if not standing:
             copy.barred_until = now + (copy.function.load_ms or 1000.0)
             self.agenda.add(copy.barred_until, copy)
@@ -431,7 +444,7 @@
             for copy in worker.copies.values():  # its process died: nothing stands there any more
                 copy.standing = 0
             worker.views.clear()
-            worker.barred_until = 0.0
+            worker.whole = View()
         for worker in self.workers:
             if not worker.live:
                 for copy in list(worker.copies.values()):
@@ -447,12 +460,12 @@
     def beat(self, now: float) -> Function | None:
         """The periodic work: silence is judged, lagging queues are seen to; returns a function to forget."""
         for worker in list(self._at_work):  # CPU: most workers of a large fleet have nothing from here
-            worker.busy += 0.03 * (len(worker.sends) - worker.busy)
+            worker.busy += 0.06 * (len(worker.sends) - worker.busy)
             if not worker.sends and worker.busy < 0.05:
                 worker.busy = 0.0
                 del self._at_work[worker]
             elif lost := self._health.overdue(now, worker):
-                self._log(f"worker {worker.id} unusually silent, {len(lost)} out")
+                self._owed.append(f"worker {worker.id} unusually silent, {len(lost)} out")
                 self._rescue(now, lost)
                 self._stirred.update(dict.fromkeys(worker.copies))
         for function in list(self._lagging):
@@ -488,15 +501,16 @@
         return None
 
     def _serve(self, now: float, function: Function) -> Decision | None:
-        held = loading = count = 0  # lanes held, lanes loading, copies that stand or load
+        held = loading = count = homes = 0  # lanes held or loading; copies that stand or load, and where
         for copy in function.copies.values():
-            usable = not copy.worker.views[function.type].bar_ms
+            usable = not (copy.worker.whole.bar_ms or copy.worker.views[function.type].bar_ms)
             room = max(0, int(copy.worker.window) - len(copy.worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
             extra = max(0, copy.order.count - copy.standing) if copy.order else 0
             young = copy.order is not None and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0)
             loading += extra * function.lanes * young
             count += copy.standing * usable + extra
+            homes += copy.standing + extra > 0
         while function.arrivals:
             act = function.arrivals.popleft()
             if act.verdict:
@@ -522,17 +536,16 @@
             if copy is None:
                 break
             return self._send(now, act, copy)
-        if not function.lag:
+        if function.lag:
+            self._lagging[function] = None
+            wanted, pause = function.lag > held + loading, 25.0
+        else:  # crowded copies count as lag
             function.lag_since = None
-            if 0 < count < int(function.spread) and now >= function.looked + (function.load_ms or 1000.0):
-                function.looked = now  # crowded copies count as lag
-                return self._grow(now, function, count)
+            wanted, pause = 0 < homes < int(function.spread), function.load_ms or 1000.0
+        if not wanted or now < function.looked + pause:  # CPU: it looks for a worker only so often
             return None
-        self._lagging[function] = None
-        if function.lag > held + loading and now >= function.looked + 25:
-            function.looked = now  # CPU: a lagging queue looks for a worker only so often
-            return self._grow(now, function, count)
-        return None
+        function.looked = now
+        return self._grow(now, function, count)
 
     def _grow(self, now: float, function: Function, count: int) -> Decision | None:
         worker, room = self._placement.host(now, function, self.workers)
@@ -597,12 +610,8 @@
                 send.revoked = True
                 self._owed.append(send)
 
-    def _log(self, line: str) -> None:
-        self._lines -= 1
-        if self._lines >= 0:
-            self._owed.append(line)
-
 
-def _shed(times: deque[float], before: float) -> None:
+def _shed(times: deque[float], before: float) -> deque[float]:
     while times and times[0] <= before:
         times.popleft()
+    return times
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -68,7 +68,7 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class View:
-    """What this dispatcher has seen of one namespace type at a worker."""
+    """What this dispatcher has seen of a worker, in one namespace type or as a whole."""
 
     fails: float = 0.0  # recent share of answers that were failures
     barred_until: float = 0.0
@@ -96,8 +96,10 @@
     quiet_since: float = 0.0
     gap: float = 0.0  # usual silence while something is out, and how far it strays
     stray: float = 0.0
+    whole: View = field(default_factory=View)
     views: dict[NamespaceType, View] = field(default_factory=lambda: defaultdict(View))
-    barred_until: float = 0.0  # for all namespace types
+    others: float = 0.0  # sends of others met there, on the recent average
+    met: float = 0.0
 
     @property
     def live(self) -> bool:
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -70,6 +70,7 @@
         self._tells_warm = extras["says_warm"]
         agenda = Agenda()
         gate = Gate(
+            seed=seed,
             parallel=bounds["parallel_tries"],
             most_sends=bounds["max_attempts"],
             tip=rules["tip_multiple"],
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -18,6 +18,7 @@
 )
 
 GATE = {
+    "seed": 1,
     "parallel": True,
     "most_sends": 4,
     "tip": 3.0,
