--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -303,9 +303,25 @@
 class Queues:
     """Lag, limit, bound and fairness of the queues, one for each function."""
 
-    def __init__(self, customers: list[Customer], by_work: bool, limit: int = 4, per_lane: int = 4) -> None:
+    def __init__(self, seed: int, types: list[Type], customers: list[Customer], by_work: bool,
+                 limit: int = 4, per_lane: int = 4) -> None:
+        self._seed, self._draws, self._open, self._hurt = seed, 0, 1.0, None
+        self._most = max(type_.utility for type_ in types)
         self._customers, self._by_work, self._limit, self._per_lane = customers, by_work, limit, per_lane
 
+    def felt(self, function: Function, bad: bool) -> None:
+        """Lag at the workers is lag too: sends turned away or late, of more than one function in turn."""
+        if not bad:
+            self._open = min(1.0, self._open + 0.02)
+        elif function is not self._hurt:
+            self._open, self._hurt = max(0.05, 0.96 * self._open), function
+
+    def shed(self, now: float, act: Activation) -> bool:
+        """Guards against overload that shows in no dispatcher's own queues: the least useful go first."""
+        self._draws += 1
+        part = self._open ** (self._most / act.type.utility * (2 if self.over_share(now, act) else 1))
+        return crc32(f"{self._seed} shed {self._draws}".encode()) > part * 2**32
+
     def worth(self, function: Function) -> float:
         """Which of two lagging queues comes first where both wait for one worker: utility for its work."""
         return function.type.utility / (1.0 if self._by_work else max(1.0, function.usual_ms))
@@ -325,6 +341,8 @@
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
         """Whether the lag is past its bound, by activations or by time; beyond a share at half of it."""
         function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
+        if self._open < 1 and self.shed(now, act):
+            return True
         if function.lag >= part * self._per_lane * max(lanes, function.lanes):
             return True
         # At the pace of late releases the newcomer would miss its target latency in the queue alone.
@@ -416,6 +434,7 @@
             if outcome is Outcome.FULL or not copy.ordered:
                 copy.barred_until = now + (function.load_ms or 1000.0)
         if outcome in (Outcome.COMPLETED, Outcome.FULL):
+            self._queues.felt(function, outcome is Outcome.FULL or now > send.sent + act.type.target_ms)
             self._placement.met(now, copy, max(company, worker.window * (outcome is Outcome.FULL)))
         if over:
             act.verdict = act.verdict or "completed"
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -88,7 +88,7 @@
             health,
             Placement(gate, health, env["my_zone"], seed),
             Copies(agenda, extras["idle_life_us"] / 1000),
-            Queues(self._customers, env["counted_by"] == "work"),
+            Queues(seed, self._types, self._customers, env["counted_by"] == "work"),
             agenda,
             bounds["may_cancel"],
             bounds["max_retry_after_us"] / 1000 if bounds["retry_after"] else 0.0,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,7 +40,7 @@
         health,
         Placement(rules, health, 0, 1),
         Copies(agenda, 8000.0),
-        Queues([], False),
+        Queues(1, [kind()], [], False),
         agenda,
         True,
         return_ms,
