--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -1,14 +1,11 @@
-"""All decisions of kelptrail: where an activation goes, when copies are added, what is given up on.
-
-How to invoke it: build the parts with their few settings and a `Dispatcher` from them, tell it what happens
-(`taken`, `answered`, `told`, `left`, `listed`, `beat`), then pull `decide(now)` until it returns None.
-Its interface (activations, sends, workers, copies) is in `terms.py`, its due times in `agenda.py`; the host
-that does this for the bench is `kelptrail/drill`.  The design and each departure: `docs/design.md`.
+"""All decisions of kelptrail.  Build the parts and a `Dispatcher` from them, tell it what happens (`taken`,
+`answered`, `told`, `left`, `listed`, `beat`), then pull `decide(now)` until it returns None.  Its interface
+is in `terms.py`, due times in `agenda.py`, its host in `kelptrail/drill`, the design in `docs/design.md`.
 """
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterable
 from zlib import crc32
 
@@ -23,13 +20,11 @@
     """The five rules, enforced where every send, order and final answer passes."""
 
     def __init__(self, seed: int, parallel: bool, most_sends: int, tip: float, tip_ms: float,
-                 cold_share: float, cold_ms: float, loads: bool, loads_free: float, loads_share: float,
-                 loads_ms: float) -> None:
+                 cold_share: float, cold_ms: float, ration: tuple[bool, float, float, float]) -> None:
         self._seed, self._parallel, self._most_sends = seed, parallel, most_sends
         self._tip, self._tip_ms, self._cold_share, self._cold_ms = tip, tip_ms, cold_share, cold_ms
-        self._loads, self._free, self._share, self._span = loads, loads_free, loads_share, loads_ms
-        self._orders: deque[float] = deque()
-        self._taken: deque[float] = deque()
+        self._loads, self._free, self._share, self._span = ration  # any orders; free ones, a share, a time
+        self._orders, self.taken = deque[float](), deque[float]()
         self.listed([])
 
     def listed(self, workers: list[Worker]) -> None:
@@ -48,23 +43,18 @@
         """The share of its capacity that a worker has at least, by its age."""
         if worker.started is None or (age := now - worker.started) >= self._cold_ms:
             return 1.0
-        return 1 - min(1.0, max(0.0, 1 - age / self._cold_ms)) * (1 - self._cold_share)
+        return 1 - min(1.0, 1 - age / self._cold_ms) * (1 - self._cold_share)
 
     def open(self, now: float, act: Activation) -> bool:
         """Rules 1 and 2, as far as they do not depend on the worker."""
-        if act.verdict or now >= act.deadline or len(act.sends) >= self._most_sends:
-            return False
         out = sum(send.outcome is None for send in act.sends)
-        if out and (out > 1 or not self._parallel):
+        if act.verdict or now >= act.deadline or len(act.sends) >= self._most_sends or out > self._parallel:
             return False
         first = next((send for send in act.sends if send.may_have_run), None)
         if first is None or act.type.effect is Effect.REPEATABLE:
             return True
         return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
 
-    def took(self, now: float) -> None:
-        _shed(self._taken, now - self._span).append(now)
-
     def may_send(self, now: float, act: Activation, worker: Worker) -> bool:
         if not worker.live or not self.open(now, act):
             return False
@@ -72,11 +62,9 @@
             first = next((s.copy.worker for s in act.sends if s.may_have_run), worker)
             if getattr(first, act.type.scope) != getattr(worker, act.type.scope):
                 return False
-        warmth = self.warmth(now, worker)
-        if warmth >= 1:
+        if (warmth := self.warmth(now, worker)) >= 1:
             return True
-        # A cold worker's budget over any window: a part of what warm workers of its size carry from here.  As
-        # each dispatcher stays under its own part of the whole, all together stay under the multiple.
+        # A part of what warm workers of its size carry from here: so all dispatchers together stay under.
         budget = 0.5 * self._tip * warmth * self.usual(now) * worker.size
         if budget < 1:  # of many small dispatchers only some may send in each span
             span = int((now - (worker.started or 0.0)) / self._tip_ms)
@@ -95,55 +83,45 @@
 
     def order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
         """A hold order within the ration; `spare` of the ration is left for others.  Count 0 only asks."""
-        if not self._loads:
-            return None
-        if count:
-            ration = self._free + self._share * len(_shed(self._taken, now - self._span + 1))
+        if count and self._loads:
+            ration = self._free + self._share * len(_shed(self.taken, now - self._span + 1))
             orders = len(_shed(self._orders, now - self._span)) + 1
             if not copy.worker.live or (self._span and orders > ration * (1 - spare)):
                 return None
             self._orders.append(now)
-        return Order(copy, min(count, 16), now)  # the most that an order may name
+        return Order(copy, min(count, 16), now) if self._loads else None  # the most that an order may name
 
     def completed(self, now: float, worker: Worker) -> None:
-        """Only what warm workers complete tells what one can carry: in overload they are sent far more."""
-        if self.warmth(now, worker) >= 1:
+        if self.warmth(now, worker) >= 1:  # in overload it is sent far more than it can carry
             _shed(worker.recent, now - self._tip_ms).append(now)
 
     def end(self, act: Activation) -> Activation:
         """The one final answer: rejected where that promises the truth, else aborted."""
-        harmless = act.type.effect is Effect.REPEATABLE or not any(s.may_have_run for s in act.sends) or (
+        again = act.type.effect is Effect.REPEATABLE or (
             act.type.effect is Effect.DEDUPLICATED and act.type.scope == "all")
-        act.verdict = "rejected" if harmless else "aborted"
+        act.verdict = "rejected" if again or not any(s.may_have_run for s in act.sends) else "aborted"
         return act
 
 
 class Health:
     """Judges workers, for each namespace type, by how unusual their silence is and by failures."""
 
-    def __init__(self, bar_ms: float = 500.0, longest_ms: float = 8000.0) -> None:
-        self._bar_ms, self._longest_ms = bar_ms, longest_ms
+    _bar_ms, _longest_ms = 500.0, 8000.0
 
-    def usable(self, now: float, worker: Worker, type_: Type) -> bool:
-        """A worker whose bar has run out gets one send at a time until it has shown itself well."""
+    def usable(self, now: float, worker: Worker, type_: Type, effect: Effect | None = None) -> bool:
+        """A worker whose bar has run out is tried with one send at a time, of what may run again."""
         for view in (worker.whole, worker.views[type_]):
-            if now < view.barred_until:
-                return False
-            if view.bar_ms and any(send.sent >= view.barred_until for send in worker.sends):
+            if now < view.barred_until or (view.bar_ms and (
+                    effect is Effect.ONCE_ONLY or any(s.sent >= view.barred_until for s in worker.sends))):
                 return False
         return worker.live
 
-    def heard(self, now: float, worker: Worker) -> None:
-        gap = now - worker.quiet_since
+    def judge(self, now: float, worker: Worker, type_: Type, failed: bool, cut: bool = False) -> bool:
+        """An answer; True if it bars, as one that fails fast must not look least loaded.  Guards against
+        workers that fail one namespace type and serve the rest: to bar the whole, a second must fail."""
+        gap, worker.quiet_since = now - worker.quiet_since, now
         worker.stray += 0.05 * (abs(gap - worker.gap) - worker.stray) if worker.gap else gap
         worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
-        worker.quiet_since = now
-
-    def judge(self, now: float, worker: Worker, type_: Type, failed: bool, cut: bool = False) -> bool:
-        """An answer, or none in time; True if it bars.  One that fails fast must not look least loaded.
-
-        Guards against workers that fail one namespace type and serve the rest: a second one must fail too.
-        """
         view = worker.views[type_]
         whole = failed and (cut or any(v.fails > 0.1 for v in worker.views.values() if v is not view))
         return self._note(now, view, failed) | self._note(now, worker.whole, whole)
@@ -162,11 +140,9 @@
         return True
 
     def overdue(self, now: float, worker: Worker) -> list[Send]:
-        """What is out unusually long: all, if the worker's silence is unusual for the gaps seen before; else
-        one by one, as a worker may answer others and lose some, or hang for one type."""
+        """All there, if the silence is unusual for the worker's gaps; else one by one: answers get lost."""
         usual = {s: s.act.function.usual_ms or s.act.type.target_ms for s in worker.sends if not s.lost}
-        late = [send for send, ms in usual.items() if now - send.sent > 4 * ms]
-        if not late:
+        if not (late := [send for send, ms in usual.items() if now - send.sent > 4 * ms]):
             return late
         silence = now - max(worker.quiet_since, worker.whole.barred_until)
         if worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
@@ -189,46 +165,34 @@
 
     def load(self, now: float, worker: Worker, type_: Type | None = None) -> float:
         busy = 1 + len(worker.sends) + worker.busy + worker.loading + worker.report.get("x1", 0.0)
-        busy += self.others(now, worker)
-        busy *= 0.3 + worker.report.get("util", 0.7)
+        busy = (busy + self.others(now, worker)) * (0.3 + worker.report.get("util", 0.7))
         well = max(0.1, 1 - max(worker.whole.fails, worker.views[type_].fails if type_ else 0.0))
         return busy / (worker.size * self._gate.warmth(now, worker) * well)
 
     def met(self, now: float, copy: Copy, company: float) -> None:
         """An answer told how many others were there.  Guards against dispatchers that cannot talk and crowd
         one worker with a hot function: it spreads over more workers until it meets half a copy's room."""
-        function, room = copy.function, min(copy.worker.window, max(1, copy.standing) * copy.function.lanes)
-        copy.company, copy.met = copy.company + 0.5 * (company - copy.company), now
-        function.spread *= min(4.0, max(company / room, 0.75 + 0.5 * company / room))
-        function.spread = min(max(1.0, function.spread), max(1.0, len(function.homes)))
-        worker = copy.worker
+        function, worker = copy.function, copy.worker
+        part = company / min(worker.window, max(1, copy.standing) * function.lanes)
+        function.spread *= min(4.0, max(part, 0.75 + 0.5 * part))
+        function.spread = max(1.0, min(function.spread, len(function.homes)))
         worker.others, worker.met = self.others(now, worker) * 0.7 + 0.3 * company, now
 
     def others(self, now: float, worker: Worker) -> float:
         return worker.others * max(0.0, 1 - (now - worker.met) / 10_000)
 
-    def crowd(self, now: float, copy: Copy) -> float:
-        """Others there for each lane, as far as known; what was met fades."""
-        return copy.company * max(0.0, 1 - (now - copy.met) / 10_000) / (copy.standing * copy.function.lanes)
-
     def lane(self, now: float, act: Activation, late: bool) -> Copy | None:
-        """The least loaded believed free lane, own zone before others where loads are alike.
-
-        What can only be late goes where half the window is free: it must not make others late too.
-        """
-        best, best_load, part = None, 0.0, 0.5 if late else 1.0
+        """The least loaded believed free lane, own zone before others where loads are alike."""
+        best, best_load, part = None, 0.0, 0.5 if late else 1.0  # the late must not make others late too
         for copy in act.function.copies.values():
             worker = copy.worker
             if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
-            if now < copy.barred_until or not self._health.usable(now, worker, act.type):
+            tried = any(send in worker.sends for send in act.sends)
+            if tried or now < copy.barred_until or not self._gate.may_send(now, act, worker) or (
+                    not self._health.usable(now, worker, act.type, act.type.effect)):
                 continue
-            if any(send in worker.sends for send in act.sends) or not self._gate.may_send(now, act, worker):
-                continue
-            if (worker.whole.bar_ms or worker.views[act.type].bar_ms) and act.type.effect is Effect.ONCE_ONLY:
-                continue  # a worker on trial is tried with what may run again
-            crowd = self.crowd(now, copy)
-            load = self.load(now, worker, act.type) + crowd + 0.5 * (worker.zone != self._zone)
+            load = self.load(now, worker, act.type) + 0.5 * (worker.zone != self._zone)
             if best is None or load < best_load:
                 best, best_load = copy, load
         return best
@@ -246,14 +210,13 @@
         first = crc32(f"{self._seed} {self._draws}".encode()) % spread
         for worker in function.homes:
             copy = function.copies.get(worker)
-            if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2):
-                continue
-            if not self._health.usable(now, worker, function.type):
+            if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2) or (
+                    not self._health.usable(now, worker, function.type)):
                 continue
             load = self.load(now, worker, function.type) if worker.gap else self._mean
-            held, ordered = (copy.standing > 0, copy.order is not None) if copy else (False, False)
+            held = bool(copy and (copy.standing or copy.order))
             rank = (seen - first) % spread if seen < spread else seen
-            key = (int(load / (1.4 * self._mean)), held, ordered, rank)
+            key = (int(load / (1.4 * self._mean)), held, now < worker.crammed_until, rank)
             if best is None or key < best_key:
                 best, best_key, best_load = worker, key, load
             seen += 1
@@ -274,7 +237,6 @@
         return function.copies[worker]
 
     def stands(self, now: float, copy: Copy, count: int) -> None:
-        """`count` copies were reported; a void count leaves nothing believed."""
         if count and not copy.standing:
             self._agenda.add(now + 0.8 * self._keep_ms, copy)
         copy.standing, copy.touched = count, now
@@ -285,9 +247,8 @@
             return False
         if copy.sends:
             copy.touched = now
-        if now >= copy.touched + self._keep_ms:
+        if now >= copy.touched + self._keep_ms or not copy.standing:
             copy.standing = 0
-        if not copy.standing:
             if copy.order is None and not copy.sends and now >= copy.barred_until:
                 self.forget(copy)
             return False
@@ -303,65 +264,45 @@
 class Queues:
     """Lag, limit, bound and fairness of the queues, one for each function."""
 
-    def __init__(self, seed: int, types: list[Type], customers: list[Customer], by_work: bool,
-                 limit: int = 4, per_lane: int = 4) -> None:
-        self._seed, self._draws, self._open, self._hurt = seed, 0, 1.0, None
-        self._most = max(type_.utility for type_ in types)
-        self._customers, self._by_work, self._limit, self._per_lane = customers, by_work, limit, per_lane
+    def __init__(self, seed: int, types: list[Type], customers: list[Customer], limit: int = 4,
+                 per_lane: int = 4) -> None:
+        self._seed, self._draws, self._most = seed, 0, max(type_.utility for type_ in types)
+        self._open, self._hurt = 1.0, None  # the share admitted, and the last function late at a worker
+        self._customers, self._limit, self._per_lane = customers, limit, per_lane
 
     def felt(self, function: Function, bad: bool) -> None:
-        """Lag at the workers is lag too: sends turned away or late, of more than one function in turn."""
+        """Lag at the workers is lag too: late and turned-away sends, of functions in turn."""
         if not bad:
             self._open = min(1.0, self._open + 0.02)
         elif function is not self._hurt:
             self._open, self._hurt = max(0.05, 0.96 * self._open), function
 
-    def shed(self, now: float, act: Activation) -> bool:
+    def shed(self, part: float, act: Activation) -> bool:
         """Guards against overload that shows in no dispatcher's own queues: the least useful go first."""
-        self._draws += 1
-        part = self._open ** (self._most / act.type.utility * (2 if self.over_share(now, act) else 1))
+        self._draws += self._open < 1
+        part = self._open ** (self._most / act.type.utility / part)
         return crc32(f"{self._seed} shed {self._draws}".encode()) > part * 2**32
 
-    def worth(self, function: Function) -> float:
-        """Which of two lagging queues comes first where both wait for one worker: utility for its work."""
-        return function.type.utility / (1.0 if self._by_work else max(1.0, function.usual_ms))
-
     def over_share(self, now: float, act: Activation) -> bool:
-        # Guards against a customer's surge or retrying client that crowds out the rest.
-        if act.customer is None:
+        if act.customer is None:  # guards against a customer's surge that crowds out the rest
             return False
         seen = sum(len(_shed(customer.taken, now - 2000)) for customer in self._customers)
         allowed = act.customer.allowed_per_s / sum(customer.allowed_per_s for customer in self._customers)
         return len(act.customer.taken) > 1.25 * allowed * seen
 
     def hopeless(self, now: float, act: Activation) -> bool:
-        # Guards against runs that nobody waits for: impatient clients, late hours of a queue.
+        """Guards against runs that nobody waits for: impatient clients, late hours of a queue."""
         return act.deadline - now < max(5.0, 0.5 * act.function.usual_ms)
 
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
-        """Whether the lag is past its bound, by activations or by time; beyond a share at half of it."""
+        """Whether the lag is past its bound, here or at the workers; beyond a share at half of it."""
         function, part = act.function, 0.5 if self.over_share(now, act) else 1.0
-        if self._open < 1 and self.shed(now, act):
-            return True
-        if function.lag >= part * self._per_lane * max(lanes, function.lanes):
-            return True
-        # At the pace of late releases the newcomer would miss its target latency in the queue alone.
-        ahead = function.lag * function.pace_ms
-        return ahead > 0 and ahead + 0.5 * function.usual_ms > part * act.type.target_ms
-
-    def released(self, now: float, function: Function) -> None:
-        """A send left the queue: how fast does it move while something waits?"""
-        if function.lag_since is not None:
-            since = now - max(function.lag_since, function.released)
-            function.pace_ms += 0.2 * (since - function.pace_ms)
-        function.released = now
+        return function.lag >= part * self._per_lane * max(lanes, function.lanes) or self.shed(part, act)
 
     def limit(self, now: float, function: Function, room: bool) -> int:
-        """How many copies the function may have; lag that outlasts a load time raises it by one."""
-        function.limit = function.limit or self._limit
-        if function.lag_since is None:
-            function.lag_since = now
-        elif room and now - function.lag_since > (function.load_ms or 1000.0):
+        function.limit = function.limit or self._limit  # lag that outlasts a load time raises it by one
+        function.lag_since = now if function.lag_since is None else function.lag_since
+        if room and now - function.lag_since > (function.load_ms or 1000.0):
             function.limit, function.lag_since = function.limit + 1, now
         return max(function.limit, int(function.spread))
 
@@ -374,22 +315,17 @@
     def __init__(self, gate: Gate, health: Health, placement: Placement, copies: Copies, queues: Queues,
                  agenda: Agenda, cancels: bool, longest_return_ms: float) -> None:
         self._gate, self._health, self._placement = gate, health, placement
-        self._copies, self._queues, self.agenda = copies, queues, agenda
+        self._copies, self._queues, self.agenda, self.workers = copies, queues, agenda, list[Worker]()
         self._cancels, self._longest_return_ms = cancels, longest_return_ms
-        self.workers: list[Worker] = []
-        self._owed: deque[Decision] = deque()
-        self._stirred: dict[Function, None] = {}
-        self._lagging: dict[Function, None] = {}
-        self._at_work: dict[Worker, None] = {}
-        self._known: dict[Function, None] = {}
+        self._owed, self._at_work = deque[Decision](), dict[Worker, None]()
+        self._stirred, self._lagging, self._known = (dict[Function, None]() for _ in range(3))
 
     def taken(self, now: float, act: Activation) -> None:
-        self._gate.took(now)
+        self._gate.taken.append(now)
         if act.customer is not None:
             act.customer.taken.append(now)
         act.function.last_taken = now
-        self._known.pop(act.function, None)
-        self._known[act.function] = None  # the one longest not asked for stands first
+        self._known[act.function] = self._known.pop(act.function, None)  # the longest not asked for is first
         act.function.arrivals.append(act)
         self._stirred[act.function] = None
 
@@ -399,17 +335,13 @@
 
     def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool,
                  warm: bool | None, company: int, report: dict[str, float] | None) -> None:
-        """How a send ended.  `company`: others of the function there; `warm`: None where it is not told."""
+        """How a send ended; `company`: others of the function there; `warm`: None where it is not told."""
         send.outcome = outcome
         act, copy, worker, function = send.act, send.copy, send.copy.worker, send.copy.function
         worker.sends.pop(send, None)
-        copy.sends -= 1
-        if report:
-            worker.report = report
-        # A broken connection is a failure like another: maybe the link, so it voids no copy; one bars nobody.
-        cut = outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)
+        copy.sends, worker.report = copy.sends - 1, report or worker.report
+        cut = outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)  # maybe the link: it voids no copy
         if cut or outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
-            self._health.heard(now, worker)
             failed = cut or (outcome is Outcome.ERROR and not load_failed)
             if self._health.judge(now, worker, act.type, failed, cut):
                 self._owed.append(f"worker {worker.id} fails often, last {outcome.value}")
@@ -418,23 +350,19 @@
             copy.used = copy.touched = now
             took = now - send.sent
             function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
-            # The worker's window: narrowed by answers past half the target, widened by earlier ones.
-            # Where a load is not told from a crowd, only own sends that fill half the window speak of one.
             crowd = warm if warm is not None else 2 * len(worker.sends) >= worker.window - 1
             if crowd and took > act.type.target_ms / 2:
                 worker.window = max(2.0, worker.window * 0.9)
             elif len(worker.sends) >= worker.window / 2:
                 worker.window += 1 / worker.window
         elif outcome in (Outcome.FULL, Outcome.MISS):
-            # Turned away: if none of the function runs there no copy stands and none fits; else it is full.
-            if company:
-                worker.window = max(2.0, 0.9 * worker.window)
-            else:
-                copy.standing = 0
+            worker.window = max(2.0, worker.window * (0.9 if company else 1.0))
+            copy.standing *= company > 0  # where none of the function runs no copy stands and none fits
             if outcome is Outcome.FULL or not copy.ordered:
                 copy.barred_until = now + (function.load_ms or 1000.0)
         if outcome in (Outcome.COMPLETED, Outcome.FULL):
-            self._queues.felt(function, outcome is Outcome.FULL or now > send.sent + act.type.target_ms)
+            if worker.busy < 0.3:  # else own windows see to it
+                self._queues.felt(function, outcome is Outcome.FULL or now > send.sent + act.type.target_ms)
             self._placement.met(now, copy, max(company, worker.window * (outcome is Outcome.FULL)))
         if over:
             act.verdict = act.verdict or "completed"
@@ -442,13 +370,14 @@
         elif act.verdict is None:
             self._again(now, act)
         lagging = [f for f in worker.copies if f.lag]
-        self._stirred.update(dict.fromkeys(sorted(lagging, key=self._queues.worth, reverse=True)))
+        self._stirred.update(dict.fromkeys(sorted(lagging, key=lambda f: -f.type.utility)))
         self._stirred[function] = None
 
     def told(self, now: float, order: Order, outcome: Outcome, standing: int) -> None:
-        """The answer to a hold order."""
         copy, order.copy.order = order.copy, None
         copy.worker.loading -= 1
+        if outcome is Outcome.FULL:  # guards against a storm of orders at workers without room
+            copy.worker.crammed_until = now + (copy.function.load_ms or 1000.0)
         self._copies.stands(now, copy, standing)
         if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
             self._health.bar(now, copy.worker.whole)
@@ -458,12 +387,10 @@
         self._stirred[copy.function] = None
 
     def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
-        """The worker list changed: workers that are gone keep only their sends, restarted ones are empty."""
         for worker in restarted:
-            for copy in worker.copies.values():  # its process died: nothing stands there any more
+            worker.whole, worker.views = View(), defaultdict(View)
+            for copy in worker.copies.values():
                 copy.standing = 0
-            worker.views.clear()
-            worker.whole = View()
         for worker in self.workers:
             if not worker.live:
                 for copy in list(worker.copies.values()):
@@ -477,20 +404,17 @@
         self._gate.listed(self.workers)
 
     def beat(self, now: float) -> Function | None:
-        """The periodic work: silence is judged, lagging queues are seen to; returns a function to forget."""
+        """The periodic work; returns a function to forget."""
         for worker in list(self._at_work):  # CPU: most workers of a large fleet have nothing from here
             worker.busy += 0.06 * (len(worker.sends) - worker.busy)
             if not worker.sends and worker.busy < 0.05:
-                worker.busy = 0.0
                 del self._at_work[worker]
             elif lost := self._health.overdue(now, worker):
                 self._owed.append(f"worker {worker.id} unusually silent, {len(lost)} out")
                 self._rescue(now, lost)
                 self._stirred.update(dict.fromkeys(worker.copies))
-        for function in list(self._lagging):
-            self._stirred[function] = None
-            if not function.lag:
-                del self._lagging[function]
+        self._stirred.update(self._lagging)
+        self._lagging = {function: None for function in self._lagging if function.lag}
         stale = next(iter(self._known), None)
         if stale is None or now - stale.last_taken < 60_000 or stale.busy:
             return None
@@ -500,21 +424,18 @@
         return stale
 
     def decide(self, now: float) -> Decision | None:
-        """The next decision: a send (or a revoked one to call off), an order, a final answer, a log line."""
+        """The next: a send (or a revoked one to call off), an order, a final answer or a log line."""
         while (item := self.agenda.pop_due(now)) is not None:
             if isinstance(item, Copy):
-                if self._copies.due(now, item) and self._health.usable(now, item.worker, item.function.type):
-                    order = self._order(now, item, item.standing, 0.5)
-                    if order:
-                        return order
+                if self._copies.due(now, item) and (order := self._order(now, item, item.standing, 0.5)):
+                    return order
             elif item.verdict is None and (item.queued or now >= item.deadline - 5):
                 return self._gate.end(item)
         if self._owed:
             return self._owed.popleft()
         while self._stirred:
             function = next(iter(self._stirred))
-            decision = self._serve(now, function)
-            if decision is not None:
+            if (decision := self._serve(now, function)) is not None:
                 return decision
             del self._stirred[function]
         return None
@@ -522,23 +443,22 @@
     def _serve(self, now: float, function: Function) -> Decision | None:
         held = loading = count = homes = 0  # lanes held or loading; copies that stand or load, and where
         for copy in function.copies.values():
-            usable = not (copy.worker.whole.bar_ms or copy.worker.views[function.type].bar_ms)
-            room = max(0, int(copy.worker.window) - len(copy.worker.sends))
+            worker, extra = copy.worker, max(0, copy.order.count - copy.standing) if copy.order else 0
+            usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms)
+            room = max(0, int(worker.window) - len(worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
-            extra = max(0, copy.order.count - copy.standing) if copy.order else 0
-            young = copy.order is not None and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0)
-            loading += extra * function.lanes * young
+            if copy.order and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0):
+                loading += extra * function.lanes
             count += copy.standing * usable + extra
             homes += copy.standing + extra > 0
         while function.arrivals:
-            act = function.arrivals.popleft()
-            if act.verdict:
+            if (act := function.arrivals.popleft()).verdict:
                 continue
             if self._queues.beyond(now, act, held + loading) or self._queues.hopeless(now, act):
                 act.return_ms = min(self._longest_return_ms, function.load_ms or 1000.0)
                 return self._gate.end(act)
-            act.queued = True
             function.waiting.append(act)
+            act.queued = True
             self.agenda.add(act.deadline - 5, act)
         while queue := function.waiting or function.late:
             act = queue[0]
@@ -551,8 +471,7 @@
             if queue is function.waiting and now + 0.5 * function.usual_ms > act.taken + act.type.target_ms:
                 function.late.append(queue.popleft())
                 continue
-            copy = self._placement.lane(now, act, queue is function.late)
-            if copy is None:
+            if (copy := self._placement.lane(now, act, queue is function.late)) is None:
                 break
             return self._send(now, act, copy)
         if function.lag:
@@ -568,16 +487,13 @@
 
     def _grow(self, now: float, function: Function, count: int) -> Decision | None:
         worker, room = self._placement.host(now, function, self.workers)
-        if worker is None or count >= self._queues.limit(now, function, room):
-            return None
-        if (copy := self._copies.at(function, worker)).order is not None:
+        if worker is None or count >= self._queues.limit(now, function, room) or (
+                (copy := self._copies.at(function, worker)).order):
             return None
         order = self._order(now, copy, copy.standing + 1)
         if order is None and not copy.standing and function.lag:
-            # The ration is spent: the copy may stand for others, or the worker load it by itself.  Guards
-            # against queues that starve behind the ration of a small dispatcher; a miss bars the copy.
+            # Guards against starving behind a small ration: the copy may stand for others; a miss bars it.
             self._copies.stands(now, copy, 1)
-            copy.used = now
             first = (function.waiting or function.late)[0]
             if self._placement.lane(now, first, not function.waiting) is copy:
                 return self._send(now, first, copy)
@@ -591,19 +507,16 @@
         return copy.order
 
     def _send(self, now: float, act: Activation, copy: Copy) -> Send | None:
-        send = self._gate.send(now, act, copy)
-        if send:
+        if send := self._gate.send(now, act, copy):
             (act.function.waiting or act.function.late).popleft()
             act.queued = False
-            self._queues.released(now, act.function)
-            copy.worker.quiet_since = copy.worker.quiet_since if copy.worker.sends else now
+            if not copy.worker.sends:
+                copy.worker.quiet_since = now
             copy.worker.sends[send] = self._at_work[copy.worker] = None
-            copy.sends += 1
-            copy.used = now
+            copy.sends, copy.used = copy.sends + 1, now
         return send
 
     def _again(self, now: float, act: Activation) -> None:
-        """A send ended without an answer for the client: queue for another send, or give up at once."""
         if act.queued:
             return
         if self._gate.open(now, act):
@@ -614,7 +527,6 @@
             self._owed.append(self._gate.end(act))
 
     def _rescue(self, now: float, sends: Iterable[Send]) -> None:
-        """What is out and believed lost goes elsewhere, where that is allowed."""
         for send in reversed(list(sends)):
             if send.act.verdict or send.revoked or send.act.type.effect is Effect.ONCE_ONLY:
                 continue
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -98,6 +98,7 @@
     stray: float = 0.0
     whole: View = field(default_factory=View)
     views: dict[NamespaceType, View] = field(default_factory=lambda: defaultdict(View))
+    crammed_until: float = 0.0  # told of no room for another copy
     others: float = 0.0  # sends of others met there, on the recent average
     met: float = 0.0
 
@@ -128,8 +129,6 @@
     limit: int = 0
     spread: float = 1.0  # over how many of its preferred workers it goes
     lag_since: float | None = None
-    pace_ms: float = 0.0  # usual time between two releases while something waits
-    released: float = 0.0
     listed: list[Worker] | None = None  # the list that `homes` was made from
     homes: list[Worker] = field(default_factory=list)  # workers by preference
     looked: float = -1e9  # when a worker for another copy was last looked for
@@ -159,8 +158,6 @@
     ordered: Order | None = None  # the last one, out or answered
     sends: int = 0
     used: float = 0.0  # last send or answer
-    company: float = 0.0  # others of the function met there, on the recent average
-    met: float = 0.0
     touched: float = 0.0  # since when it idles at the worker, at the earliest
     barred_until: float = 0.0
 
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -77,10 +77,12 @@
             tip_ms=rules["fall_us"] / 1000,
             cold_share=rules["start_capacity"],
             cold_ms=rules["cold_us"] / 1000,
-            loads=extras["load_control"],
-            loads_free=extras["free_loads"],
-            loads_share=extras["load_share"],
-            loads_ms=extras["load_span_us"] / 1000,
+            ration=(
+                extras["load_control"],
+                extras["free_loads"],
+                extras["load_share"],
+                extras["load_span_us"] / 1000,
+            ),
         )
         health = Health()
         self._dispatcher = Dispatcher(
@@ -88,7 +90,7 @@
             health,
             Placement(gate, health, env["my_zone"], seed),
             Copies(agenda, extras["idle_life_us"] / 1000),
-            Queues(seed, self._types, self._customers, env["counted_by"] == "work"),
+            Queues(seed, self._types, self._customers),
             agenda,
             bounds["may_cancel"],
             bounds["max_retry_after_us"] / 1000 if bounds["retry_after"] else 0.0,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,10 +25,7 @@
     "tip_ms": 2000.0,
     "cold_share": 0.2,
     "cold_ms": 2000.0,
-    "loads": True,
-    "loads_free": 5.0,
-    "loads_share": 0.3,
-    "loads_ms": 5000.0,
+    "ration": (True, 5.0, 0.3, 5000.0),
 }
 
 
@@ -40,7 +37,7 @@
         health,
         Placement(rules, health, 0, 1),
         Copies(agenda, 8000.0),
-        Queues(1, [kind()], [], False),
+        Queues(1, [kind()], []),
         agenda,
         True,
         return_ms,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -24,6 +24,7 @@
 
 KINDS = [kind(), kind(Effect.DEDUPLICATED), kind(Effect.DEDUPLICATED, "zone"), kind(Effect.ONCE_ONLY)]
 SLACK_MS = 16.0
+PLENTY = (True, 99.0, 0.3, 5000.0)
 
 
 class Watch:
@@ -57,8 +58,9 @@
         elif isinstance(decision, Order) and decision.count:
             assert decision.copy.worker.state is State.LIVE, "drains kept for orders"
             self.orders.append(now)
-            span = now - self.gate["loads_ms"]
-            allowed = self.gate["loads_free"] + self.gate["loads_share"] * sum(t > span for t in self.taken)
+            _, free, share, length = self.gate["ration"]
+            span = now - length
+            allowed = free + share * sum(t > span for t in self.taken)
             assert sum(t > span for t in self.orders) <= allowed, "orders rationed"
         elif isinstance(decision, Send) and not decision.revoked:
             self.sent(now, decision)
@@ -239,7 +241,7 @@
     function = [model(f"m{n}") for n in range(20)]
     hosts = [
         [ready(dispatcher, model(f.id)).id for f in function]
-        for dispatcher in (make(8, loads_free=99.0), make(8, loads_free=99.0))
+        for dispatcher in (make(8, ration=PLENTY), make(8, ration=PLENTY))
     ]
     assert sum(a == b for a, b in zip(*hosts, strict=True)) > 10 and len(set(hosts[0])) > 3
 
@@ -323,7 +325,7 @@
 
 
 def test_functions_no_longer_asked_for_and_finished_activations_are_forgotten() -> None:
-    dispatcher = make(loads_free=99.0)
+    dispatcher = make(ration=PLENTY)
     for n in range(30):
         ready(dispatcher, model(f"scan{n}"), 200.0 * n)
     gone = [dispatcher.beat(80_000.0 + n) for n in range(40)]
