--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,35 +19,24 @@
 
 GATE = {
     "seed": 1,
-    "parallel": True,
-    "most_sends": 4,
-    "tip": 3.0,
-    "tip_ms": 2000.0,
-    "cold_share": 0.2,
-    "cold_ms": 2000.0,
+    "parallel": True, "most_sends": 4, "tip": 3.0, "tip_ms": 2000.0, "cold_share": 0.2, "cold_ms": 2000.0,
     "ration": (True, 5.0, 0.3, 5000.0),
 }
 
 
 def make(workers: int = 3, return_ms: float = 500.0, **gate: Any) -> Dispatcher:
     """A dispatcher with live, warm workers."""
+    seed = gate.get("seed", 1)
     rules, agenda, health = Gate(**(GATE | gate)), Agenda(), Health()
-    dispatcher = Dispatcher(
-        rules,
-        health,
-        Placement(rules, health, 0, 1),
-        Copies(agenda, 8000.0),
-        Queues(1, [kind()], []),
-        agenda,
-        True,
-        return_ms,
-    )
+    placement, queues = Placement(rules, health, 0, seed), Queues(seed, [kind(), kind(utility=8.0)], [])
+    copies = Copies(agenda, 8000.0)
+    dispatcher = Dispatcher(rules, health, placement, copies, queues, agenda, True, return_ms)
     dispatcher.listed(0.0, [Worker(f"w{n}", zone=n % 2, cell=n % 2) for n in range(workers)], [])
     return dispatcher
 
 
-def kind(effect: Effect = Effect.REPEATABLE, scope: str = "all") -> NamespaceType:
-    return NamespaceType(effect.value, effect, 500.0, 2.0, 0.3, scope, 5000.0)
+def kind(effect: Effect = Effect.REPEATABLE, scope: str = "all", utility: float = 2.0) -> NamespaceType:
+    return NamespaceType(effect.value, effect, 500.0, utility, 0.3, scope, 5000.0)
 
 
 def model(name: str = "f", lanes: int = 2, type_: NamespaceType | None = None) -> Function:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -5,85 +5,33 @@
 import sys
 from typing import Any
 
-CLASS = {
-    "aim_us": 500000,
-    "effect": "free",
-    "gain": 2.0,
-    "give_up_us": 5000000,
-    "key_scope": "all",
-    "late_worth": 0.3,
-    "name": "t",
-    "streaming": False,
-    "window_us": 0,
-}
+CLASS = {"aim_us": 500000, "effect": "free", "gain": 2.0, "give_up_us": 5000000, "key_scope": "all",
+         "late_worth": 0.3, "name": "t", "streaming": False, "window_us": 0}
 ENV = {
-    "balancers": 1,
-    "counted_by": "request",
-    "classes": [CLASS],
-    "customers": [],
-    "my_zone": 0,
-    "report": {"fields": [], "how": "off"},
-    "unheard_of": 1,
-    "bounds": {
-        "max_attempts": 3,
-        "max_retry_after_us": 500000,
-        "may_cancel": True,
-        "parallel_tries": True,
-        "retry_after": True,
-    },
+    "balancers": 1, "counted_by": "request", "classes": [CLASS], "customers": [], "my_zone": 0,
+    "report": {"fields": [], "how": "off"}, "unheard_of": 1,
+    "bounds": {"max_attempts": 3, "max_retry_after_us": 500000, "may_cancel": True, "parallel_tries": True,
+               "retry_after": True},
     "rules": {"cold_us": 9000000, "fall_us": 2000000, "start_capacity": 0.2, "tip_multiple": 3.0},
-    "specifics": {
-        "free_loads": 6.0,
-        "idle_life_us": 8000000,
-        "load_control": True,
-        "load_share": 0.3,
-        "load_span_us": 10000000,
-        "not_loaded": "miss",
-        "says_company": True,
-        "says_warm": True,
-    },
-}
-ENTRY = {
-    "runner": "10.0.0.1:9",
-    "az": 0,
-    "shape": 0,
-    "stripe": 0,
-    "readiness": "live",
-    "capacity_hint": 1,
-    "last_start_us": None,
+    "specifics": {"free_loads": 6.0, "idle_life_us": 8000000, "load_control": True, "load_share": 0.3,
+                  "load_span_us": 10000000, "not_loaded": "miss", "says_company": True, "says_warm": True},
 }
+ENTRY = {"runner": "10.0.0.1:9", "az": 0, "shape": 0, "stripe": 0, "readiness": "live", "capacity_hint": 1,
+         "last_start_us": None}
 HELLO = [
     {"Hello": {"i": "dispatcher_0", "nonce64": 7, "env": ENV}},
     {"Manifest": {"table": 0, "records": [ENTRY]}},
     {"Membership": {"i": "dispatcher_0", "how": "C", "stamp": 1, "table": 0}},
 ]
-REQ = {
-    "Req": {
-        "i": "dispatcher_0",
-        "handle": "t/a",
-        "class": 0,
-        "project": 0,
-        "fn": "h:f",
-        "grace_us": 5000000,
-        "cost_guess_us": None,
-        "memory_mb": 384,
-        "parallel": 2,
-        "load_time_ms": None,
-        "again_by_client": False,
-        "update": False,
-    }
-}
+REQ = {"Req": {"i": "dispatcher_0", "handle": "t/a", "class": 0, "project": 0, "fn": "h:f",
+               "grace_us": 5000000, "cost_guess_us": None, "memory_mb": 384, "parallel": 2,
+               "load_time_ms": None, "again_by_client": False, "update": False}}
 
 
 def drill(*batches: tuple[int, list[dict[str, Any]]] | str) -> tuple[int, list[Any], str]:
     lines = [b if isinstance(b, str) else json.dumps({"now_us": b[0], "arrivals": b[1]}) for b in batches]
-    done = subprocess.run(
-        [sys.executable, "-m", "kelptrail.drill"],
-        input="\n".join(lines) + "\n",
-        capture_output=True,
-        text=True,
-        timeout=30,
-    )
+    command, text = [sys.executable, "-m", "kelptrail.drill"], "\n".join(lines) + "\n"
+    done = subprocess.run(command, input=text, capture_output=True, text=True, timeout=30)
     return done.returncode, [json.loads(line)["actions"] for line in done.stdout.splitlines()], done.stderr
 
 
@@ -92,52 +40,24 @@
 
 
 def test_an_activation_goes_from_arrival_to_answer() -> None:
-    ready = {
-        "ReadyThere": {
-            "i": "dispatcher_0",
-            "runner": "10.0.0.1:9",
-            "fn": "h:f",
-            "ending": "S",
-            "latency_us": 900,
-            "copies": 1,
-        }
-    }
-    answer = {
-        "Answer": {
-            "i": "dispatcher_0",
-            "handle": "t/a",
-            "runner": "10.0.0.1:9",
-            "remark": 1,
-            "shot": 0,
-            "latency_us": 90000,
-            "ending": "S",
-            "done_flag": True,
-            "stats": None,
-        }
-    }
+    place = {"i": "dispatcher_0", "runner": "10.0.0.1:9"}
+    ready = {"ReadyThere": place | {"fn": "h:f", "ending": "S", "latency_us": 900, "copies": 1}}
+    answer = {"Answer": place | {"handle": "t/a", "remark": 1, "shot": 0, "latency_us": 90000, "ending": "S",
+                                 "done_flag": True, "stats": None}}
     gone = {"Aborted": {"i": "dispatcher_0", "handle": "t/a"}}
-    code, replies, _ = drill(
-        (1000, []), (2000, HELLO), (3000, [REQ]), (4000, [ready]), (94000, [answer, gone])
-    )
+    batches = (1000, []), (2000, HELLO), (3000, [REQ]), (4000, [ready]), (94000, [answer, gone])
+    code, replies, _ = drill(*batches)
     assert code == 0 and replies[0] == []
-    assert wanted(replies[2], "StartCopy") == [
-        {"i": "dispatcher_0", "runner": "10.0.0.1:9", "fn": "h:f", "copies": 1}
-    ]
+    assert wanted(replies[2], "StartCopy") == [place | {"fn": "h:f", "copies": 1}]
     assert not wanted(replies[2], "Try")
-    assert wanted(replies[3], "Try") == [{"i": "dispatcher_0", "handle": "t/a", "runner": "10.0.0.1:9"}]
+    assert wanted(replies[3], "Try") == [place | {"handle": "t/a"}]
     assert not wanted(replies[4], "Refuse") and not wanted(replies[4], "DropRequest")
 
 
 def test_malformed_input_ends_with_one_plain_line() -> None:
     lost = {"Req": {k: v for k, v in REQ["Req"].items() if k != "grace_us"}}
-    for bad in (
-        "{",
-        "[]",
-        '{"now_us":1}',
-        (1, [{"Huh": {"i": "dispatcher_0"}}]),
-        (1, [REQ]),
-        (1, [*HELLO, lost]),
-    ):
+    unknown = (1, [{"Huh": {"i": "dispatcher_0"}}])
+    for bad in ("{", "[]", '{"now_us":1}', unknown, (1, [REQ]), (1, [*HELLO, lost])):
         code, replies, errors = drill(bad)
         assert code != 0 and not replies
         assert errors.startswith("kelptrail.drill: malformed input") and errors.count("\n") == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -50,11 +50,9 @@
             if decision.verdict == "rejected":
                 doubtful = [s for s in decision.sends if s.outcome not in NEVER_RAN]
                 effect, scope = decision.type.effect, decision.type.scope
-                assert (
-                    not doubtful
-                    or effect is Effect.REPEATABLE
-                    or (effect is Effect.DEDUPLICATED and scope == "all")
-                ), "a rejection promises the truth"
+                dropped = effect is Effect.DEDUPLICATED and scope == "all"
+                harmless = not doubtful or effect is Effect.REPEATABLE or dropped
+                assert harmless, "a rejection promises the truth"
         elif isinstance(decision, Order) and decision.count:
             assert decision.copy.worker.state is State.LIVE, "drains kept for orders"
             self.orders.append(now)
@@ -98,9 +96,8 @@
     now, serial, out, orders, open_acts = 0.0, 0, [], [], []
     for step in range(steps + 400):
         due = dispatcher.agenda.next_due()  # the host never sleeps past a due time
-        now = min(
-            now + (chance.choice((0.0, 1.0, 4.0, 15.0)) if step < steps else 50.0), max(now, due or now) + 4
-        )
+        ahead = chance.choice((0.0, 1.0, 4.0, 15.0)) if step < steps else 50.0
+        now = min(now + ahead, max(now, due or now) + 4)
         for _ in range(chance.randrange(4) if step < steps else 0):
             serial += 1
             act = activation(chance.choice(functions), now, serial, chance.choice((300.0, 1500.0, 4000.0)))
@@ -109,34 +106,19 @@
             dispatcher.taken(now, act)
         for order in [o for o in orders if chance.random() < 0.05]:
             orders.remove(order)
-            dispatcher.told(
-                now,
-                order,
-                chance.choice([Outcome.COMPLETED] * 6 + [Outcome.FULL, Outcome.BROKEN]),
-                chance.randrange(order.count + 2),
-            )
+            outcome = chance.choice([Outcome.COMPLETED] * 6 + [Outcome.FULL, Outcome.BROKEN])
+            dispatcher.told(now, order, outcome, chance.randrange(order.count + 2))
         for send in [s for s in out if s.copy.worker is not fleet[seed % 6] and chance.random() < 0.1]:
             out.remove(send)
-            outcome = (
-                Outcome.REVOKED
-                if send.revoked
-                else chance.choice([Outcome.COMPLETED] * 9 + list(Outcome)[1:])
-            )
+            outcome = chance.choice([Outcome.COMPLETED] * 9 + list(Outcome)[1:])
+            outcome = Outcome.REVOKED if send.revoked else outcome
             if outcome is Outcome.COMPLETED and send.act.verdict is None and now <= send.act.deadline:
                 watch.end(now, send.act)
                 dispatcher.answered(now, send, outcome, True, False, None, 0, None)
             else:
                 ended = send.act in watch.ended
-                dispatcher.answered(
-                    now,
-                    send,
-                    outcome if outcome is not Outcome.COMPLETED else Outcome.SILENT,
-                    ended,
-                    False,
-                    None,
-                    0,
-                    None,
-                )
+                outcome = Outcome.SILENT if outcome is Outcome.COMPLETED else outcome
+                dispatcher.answered(now, send, outcome, ended, False, None, 0, None)
         for act in [a for a in open_acts if a.verdict is None and chance.random() < 0.0005]:
             watch.end(now, act)
             dispatcher.left(act)
@@ -178,11 +160,7 @@
     ("guard", "instead", "message"),
     [
         ("open", always(True), "once-only is never sent twice|end|remember|assert"),
-        (
-            "may_send",
-            lambda self, now, act, worker: self.open(now, act),
-            "drains kept|inside the group|pushed over",
-        ),
+        ("may_send", lambda self, now, act, worker: self.open(now, act), "drains kept|inside|pushed over"),
         ("warmth", always(1.0), "pushed over"),
         ("end", reject, "promises the truth"),
         ("order", lambda self, now, copy, count, spare=0.0: Order(copy, count, now), "rationed|drains kept"),
@@ -239,10 +217,8 @@
 
 def test_dispatchers_that_share_nothing_choose_the_same_worker() -> None:
     function = [model(f"m{n}") for n in range(20)]
-    hosts = [
-        [ready(dispatcher, model(f.id)).id for f in function]
-        for dispatcher in (make(8, ration=PLENTY), make(8, ration=PLENTY))
-    ]
+    pair = make(8, ration=PLENTY), make(8, ration=PLENTY)
+    hosts = [[ready(dispatcher, model(f.id)).id for f in function] for dispatcher in pair]
     assert sum(a == b for a, b in zip(*hosts, strict=True)) > 10 and len(set(hosts[0])) > 3
 
 
@@ -294,9 +270,7 @@
     worker, now = ready(dispatcher, function), 100.0
     for send in take(dispatcher, function, now, 4):
         dispatcher.answered(now + 1, send, Outcome.ERROR, False, False, None, 0, None)
-    assert [d for d in pull(dispatcher, now + 2) if isinstance(d, Send)] == [], (
-        "the errors come back to the queue"
-    )
+    assert [d for d in pull(dispatcher, now + 2) if isinstance(d, Send)] == [], "they come back to the queue"
     tried = [d for step in range(15) for d in pull(dispatcher, stir(dispatcher, now + 50 * step))]
     assert len([d for d in tried if isinstance(d, Send)]) == 1 and worker.views[function.type].bar_ms > 0
 
@@ -343,3 +317,81 @@
     dispatcher.answered(102.0, second, Outcome.BROKEN, False, False, None, 0, None)
     assert worker.whole.barred_until > 102.0 and function.copies[worker].standing == 1
     assert not [d for d in pull(dispatcher, 102.0) if isinstance(d, Send)]
+
+
+def test_a_spent_ration_sends_unordered_and_a_miss_bars_that_copy() -> None:
+    dispatcher, function = make(ration=(True, 0.0, 0.0, 5000.0)), model()
+    (send,) = take(dispatcher, function, 0.0, 1)
+    assert isinstance(send, Send)
+    dispatcher.answered(1.0, send, Outcome.MISS, False, False, None, 0, None)
+    again = [d for step in range(2) for d in pull(dispatcher, stir(dispatcher, 30.0 + 30 * step))]
+    assert [d.copy.worker is send.copy.worker for d in again if isinstance(d, Send)] == [False]
+
+
+def test_an_order_names_sixteen_copies_at_most() -> None:
+    dispatcher, function = make(workers=1), model()
+    copy = ready(dispatcher, function, copies=16).copies[function]
+    assert dispatcher._gate.order(100.0, copy, 17).count == 16
+
+
+def test_company_met_spreads_a_function_and_an_empty_copy_draws_it_together() -> None:
+    dispatcher, function = make(8, ration=PLENTY), model(lanes=1)
+    ready(dispatcher, function)
+    for company, wider in ((9, True), (0, False)):
+        before = function.spread
+        for n in range(12):
+            now = 1000.0 * (n + 1) + 20_000 * (not wider)
+            for decision in take(dispatcher, function, now, 1) + pull(dispatcher, now + 2):
+                if isinstance(decision, Send):
+                    how = Outcome.COMPLETED
+                    dispatcher.answered(now + 40, decision, how, True, False, True, company, None)
+                elif isinstance(decision, Order):
+                    dispatcher.told(now + 1, decision, Outcome.COMPLETED, 1)
+        assert (function.spread > before) is wider
+        assert not wider or len(function.copies) > 3
+
+
+def test_a_worker_that_fails_one_type_serves_the_others_and_a_lost_answer_is_sent_again() -> None:
+    dispatcher, fails, well = make(workers=1), model("a", 4), model("b", 4, kind(Effect.ONCE_ONLY))
+    worker = ready(dispatcher, fails)
+    ready(dispatcher, well, 60.0)
+    for send in take(dispatcher, fails, 200.0, 3):
+        dispatcher.answered(201.0, send, Outcome.ERROR, True, False, None, 0, None)
+    assert not dispatcher._health.usable(202.0, worker, fails.type)
+    (lost, *_) = [d for d in take(dispatcher, well, 202.0, 1) if isinstance(d, Send)]
+    assert lost.copy.worker is worker
+    dispatcher, function = make(workers=2, ration=PLENTY), model(lanes=4)
+    ready(dispatcher, function)
+    (lost,) = take(dispatcher, function, 100.0, 1)
+    found: list[Decision] = []
+    for n in range(10):  # the worker goes on answering others
+        found += take(dispatcher, function, 200.0 + 60 * n, 1)
+        for send in [d for d in found if isinstance(d, Send) and d.act is not lost.act and d.outcome is None]:
+            complete(dispatcher, send, 240.0 + 60 * n)
+        found += pull(dispatcher, stir(dispatcher, 245.0 + 60 * n))
+    assert lost.lost and len(lost.act.sends) + lost.act.queued > 1
+
+
+def test_many_small_dispatchers_together_spare_a_cold_worker() -> None:
+    sent = 0
+    for seed in range(100):
+        dispatcher, function = make(workers=5, ration=PLENTY, seed=seed), model(f"f{seed}")
+        ready(dispatcher, function)  # each completes one: a hundred on four warm workers
+        cold = dispatcher.workers[seed % 5]
+        cold.started = 100.0
+        dispatcher.listed(100.0, dispatcher.workers, [cold])
+        act = activation(function, 110.0)
+        sent += dispatcher._gate.may_send(110.0, act, cold)
+    assert 0 < sent < 0.5 * 3.0 * 0.2 * 100 / 4 * 3
+
+
+def test_late_answers_close_admission_for_the_least_useful_first_and_timely_ones_open_it() -> None:
+    queues = make()._queues
+    for n in range(60):
+        queues.felt(model(f"f{n}"), True)
+    low = sum(queues.shed(1.0, activation(model(), 0.0)) for _ in range(200))
+    high = sum(queues.shed(1.0, activation(model(type_=kind(utility=8.0)), 0.0)) for _ in range(200))
+    assert low > 190 > high > 0
+    for _ in range(60):
+        queues.felt(model(), False)
+    assert not any(queues.shed(1.0, activation(model(), 0.0)) for _ in range(200))
