Unordered sends try no more workers than the spread; renewals leave more of the ration

Change: within a load time no more workers are tried unordered than the function's spread; renewals use a quarter of the ration in place of half; spread aims at company that fills a copy's room, not half of it.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -171,10 +171,10 @@
 
     def met(self, now: float, copy: Copy, company: float) -> None:
         """An answer told how many others were there.  Guards against dispatchers that cannot talk and crowd
-        one worker with a hot function: it spreads over more workers until it meets half a copy's room."""
+        one worker with a hot function: it spreads over more workers until it meets a copy's room."""
         function, worker = copy.function, copy.worker
         part = company / min(worker.window, max(1, copy.standing) * function.lanes)
-        function.spread *= min(4.0, max(part, 0.75 + 0.5 * part))
+        function.spread *= min(4.0, max(part, 0.75 + 0.25 * part))
         function.spread = max(1.0, min(function.spread, len(function.homes)))
         worker.others, worker.met = self.others(now, worker) * 0.7 + 0.3 * company, now
 
@@ -264,11 +264,10 @@
 class Queues:
     """Lag, limit, bound and fairness of the queues, one for each function."""
 
-    def __init__(self, seed: int, types: list[Type], customers: list[Customer], limit: int = 4,
-                 per_lane: int = 4) -> None:
+    def __init__(self, seed: int, types: list[Type], customers: list[Customer]) -> None:
         self._seed, self._draws, self._most = seed, 0, max(type_.utility for type_ in types)
         self._open, self._hurt = 1.0, None  # the share admitted, and the last function late at a worker
-        self._customers, self._limit, self._per_lane = customers, limit, per_lane
+        self._customers, self._limit, self._per_lane = customers, 4, 4  # copies at first; waiting a lane
 
     def felt(self, function: Function, bad: bool) -> None:
         """Lag at the workers is lag too: late and turned-away sends, of functions in turn."""
@@ -427,7 +426,7 @@
         """The next: a send (or a revoked one to call off), an order, a final answer or a log line."""
         while (item := self.agenda.pop_due(now)) is not None:
             if isinstance(item, Copy):
-                if self._copies.due(now, item) and (order := self._order(now, item, item.standing, 0.5)):
+                if self._copies.due(now, item) and (order := self._order(now, item, item.standing, 0.75)):
                     return order
             elif item.verdict is None and (item.queued or now >= item.deadline - 5):
                 return self._gate.end(item)
@@ -491,7 +490,8 @@
                 (copy := self._copies.at(function, worker)).order):
             return None
         order = self._order(now, copy, copy.standing + 1)
-        if order is None and not copy.standing and function.lag:
+        missed = sum(now < other.barred_until for other in function.copies.values())
+        if order is None and not copy.standing and function.lag and missed < function.spread:
             # Guards against starving behind a small ration: the copy may stand for others; a miss bars it.
             self._copies.stands(now, copy, 1)
             first = (function.waiting or function.late)[0]
