Clean-up: one default for the load time, no chance drawn while admission is open, settings as arguments again

Open admission no longer hashes on every arrival; where an activation is out is looked up once a choice, not for each copy; Health takes its settings as arguments again; a stale comment mended; a test pattern that the fold had shortened is whole again.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -106,7 +106,8 @@
 class Health:
     """Judges workers, for each namespace type, by how unusual their silence is and by failures."""
 
-    _bar_ms, _longest_ms = 500.0, 8000.0
+    def __init__(self, bar_ms: float = 500.0, longest_ms: float = 8000.0) -> None:
+        self._bar_ms, self._longest_ms = bar_ms, longest_ms
 
     def usable(self, now: float, worker: Worker, type_: Type, effect: Effect | None = None) -> bool:
         """A worker whose bar has run out is tried with one send at a time, of what may run again."""
@@ -183,13 +184,13 @@
 
     def lane(self, now: float, act: Activation, late: bool) -> Copy | None:
         """The least loaded believed free lane, own zone before others where loads are alike."""
+        tried = {send.copy.worker for send in act.sends if send.outcome is None}
         best, best_load, part = None, 0.0, 0.5 if late else 1.0  # the late must not make others late too
         for copy in act.function.copies.values():
             worker = copy.worker
             if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
-            tried = any(send in worker.sends for send in act.sends)
-            if tried or now < copy.barred_until or not self._gate.may_send(now, act, worker) or (
+            if worker in tried or now < copy.barred_until or not self._gate.may_send(now, act, worker) or (
                     not self._health.usable(now, worker, act.type, act.type.effect)):
                 continue
             load = self.load(now, worker, act.type) + 0.5 * (worker.zone != self._zone)
@@ -280,7 +281,7 @@
         """Guards against overload that shows in no dispatcher's own queues: the least useful go first."""
         self._draws += self._open < 1
         part = self._open ** (self._most / act.type.utility / part)
-        return crc32(f"{self._seed} shed {self._draws}".encode()) > part * 2**32
+        return self._open < 1 and crc32(f"{self._seed} shed {self._draws}".encode()) > part * 2**32
 
     def over_share(self, now: float, act: Activation) -> bool:
         if act.customer is None:  # guards against a customer's surge that crowds out the rest
@@ -301,7 +302,7 @@
     def limit(self, now: float, function: Function, room: bool) -> int:
         function.limit = function.limit or self._limit  # lag that outlasts a load time raises it by one
         function.lag_since = now if function.lag_since is None else function.lag_since
-        if room and now - function.lag_since > (function.load_ms or 1000.0):
+        if room and now - function.lag_since > function.load_ms:
             function.limit, function.lag_since = function.limit + 1, now
         return max(function.limit, int(function.spread))
 
@@ -323,7 +324,7 @@
         self._gate.taken.append(now)
         if act.customer is not None:
             act.customer.taken.append(now)
-        act.function.last_taken = now
+        act.function.last_taken, act.function.load_ms = now, act.function.load_ms or 1000.0  # told, else 1 s
         self._known[act.function] = self._known.pop(act.function, None)  # the longest not asked for is first
         act.function.arrivals.append(act)
         self._stirred[act.function] = None
@@ -358,7 +359,7 @@
             worker.window = max(2.0, worker.window * (0.9 if company else 1.0))
             copy.standing *= company > 0  # where none of the function runs no copy stands and none fits
             if outcome is Outcome.FULL or not copy.ordered:
-                copy.barred_until = now + (function.load_ms or 1000.0)
+                copy.barred_until = now + function.load_ms
         if outcome in (Outcome.COMPLETED, Outcome.FULL):
             if worker.busy < 0.3:  # else own windows see to it
                 self._queues.felt(function, outcome is Outcome.FULL or now > send.sent + act.type.target_ms)
@@ -376,12 +377,12 @@
         copy, order.copy.order = order.copy, None
         copy.worker.loading -= 1
         if outcome is Outcome.FULL:  # guards against a storm of orders at workers without room
-            copy.worker.crammed_until = now + (copy.function.load_ms or 1000.0)
+            copy.worker.crammed_until = now + copy.function.load_ms
         self._copies.stands(now, copy, standing)
         if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
             self._health.bar(now, copy.worker.whole)
         if not standing:
-            copy.barred_until = now + (copy.function.load_ms or 1000.0)
+            copy.barred_until = now + copy.function.load_ms
             self.agenda.add(copy.barred_until, copy)
         self._stirred[copy.function] = None
 
@@ -446,7 +447,7 @@
             usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms)
             room = max(0, int(worker.window) - len(worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
-            if copy.order and now - copy.order.placed < 1.5 * (function.load_ms or 1000.0):
+            if copy.order and now - copy.order.placed < 1.5 * function.load_ms:
                 loading += extra * function.lanes
             count += copy.standing * usable + extra
             homes += copy.standing + extra > 0
@@ -454,7 +455,7 @@
             if (act := function.arrivals.popleft()).verdict:
                 continue
             if self._queues.beyond(now, act, held + loading) or self._queues.hopeless(now, act):
-                act.return_ms = min(self._longest_return_ms, function.load_ms or 1000.0)
+                act.return_ms = min(self._longest_return_ms, function.load_ms)
                 return self._gate.end(act)
             function.waiting.append(act)
             act.queued = True
@@ -478,7 +479,7 @@
             wanted, pause = function.lag > held + loading, 25.0
         else:  # crowded copies count as lag
             function.lag_since = None
-            wanted, pause = 0 < homes < int(function.spread), function.load_ms or 1000.0
+            wanted, pause = 0 < homes < int(function.spread), function.load_ms
         if not wanted or now < function.looked + pause:  # CPU: it looks for a worker only so often
             return None
         function.looked = now
@@ -510,8 +511,7 @@
         if send := self._gate.send(now, act, copy):
             (act.function.waiting or act.function.late).popleft()
             act.queued = False
-            if not copy.worker.sends:
-                copy.worker.quiet_since = now
+            copy.worker.quiet_since = copy.worker.quiet_since if copy.worker.sends else now
             copy.worker.sends[send] = self._at_work[copy.worker] = None
             copy.sends, copy.used = copy.sends + 1, now
         return send
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -89,7 +89,7 @@
     sends: dict[Send, None] = field(default_factory=dict)  # still out, oldest first
     copies: dict[Function, Copy] = field(default_factory=dict)
     report: dict[str, float] = field(default_factory=dict)
-    recent: deque[float] = field(default_factory=deque)  # sends while it was cold
+    recent: deque[float] = field(default_factory=deque)  # sends while it is cold, completed ones once warm
     loading: int = 0  # hold orders out
     busy: float = 0.0  # sends out, on the recent average
     window: float = 0.0  # sends that it is believed to bear at once
@@ -121,7 +121,7 @@
     type: NamespaceType
     memory_mb: float
     lanes: int
-    load_ms: float | None = None
+    load_ms: float = 0.0  # usual time of a load; 0: not told
     arrivals: deque[Activation] = field(default_factory=deque)  # taken, not yet looked at
     waiting: deque[Activation] = field(default_factory=deque)
     late: deque[Activation] = field(default_factory=deque)  # those that can only be late, served after
--- a/kelptrail/drill/host.py
+++ b/kelptrail/drill/host.py
@@ -112,7 +112,7 @@
                 self._types[e["class"]],
                 e["memory_mb"],
                 max(1, int(e["parallel"])),
-                e["load_time_ms"],
+                e["load_time_ms"] or 0.0,
             )
         hint = e["cost_guess_us"]
         act = Activation(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,7 +160,11 @@
     ("guard", "instead", "message"),
     [
         ("open", always(True), "once-only is never sent twice|end|remember|assert"),
-        ("may_send", lambda self, now, act, worker: self.open(now, act), "drains kept|inside|pushed over"),
+        (
+            "may_send",
+            lambda self, now, act, worker: self.open(now, act),
+            "drains kept|inside the group|pushed over",
+        ),
         ("warmth", always(1.0), "pushed over"),
         ("end", reject, "promises the truth"),
         ("order", lambda self, now, copy, count, spare=0.0: Order(copy, count, now), "rationed|drains kept"),
