Second sends wait by the spread of seen times and keep to a budget; types may hedge

Second sends went out past fixed multiples of the usual time and without a bound: a fleet that falls silent under load was sent everything again at once. The module's Attempts keeps usual time and spread of each function (in the manner of RFC 6298) and a pace of each worker; a budget earned by completed sends pays for rescues and hedges, rescues beyond it are parked. A hedge goes only to a free lane, for types that say so.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -162,6 +162,34 @@
         return late
 
 
+class Attempts:
+    """When a send is out for so long that a second is worth it, and what second sends may cost in all."""
+
+    def __init__(self, share: float = 0.2, most: float = 60.0) -> None:
+        self._share, self._most, self._left = share, most, most
+
+    def took(self, function: Function, worker: Worker, ms: float) -> None:
+        """An answer: usual time and spread (in the manner of RFC 6298, section 2), and the pace."""
+        if usual := function.usual_ms:
+            function.stray_ms += 0.25 * (abs(ms - usual) - function.stray_ms)
+            worker.pace += 0.1 * (min(4.0, ms / usual) - worker.pace)
+            function.usual_ms += 0.2 * (ms - usual)
+        else:
+            function.usual_ms, function.stray_ms = ms, ms / 2
+
+    def wait(self, function: Function, worker: Worker) -> float:
+        """Past that an answer is unusual for the function; a worker known to be slow gets up to twice it."""
+        return max(1.0, min(2.0, worker.pace)) * (function.usual_ms + 4 * function.stray_ms)
+
+    def earn(self) -> None:
+        """Guards against second sends that feed an overload: the budget follows what workers complete."""
+        self._left = min(self._most, self._left + self._share)
+
+    def spend(self) -> bool:
+        self._left -= (may := self._left >= 1)
+        return may
+
+
 class Placement:
     """Where a send and a new copy go.  Load is own sends out plus reports, for the size and the warmth."""
 
@@ -318,17 +346,21 @@
     beat_ms = 100.0
 
     def __init__(self, gate: Gate, health: Health, placement: Placement, copies: Copies, queues: Queues,
-                 agenda: Agenda, cancels: bool, longest_return_ms: float) -> None:
+                 agenda: Agenda, cancels: bool, longest_return_ms: float,
+                 attempts: Attempts | None = None) -> None:
         self._gate, self._health, self._placement = gate, health, placement
+        self._attempts, self._parked = attempts or Attempts(), deque[Send]()
         self._copies, self._queues, self.agenda, self.workers = copies, queues, agenda, list[Worker]()
         self._cancels, self._longest_return_ms = cancels, longest_return_ms
         self._owed, self._at_work = deque[Decision](), dict[Worker, None]()
         self._stirred, self._lagging, self._known = (dict[Function, None]() for _ in range(3))
 
-    def taken(self, now: float, act: Activation) -> None:
-        self._gate.taken.append(now)
-        if act.customer is not None:
-            act.customer.taken.append(now)
+    def taken(self, now: float, act: Activation, anew: bool = True) -> None:
+        """`anew` is False for one that a run before took, and counted: it earns no load orders again."""
+        if anew:
+            self._gate.taken.append(now)
+            if act.customer is not None:
+                act.customer.taken.append(now)
         act.function.last_taken, act.function.load_ms = now, act.function.load_ms or 1000.0  # told, else 1 s
         self._known[act.function] = self._known.pop(act.function, None)  # the longest not asked for is first
         act.function.arrivals.append(act)
@@ -354,7 +386,8 @@
             self._gate.completed(now, worker)
             copy.used = copy.touched = now
             took = now - send.sent
-            function.usual_ms += 0.2 * (took - function.usual_ms) if function.usual_ms else took
+            self._attempts.took(function, worker, took)
+            self._attempts.earn()
             crowd = warm if warm is not None else 2 * len(worker.sends) >= worker.window - 1
             if crowd and took > act.type.target_ms / 2:
                 worker.window = max(2.0, worker.window * 0.9)
@@ -418,6 +451,8 @@
                 self._owed.append(f"worker {worker.id} unusually silent, {len(lost)} out")
                 self._rescue(now, lost)
                 self._stirred.update(dict.fromkeys(worker.copies))
+        parked, self._parked = self._parked, deque()
+        self._rescue(now, reversed(parked))
         self._stirred.update(self._lagging)
         self._lagging = {function: None for function in self._lagging if function.lag}
         stale = next(iter(self._known), None)
@@ -434,6 +469,9 @@
             if isinstance(item, Copy):
                 if self._copies.due(now, item) and (order := self._order(now, item, item.standing, 0.75)):
                     return order
+            elif isinstance(item, Send):
+                if hedge := self._hedge(now, item):
+                    return hedge
             elif item.verdict is None and (item.queued or now >= item.deadline - 5):
                 return self._gate.end(now, item)
         if self._owed:
@@ -519,8 +557,22 @@
             copy.worker.quiet_since = copy.worker.quiet_since if copy.worker.sends else now
             copy.worker.sends[send] = self._at_work[copy.worker] = None
             copy.sends, copy.used = copy.sends + 1, now
+            if act.type.hedged and act.function.usual_ms:
+                self.agenda.add(now + self._attempts.wait(act.function, copy.worker), send)
         return send
 
+    def _hedge(self, now: float, first: Send) -> Send | None:
+        """A second send beside one that is out unusually long: only to a free lane, so it adds no lag."""
+        act = first.act
+        if first.outcome or first.lost or act.queued or act.function.lag or not self._gate.open(now, act) or (
+                self._queues.hopeless(now, act) or (copy := self._placement.lane(now, act, True)) is None):
+            return None
+        if not self._attempts.spend():
+            return None
+        act.queued = True
+        act.function.waiting.append(act)
+        return self._send(now, act, copy)
+
     def _again(self, now: float, act: Activation) -> None:
         if act.queued:
             return
@@ -533,10 +585,13 @@
 
     def _rescue(self, now: float, sends: Iterable[Send]) -> None:
         for send in reversed(list(sends)):
-            if send.act.verdict or send.revoked or send.act.type.effect is Effect.ONCE_ONLY:
+            if send.outcome or send.act.verdict or send.revoked or send.act.type.effect is Effect.ONCE_ONLY:
                 continue
             if self._gate.open(now, send.act):
-                self._again(now, send.act)
+                if send.act.queued or self._attempts.spend():
+                    self._again(now, send.act)
+                else:
+                    self._parked.append(send)  # until the budget has room again
             elif sum(s.outcome is None for s in send.act.sends) == 1:
                 self._revoke(send.act)  # only one send at a time: its end makes the way free
 
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -55,6 +55,7 @@
     late_share: float = 0.0
     scope: str = "all"  # who drops repeats of a deduplicated activation: "all", "zone" or "cell"
     remembered_ms: float = 0.0  # for how long they do
+    hedged: bool = False  # a second send may go beside one that is out unusually long
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -101,6 +102,7 @@
     crammed_until: float = 0.0  # told of no room for another copy
     others: float = 0.0  # sends of others met there, on the recent average
     met: float = 0.0
+    pace: float = 1.0  # its times beside the usual ones, on the recent average
 
     @property
     def live(self) -> bool:
@@ -133,7 +135,8 @@
     homes: list[Worker] = field(default_factory=list)  # workers by preference
     looked: float = -1e9  # when a worker for another copy was last looked for
     last_taken: float = 0.0
-    usual_ms: float = 0.0  # usual time from a send to its answer
+    usual_ms: float = 0.0  # usual time from a send to its answer, and how far it strays
+    stray_ms: float = 0.0
 
     @property
     def lag(self) -> int:
--- a/kelptrail/gateway/build.py
+++ b/kelptrail/gateway/build.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from kelptrail.dispatch.agenda import Agenda
-from kelptrail.dispatch.rules import Copies, Dispatcher, Gate, Health, Placement, Queues
+from kelptrail.dispatch.rules import Attempts, Copies, Dispatcher, Gate, Health, Placement, Queues
 from kelptrail.dispatch.terms import Customer, Effect, Function, NamespaceType
 from kelptrail.settings.deployment import Deployment
 
@@ -16,7 +16,7 @@
         self.deployment = deployment
         self.types = {
             t.name: NamespaceType(t.name, Effect(t.effect), t.target_ms, t.utility, t.late_share, t.scope,
-                                  t.remembered_ms)
+                                  t.remembered_ms, t.hedge)
             for t in deployment.types.values()}
         self.customers = {n.name: Customer(n.name, n.allowed_per_s) for n in deployment.namespaces.values()}
         self.zones = {name: number for number, name in enumerate(deployment.halls)}
@@ -28,7 +28,7 @@
             gate, health, Placement(gate, health, self.zones.get(hall, 0), seed),
             Copies(agenda, place.keep_ms),
             Queues(seed, list(self.types.values()), list(self.customers.values())),
-            agenda, place.cancels, place.longest_return_ms)
+            agenda, place.cancels, place.longest_return_ms, Attempts(place.second_share, place.second_most))
         self._functions: dict[str, Function] = {}
 
     def function(self, path: str) -> Function:
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -32,6 +32,7 @@
     late_share: float
     scope: str
     remembered_ms: float
+    hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +97,8 @@
     held: int
     held_mb: float
     held_each: int
+    second_share: float
+    second_most: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +115,7 @@
     idle_ms: float
     drain_ms: float
     linger_ms: float
+    unread_mb: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +258,7 @@
     "late-share": number(0, 1, default=0.0),
     "scope": word(("all", "zone", "cell"), "all"),
     "remembered-ms": _ms(0, 3.6e6, 0.0),
+    "hedge": yes_no(False),
 }, ("name",), TypeSettings)
 
 NAMESPACE = Shape({
@@ -297,6 +302,8 @@
     "held": number(1, 10_000_000, whole=True, default=20_000),
     "held-mb": number(0.001, 100_000, default=256.0),
     "held-each": number(1, 10_000_000, whole=True, default=20_000),
+    "second-share": number(0, 16, default=0.2),
+    "second-most": number(0, 1_000_000, default=60.0),
 }, build=DispatcherSettings)
 
 FRONT = Shape({
@@ -310,6 +317,7 @@
     "idle-ms": _ms(10, 3.6e6, 75_000.0),
     "drain-ms": _ms(0, 600_000, 10_000.0),
     "linger-ms": _ms(0, 60_000, 1000.0),
+    "unread-mb": number(0.001, 100_000, default=256.0),
 }, build=FrontSettings)
 
 POOL = Shape({
@@ -445,6 +453,8 @@
             if effect and effect[0] == "deduplicated" and not (kept and _number(kept[0]) > 0):
                 checker.fault(form.place, f"type {name} without (remembered-ms ...)",
                               "for how long repeats of a deduplicated type are dropped, above 0")
+            if effect and effect[0] == "once-only" and (hedge := _value(form, "hedge")) and hedge[0] == "yes":
+                checker.fault(hedge[1], "hedge yes", "no: a once-only type is never sent beside a send that is out")
             target, timeout = _value(form, "target-ms"), _value(form, "timeout-ms")
             margin = next((_number(m[0]) for f in parts if f.head == "dispatcher"
                            and (m := _value(f, "answer-margin-ms"))), 100.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,6 +15,7 @@
     Activation,
     Effect,
     Function,
+    NamespaceType,
     Order,
     Outcome,
     Send,
@@ -412,3 +413,130 @@
         (send,) = take(dispatcher, function, 100.0, 1)
         send.act.marked = marked
         assert dispatcher._gate.end(100.0 + later, send.act).verdict == verdict
+
+
+# Second sends.
+
+
+def settle(dispatcher: Dispatcher, function: Function, now: float, took: float, n: int) -> float:
+    """Calls that end one after the other, so that the usual time is known."""
+    for number in range(n):
+        _, sends = out(dispatcher, function, now, 1000 + number)
+        for send in sends:
+            dispatcher.answered(now + took, send, Outcome.COMPLETED, True, False, None, 0, None)
+        now += took
+        pull(dispatcher, now)
+    return now
+
+
+def hedged(effect: Effect = Effect.REPEATABLE) -> NamespaceType:
+    return NamespaceType(effect.value, effect, 500.0, 2.0, 0.3, "all", 5000.0, True)
+
+
+def out(dispatcher: Dispatcher, function: Function, now: float, n: int = 1) -> tuple[Activation, list[Send]]:
+    act = activation(function, now, n)
+    dispatcher.taken(now, act)
+    sends = []
+    for _ in range(3):
+        for decision in pull(dispatcher, now):
+            if isinstance(decision, Order):
+                dispatcher.told(now, decision, Outcome.COMPLETED, decision.count)
+            elif isinstance(decision, Send):
+                sends.append(decision)
+    return act, sends
+
+
+def stand(dispatcher: Dispatcher, function: Function, now: float) -> None:
+    """A copy at every worker."""
+    for worker in dispatcher.workers:
+        dispatcher._copies.stands(now, dispatcher._copies.at(function, worker), 1)
+
+
+@pytest.mark.parametrize("effect", [Effect.REPEATABLE, Effect.DEDUPLICATED])
+def test_a_hedge_goes_past_the_spread_of_times_to_another_worker(effect: Effect) -> None:
+    dispatcher = make(3, ration=PLENTY)
+    function = model(type_=hedged(effect))
+    now = settle(dispatcher, function, 0.0, 40.0, 30)
+    stand(dispatcher, function, now)
+    act, (first,) = out(dispatcher, function, now)
+    wait = dispatcher._attempts.wait(function, first.copy.worker)
+    assert 40 <= wait < 60, "steady times leave little doubt"
+    assert not pull(dispatcher, now + wait - 1)
+    (second,) = [d for d in pull(dispatcher, now + wait + 1) if isinstance(d, Send)]
+    assert second.act is act and second.copy.worker is not first.copy.worker
+    dispatcher.answered(now + 90, second, Outcome.COMPLETED, True, False, None, 0, None)
+    assert [d for d in pull(dispatcher, now + 90) if isinstance(d, Send)] == [first] and first.revoked
+
+
+def test_no_hedge_without_leave_without_a_free_lane_or_without_budget() -> None:
+    for type_, copies, budget in ((kind(), True, True), (hedged(), False, True), (hedged(), True, False)):
+        dispatcher = make(3, ration=PLENTY)
+        function = model(type_=type_)
+        now = settle(dispatcher, function, 0.0, 40.0, 30)
+        if copies:
+            stand(dispatcher, function, now)
+        if not budget:
+            while dispatcher._attempts.spend():
+                pass
+        _, (first,) = out(dispatcher, function, now)
+        others = [copy for copy in function.copies.values() if copy is not first.copy and copy.standing]
+        for copy in () if copies else others:
+            copy.standing = 0
+        assert not [d for d in pull(dispatcher, now + 150) if isinstance(d, Send)]
+        assert not function.lag, "a hedge never waits in a queue"
+
+
+def test_the_budget_for_second_sends_follows_what_is_completed() -> None:
+    dispatcher = make(2, ration=PLENTY)
+    attempts = dispatcher._attempts
+    spent = 0
+    while attempts.spend():
+        spent += 1
+    assert 0 < spent <= 100
+    for _ in range(51):
+        attempts.earn()
+    again = 0
+    while attempts.spend():
+        again += 1
+    assert again == 10, "a fifth of what was completed"
+
+
+def test_rescues_beyond_the_budget_wait_until_it_has_room() -> None:
+    """Guards against a fleet that falls silent under load and is sent everything a second time at once."""
+    dispatcher = make(4, ration=PLENTY)
+    function = model(lanes=8)
+    now = settle(dispatcher, function, 0.0, 40.0, 20)
+    stand(dispatcher, function, now)
+    while dispatcher._attempts.spend():
+        pass
+    acts = [out(dispatcher, function, now, n) for n in range(6)]
+    sends = [send for _, found in acts for send in found]
+    assert len(sends) == 6
+    now += 1500  # unusually long
+    dispatcher.beat(now)
+    assert all(send.lost for send in sends) and not [d for d in pull(dispatcher, now) if isinstance(d, Send)]
+    for _ in range(11):
+        dispatcher._attempts.earn()
+    now += 600  # workers that fell silent are barred for a time
+    dispatcher.beat(now)
+    assert len([d for d in pull(dispatcher, now) if isinstance(d, Send)]) == 2
+    dispatcher.answered(now + 50, sends[5], Outcome.COMPLETED, True, False, None, 0, None)
+    for _ in range(100):
+        dispatcher._attempts.earn()
+    dispatcher.beat(now + 100)
+    late = [d for d in pull(dispatcher, now + 100) if isinstance(d, Send) and not d.revoked]
+    assert 0 < len(late) <= 4 and all(d.act is not sends[5].act for d in late), "what has ended is not sent again"
+
+
+def test_a_spread_of_times_and_a_slow_worker_make_the_wait_longer() -> None:
+    dispatcher = make(2, ration=PLENTY)
+    steady, spread, attempts = model("a"), model("b"), dispatcher._attempts
+    one, slow = dispatcher.workers
+    for n in range(200):
+        attempts.took(steady, one, 40.0)
+        attempts.took(spread, one, 10.0 if n % 2 else 70.0)
+    assert attempts.wait(spread, one) > 2 * attempts.wait(steady, one)
+    for _ in range(50):
+        attempts.took(spread, slow, 3 * spread.usual_ms)
+        attempts.took(spread, one, 0.3 * spread.usual_ms)
+    assert attempts.wait(spread, slow) == pytest.approx(2 * (spread.usual_ms + 4 * spread.stray_ms), rel=0.2)
