--- a/bench/deferred.py
+++ b/bench/deferred.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import json
+import os
 import statistics
 import sys
 import tempfile
 import time
+import urllib.request
 from pathlib import Path
 from typing import Any
 
@@ -31,7 +34,7 @@
         roster = List([worker.address], 1)
         words = [sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file), "--roster",
                  roster.process.address]
-        kept = Process(2, *words, "--state", str(Path(folder) / "state"))
+        kept = Process(2, *words, "--state", str(Path(folder) / "state"), "--control", "127.0.0.1:0")
         bare = Process(3, *words)
         target = "/api/v1/namespaces/_/actions/f-0?result=true&blocking="
         cases = {"deferred, with a book": (kept, "false"), "deferred, without": (bare, "false"),
@@ -39,11 +42,41 @@
         found: dict[str, list[dict[str, Any]]] = {name: [] for name in cases}
         for _ in range(runs):
             for name, (process, blocking) in cases.items():
+                before = journal(kept)
                 found[name].append(load(4, process.address, target + blocking, 32, seconds))
-    return {name: {key: statistics.median(r[key] for r in rows) for key in ("per_s", "p50_us", "p99_us")}
+                after = journal(kept)
+                if name == "deferred, with a book":
+                    commits = after["commits"] - before["commits"]
+                    found[name][-1]["entries_a_sync"] = (after["entries"] - before["entries"]) / max(1, commits)
+                    found[name][-1]["commits_a_second"] = commits / seconds
+    return {name: {key: statistics.median(r[key] for r in rows) for key in rows[0] if key != "statuses"}
             | {"statuses": rows[-1]["statuses"]} for name, rows in found.items()}
 
 
+def journal(process: Process) -> dict[str, Any]:
+    """What the control port says of the journal."""
+    with urllib.request.urlopen(f"http://{process.said['asked_at']}/state", timeout=5) as answer:
+        return json.loads(answer.read())["journal"]
+
+
+def in_hand(count: int, body: bytes) -> dict[str, Any]:
+    """Memory that so many activations in hand take, without their connections; measured in this process."""
+    settings = DEPLOYMENT.format(functions=2).replace("(records 5000)", "(records 1000000) (held 1000000)")
+    deployment = parse(settings, "bench")
+    gateway = Gateway(World(deployment, "hall", 1), "b" * 16, Journal())
+    action = deployment.actions["f-0"]
+    gc.collect()
+    before = memory()
+    for n in range(count):
+        gateway.take(0.0, 1e12, "n", action, bytes(body) + b" ", f"key-{n}", "0" * 55, None, True)
+    gc.collect()
+    return {"in_hand": gateway.in_hand, "body_bytes": len(body), "bytes_each": round((memory() - before) / count)}
+
+
+def memory() -> int:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
 def recovery(count: int) -> dict[str, Any]:
     """Time to open a book of so many activations, a tenth of them without an answer, and take it up."""
     deployment = parse(DEPLOYMENT.format(functions=2).replace("(records 5000)", "(records 1000000)"), "bench")
@@ -74,6 +107,8 @@
     parser.add_argument("--seconds", type=float, default=3.0)
     options = parser.parse_args()
     print(json.dumps(rates(options.runs, options.seconds), indent=1))
+    for size in (100, 4000):
+        print(json.dumps(in_hand(50_000, b"x" * size)), flush=True)
     for count in (1_000, 10_000, 100_000):
         print(json.dumps(recovery(count)), flush=True)
 
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -42,7 +42,8 @@
         line = self.process.stdout.readline().strip()
         if not line:
             raise RuntimeError(f"{' '.join(words)} did not start")
-        self.address = json.loads(line)["address"] if line.startswith("{") else line
+        self.said = json.loads(line) if line.startswith("{") else {"address": line}
+        self.address = self.said["address"]
         STARTED.append(self)
 
     def cpu_s(self) -> float:
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -13,6 +13,7 @@
 
 import numpy as np
 
+from kelptrail.codec.http import HttpError
 from kelptrail.gateway.clock import now_ms
 from kelptrail.settings.deployment import Deployment
 from kelptrail.standin.capture import Capture
@@ -20,7 +21,7 @@
 from kelptrail.standin.place import Child, Place, ask, memory_kb
 
 from .report import world_of
-from .script import ON_STORE, ON_WORKERS, BadDay, Trouble
+from .script import ON_DISKS, ON_STORE, ON_WORKERS, BadDay, Trouble
 
 
 class Player:
@@ -40,6 +41,7 @@
         self._seed = seed
         self._tasks: set[asyncio.Task[None]] = set()
         self.memory: list[tuple[float, list[int]]] = []
+        self.states: list[dict[str, Any]] = []  # what each dispatcher's control port said at the end
         self.start = 0.0
 
     async def play(self) -> bool:
@@ -75,6 +77,9 @@
         for task in list(self._tasks):
             task.cancel()
         clients.close()
+        for dispatcher in self._place.dispatchers:
+            with contextlib.suppress(OSError, HttpError):
+                self.states.append(await ask(dispatcher.said["asked_at"], "GET", "/state"))
         return await self._place.stop()
 
     async def _watch(self) -> None:
@@ -89,7 +94,7 @@
         names: list[Child] = []
         if trouble.kind in ON_WORKERS:
             names = self._some([w for w in self._place.workers if w.running], trouble.part)
-        elif trouble.kind == "kill-dispatchers":
+        elif trouble.kind == "kill-dispatchers" or trouble.kind in ON_DISKS:
             names = self._some(self._place.dispatchers, trouble.part)
         self._capture.note("trouble", kind=trouble.kind, seconds=trouble.last, of=[c.name for c in names])
         try:
@@ -113,6 +118,14 @@
             await self._connections(trouble)
         elif kind == "kill-dispatchers":
             await asyncio.gather(*(self._kill(victim, trouble.last) for victim in victims))
+        elif kind in ON_DISKS:
+            fault: dict[str, dict[str, Any]] = {
+                "disk-slow": {"sync_ms": trouble.ms}, "disk-fails": {"fails": True}, "disk-full": {"full": True}}
+            for victim in victims:
+                place.harm_disk(victim, **fault[kind])
+            await asyncio.sleep(trouble.last)
+            for victim in victims:
+                place.harm_disk(victim)
         elif kind == "crash":
             await asyncio.gather(*(self._crash(victim, trouble.last) for victim in victims))
         elif kind in ("rolling-deploy", "drain"):
--- a/kelptrail/badday/report.py
+++ b/kelptrail/badday/report.py
@@ -70,7 +70,7 @@
 
 
 def write(folder: Path, name: str, seed: int, events: list[Event], verdict: Verdict, clean: bool,
-          memory: list[tuple[float, list[int]]]) -> dict[str, Any]:
+          memory: list[tuple[float, list[int]]], states: list[dict[str, Any]]) -> dict[str, Any]:
     """Write report.json and timeline.png into `folder`; returns the report."""
     rows, troubles = timeline(events)
     world = next(e for e in events if e["what"] == "world")
@@ -81,6 +81,9 @@
                               "dispatcher_memory_mb": {
                                   "first": [kb // 1024 for kb in memory[0][1]] if memory else [],
                                   "last": [kb // 1024 for kb in memory[-1][1]] if memory else []},
+                              "second_sends": sum(s["second_sends"] for s in states),  # since their last starts
+                              "second_saved": sum(s["second_saved"] for s in states),
+                              "journal": [s["journal"] for s in states if s.get("journal")],
                               "troubles": troubles, "details": verdict.details, "timeline": rows}
     (folder / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report)) + b"\n")
     draw(folder / "timeline.png", name, rows, troubles)
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -12,8 +12,9 @@
               "handshakes-slow", "answers-lost", "answers-twice", "answers-late", "crash", "restart-cold",
               "rolling-deploy", "drain")
 ON_STORE = ("store-slow", "store-refuse", "store-stopped")
+ON_DISKS = ("disk-slow", "disk-fails", "disk-full")
 OTHERS = ("kill-dispatchers", "list-late", "list-names-nobody", "idle-connections", "slow-readers")
-KINDS = ON_WORKERS + ON_STORE + OTHERS
+KINDS = ON_WORKERS + ON_STORE + ON_DISKS + OTHERS
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -111,18 +111,20 @@
 @click.option("--state", type=click.Path(path_type=Path), help="Folder for the last list.")
 @click.option("--shared-port", is_flag=True, help="Let other dispatchers of this machine listen on it too.")
 @click.option("--crash-at", default="", hidden=True)
+@click.option("--harmed-disk", type=click.Path(path_type=Path), hidden=True)
 @click.option("--control", help="Address and port for operators' questions, such as 127.0.0.1:0.")
 @click.option("--with-stdin", is_flag=True, hidden=True)
 @click.pass_context
 def serve(context: click.Context, file: str, roster: str, name: str, hall: str, host: str, port: int,
-          state: Path | None, shared_port: bool, crash_at: str, control: str | None, with_stdin: bool) -> None:
+          state: Path | None, shared_port: bool, crash_at: str, harmed_disk: Path | None, control: str | None,
+          with_stdin: bool) -> None:
     """Run one dispatcher until SIGTERM, then drain.  Exit 1 where something taken had no answer in time."""
     deployment = _settings(file)
     from kelptrail.gateway.serve import Options
     from kelptrail.gateway.serve import serve as run
 
     log = _log(context, dispatcher=name)
-    options = Options(name, hall, host, port, roster, state, shared_port, crash_at, control)
+    options = Options(name, hall, host, port, roster, state, shared_port, crash_at, control, harmed_disk)
 
     async def go() -> bool:
         stop = asyncio.Event()
@@ -326,7 +328,7 @@
     player = Player(day, _settings(day.deployment), seed, out, context.obj["level"])
     clean = bool(_run(player.play()))
     events = read(out / "captures")
-    report = write(out, day.name, seed, events, judge(events), clean, player.memory)
+    report = write(out, day.name, seed, events, judge(events), clean, player.memory, player.states)
     brief = {k: v for k, v in report.items() if k not in ("timeline", "details", "troubles")}
     click.echo(msgspec.json.format(msgspec.json.encode(brief)).decode())
     for line in report["details"][:20]:
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -27,6 +27,7 @@
 from kelptrail.gateway.limits import WORDS
 from kelptrail.gateway.records import Record
 from kelptrail.net.server import Exchange
+from kelptrail.roster.members import PREFIX
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
 
 from . import views
@@ -263,7 +264,7 @@
             return
         record = records.get(caller.name, rest[0])
         if record is None:
-            raise ApiError(404, "The requested resource does not exist.")
+            raise self._not_here(request, rest[0])
         if request.method == "DELETE":
             self._cancel(exchange, record)
             return
@@ -282,6 +283,16 @@
             raise ApiError(404, IN_HAND, {"retry-after": "1"})
         self._long_poll(exchange, ivk, wait_ms, shown)
 
+    def _not_here(self, request: Request, id_: str) -> ApiError:
+        """Of what others may have in hand nothing is said but where to ask; `boot` starts with our own prefix."""
+        if id_[:PREFIX] == self._boot[:PREFIX]:
+            return ApiError(404, "The requested resource does not exist: its record is not, or no longer, kept here.")
+        peer = self._driver.gateway.members.asked_at(id_)
+        if peer is None:
+            return ApiError(404, "This dispatcher does not know the activation; whoever gave the id may.")
+        return ApiError(307, f"The activation was given by {peer.name}; ask there.",
+                        {"location": f"http://{peer.address}{request.target}"})
+
     def _long_poll(self, exchange: Exchange, ivk: Ivk, wait_ms: float, shown: Callable[[Record], Any]) -> None:
         """Answer when the final answer is there, at the latest after `wait_ms`."""
 
@@ -340,7 +351,7 @@
         """The wait is over: the client goes on with the id, which must be worth something after a crash."""
         gateway = self._api._driver.gateway
         gateway.make_lasting(now_ms(), ivk)
-        if ivk.lasting:
+        if ivk.passage.kept:
             gateway.promise(ivk, lambda _safe: self.deferred(ivk.record))
             self._api._driver.stir_soon()
         else:
--- a/kelptrail/gateway/control.py
+++ b/kelptrail/gateway/control.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from kelptrail.codec.http import Request
-from kelptrail.net.server import Exchange
+from kelptrail.net.server import Exchange, HttpServer
 
 from .driver import Driver
 from .standing import Standing
@@ -16,8 +16,8 @@
 class Control:
     """`GET /state` and `GET /vrrp`."""
 
-    def __init__(self, driver: Driver, standing: Standing | None) -> None:
-        self._driver, self._standing = driver, standing
+    def __init__(self, driver: Driver, front: HttpServer, standing: Standing | None) -> None:
+        self._driver, self._front, self._standing = driver, front, standing
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Answer one question."""
@@ -37,8 +37,18 @@
         counts = gateway.counts
         return {"in_hand": gateway.in_hand, "taken": counts.taken, "completed": counts.completed,
                 "rejected": counts.rejected, "aborted": counts.aborted, "sends": counts.sends,
-                "orders": counts.orders, "held_bytes": gateway.holdings.bytes,
+                "orders": counts.orders, "second_sends": counts.second_sends, "second_saved": counts.second_saved,
+                "journal": self._journal(), "connections": self._front.connections,
+                "unread_bytes": self._front.owed, "slow_readers_cut": self._front.cut,
+                "held_bytes": gateway.holdings.bytes,
                 "refused": dict(gateway.holdings.refused), "records": len(gateway.records),
                 "record_bytes": gateway.records.held_bytes,
                 "outcomes": {outcome.value: n for outcome, n in counts.outcomes.items()},
                 "workers": {w.id: w.state.value for w in gateway.members}}
+
+    def _journal(self) -> dict[str, Any] | None:
+        journal = self._driver.gateway.journal
+        if journal is None:
+            return None
+        return {"commits": journal.commits, "entries": journal.entries, "failures": journal.failures,
+                "waiting": journal.waiting, "failing": journal.failing, "reason": journal.reason}
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -24,6 +24,7 @@
 from kelptrail.store.recovery import End, Pace, Resume, Rule, judge
 
 from .build import World
+from .lifecycle import Need, Passage, Stage
 from .limits import Holdings
 from .records import Record, Records
 
@@ -41,13 +42,11 @@
     action: ActionSettings
     payload: bytes
     mark: str  # by which workers know a repeat
+    passage: Passage
     waiters: list[Callable[[Record], None]] = field(default_factory=list)  # told the final answer, by the host
     answer: Answer | None = None
-    lasting: bool = False  # it outlives this process
-    accepted: bool | None = None  # whether its record is safe; None: not known yet
-    written: bool = False  # its record was handed to the journal
-    promises: list[Callable[[bool], None]] = field(default_factory=list)  # told once that is known
-    cleared: bool = False  # "may run" is safe
+    promises: list[Callable[[bool], None]] = field(default_factory=list)  # told once its record is safe, or is not
+    held: list[Send] = field(default_factory=list)  # sends that wait until "may run" is safe
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +91,11 @@
                  record.repeat_within_ms, record.sends)
 
 
+def _second(send: Send) -> bool:
+    """Whether it went out beside, or after, one that may have run."""
+    return any(other.may_have_run for other in send.act.sends[:send.number])
+
+
 EffectOut = StartSend | GiveUp | PlaceOrder | Final | Note
 
 
@@ -105,6 +109,8 @@
     aborted: int = 0
     sends: int = 0
     orders: int = 0
+    second_sends: int = 0  # sent while an earlier send of the same activation may have run
+    second_saved: int = 0  # of these, those that brought the final answer; the rest was wasted
     outcomes: dict[Outcome, int] = field(default_factory=dict)
 
 
@@ -116,8 +122,7 @@
     """Everything that one dispatcher has in hand.
 
     Calls that outlive the process (deferred ones, and those with a client's key) go through the journal.  What must be
-    safe before it is said or done stands at three places: `promise` (a 202 only after the record is safe), `_clear` (a
-    send of what is not repeatable only after "may run" is safe), `_finish` (a final answer is shown only after it is).
+    safe before it is said or done stands in each one's `Passage`; here its needs are written, and told of.
     """
 
     def __init__(self, world: World, boot: str, journal: Journal | None = None) -> None:
@@ -131,7 +136,6 @@
         self._next_beat = -1e18
         self.journal = journal
         self.holdings = Holdings(place.held, place.held_mb * 1e6, place.held_each)
-        self._held: dict[Send, Ivk] = {}  # sends that wait until "may run" is safe
         self._unsafe: deque[Send] = deque()  # sends that will not be: the journal failed
         self._keys: dict[tuple[str, str, str], Record] = {}
         self._joined: dict[str, Ivk] = {}  # calls in hand by id
@@ -165,8 +169,9 @@
                          self._world.customers[namespace], now, now + settings.timeout_ms - self._margin_ms,
                          marked=key is not None)
         mark = f"{namespace}/{action.path}/{key}" if key is not None else id_
-        ivk = Ivk(act, record, action, payload, mark, [waiter] if waiter is not None else [])
-        ivk.lasting = self.journal is not None and self.journal.takes() and (deferred or key is not None)
+        kept = self.journal is not None and self.journal.takes() and (deferred or key is not None)
+        passage = Passage(settings.effect == Effect.REPEATABLE.value, kept, deferred)
+        ivk = Ivk(act, record, action, payload, mark, passage, [waiter] if waiter is not None else [])
         record.key, record.digest, record.deferred = key or "", digest, deferred
         if key is not None:
             self._keys[namespace, action.path, key] = record
@@ -175,6 +180,7 @@
         self._due.add(act.deadline, act)
         self.counts.taken += 1
         self.holdings.take(namespace, len(payload))
+        ivk.passage.queue()
         self._dispatcher.taken(now, act)
         return ivk
 
@@ -204,66 +210,80 @@
 
     def promise(self, ivk: Ivk, done: Callable[[bool], None]) -> None:
         """Call `done` once it is known whether the call's record is safe; without a journal at once."""
-        if not ivk.lasting:
+        passage = ivk.passage
+        if not passage.kept:
             done(self.journal is None)
-        elif ivk.accepted is not None:
-            done(ivk.accepted)
+        elif passage.promised is not None:
+            done(passage.promised)
         else:
             ivk.promises.append(done)
-            self._write_accepted(ivk)
-
-    def _write_accepted(self, ivk: Ivk) -> None:
-        if ivk.written or self.journal is None:
-            return
-        self.passes("accepted")
-        ivk.written, record = True, ivk.record
-        self.journal.write(
-            Accepted(record.id, record.namespace, record.path, record.start, record.timeout_ms, ivk.payload,
-                     record.key or None, record.digest, record.trace, record.deferred),
-            lambda safe: self._accepted(ivk, safe))
-
-    def _accepted(self, ivk: Ivk, safe: bool) -> None:
-        ivk.accepted = safe
+            passage.ask_record()
+            self._write(ivk)
+
+    def _write(self, ivk: Ivk) -> None:
+        """Hand to the journal what the call's way needs."""
+        record, journal = ivk.record, self.journal
+        while (need := ivk.passage.next_need()) is not None:
+            assert journal is not None, "only what a journal keeps has needs"
+            if need is Need.RECORD:
+                self.passes("accepted")
+                journal.write(
+                    Accepted(record.id, record.namespace, record.path, record.start, record.timeout_ms, ivk.payload,
+                             record.key or None, record.digest, record.trace, record.deferred),
+                    lambda safe: self._recorded(ivk, safe))
+            elif need is Need.MAY_RUN:
+                first = next(send for send in ivk.act.sends if send.may_have_run)
+                sent = record.start + (first.sent - record.taken)
+                journal.write(MayRun(record.id, sent, first.copy.worker.id), lambda safe: self._cleared(ivk, safe))
+            else:
+                self.passes("answered")
+                if ivk.passage.owed:
+                    journal.write(_ended(record), lambda safe: self._ended(ivk, safe), keep=True)
+                else:  # whoever waits on a connection was promised no record: a failing journal keeps no answer back
+                    journal.write(_ended(record), lambda safe: self._blocking_ended(ivk, safe))
+
+    def _recorded(self, ivk: Ivk, safe: bool) -> None:
+        ivk.passage.told(Need.RECORD, safe)
         self.passes("journalled")
         promises, ivk.promises = ivk.promises, []
         for done in promises:
             done(safe)
 
-    def _clear(self, now: float, ivk: Ivk, send: Send) -> bool:
-        """Whether a send may go out now; else it is held until "may run" is safe."""
-        if not ivk.lasting or ivk.cleared or ivk.act.type.effect is Effect.REPEATABLE or self.journal is None:
-            return True
-        self._write_accepted(ivk)
-        self._held[send] = ivk
-        sent = ivk.record.start + (now - ivk.record.taken)
-        self.journal.write(MayRun(ivk.record.id, sent, send.copy.worker.id),
-                           lambda safe: self._cleared(ivk, send, safe))
-        return False
-
-    def _cleared(self, ivk: Ivk, send: Send, safe: bool) -> None:
-        if self._held.pop(send, None) is None:
-            return
+    def _cleared(self, ivk: Ivk, safe: bool) -> None:
+        """What was held goes out, or ends unsent."""
+        ivk.passage.told(Need.MAY_RUN, safe)
         self.passes("cleared")
-        if safe:
-            ivk.cleared = True
-            self._count_send(ivk)
-            self._owed.append(StartSend(ivk, send))
-        else:
-            self._unsafe.append(send)
+        held, ivk.held = ivk.held, []
+        for send in held:
+            if ivk.passage.final:
+                ivk.passage.drop()
+                self._unsafe.append(send)
+            elif safe:
+                self._go(ivk, send)
+                self._owed.append(StartSend(ivk, send))
+            else:
+                ivk.passage.drop()
+                self._unsafe.append(send)
 
-    def _count_send(self, ivk: Ivk) -> None:
+    def _go(self, ivk: Ivk, send: Send) -> None:
+        ivk.passage.go()
+        self.counts.second_sends += _second(send)
         ivk.record.sends += 1
         self.counts.sends += 1
 
-    def answered(self, now: float, send: Send, outcome: Outcome, answer: Answer | None = None) -> None:
-        """How a send ended, as seen on its socket."""
+    def answered(self, now: float, send: Send, outcome: Outcome, answer: Answer | None = None,
+                 went: bool = True) -> None:
+        """How a send ended, as seen on its socket; `went` is False for one that was held and never went out."""
         if send.outcome is not None:
             raise ValueError(f"send {send.number} of {send.act.id} has ended already")
         self.counts.outcomes[outcome] = self.counts.outcomes.get(outcome, 0) + 1
         act, ivk = send.act, self._ivks.get(send.act)
+        if ivk is not None and went:
+            ivk.passage.back()
         over = act.verdict is not None or outcome is Outcome.COMPLETED
         if ivk is not None and act.verdict is None and outcome is Outcome.COMPLETED:
             ivk.answer = answer
+            self.counts.second_saved += _second(send)
         heard = answer or Answer("none")
         self._dispatcher.answered(now, send, outcome, over, heard.load_failed, heard.found, heard.company,
                                   heard.report)
@@ -304,12 +324,12 @@
                 if send.outcome is None:
                     self._give_up(now, send, "silent")
             late = self._ivks.get(act)
-            if late is not None and late.record.final and not late.record.deferred:
-                self._shown(late)  # a slow disk does not make a waiting client's answer late
+            if late is not None and late.passage.stage is Stage.FINAL and not late.passage.owed:
+                self._show(late, True)  # a slow disk does not make a waiting client's answer late
         while self._unsafe:  # nothing of it was written to a worker
             send = self._unsafe.popleft()
             if send.outcome is None:
-                self.answered(now, send, Outcome.UNSENT)
+                self.answered(now, send, Outcome.UNSENT, None, False)
         if self._pace is not None:
             self._resume(now)
         while True:
@@ -338,16 +358,21 @@
         ivk = self._ivks[decision.act]
         if decision.number == 0:
             ivk.record.waited_ms = now - ivk.record.taken
-        if not self._clear(now, ivk, decision):
+        clear = ivk.passage.decide()
+        if not clear:
+            ivk.held.append(decision)
+        self._write(ivk)
+        if not clear:
             return None
-        if ivk.lasting:
-            self._write_accepted(ivk)
-        self._count_send(ivk)
+        self._go(ivk, decision)
         return StartSend(ivk, decision)
 
     def _give_up(self, now: float, send: Send, reason: str) -> None:
-        if self._held.pop(send, None) is not None:  # it never went out
-            self.answered(now, send, Outcome.UNSENT)
+        ivk = self._ivks.get(send.act)
+        if ivk is not None and send in ivk.held:  # it never went out
+            ivk.held.remove(send)
+            ivk.passage.drop()
+            self.answered(now, send, Outcome.UNSENT, None, False)
         else:
             self._owed.append(GiveUp(send, reason))
 
@@ -376,39 +401,38 @@
         ivk.payload = b""
         if self._resumed.pop(record.id, "") is None and self._pace is not None:
             self._pace.ended()
-        if not ivk.written or ivk.accepted is False or self.journal is None:
-            self._owed.append(Final(ivk))
+        if ivk.passage.finish():
+            self._show(ivk)
             return
-        self.passes("answered")
-        record.safe, entry = False, _ended(record)
-        if record.deferred:
-            self.journal.write(entry, lambda _safe: self._shown(ivk), keep=True)
-        else:  # whoever waits on a connection was promised no record: a failing journal keeps no answer back
-            self.journal.write(entry, lambda safe: self._blocking_safe(ivk, entry, safe))
-
-    def _blocking_safe(self, ivk: Ivk, entry: Ended, safe: bool) -> None:
+        record.safe = False
+        self._write(ivk)
+
+    def _blocking_ended(self, ivk: Ivk, safe: bool) -> None:
         if not safe and self.journal is not None:
-            self.journal.write(entry, None, keep=True)
-        self._shown(ivk)
+            self.journal.write(_ended(ivk.record), None, keep=True)
+        self._ended(ivk, safe)
 
-    def _shown(self, ivk: Ivk) -> None:
+    def _ended(self, ivk: Ivk, safe: bool) -> None:
+        ivk.passage.told(Need.END, safe)
+        self._show(ivk)
+
+    def _show(self, ivk: Ivk, late: bool = False) -> None:
+        if ivk.passage.stage is not Stage.FINAL:
+            return  # it was late, and has been shown
+        ivk.passage.show(late)
         if not ivk.record.safe:
             self.passes("ended")
             ivk.record.safe = True
-            self._owed.append(Final(ivk))
-            self._settle(ivk.act)
+        self._owed.append(Final(ivk))
+        self._settle(ivk.act)
 
     def make_lasting(self, now: float, ivk: Ivk) -> None:
         """A blocking call whose client goes on with the id: from here on it outlives this process, too."""
-        if ivk.lasting or ivk.record.final or self.journal is None or not self.journal.takes():
+        if ivk.passage.final or self.journal is None or not self.journal.takes():
             return
-        ivk.lasting = ivk.record.deferred = True
-        self._write_accepted(ivk)
-        first = next((send for send in ivk.act.sends if send.may_have_run), None)
-        if first is not None and ivk.act.type.effect is not Effect.REPEATABLE:
-            sent = ivk.record.start + (first.sent - ivk.record.taken)
-            self.journal.write(MayRun(ivk.record.id, sent, first.copy.worker.id))
-            ivk.cleared = True
+        ivk.record.deferred = True
+        ivk.passage.lasts()
+        self._write(ivk)
 
     def _dropped(self, record: Record) -> None:
         """A record is no longer kept."""
@@ -509,21 +533,21 @@
             sent = now + what.again_ms - (now - self._paced) - kind.remembered_ms
             act.sends.append(Send(act, Copy(function, Worker(ran.worker)), 0, sent, Outcome.SILENT))
         mark = f"{a.namespace}/{a.path}/{a.key}" if a.key is not None else a.id
-        ivk = Ivk(act, record, action, a.payload, mark, lasting=True, accepted=True, written=True,
-                  cleared=ran is not None)
+        ivk = Ivk(act, record, action, a.payload, mark,
+                  Passage.resumed(kind.effect is Effect.REPEATABLE, ran is not None))
+        ivk.passage.queue()
         self._ivks[act] = self._joined[a.id] = ivk
         self._resumed[a.id] = None
         self._due.add(act.deadline, act)
         self.counts.taken += 1
         self.holdings.take(a.namespace, len(a.payload))
-        self._dispatcher.taken(now, act)
-        # Guards against load orders beyond the ration after a restart: it was taken, and counted, by an earlier run.
-        self._world.gate.taken.pop()
+        self._dispatcher.taken(now, act, anew=False)
 
     def _settle(self, act: Activation) -> None:
         """Forget an activation once its final answer stands in its record and nothing of it is out."""
         ivk = self._ivks.get(act)
-        if ivk is not None and ivk.record.shown and all(send.outcome is not None for send in act.sends):
+        if ivk is not None and ivk.passage.stage is Stage.SHOWN and all(send.outcome for send in act.sends):
+            ivk.passage.forget()
             del self._ivks[act]
             self._joined.pop(ivk.record.id, None)
             act.sends = []  # sends point back at it: let go of them without a collector
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -176,7 +176,7 @@
         data = infer_request(pool.address, ivk.action.model, ivk.mark, ivk.payload, parameters,
                              {"traceparent": record.trace} if record.trace else {})
         self._calls[send] = pool.start(data, self.answered, (ivk, send))
-        if ivk.lasting:
+        if ivk.passage.kept:
             self._loop.call_later(0.01, self.gateway.passes, "sent")
         if self.debug:
             self._log.debug("send", activation=record.id, trace=record.trace, send=send.number,
--- a/kelptrail/gateway/serve.py
+++ b/kelptrail/gateway/serve.py
@@ -16,8 +16,9 @@
 from kelptrail.front.invoke.api import InvokeApi
 from kelptrail.net.server import HttpServer, Limits
 from kelptrail.roster.client import RosterClient
-from kelptrail.roster.members import Listing
+from kelptrail.roster.members import PREFIX, Listing, id_prefix
 from kelptrail.settings.deployment import Deployment, FrontSettings
+from kelptrail.standin.disk import HarmedDisk
 from kelptrail.store.book import Book, BookError, open_book
 from kelptrail.store.driver import JournalDriver
 from kelptrail.store.journal import Journal
@@ -43,18 +44,19 @@
     shared_port: bool = False
     crash_at: str = ""  # a step at which the process kills itself, for crash tests
     control: str | None = None  # address of the control port; None: no such port
+    harmed: Path | None = None  # a file that says what ails the disk under the book, for tests
 
 
 def limits(front: FrontSettings) -> Limits:
     """The door's limits as the server takes them."""
     return Limits(front.connections, front.header_bytes, front.body_bytes, front.pipelined, front.read_ms,
-                  front.write_ms, front.idle_ms)
+                  front.write_ms, front.idle_ms, front.unread_mb * 1e6)
 
 
-def _open(file: Path, most_bytes: float, log: Any) -> Book | None:
+def _open(file: Path, most_bytes: float, vfs: str | None, log: Any) -> Book | None:
     """The book, or None where it cannot be used: then deferred calls are refused."""
     try:
-        book, aside = open_book(file, most_bytes)
+        book, aside = open_book(file, most_bytes, vfs)
     except BookError as cause:
         log.error("book-unusable", file=str(file), reason=str(cause))
         return None
@@ -80,7 +82,8 @@
     stop = stop or asyncio.Event()
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, stop.set)
-    boot = os.urandom(8).hex()  # new at each start: ids never meet those of another instance or start
+    # Ids tell which dispatcher gave them; the rest is new at each start, so that they never meet another run's.
+    boot = id_prefix(options.name) + os.urandom(8).hex()[PREFIX:]
     world = World(deployment, options.hall or deployment.dispatcher.hall or deployment.halls[0],
                   zlib.crc32(boot.encode()))
     settings, book = deployment.journal, None
@@ -88,7 +91,8 @@
         with contextlib.suppress(OSError):  # what cannot be kept there is told by whoever needs it
             options.state.mkdir(parents=True, exist_ok=True)
         if settings.keep:
-            book = _open(options.state / "book.sqlite", settings.most_mb * 1e6, log)
+            disk = HarmedDisk(options.harmed) if options.harmed is not None else None
+            book = _open(options.state / "book.sqlite", settings.most_mb * 1e6, disk.vfs_name if disk else None, log)
     journal = Journal(settings.most_waiting) if options.state is not None and settings.keep else None
     if journal is not None and book is None:  # blocking calls go on; nothing new is promised
         journal.failing, journal.reason = True, "the book cannot be used"
@@ -123,7 +127,7 @@
     gc.set_threshold(50_000, 20, 1_000_000)
     collector = loop.create_task(_collect(gateway))
     port = server.listen(options.host, options.port, options.shared_port)
-    api.own = f"http://{server.address}"
+    api.own, roster.own = f"http://{server.address}", server.address
     follower = loop.create_task(roster.follow())
     driver.stir()
     with contextlib.suppress(TimeoutError):
@@ -134,7 +138,7 @@
         standing = Standing(deployment.vrrp, options.name, options.state, driver, api, limits(deployment.front),
                             deployment.front, log, lambda: roster.saved and not (journal and journal.failing))
         standing.start()
-    control = HttpServer(Control(driver, standing).handle, Limits(connections=64))
+    control = HttpServer(Control(driver, server, standing).handle, Limits(connections=64))
     if options.control is not None:
         host, _, control_port = options.control.rpartition(":")
         control.listen(host, int(control_port))
--- a/kelptrail/net/server.py
+++ b/kelptrail/net/server.py
@@ -39,6 +39,7 @@
     read_ms: float = 10_000.0
     write_ms: float = 30_000.0
     idle_ms: float = 75_000.0
+    unread_bytes: float = 268_435_456  # replies that clients have not read yet, over all connections
 
 
 class Exchange:
@@ -72,6 +73,7 @@
                      and not self._connection.ends_with(self))
         self.on_gone = None
         self.data = encode_response(status, body, headers, self.keep, content_type)
+        self._connection.owes(len(self.data))
         self._connection.ready()
         return True
 
@@ -81,6 +83,7 @@
             return False
         self.on_gone, self.data = None, data
         self.keep = self.request is not None and self.request.keep_alive
+        self._connection.owes(len(data))
         self._connection.ready()
         return True
 
@@ -105,6 +108,7 @@
         self._last = False  # close once written
         self.closing = False  # no further request is read
         self._eof = self._expired = False
+        self.owed = 0  # bytes of replies that are not written yet
         self.reading_since: float | None = None
         self.writing_since: float | None = None
         self.idle_since = server.loop.time()
@@ -120,6 +124,11 @@
         last = bool(self._exchanges) and self._exchanges[-1] is exchange
         return last and (self.closing or self._server.draining)
 
+    def owes(self, count: int) -> None:
+        """So many bytes of replies more are to be written."""
+        self.owed += count
+        self._server.owes(count)
+
     def ready(self) -> None:
         """Move replies that are due into the output."""
         moved = False
@@ -175,7 +184,7 @@
             self._more.set_result(None)
 
     async def _read(self) -> None:
-        loop, limits = self._server.loop, self._server.limits
+        loop = self._server.loop
         buffer = bytearray(FIRST_BUFFER)
         try:
             while not self.closing:
@@ -188,6 +197,7 @@
                 if self._reader.wants_continue and not self._exchanges and not requests:
                     self._continue()
                 for request in requests:
+                    await self._has_room()  # also between requests that came together
                     exchange = Exchange(self, request)
                     self._exchanges.append(exchange)
                     try:
@@ -202,11 +212,7 @@
                     self.reading_since, self.idle_since = None, loop.time()
                 elif self.reading_since is None or requests:
                     self.reading_since = loop.time()
-                while len(self._exchanges) >= limits.pipelined or len(self._out) > LARGEST_BUFFER:
-                    self.reading_since = None  # it is we who do not read
-                    self._room = loop.create_future()
-                    await self._room
-                    self.reading_since = loop.time() if self._reader.partial else None
+                await self._has_room()
                 if count == len(buffer) < LARGEST_BUFFER:
                     buffer = bytearray(2 * count)
             if not self.closing:
@@ -221,6 +227,14 @@
             if not self._expired:
                 self._lost()
 
+    async def _has_room(self) -> None:
+        """Wait while too much is in hand or unread on this connection."""
+        while len(self._exchanges) >= self._server.limits.pipelined or self.owed > LARGEST_BUFFER:
+            self.reading_since = None  # it is we who do not read
+            self._room = self._server.loop.create_future()
+            await self._room
+            self.reading_since = self._server.loop.time() if self._reader.partial else None
+
     async def _half_closed(self) -> None:
         """The client has ended its side.  Serve what is in hand while somebody reads."""
         if not self._exchanges:
@@ -269,6 +283,9 @@
                 self.writing_since = loop.time()
                 await loop.sock_sendall(self._sock, data)
                 self.writing_since, self.idle_since = None, loop.time()
+                written = min(len(data), self.owed)  # interim answers are not counted
+                self.owed -= written
+                self._server.owed -= written
                 if self._room is not None and not self._room.done():
                     self._room.set_result(None)
             await self._linger()
@@ -311,9 +328,27 @@
         self.accept_delay_ms = 0.0  # stand-ins only: slow handshakes
         self.bytes_in = 0
         self.turned_away = 0
+        self.owed = 0  # bytes of replies that clients have not read yet
+        self.cut = 0  # connections closed because these were too many
         self.draining = False  # each reply closes its connection
         self.address = ""
 
+    def owes(self, count: int) -> None:
+        """Keep what is unread within its bound: whoever has read nothing for longest is cut, first come, first gone.
+
+        Guards against many clients that ask for much and read slowly: each alone stays within its own limits.
+        """
+        self.owed += count
+        while self.owed > self.limits.unread_bytes:
+            slow = min((c for c in self._connections if c.writing_since is not None and c.owed),
+                       key=lambda c: c.writing_since or 0.0, default=None)
+            if slow is None:
+                return
+            self._note("slow-reader-cut", peer=slow.peer, bytes=slow.owed)
+            self.cut += 1
+            self.owed, slow.owed = self.owed - slow.owed, 0
+            slow.abort()
+
     @property
     def connections(self) -> int:
         """How many are open."""
@@ -398,6 +433,7 @@
     def closed(self, connection: Connection) -> None:
         """Forget a connection."""
         self._connections.pop(connection, None)
+        self.owed, connection.owed = self.owed - connection.owed, 0
 
     def stop_listening(self) -> None:
         """Accept nothing more; open connections go on."""
--- a/kelptrail/roster/client.py
+++ b/kelptrail/roster/client.py
@@ -29,6 +29,7 @@
                  log: Any, wait_ms: float = 2000.0, pause_ms: float = 200.0) -> None:
         self._address, self._who, self._changed, self._last, self._log = address, who, changed, last, log
         self._wait_ms, self._pause_ms = wait_ms, pause_ms
+        self.own = ""  # where this dispatcher can be asked for what it took
         self.listing: Listing | None = None
         self.saved = True  # whether the last list could be kept
 
@@ -42,7 +43,7 @@
             self._log.warning("last-list-unusable", file=str(self._last), reason=str(cause))
             return False
         # Its lineage is dropped: whatever the source says first replaces it.
-        self._changed(Listing(-1, listing.workers, "last"))
+        self._changed(Listing(-1, listing.workers, "last", listing.dispatchers))
         return True
 
     async def follow(self) -> None:
@@ -51,7 +52,7 @@
         while True:
             known = f"{self.listing.lineage}:{self.listing.version}" if self.listing else ""
             try:
-                response = await errand.ask("GET", f"/workers?who={self._who}&known={known}"
+                response = await errand.ask("GET", f"/workers?who={self._who}&at={self.own}&known={known}"
                                             f"&wait={self._wait_ms:g}", timeout_ms=self._wait_ms + 3000)
                 if response.status == 304:
                     continue
--- a/kelptrail/roster/members.py
+++ b/kelptrail/roster/members.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from hashlib import blake2b
 
 import msgspec
 
 from kelptrail.dispatch.terms import State, Worker
 
+PREFIX = 6  # hex digits of an id that tell which dispatcher gave it
 STATES = {"live": State.LIVE, "draining": State.DRAINING, "gone": State.GONE}
 
 
@@ -29,12 +31,25 @@
     size: float = 1.0
 
 
+class Peer(msgspec.Struct, frozen=True):
+    """A dispatcher that follows the list, and where it can be asked for what it took."""
+
+    name: str
+    address: str
+
+
 class Listing(msgspec.Struct, frozen=True):
     """A whole list.  `lineage` names the source's run; versions only grow within one."""
 
     version: int
     workers: list[Entry]
     lineage: str = ""
+    dispatchers: list[Peer] = []
+
+
+def id_prefix(name: str) -> str:
+    """The first hex digits of every id that a dispatcher of this name gives, whatever its run."""
+    return blake2b(name.encode(), digest_size=PREFIX // 2).hexdigest()
 
 
 class Members:
@@ -45,6 +60,7 @@
         self._workers: dict[str, Worker] = {}
         self._incarnations: dict[str, str] = {}
         self.addresses: dict[Worker, str] = {}
+        self.peers: dict[str, Peer] = {}  # by the prefix of the ids that they give
         self.version, self.lineage = -1, ""
 
     def __len__(self) -> int:
@@ -58,6 +74,7 @@
         if listing.lineage == self.lineage and listing.version < self.version:
             return list(self._workers.values()), []
         self.version, self.lineage = listing.version, listing.lineage
+        self.peers = {id_prefix(peer.name): peer for peer in listing.dispatchers}
         named, restarted = set(), []
         for entry in listing.workers:
             named.add(entry.id)
@@ -80,6 +97,10 @@
                 worker.state = State.GONE
         return list(self._workers.values()), restarted
 
+    def asked_at(self, id_: str) -> Peer | None:
+        """The dispatcher that gave an id, if the list knows one that may have."""
+        return self.peers.get(id_[:PREFIX])
+
     def purge(self) -> None:
         """Forget those that are gone and have nothing out."""
         for id_ in [id_ for id_, w in self._workers.items() if w.gone and not w.sends]:
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -69,7 +69,8 @@
                 "--log-level", self._level, "--log-form", "json" if self._logs else "auto", "serve", self._file,
                 "--name", f"dispatcher-{n}", "--hall", halls[n % len(halls)],
                 "--roster", self.roster.said["address"], "--control", "127.0.0.1:0",
-                *(["--state", str(state / f"dispatcher-{n}")] if state else [])])
+                *(["--state", str(state / f"dispatcher-{n}"), "--harmed-disk", str(state / f"disk-{n}.json")]
+                  if state else [])])
             for n in range(dispatchers))))
 
     async def _child(self, name: str, words: list[str]) -> Child:
@@ -125,6 +126,13 @@
         """Turn a fault knob."""
         await ask(child.said.get("control") or child.said["address"], "POST", "/fault", body)
 
+    def harm_disk(self, child: Child, **fault: Any) -> None:
+        """Say what ails a dispatcher's disk; nothing: it is sound again."""
+        file = Path(child.words[child.words.index("--harmed-disk") + 1])
+        draft = file.with_suffix(".new")
+        draft.write_bytes(msgspec.json.encode(fault))
+        draft.replace(file)
+
     def signal(self, child: Child, number: signal.Signals) -> None:
         """Send a signal, to children started here only."""
         if child.running and child.process is not None:
--- a/kelptrail/standin/roster.py
+++ b/kelptrail/standin/roster.py
@@ -42,6 +42,7 @@
         self._loop = asyncio.get_running_loop()
         self._lineage, self._version = os.urandom(4).hex(), 0
         self._workers: dict[str, _Seen] = {}
+        self._dispatchers: dict[str, str] = {}  # name and where it can be asked; kept, as they come again
         self._polls: dict[_Poll, None] = {}
         self.late_ms = 0.0
         self.server = HttpServer(self._handle)
@@ -49,7 +50,10 @@
     def _handle(self, request: Request, exchange: Exchange) -> None:
         parts, query = request.segments, request.query
         if parts == ["workers"]:
-            known = query.get("known", "")
+            known, name = query.get("known", ""), query.get("who", "").partition("/")[0]
+            if (at := query.get("at", "")) and self._dispatchers.get(name) != at:
+                self._dispatchers[name] = at
+                self._changed()
             if known != f"{self._lineage}:{self._version}":
                 self._tell(query.get("who", ""), exchange)
                 return
@@ -109,7 +113,9 @@
         self._capture.note("list", to=who, version=self._version,
                            workers={w["id"]: [w["state"], w["incarnation"]] for w in workers})
         exchange.reply(200, msgspec.json.encode({"version": self._version, "lineage": self._lineage,
-                                                 "workers": workers}))
+                                                 "workers": workers,
+                                                 "dispatchers": [{"name": name, "address": at} for name, at
+                                                                 in self._dispatchers.items()]}))
 
     def _nothing(self, poll: _Poll) -> None:
         self._drop(poll)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,6 +13,7 @@
     answer,
     auth,
     connect,
+    exchange,
     place,
     read_reply,
     refuse,
@@ -21,9 +22,11 @@
     verdict,
 )
 
-from kelptrail.codec.http import Request, encode_request
+from kelptrail.codec.http import Request, encode_request, encode_response
 from kelptrail.codec.infer import infer_answer, read_infer
-from kelptrail.net.server import Exchange
+from kelptrail.dispatch.terms import Outcome
+from kelptrail.net.server import Exchange, HttpServer, Limits
+from kelptrail.roster.members import Listing, Peer, id_prefix
 from kelptrail.settings.deployment import parse
 
 BASE = "/api/v1/namespaces/_"
@@ -324,3 +327,100 @@
         await dispatcher.server.drain(0)
         await worker.server.drain(0)
     run(main())
+
+
+def test_many_slow_readers_stay_within_the_bound_and_others_are_served() -> None:
+    async def main() -> None:
+        loop, noted = asyncio.get_running_loop(), []
+        server = HttpServer(lambda request, exchange: exchange.reply(200, b"x" * 500_000) and None,
+                            Limits(unread_bytes=5e6), lambda event, **_: noted.append(event))
+        server.listen("127.0.0.1", 0)
+        ask, socks, most = encode_request("GET", "/", "x", b"") * 30, [], 0
+        for _ in range(20):  # 300 MB asked for and not read; the system's own buffers take a part
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+            sock.setblocking(False)
+            host, _, port = server.address.rpartition(":")
+            await loop.sock_connect(sock, (host, int(port)))
+            await loop.sock_sendall(sock, ask)
+            socks.append(sock)
+            await asyncio.sleep(0.02)
+            most = max(most, server.owed)
+        assert 3e6 < most <= 5e6, "filled, and bounded"
+        assert server.cut > 0 and "slow-reader-cut" in noted
+        assert (await exchange(server.address, encode_request("GET", "/", "x", b""))).status == 200
+        for sock in socks:
+            sock.close()
+        await asyncio.sleep(0.2)
+        assert server.owed == 0, "nothing stays counted"
+        await server.drain(0)
+    run(main())
+
+
+def test_a_poll_elsewhere_is_told_where_to_ask_or_that_it_is_not_known() -> None:
+    async def main() -> None:
+        worker = ScriptedWorker("w", silent)
+        one = Dispatcher([worker], boot=id_prefix("one") + "1" * 10)
+        two = Dispatcher([worker], boot=id_prefix("two") + "2" * 10)
+        peers = [Peer("one", one.server.address), Peer("two", two.server.address)]
+        two.driver.listed(Listing(9, [worker.entry], "test", peers))
+        status, _, told = await one.call("grant", blocking=False, body={})
+        assert status == 202
+        target = f"{BASE}/activations/{told['activationId']}"
+        status, headers, body = await two.ask("GET", target + "?wait=50")
+        assert status == 307 and headers["location"] == f"http://{one.server.address}{target}?wait=50"
+        assert "one" in body["error"]
+        assert (await two.ask("DELETE", target))[0] == 307
+        status, _, body = await two.ask("GET", f"{BASE}/activations/{id_prefix('three')}{'0' * 26}")
+        assert status == 404 and "does not know" in body["error"], "of what may be in hand elsewhere it says no more"
+        status, _, body = await two.ask("GET", f"{BASE}/activations/{id_prefix('two')}{'0' * 26}")
+        assert status == 404 and "kept here" in body["error"]
+        assert (await one.ask("GET", target))[0] == 404, "in hand"
+        for end in (one, two):
+            await end.driver.drain(0)
+            await end.server.drain(0)
+        await worker.server.drain(0)
+    run(main())
+
+
+@pytest.mark.parametrize(("action", "answered", "sends"), [("p/check", "completed", 2), ("activate", "completed", 2),
+                                                          ("grant", "aborted", 1)])
+def test_half_an_answer_may_have_run(action: str, answered: str, sends: int) -> None:
+    """The worker's connection ends in the middle of its answer's body: what may not run twice is not sent again."""
+    def half(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
+        infer, payload = read_infer(request.body)
+        if sum(len(w.sends) for w in workers) > 1:
+            answer(worker, request, exchange)
+            return
+        whole = encode_response(200, infer_answer("m", infer.id, payload, True))
+        exchange.keep = False
+        exchange._connection._out += whole[:-7]
+        exchange._connection._last = True
+        exchange._connection._wake()
+
+    workers: list[ScriptedWorker] = []
+
+    async def main() -> None:
+        async with place(half, half) as (dispatcher, made):
+            workers.extend(made)
+            status, _, record = await dispatcher.call(action, body={"a": 1}, key="k")
+            assert verdict(record)["answer"] == answered and (status == 200) == (answered == "completed")
+            assert sum(len(w.sends) for w in made) == sends
+            assert dispatcher.gateway.counts.outcomes == {Outcome.BROKEN: 1} | (
+                {Outcome.COMPLETED: 1} if sends == 2 else {})
+    run(main())
+
+
+def test_an_answer_after_the_final_one_changes_nothing() -> None:
+    held: list[tuple[ScriptedWorker, Request, Exchange]] = []
+
+    async def main() -> None:
+        async with place(lambda *line: held.append(line)) as (dispatcher, (worker,)):
+            status, _, record = await dispatcher.call("grant", body={"a": 1})
+            assert status == 502 and verdict(record)["answer"] == "aborted"
+            for line in held:
+                answer(*line)
+            await asyncio.sleep(0.05)
+            again = (await dispatcher.ask("GET", f"{BASE}/activations/{record['activationId']}"))[2]
+            assert again == record and len(worker.sends) == 1 and not dispatcher.gateway.in_hand
+    run(main())
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -24,6 +24,7 @@
 from kelptrail.roster.members import Entry as Listed
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import parse
+from kelptrail.standin.disk import HarmedDisk
 from kelptrail.store.book import Book, BookError, Life, open_book
 from kelptrail.store.driver import JournalDriver
 from kelptrail.store.entries import Accepted, DamagedError, Ended, MayRun, pack, unpack
@@ -158,39 +159,15 @@
     assert aside is None and [life.accepted for life in book.lives()] == [ACCEPTED]
 
 
-class Disk(apsw.VFS):
-    """A disk whose syncs can be made to fail or to take long."""
-
-    def __init__(self) -> None:
-        self.fails, self.takes_s, self.syncs = False, 0.0, 0
-        super().__init__("harmed", "")
-
-    def xOpen(self, name: Any, flags: Any) -> Any:  # noqa: N802
-        return _File(self, name, flags)
-
-
-class _File(apsw.VFSFile):
-    def __init__(self, disk: Disk, name: Any, flags: Any) -> None:
-        self._disk = disk
-        super().__init__("", name, flags)
-
-    def xSync(self, flags: int) -> None:  # noqa: N802
-        self._disk.syncs += 1
-        time.sleep(self._disk.takes_s)
-        if self._disk.fails:
-            raise apsw.IOError("the sync failed")
-        super().xSync(flags)
-
-
 def test_failing_syncs_a_full_disk_and_a_read_only_folder(tmp_path: Path) -> None:
-    disk = Disk()
+    disk = HarmedDisk()
     book = Book(tmp_path / "b", vfs="harmed")
     book.commit([ACCEPTED])
     assert disk.syncs > 0, "a commit syncs"
-    disk.fails = True
+    disk.fault = {"fails": True}
     with pytest.raises(BookError, match="IOError"):
         book.commit([ended()])
-    disk.fails = False
+    disk.fault = {}
     book.commit([ended()])
     assert next(book.lives()).ended == ended()
     small = Book(tmp_path / "small", most_bytes=100_000)
@@ -423,28 +400,28 @@
 
 def test_a_failing_disk_refuses_deferred_calls_and_keeps_blocking_ones(tmp_path: Path) -> None:
     async def main() -> None:
-        disk = Disk()
+        disk = HarmedDisk()
         worker = ScriptedWorker("w", answer)
         one = Kept([worker], tmp_path / "b", vfs="harmed")
         assert (await one.call("grant", blocking=False, body={}))[0] == 202
-        disk.fails = True
+        disk.fault = {"fails": True}
         statuses = [(await one.call("grant", blocking=False, body={}))[0] for _ in range(3)]
         assert statuses == [503] * 3
         assert (await one.call("grant", body={}))[0] == 200
         assert (await one.call("grant", body={}, key="k"))[0] == 200, "also with a key"
         sent = len(worker.sends)
-        disk.fails = False
+        disk.fault = {}
         await asyncio.sleep(0.4)
         assert (await one.call("grant", blocking=False, body={}))[0] == 202
         await asyncio.sleep(0.1)
         assert len(worker.sends) == sent + 1, "what was refused never ran"
-        disk.takes_s = 0.4  # a slow disk delays promises and the sends that need one, not other calls
+        disk.fault = {"sync_ms": 400}  # a slow disk delays promises and the sends that need one, not other calls
         loop = asyncio.get_running_loop()
         began = loop.time()
         slow = asyncio.create_task(one.call("grant", blocking=False, body={}))
         assert (await one.call("grant", body={}))[0] == 200 and loop.time() - began < 0.3
         assert (await slow)[0] == 202 and loop.time() - began > 0.35
-        disk.takes_s = 0.0
+        disk.fault = {}
         await one.end()
         await worker.server.drain(0)
     run(main())
