--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY ?= python3
 BIN := .venv/bin
 
-.PHONY: run demo test lint lock
+.PHONY: run demo test lint lock proto
 run: demo
 
 .venv/.locked: requirements.lock pyproject.toml
@@ -23,6 +23,10 @@
 test: lint
 	$(BIN)/python -m pytest -q $(ARGS)
 
+# The code of the gRPC messages; a test tells when it is older than its .proto.
+proto: .venv/.locked
+	cd kelptrail/front/inference && ../../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. inference.proto
+
 lock:
 	$(PY) -m venv .lock-venv
 	.lock-venv/bin/pip -q install ".[program,dev]"
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -8,7 +8,7 @@
 from kelptrail.settings.reader import Form, Place, read
 from kelptrail.settings.shape import Checker, Many, Shape, number, word
 
-ON_WORKERS = ("fail-fast", "fail-type", "hang", "silent", "pause", "models-voided", "heavy-work",
+ON_WORKERS = ("stall", "cut", "fail-fast", "fail-type", "hang", "silent", "pause", "models-voided", "heavy-work",
               "handshakes-slow", "answers-lost", "answers-twice", "answers-late", "crash", "restart-cold",
               "rolling-deploy", "drain")
 ON_STORE = ("store-slow", "store-refuse", "store-stopped")
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -111,12 +111,14 @@
 @click.option("--state", type=click.Path(path_type=Path), help="Folder for the last list.")
 @click.option("--shared-port", is_flag=True, help="Let other dispatchers of this machine listen on it too.")
 @click.option("--crash-at", default="", hidden=True)
+@click.option("--grpc-port", type=int, help="Port of the second front; default: the settings'.")
 @click.option("--harmed-disk", type=click.Path(path_type=Path), hidden=True)
 @click.option("--control", help="Address and port for operators' questions, such as 127.0.0.1:0.")
 @click.option("--with-stdin", is_flag=True, hidden=True)
 @click.pass_context
 def serve(context: click.Context, file: str, roster: str, name: str, hall: str, host: str, port: int,
-          state: Path | None, shared_port: bool, crash_at: str, harmed_disk: Path | None, control: str | None,
+          state: Path | None, shared_port: bool, crash_at: str, harmed_disk: Path | None,
+          grpc_port: int | None, control: str | None,
           with_stdin: bool) -> None:
     """Run one dispatcher until SIGTERM, then drain.  Exit 1 where something taken had no answer in time."""
     deployment = _settings(file)
@@ -124,15 +126,16 @@
     from kelptrail.gateway.serve import serve as run
 
     log = _log(context, dispatcher=name)
-    options = Options(name, hall, host, port, roster, state, shared_port, crash_at, control, harmed_disk)
+    options = Options(name, hall, host, port, roster, state, shared_port, crash_at, control, grpc_port, harmed_disk)
 
     async def go() -> bool:
         stop = asyncio.Event()
         if with_stdin:
             _ends_with_stdin(stop.set)
         return bool(await run(deployment, options, log, context.obj["level"] == "debug",
-                              lambda bound, at: _say(ready=True, address=f"{host}:{bound}", asked_at=at,
-                                                     invoke=f"http://{host}:{bound}", name=name), stop))
+                              lambda bound, at, grpc: _say(ready=True, address=f"{host}:{bound}", asked_at=at,
+                                                     invoke=f"http://{host}:{bound}", grpc=grpc, name=name),
+                              stop))
 
     try:
         sys.exit(0 if _run(go()) else FAILED)
--- a/kelptrail/codec/http.py
+++ b/kelptrail/codec/http.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import httptools
 
+from .events import CONTENT_TYPE as EVENT_STREAM
+
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
@@ -166,6 +168,8 @@
         self._body = bytearray()
         self._response: Response | None = None
         self.extra = False  # more came than was asked for
+        self.on_piece: Callable[[bytes], None] | None = None  # takes the body of an event stream as it comes
+        self._flows = False
 
     def on_message_begin(self) -> None:
         self._headers, self._body = {}, bytearray()
@@ -173,8 +177,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        self._flows = (self.on_piece is not None and self._parser.get_status_code() == 200
+                       and self._headers.get("content-type", "").startswith(EVENT_STREAM))
+
     def on_body(self, body: bytes) -> None:
-        if len(self._body) <= self._body_bytes:
+        if self._flows and self.on_piece is not None:
+            self.on_piece(body)
+        elif len(self._body) <= self._body_bytes:
             self._body += body
 
     def on_message_complete(self) -> None:
@@ -216,6 +226,21 @@
     return b"".join(head)
 
 
+def encode_head(status: int, headers: Mapping[str, str] | None, content_type: str, keep_alive: bool) -> bytes:
+    """The head of a response whose body comes in chunks (RFC 9112, section 7.1)."""
+    head = [f"HTTP/1.1 {status} {PHRASES.get(status, b'Status').decode()}\r\ncontent-type: {content_type}\r\n"
+            "transfer-encoding: chunked\r\n"]
+    head.extend(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
+    if not keep_alive:
+        head.append("connection: close\r\n")
+    return ("".join(head) + "\r\n").encode("latin-1", "replace")
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """One chunk; an empty one ends the body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
 def encode_request(method: str, target: str, host: str, body: bytes = b"",
                    headers: Mapping[str, str] | None = None) -> bytes:
     """A request with a length."""
--- a/kelptrail/codec/infer.py
+++ b/kelptrail/codec/infer.py
@@ -13,26 +13,20 @@
 
 import msgspec
 
+from .events import CONTENT_TYPE
 from .http import Response, encode_request, encode_response
+from .tensors import JsonTensor, TensorError, values_of
+from .tensors import JsonTensor as Tensor
 
 NEVER_RAN = "never-ran"
 LOAD_REPORT = "endpoint-load-metrics"
 
 
-class Tensor(msgspec.Struct):
-    """A named tensor; ours hold one JSON text."""
-
-    name: str
-    datatype: str
-    shape: list[int]
-    data: list[str]
-
-
 class InferRequest(msgspec.Struct):
     """The body of `POST /v2/models/{model}/infer`."""
 
     id: str
-    inputs: list[Tensor]
+    inputs: list[JsonTensor]
     parameters: dict[str, str | int | float | bool] = {}
 
 
@@ -41,7 +35,7 @@
 
     model_name: str
     id: str
-    outputs: list[Tensor]
+    outputs: list[JsonTensor]
     parameters: dict[str, str | int | float | bool] = {}
 
 
@@ -58,6 +52,23 @@
     error: str = ""
 
 
+class TensorsRequest(msgspec.Struct, omit_defaults=True):
+    """The body of a send whose payload is the caller's own tensors; `outputs` names those that it wants."""
+
+    id: str
+    inputs: msgspec.Raw
+    parameters: dict[str, str | int | float | bool] = {}
+    outputs: msgspec.Raw = msgspec.Raw(b"[]")
+
+
+class Payload(msgspec.Struct, omit_defaults=True):
+    """What a call in tensors carries, as it is kept."""
+
+    inputs: msgspec.Raw
+    outputs: msgspec.Raw = msgspec.Raw(b"[]")
+    parameters: dict[str, str | int | float | bool] = {}
+
+
 class MalformedError(Exception):
     """A body that is not of the protocol."""
 
@@ -66,25 +77,43 @@
 _request = msgspec.json.Decoder(InferRequest).decode
 _response = msgspec.json.Decoder(InferResponse).decode
 _load = msgspec.json.Decoder(LoadRequest).decode
+_payload = msgspec.json.Decoder(Payload).decode
 _loaded = msgspec.json.Decoder(LoadResponse).decode
 
 
 def infer_request(host: str, model: str, mark: str, payload: bytes,
-                  parameters: dict[str, str | int | float | bool], headers: dict[str, str]) -> bytes:
-    """A send, as bytes."""
-    body = InferRequest(mark, [Tensor("params", "BYTES", [1], [payload.decode()])], parameters)
+                  parameters: dict[str, str | int | float | bool], headers: dict[str, str],
+                  form: str = "json") -> bytes:
+    """A send, as bytes.  A caller's own parameters go along, but never in place of ours."""
+    body: InferRequest | TensorsRequest
+    if form == "tensors":
+        kept = _payload(payload)
+        body = TensorsRequest(mark, kept.inputs, kept.parameters | parameters, kept.outputs)
+    else:
+        body = InferRequest(mark, [Tensor("params", "BYTES", [1], [payload.decode()])], parameters)
     return encode_request("POST", f"/v2/models/{quote(model, safe='')}/infer", host, _encode(body), headers)
 
 
 def read_infer(body: bytes) -> tuple[InferRequest, str]:
-    """A send's body and the JSON text it carries.  Raises `MalformedError`."""
+    """A send's body and the JSON text it carries, empty for a call in tensors.  Raises `MalformedError`."""
     try:
         request = _request(body)
+        if request.parameters.get("form") == "tensors":
+            for tensor in request.inputs:
+                values_of(tensor)
+            return request, ""
         return request, _only(request.inputs, "params")
+    except TensorError as cause:
+        raise MalformedError(str(cause)) from None
     except (msgspec.MsgspecError, UnicodeDecodeError) as cause:
         raise MalformedError(str(cause)) from None
 
 
+def tensors_answer(model: str, mark: str, outputs: list[JsonTensor], **parameters: str | int | float | bool) -> bytes:
+    """The body of an answer in tensors."""
+    return _encode(InferResponse(model, mark, outputs, parameters))
+
+
 def infer_answer(model: str, mark: str, result: str, success: bool) -> bytes:
     """The body of an answer."""
     out = InferResponse(model, mark, [Tensor("result", "BYTES", [1], [result])], {"success": success})
@@ -102,9 +131,30 @@
     found: bool | None = None
     company: int = 0
     report: dict[str, float] | None = None
+    streamed: bool = False  # its parts were read as they came
+
+
+def read_part(data: bytes, mark: str, form: str = "json") -> tuple[bytes, bool, bool]:
+    """One answer of the protocol: the result in its form, whether it is the last, whether it succeeded.
+    Raises `MalformedError`."""
+    try:
+        body = _response(data)
+        if body.id != mark:  # an answer to something else proves nothing of this send
+            raise MalformedError("an answer to another call")
+        if form == "tensors":
+            result = _encode({"outputs": body.outputs} | ({"parameters": own} if (own := {
+                k: v for k, v in body.parameters.items() if k not in ("success", "final")}) else {}))
+        elif body.parameters.get("final") is True and not body.outputs:  # the end of a stream needs no result
+            result = b"{}"
+        else:
+            result = _only(body.outputs, "result").encode()
+            msgspec.json.decode(result)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as cause:
+        raise MalformedError(str(cause)) from None
+    return result, body.parameters.get("final") is True, bool(body.parameters.get("success", True))
 
 
-def read_answer(response: Response, mark: str) -> Answer:
+def read_answer(response: Response, mark: str, form: str = "json") -> Answer:
     """A response to a send.  Whatever is not of the protocol is an error that may have run."""
     report = load_report(response.headers.get(LOAD_REPORT))
     found, company = None, 0
@@ -112,16 +162,13 @@
         found = {0.0: False, 1.0: True}.get(report.pop("found", -1.0))
         company = max(0, min(30, int(report.pop("company", 0.0))))
     if response.status == 200:
+        if response.headers.get("content-type", "").startswith(CONTENT_TYPE):
+            return Answer("completed", b"{}", True, False, found, company, report, streamed=True)
         try:
-            body = _response(response.body)
-            result = _only(body.outputs, "result")
-            msgspec.json.decode(result)
-        except (msgspec.MsgspecError, MalformedError, UnicodeDecodeError):
-            return Answer("error", report=report)
-        if body.id != mark:  # an answer to something else proves nothing of this send
+            result, _, success = read_part(response.body, mark, form)
+        except MalformedError:
             return Answer("error", report=report)
-        return Answer("completed", result.encode(), bool(body.parameters.get("success", True)), False, found,
-                      company, report)
+        return Answer("completed", result, success, False, found, company, report)
     proof = response.headers.get(NEVER_RAN)
     failed = response.headers.get("load-failed") == "1"
     if response.status == 503 and proof == "full":
@@ -189,7 +236,8 @@
 def _only(tensors: list[Tensor], name: str) -> str:
     for tensor in tensors:
         if tensor.name == name:
-            if tensor.datatype != "BYTES" or tensor.shape != [1] or len(tensor.data) != 1:
+            if tensor.datatype != "BYTES" or tensor.shape != [1] or len(tensor.data) != 1 or (
+                    not isinstance(tensor.data[0], str)):
                 raise MalformedError(f"tensor {name} is one BYTES element")
             return tensor.data[0]
     raise MalformedError(f"no tensor {name}")
--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -48,7 +48,9 @@
     def open(self, now: float, act: Activation) -> bool:
         """Rules 1 and 2, as far as they do not depend on the worker."""
         out = sum(send.outcome is None for send in act.sends)
-        if act.verdict or now >= act.deadline or len(act.sends) >= self._most_sends or out > self._parallel:
+        if act.verdict or act.bound or now >= act.deadline:
+            return False
+        if len(act.sends) >= self._most_sends or out > self._parallel:
             return False
         return self.harmless(now, act)
 
@@ -104,6 +106,7 @@
         that come again without the mark, or when nobody remembers it, and have a second effect."""
         free = act.type.effect is not Effect.DEDUPLICATED or (act.marked and act.type.scope == "all")
         again = (free and self.harmless(now, act)) or not any(s.may_have_run for s in act.sends)
+        again = again and act.bound is None  # its client has seen a part of a streamed answer
         act.verdict = "rejected" if again else "aborted"
         return act
 
@@ -147,7 +150,8 @@
 
     def overdue(self, now: float, worker: Worker) -> list[Send]:
         """All there, if the silence is unusual for the worker's gaps; else one by one: answers get lost."""
-        usual = {s: s.act.function.usual_ms or s.act.type.target_ms for s in worker.sends if not s.lost}
+        usual = {s: s.act.function.usual_ms or s.act.type.target_ms for s in worker.sends
+                 if not s.lost and not s.act.bound}
         if not (late := [send for send, ms in usual.items() if now - send.sent > 4 * ms]):
             return late
         silence = now - max(worker.quiet_since, worker.whole.barred_until)
@@ -370,6 +374,16 @@
         act.verdict = act.verdict or "left"
         self._revoke(act)
 
+    def began(self, now: float, send: Send, deadline: float) -> None:
+        """The first part of a streamed answer binds it to this send, whatever its effect, till `deadline`."""
+        act = send.act
+        if act.verdict or act.bound or send.outcome:
+            return
+        act.bound, send.first, act.deadline = send, now, deadline
+        send.copy.worker.quiet_since = now
+        self.agenda.add(deadline - 5, act)
+        self._revoke(act, send)
+
     def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool,
                  warm: bool | None, company: int, report: dict[str, float] | None) -> None:
         """How a send ended; `company`: others of the function there; `warm`: None where it is not told."""
@@ -385,7 +399,7 @@
         if outcome is Outcome.COMPLETED:
             self._gate.completed(now, worker)
             copy.used = copy.touched = now
-            took = now - send.sent
+            took = (now if send.first is None else send.first) - send.sent  # of a stream, to its first part
             self._attempts.took(function, worker, took)
             self._attempts.earn()
             crowd = warm if warm is not None else 2 * len(worker.sends) >= worker.window - 1
@@ -400,7 +414,7 @@
                 copy.barred_until = now + function.load_ms
         if outcome in (Outcome.COMPLETED, Outcome.FULL):
             if worker.busy < 0.3:  # else own windows see to it
-                self._queues.felt(function, outcome is Outcome.FULL or now > send.sent + act.type.target_ms)
+                self._queues.felt(function, outcome is Outcome.FULL or took > act.type.target_ms)
             self._placement.met(now, copy, max(company, worker.window * (outcome is Outcome.FULL)))
         if over:
             act.verdict = act.verdict or "completed"
@@ -595,9 +609,9 @@
             elif sum(s.outcome is None for s in send.act.sends) == 1:
                 self._revoke(send.act)  # only one send at a time: its end makes the way free
 
-    def _revoke(self, act: Activation) -> None:
+    def _revoke(self, act: Activation, but: Send | None = None) -> None:
         for send in act.sends:
-            if self._cancels and send.outcome is None and not send.revoked:
+            if self._cancels and send is not but and send.outcome is None and not send.revoked:
                 send.revoked = True
                 self._owed.append(send)
 
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -181,6 +181,7 @@
     queued: bool = False
     verdict: str | None = None  # "completed", "rejected", "aborted"; once set it stays
     return_ms: float = 0.0  # with a rejection: when to come back
+    bound: Send | None = None  # of a streamed answer a part was given: it goes on there or not at all
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -194,6 +195,7 @@
     outcome: Outcome | None = None
     revoked: bool = False
     lost: bool = False  # out for unusually long
+    first: float | None = None  # when the first part of a streamed answer came
 
     @property
     def may_have_run(self) -> bool:
--- /dev/null
+++ b/kelptrail/front/callers.py
@@ -0,0 +1,58 @@
+"""Who calls: basic authentication (RFC 7617) with `uuid:key`, or the name in a client's certificate; for both fronts.
+
+Keys are compared as SHA-256 digests in constant time; those of the settings may be given as digests only, two at once
+while one takes over from the other.  Keys are random and long, so a plain digest is enough: there is nothing to guess.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+from kelptrail.settings.deployment import Deployment, NamespaceSettings
+
+KNOWN = 4096  # sound headers kept so that they are not compared anew
+
+
+def digest(key: str) -> str:
+    """A key as settings may hold it: `sha256:HEX`."""
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+class Callers:
+    """The namespaces of a deployment by their credentials."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._by_uuid = {n.uuid.lower(): n for n in deployment.namespaces.values()}
+        self._digests = {n.name: [h.digest.lower().encode() for h in n.key_hash]
+                         + ([digest(n.key).encode()] if n.key else []) for n in deployment.namespaces.values()}
+        self._by_certificate = {c.name: n for n in deployment.namespaces.values() for c in n.certificate}
+        self._known: dict[str, NamespaceSettings] = {}
+
+    def of(self, header: str) -> NamespaceSettings | None:
+        """The caller by an `authorization` header, or None."""
+        if (known := self._known.get(header)) is not None:
+            return known
+        scheme, _, coded = header.partition(" ")
+        if scheme.lower() != "basic":
+            return None
+        try:
+            uuid, _, key = base64.b64decode(coded.strip(), validate=True).decode().partition(":")
+        except (binascii.Error, UnicodeDecodeError):
+            return None
+        found = self._by_uuid.get(uuid.lower())
+        given = digest(key).encode()
+        good = False
+        for kept in self._digests[found.name] if found else [b"sha256:" + b"0" * 64]:
+            good |= hmac.compare_digest(given, kept)
+        if found is None or not good or not key:
+            return None
+        if len(self._known) < KNOWN:
+            self._known[header] = found
+        return found
+
+    def by_certificate(self, names: list[str]) -> NamespaceSettings | None:
+        """The caller by the names in a certificate that the handshake has checked, or None."""
+        return next((self._by_certificate[name] for name in names if name in self._by_certificate), None)
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -7,10 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import binascii
 import hashlib
-import hmac
 import math
 import os
 from collections.abc import Callable
@@ -21,6 +18,7 @@
 import msgspec
 
 from kelptrail.codec.http import Request
+from kelptrail.front.callers import Callers
 from kelptrail.gateway.clock import now_ms, wall_ms
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
@@ -58,12 +56,11 @@
 class InvokeApi:
     """Handles the requests of one dispatcher's front."""
 
-    def __init__(self, deployment: Deployment, driver: Driver, boot: str) -> None:
+    def __init__(self, deployment: Deployment, driver: Driver, boot: str, callers: Callers | None = None) -> None:
         self._deployment, self._driver, self._boot = deployment, driver, boot
         self._front = deployment.front
         self._loop = asyncio.get_running_loop()
-        self._by_uuid = {n.uuid.lower(): n for n in deployment.namespaces.values()}
-        self._known: dict[str, NamespaceSettings] = {}  # sound headers already compared, a few thousand
+        self._callers = callers or Callers(deployment)
         self._routes: dict[tuple[str, str], _Route] = {}  # invocations already read, a few thousand
         self._requests = 0
         self._trace_salt = os.urandom(8).hex()
@@ -119,24 +116,10 @@
 
     def _caller(self, request: Request) -> NamespaceSettings:
         """Who calls, by basic authentication (RFC 7617) with `uuid:key`."""
-        header = request.headers.get("authorization", "")
-        if (known := self._known.get(header)) is not None:
-            return known
-        scheme, _, coded = header.partition(" ")
-        fault = ApiError(401, "The supplied authentication is invalid.",
-                         {"www-authenticate": 'Basic realm="kelptrail"'})
-        if scheme.lower() != "basic":
-            raise fault
-        try:
-            uuid, _, key = base64.b64decode(coded.strip(), validate=True).decode().partition(":")
-        except (binascii.Error, UnicodeDecodeError):
-            raise fault from None
-        found = self._by_uuid.get(uuid.lower())
-        good = hmac.compare_digest(key.encode(), (found.key if found else "").encode())
-        if found is None or not good or not key:
-            raise fault
-        if len(self._known) < 4096:
-            self._known[header] = found
+        found = self._callers.of(request.headers.get("authorization", ""))
+        if found is None:
+            raise ApiError(401, "The supplied authentication is invalid.",
+                           {"www-authenticate": 'Basic realm="kelptrail"'})
         return found
 
     # Actions.
--- a/kelptrail/gateway/control.py
+++ b/kelptrail/gateway/control.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from kelptrail.codec.http import Request
+from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, HttpServer
 
 from .driver import Driver
@@ -16,8 +17,8 @@
 class Control:
     """`GET /state` and `GET /vrrp`."""
 
-    def __init__(self, driver: Driver, front: HttpServer, standing: Standing | None) -> None:
-        self._driver, self._front, self._standing = driver, front, standing
+    def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None) -> None:
+        self._driver, self._front, self._second, self._standing = driver, front, second, standing
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Answer one question."""
@@ -40,6 +41,9 @@
                 "orders": counts.orders, "second_sends": counts.second_sends, "second_saved": counts.second_saved,
                 "journal": self._journal(), "connections": self._front.connections,
                 "unread_bytes": self._front.owed, "slow_readers_cut": self._front.cut,
+                "grpc": {"connections": self._second.connections, "streams": self._second.streams,
+                         "unread_bytes": self._second.owed, "partial_bytes": self._second.partial,
+                         "cut": self._second.cut, "floods": self._second.floods, "faults": self._second.faults},
                 "held_bytes": gateway.holdings.bytes,
                 "refused": dict(gateway.holdings.refused), "records": len(gateway.records),
                 "record_bytes": gateway.records.held_bytes,
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -30,6 +30,7 @@
 
 OUTCOMES = {"completed": Outcome.COMPLETED, "error": Outcome.ERROR, "full": Outcome.FULL, "miss": Outcome.MISS}
 MAY_HAVE_RUN = b'{"error":"The activation was aborted: it may have run, so trying again may repeat its effect."}'
+CUT_OFF = b'{"error":"The activation was aborted in the middle of its stream; what was given stands."}'
 NEVER_RAN = b'{"error":"The activation was aborted before any run of it began."}'
 
 
@@ -45,6 +46,12 @@
     passage: Passage
     waiters: list[Callable[[Record], None]] = field(default_factory=list)  # told the final answer, by the host
     answer: Answer | None = None
+    form: str = "json"  # of the payload and the result: "json", or "tensors" as the inference protocol has them
+    streamed: bool = False  # its client takes the answer in parts
+    until: float = 0.0  # when it is given up, unless something comes
+    parts: int = 0
+    stream_limit_ms: float = float("inf")  # what the client allows for the whole
+    on_part: Callable[[bytes], None] | None = None  # told each part, by the host
     promises: list[Callable[[bool], None]] = field(default_factory=list)  # told once its record is safe, or is not
     held: list[Send] = field(default_factory=list)  # sends that wait until "may run" is safe
 
@@ -72,6 +79,14 @@
     order: Order
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A part of a streamed answer, to be passed on at once."""
+
+    ivk: Ivk
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Final:
     """The one final answer stands in the record; tell whoever waits."""
@@ -96,7 +111,7 @@
     return any(other.may_have_run for other in send.act.sends[:send.number])
 
 
-EffectOut = StartSend | GiveUp | PlaceOrder | Final | Note
+EffectOut = StartSend | GiveUp | PlaceOrder | Part | Final | Note
 
 
 @dataclass(slots=True)
@@ -158,20 +173,24 @@
 
     def take(self, now: float, wall: float, namespace: str, action: ActionSettings, payload: bytes,
              key: str | None = None, trace: str = "", waiter: Callable[[Record], None] | None = None,
-             deferred: bool = False, digest: str = "") -> Ivk:
-        """Take a call; `key` is the client's own mark against repeats.  `now`, `wall`: milliseconds."""
+             deferred: bool = False, digest: str = "", limit_ms: float = float("inf"), form: str = "json",
+             streamed: bool = False) -> Ivk:
+        """Take a call; `key` is the client's own mark against repeats.  `now`, `wall`: milliseconds.  `limit_ms`: what
+        the client itself allows, where that is less than its type's time."""
         settings = self._world.deployment.types[action.type]
         self._number += 1
         id_ = f"{self._boot}{self._number:016x}"
         record = Record(id_, namespace, action.path, action.type, settings.effect, wall, now,
-                        settings.timeout_ms, trace)
+                        min(settings.timeout_ms, limit_ms), trace)
         act = Activation(id_, self._world.types[action.type], self._world.function(action.path),
-                         self._world.customers[namespace], now, now + settings.timeout_ms - self._margin_ms,
+                         self._world.customers[namespace], now, now + record.timeout_ms - self._margin_ms,
                          marked=key is not None)
         mark = f"{namespace}/{action.path}/{key}" if key is not None else id_
         kept = self.journal is not None and self.journal.takes() and (deferred or key is not None)
         passage = Passage(settings.effect == Effect.REPEATABLE.value, kept, deferred)
         ivk = Ivk(act, record, action, payload, mark, passage, [waiter] if waiter is not None else [])
+        ivk.form, ivk.streamed, ivk.until = form, streamed, act.deadline
+        record.form = form
         record.key, record.digest, record.deferred = key or "", digest, deferred
         if key is not None:
             self._keys[namespace, action.path, key] = record
@@ -229,7 +248,7 @@
                 self.passes("accepted")
                 journal.write(
                     Accepted(record.id, record.namespace, record.path, record.start, record.timeout_ms, ivk.payload,
-                             record.key or None, record.digest, record.trace, record.deferred),
+                             record.key or None, record.digest, record.trace, record.deferred, record.form),
                     lambda safe: self._recorded(ivk, safe))
             elif need is Need.MAY_RUN:
                 first = next(send for send in ivk.act.sends if send.may_have_run)
@@ -291,6 +310,29 @@
             self._finish(now, ivk, "completed")
         self._settle(act)
 
+    def piece(self, now: float, send: Send, data: bytes) -> None:
+        """A part of a streamed answer has come.  The first binds the call to its send; others are not heard."""
+        ivk = self._ivks.get(send.act)
+        if ivk is None or ivk.passage.final or not ivk.streamed:
+            return
+        if send.act.bound is None:
+            kind = self._world.deployment.types[ivk.record.kind]
+            whole = send.act.taken + min(kind.stream_ms, ivk.stream_limit_ms) - self._margin_ms
+            self._dispatcher.began(now, send, max(now, whole))
+        if send.act.bound is not send:
+            return
+        ivk.parts += 1
+        self.flow(now, ivk, True)
+        self._owed.append(Part(ivk, data))
+
+    def flow(self, now: float, ivk: Ivk, goes: bool) -> None:
+        """Whether parts of a stream are read on; while a slow client holds them back no stall is counted."""
+        if ivk.act.bound is not None and not ivk.passage.final:
+            stall = self._world.deployment.types[ivk.record.kind].stall_ms if goes else float("inf")
+            before, ivk.until = ivk.until, min(ivk.act.deadline, now + stall)
+            if ivk.until < before or ivk.parts == 1:
+                self._due.add(ivk.until, ivk.act)
+
     def told(self, now: float, order: Order, outcome: Outcome, standing: int) -> None:
         """How a hold order ended."""
         self._dispatcher.told(now, order, outcome, standing)
@@ -320,6 +362,10 @@
                 self._world.forget(stale)
             self.records.trim(now)
         while (act := self._due.pop_due(now)) is not None:
+            flowing = self._ivks.get(act)
+            if flowing is not None and flowing.until > now:  # something has come meanwhile
+                self._due.add(flowing.until, act)
+                continue
             for send in act.sends:
                 if send.outcome is None:
                     self._give_up(now, send, "silent")
@@ -396,7 +442,8 @@
                              b'{"error":"The activation was rejected; trying again is harmless."}')
         else:
             self.counts.aborted += 1
-            self.records.end(now, record, "aborted", 3, result or (MAY_HAVE_RUN if ran else NEVER_RAN))
+            why = CUT_OFF if act.bound else MAY_HAVE_RUN if ran else NEVER_RAN
+            self.records.end(now, record, "aborted", 3, result or why)
         self.holdings.give(record.namespace, len(ivk.payload))
         ivk.payload = b""
         if self._resumed.pop(record.id, "") is None and self._pace is not None:
@@ -477,7 +524,7 @@
         kind = self._world.deployment.types[self._world.deployment.actions[a.path].type]
         record = Record(a.id, a.namespace, a.path, kind.name, kind.effect, a.start,
                         now - max(0.0, wall - a.start), a.timeout_ms, a.trace)
-        record.key, record.digest, record.deferred = a.key or "", a.digest, a.deferred
+        record.key, record.digest, record.deferred, record.form = a.key or "", a.digest, a.deferred, a.form
         self.records.add(record)
         if a.key:
             self._keys[a.namespace, a.path, a.key] = record
@@ -534,7 +581,7 @@
             act.sends.append(Send(act, Copy(function, Worker(ran.worker)), 0, sent, Outcome.SILENT))
         mark = f"{a.namespace}/{a.path}/{a.key}" if a.key is not None else a.id
         ivk = Ivk(act, record, action, a.payload, mark,
-                  Passage.resumed(kind.effect is Effect.REPEATABLE, ran is not None))
+                  Passage.resumed(kind.effect is Effect.REPEATABLE, ran is not None), form=a.form, until=act.deadline)
         ivk.passage.queue()
         self._ivks[act] = self._joined[a.id] = ivk
         self._resumed[a.id] = None
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -8,25 +8,74 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
+from kelptrail.codec.events import EventReader, TooLongError
 from kelptrail.codec.http import Response
-from kelptrail.codec.infer import infer_request, load_request, read_answer, read_loaded
+from kelptrail.codec.infer import (
+    Answer,
+    MalformedError,
+    infer_request,
+    load_request,
+    read_answer,
+    read_loaded,
+    read_part,
+)
 from kelptrail.dispatch.terms import Order, Outcome, Send, Worker
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.roster.members import Listing
 from kelptrail.store.driver import JournalDriver
 
 from .clock import now_ms
-from .core import OUTCOMES, Final, Gateway, GiveUp, Ivk, Note, PlaceOrder, StartSend
+from .core import OUTCOMES, Final, Gateway, GiveUp, Ivk, Note, Part, PlaceOrder, StartSend
 from .sight import LinkSight
 
 BEHIND_MS = 50.0  # a timer that rings so late is told of: the loop has too much to do
-GIVEN_UP = {"revoked": Outcome.REVOKED, "silent": Outcome.SILENT, "order-time": Outcome.SILENT}
+GIVEN_UP = {"revoked": Outcome.REVOKED, "silent": Outcome.SILENT, "order-time": Outcome.SILENT,
+            "malformed": Outcome.BROKEN}
 ENDED = {Ending.UNREACHABLE: Outcome.UNREACHABLE, Ending.UNSENT: Outcome.UNSENT,
          Ending.BROKEN: Outcome.BROKEN}
 
 
+class Stream:
+    """A streamed answer as it comes from one worker."""
+
+    __slots__ = ("_driver", "_events", "_fault", "_final", "_ivk", "_send", "call")
+
+    def __init__(self, driver: Driver, ivk: Ivk, send: Send, most: int) -> None:
+        self._driver, self._ivk, self._send = driver, ivk, send
+        self._events, self._final, self._fault = EventReader(most), None, False
+        self.call: Call | None = None
+
+    _final: tuple[bytes, bool] | None
+
+    def piece(self, data: bytes) -> None:
+        """Bytes of the stream.  What is not of the protocol ends it: its call is given up as broken."""
+        try:
+            events = self._events.feed(data)
+            for event in events:
+                if self._final is not None:
+                    raise MalformedError("more after the last part")
+                result, last, success = read_part(event, self._ivk.mark, self._ivk.form)
+                if last:
+                    self._final = result, success
+                else:
+                    self._driver.gateway.piece(now_ms(), self._send, result)
+        except (MalformedError, TooLongError):
+            self._fault = True
+            if self.call is not None:
+                self.call.give_up("malformed")
+        self._driver.stir_soon()
+
+    def ended(self, now: float, answer: Answer) -> tuple[Outcome, Answer]:
+        """What a whole response comes to.  A stream without its last part broke off; a worker that does not stream
+        gave all in one."""
+        if self._final is not None and not self._fault:
+            return Outcome.COMPLETED, replace(answer, result=self._final[0], success=self._final[1])
+        return (Outcome.BROKEN if answer.streamed or self._fault else Outcome.COMPLETED), answer
+
+
 class Driver:
     """One dispatcher on the loop: the core, a pool for each worker, one timer."""
 
@@ -35,6 +84,7 @@
         self._loop = asyncio.get_running_loop()
         self._pools: dict[Worker, WorkerPool] = {}
         self._calls: dict[Send, Call] = {}
+        self._streams: dict[Call, Stream] = {}
         self._orders: dict[Call, asyncio.TimerHandle] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._armed = float("inf")
@@ -65,9 +115,12 @@
         ivk, send = call.tag
         self._calls.pop(send, None)
         answer = None
+        stream = self._streams.pop(call, None)
         if ending is Ending.ANSWERED and response is not None:
-            answer = read_answer(response, ivk.mark)
+            answer = read_answer(response, ivk.mark, ivk.form)
             outcome = OUTCOMES[answer.kind]
+            if stream is not None and outcome is Outcome.COMPLETED:
+                outcome, answer = stream.ended(now_ms(), answer)
         elif ending is Ending.GIVEN_UP:
             outcome = GIVEN_UP.get(call.reason, Outcome.REVOKED)  # no reason: the loop ends
         else:
@@ -124,6 +177,9 @@
                     self._start(effect.ivk, effect.send)
                 elif isinstance(effect, Final):
                     self._final(effect.ivk)
+                elif isinstance(effect, Part):
+                    if effect.ivk.on_part is not None:
+                        effect.ivk.on_part(effect.data)
                 elif isinstance(effect, PlaceOrder):
                     self._order(effect.order)
                 elif isinstance(effect, GiveUp):
@@ -173,9 +229,19 @@
         parameters: dict[str, str | int | float | bool] = {
             "dispatcher": self.name, "activation": record.id, "send": send.number,
             "limit_ms": round(send.act.deadline - send.sent, 1)}  # past it a worker does not begin
+        if ivk.streamed:
+            parameters["stream"] = True
+        if ivk.form != "json":
+            parameters["form"] = ivk.form
         data = infer_request(pool.address, ivk.action.model, ivk.mark, ivk.payload, parameters,
-                             {"traceparent": record.trace} if record.trace else {})
-        self._calls[send] = pool.start(data, self.answered, (ivk, send))
+                             {"traceparent": record.trace} if record.trace else {}, ivk.form)
+        if ivk.streamed:
+            stream = Stream(self, ivk, send, self._settings.answer_bytes)
+            call = pool.start(data, self.answered, (ivk, send), stream.piece)
+            self._streams[call], stream.call = stream, call
+        else:
+            call = pool.start(data, self.answered, (ivk, send))
+        self._calls[send] = call
         if ivk.passage.kept:
             self._loop.call_later(0.01, self.gateway.passes, "sent")
         if self.debug:
@@ -200,6 +266,14 @@
         for waiter in waiters:
             waiter(record)
 
+    def flow(self, ivk: Ivk, goes: bool) -> None:
+        """A stream's client reads on, or does not: its worker's connection is read on, or is not."""
+        bound = ivk.act.bound
+        call = self._calls.get(bound) if bound is not None else None
+        if call is not None:
+            (call.resume if goes else call.pause)()
+        self.gateway.flow(now_ms(), ivk, goes)
+
     # The end.
 
     async def drain(self, within_ms: float) -> bool:
--- a/kelptrail/gateway/records.py
+++ b/kelptrail/gateway/records.py
@@ -37,6 +37,7 @@
     safe: bool = True  # its final answer may be shown: it is as durable as it was promised to be
     key: str = ""  # the client's mark against repeats, and what tells another body under it
     digest: str = ""
+    form: str = "json"  # of its result: a JSON value, or "tensors"
     deferred: bool = False  # its client was given the id and will ask
     told: bool = False  # its final answer was shown
     logs: list[str] = field(default_factory=list)
--- a/kelptrail/gateway/serve.py
+++ b/kelptrail/gateway/serve.py
@@ -13,11 +13,15 @@
 from pathlib import Path
 from typing import Any
 
+from kelptrail.front.callers import Callers
+from kelptrail.front.inference.api import InferenceApi
 from kelptrail.front.invoke.api import InvokeApi
+from kelptrail.net.grpc_server import GrpcLimits, GrpcServer
+from kelptrail.net.guard import GuardSettings
 from kelptrail.net.server import HttpServer, Limits
 from kelptrail.roster.client import RosterClient
 from kelptrail.roster.members import PREFIX, Listing, id_prefix
-from kelptrail.settings.deployment import Deployment, FrontSettings
+from kelptrail.settings.deployment import Deployment, FrontSettings, InferenceSettings
 from kelptrail.standin.disk import HarmedDisk
 from kelptrail.store.book import Book, BookError, open_book
 from kelptrail.store.driver import JournalDriver
@@ -44,6 +48,7 @@
     shared_port: bool = False
     crash_at: str = ""  # a step at which the process kills itself, for crash tests
     control: str | None = None  # address of the control port; None: no such port
+    grpc_port: int | None = None  # of the second front; None: the settings'
     harmed: Path | None = None  # a file that says what ails the disk under the book, for tests
 
 
@@ -53,6 +58,14 @@
                   front.write_ms, front.idle_ms, front.unread_mb * 1e6)
 
 
+def grpc_limits(front: InferenceSettings) -> GrpcLimits:
+    """The second door's limits as its server takes them."""
+    return GrpcLimits(
+        front.connections, front.streams, front.header_bytes, front.message_bytes, front.partial_mb * 1e6,
+        front.unread_mb * 1e6, front.stream_bytes, front.read_ms, front.write_ms, front.idle_ms, front.handshake_ms,
+        GuardSettings(front.flood_at_once, front.flood_per_s, front.age_ms, front.grace_ms))
+
+
 def _open(file: Path, most_bytes: float, vfs: str | None, log: Any) -> Book | None:
     """The book, or None where it cannot be used: then deferred calls are refused."""
     try:
@@ -76,7 +89,7 @@
 
 
 async def serve(deployment: Deployment, options: Options, log: Any, debug: bool = False,
-                ready: Callable[[int, str], None] | None = None, stop: asyncio.Event | None = None) -> bool:
+                ready: Callable[[int, str, str], None] | None = None, stop: asyncio.Event | None = None) -> bool:
     """Run until SIGTERM, SIGINT or `stop`, then drain; True if all taken got its final answer."""
     loop = asyncio.get_running_loop()
     stop = stop or asyncio.Event()
@@ -101,7 +114,10 @@
         gateway.passes = lambda step: os.kill(os.getpid(), signal.SIGKILL) if step == options.crash_at else None
     driver = Driver(gateway, f"{options.name}/{boot}", deployment.pool, log)
     driver.debug = debug
-    api = InvokeApi(deployment, driver, boot)
+    callers = Callers(deployment)
+    api = InvokeApi(deployment, driver, boot, callers)
+    inference = InferenceApi(deployment, driver, callers)
+    second = GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning)
     server = HttpServer(api.handle, limits(deployment.front), log.warning)
     last = options.state / "last-list.json" if options.state is not None else None
     if book is not None and journal is not None:
@@ -128,25 +144,29 @@
     collector = loop.create_task(_collect(gateway))
     port = server.listen(options.host, options.port, options.shared_port)
     api.own, roster.own = f"http://{server.address}", server.address
+    if deployment.inference.serve:
+        wanted = deployment.inference.port if options.grpc_port is None else options.grpc_port
+        second.listen(options.host, wanted, options.shared_port)
     follower = loop.create_task(roster.follow())
     driver.stir()
     with contextlib.suppress(TimeoutError):
         await asyncio.wait_for(listed.wait(), 3.0)
-    log.info("serving", address=server.address, boot=boot, from_last_list=had)
+    log.info("serving", address=server.address, grpc=second.address, boot=boot, from_last_list=had)
     standing: Standing | None = None
     if deployment.vrrp is not None and options.name in {i.name for i in deployment.vrrp.instance}:
         standing = Standing(deployment.vrrp, options.name, options.state, driver, api, limits(deployment.front),
                             deployment.front, log, lambda: roster.saved and not (journal and journal.failing))
         standing.start()
-    control = HttpServer(Control(driver, server, standing).handle, Limits(connections=64))
+    control = HttpServer(Control(driver, server, second, standing).handle, Limits(connections=64))
     if options.control is not None:
         host, _, control_port = options.control.rpartition(":")
         control.listen(host, int(control_port))
     if ready is not None:
-        ready(port, control.address)
+        ready(port, control.address, second.address)
     await stop.wait()
     log.info("draining", in_hand=gateway.in_hand, connections=server.connections)
-    api.leaving = True
+    api.leaving = inference.leaving = True
+    second.leave()
     within = deployment.front.drain_ms
     end = now_ms() + within
     if standing is not None:
@@ -157,7 +177,8 @@
         await asyncio.sleep(0.05)
     if driver.journal is not None:
         answered = await driver.journal.close(max(500.0, end - now_ms())) and answered
-    closed = await server.drain(max(500.0, end - now_ms()), deployment.front.linger_ms)
+    closed = await second.drain(max(100.0, min(1000.0, end - now_ms())))
+    closed = closed and await server.drain(max(500.0, end - now_ms()), deployment.front.linger_ms)
     collector.cancel()
     control.stop_listening()
     control.abort_all()
--- /dev/null
+++ b/kelptrail/net/grpc_server.py
@@ -0,0 +1,626 @@
+"""A listening gRPC server: HTTP/2 by the h2 library over `sock_recv_into` and `sock_sendall`; it decides nothing.
+
+Each call comes to the handler as a `GrpcStream` once its headers are read.  What is sent goes out as the client's
+flow control allows; what waits is bounded for a stream (`room`) and over all connections.  A call gets exactly one
+status.  Closing is in two steps (RFC 9113, section 6.8): a warning, then refusals that promise that nothing was done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import ssl
+import zlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.errors import ErrorCodes
+from h2.events import (
+    DataReceived,
+    Event,
+    PingReceived,
+    RemoteSettingsChanged,
+    RequestReceived,
+    StreamEnded,
+    StreamReset,
+    WindowUpdated,
+)
+from h2.exceptions import FlowControlError, ProtocolError, StreamClosedError
+from h2.settings import SettingCodes, Settings
+from hyperframe.frame import GoAwayFrame
+
+from kelptrail.codec.grpc import Code, GrpcError, MessageReader, encode_message, timeout_ms, trailers
+
+from .guard import Act, Guard, GuardSettings, Stage
+from .wire import TlsWire, Wire
+
+BUFFER = 65_536
+HEARD_MS = 100.0  # how long a warning may take to be heard
+LAST_STREAM = 2**31 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class GrpcLimits:
+    """What one server takes; times are milliseconds."""
+
+    connections: int = 10_000
+    streams: int = 1000  # a connection
+    header_bytes: int = 16_384
+    message_bytes: int = 4_194_304
+    partial_bytes: float = 268_435_456  # of messages that are not whole, over all connections
+    unread_bytes: float = 268_435_456  # of answers that clients have not read, over all connections
+    stream_bytes: int = 262_144  # a stream's own part, past which its producer pauses
+    read_ms: float = 10_000.0
+    write_ms: float = 30_000.0
+    idle_ms: float = 300_000.0
+    handshake_ms: float = 5000.0
+    guard: GuardSettings = field(default_factory=GuardSettings)
+
+
+class GrpcStream:
+    """One call.  Callbacks come from the loop, never from within a method of this object."""
+
+    __slots__ = ("_connection", "_end", "_headed", "_held", "_pending", "_reader", "_waits_room", "blocked_since",
+                 "client_ended", "deadline", "ended", "id", "metadata", "on_end", "on_gone", "on_message", "on_room",
+                 "opened", "path", "taken")
+
+    def __init__(self, connection: GrpcConnection, id_: int, path: str, metadata: dict[str, str], now: float) -> None:
+        self._connection, self.id, self.path, self.metadata = connection, id_, path, metadata
+        limits = connection.server.limits
+        self._reader = MessageReader(limits.message_bytes)
+        self._pending: deque[bytes] = deque()
+        self._held = 0  # bytes that wait to be sent
+        self._end: list[tuple[bytes, bytes]] | None = None
+        self._headed = self._waits_room = False
+        self.ended = False  # it has its one status, or the client has gone
+        self.client_ended = False
+        self.taken = False  # it was handed to the handler whole: its read time is over
+        self.opened, self.blocked_since = now, None
+        self.deadline: float | None = None
+        self.on_message: Callable[[bytes], None] = _nothing
+        self.on_end: Callable[[], None] = _nothing
+        self.on_gone: Callable[[], None] = _nothing
+        self.on_room: Callable[[], None] = _nothing
+
+    blocked_since: float | None
+
+    @property
+    def peer(self) -> str:
+        """The client's address."""
+        return self._connection.peer
+
+    @property
+    def identity(self) -> str:
+        """Whom the client's certificate names, by the server's own mapping; empty without one."""
+        return self._connection.identity
+
+    @property
+    def room(self) -> bool:
+        """Whether more may be given without holding too much for a slow reader."""
+        if self._held < self._connection.server.limits.stream_bytes:
+            return True
+        self._waits_room = True
+        return False
+
+    def send(self, message: bytes) -> bool:
+        """Send a message; False where the call has ended."""
+        if self.ended:
+            return False
+        self._head()
+        data = encode_message(message)
+        self._pending.append(data)
+        self._held += len(data)
+        self._connection.server.owes(len(data))
+        self._connection.pump(self)
+        return True
+
+    def finish(self, code: Code = Code.OK, text: str = "", retry_ms: float | None = None, reason: str = "",
+               told: dict[str, str] | None = None) -> bool:
+        """Give the one status, after what was sent; False where there is one already, or the client has gone."""
+        if self.ended:
+            return False
+        self.ended = True
+        self._end = trailers(code, text, retry_ms, reason, told)
+        self.on_message = self.on_end = self.on_gone = self.on_room = _nothing
+        self._connection.pump(self)
+        return True
+
+    def fail(self, cause: GrpcError) -> bool:
+        """Finish with an error."""
+        return self.finish(cause.code, cause.text, cause.retry_ms, cause.reason, cause.told)
+
+    def _head(self) -> None:
+        if not self._headed:
+            self._headed = True
+            self._connection.head(self)
+
+
+def _nothing(*_args: object) -> None:
+    """Stands in for a callback."""
+
+
+class GrpcConnection:
+    """One client's connection."""
+
+    def __init__(self, server: GrpcServer, wire: Wire, peer: str, identity: str) -> None:
+        self.server, self._wire, self.peer, self.identity = server, wire, peer, identity
+        limits, now = server.limits, server.now()
+        # Inbound names and values are checked: they come from anybody.  Outbound ones are our own.
+        self._h2 = H2Connection(H2Configuration(client_side=False, header_encoding=None, validate_inbound_headers=True,
+                                                validate_outbound_headers=False, normalize_outbound_headers=False))
+        self._h2.local_settings = Settings(client=False, initial_values={
+            SettingCodes.MAX_CONCURRENT_STREAMS: limits.streams, SettingCodes.MAX_HEADER_LIST_SIZE: limits.header_bytes,
+            SettingCodes.ENABLE_PUSH: 0})
+        self._h2.decoder.max_header_list_size = limits.header_bytes  # from the first frame on, not once it is acked
+        self._h2.initiate_connection()
+        self._h2.increment_flow_control_window(limits.message_bytes)
+        self.guard = Guard(limits.guard, now, zlib.crc32(peer.encode()) / 2**32)
+        self.streams: dict[int, GrpcStream] = {}
+        self._out = bytearray()
+        self._more: asyncio.Future[None] | None = None
+        self._room: asyncio.Future[None] | None = None
+        self._last = self._lost = False
+        self._highest = 0
+        self.writing_since: float | None = None
+        self.active = now  # when a stream was last there
+        self.owed = 0
+        self._flush()
+        self._tasks = [server.loop.create_task(self._read()), server.loop.create_task(self._write())]
+
+    # Reading.
+
+    async def _read(self) -> None:
+        buffer = bytearray(BUFFER)
+        try:
+            while not self._last:
+                count = await self._wire.recv_into(buffer)
+                if not count:
+                    break
+                with memoryview(buffer) as view:
+                    events = self._h2.receive_data(bytes(view[:count]))
+                for event in events:
+                    self._take(event)
+                    if self._last:
+                        break
+                self._flush()
+                while len(self._out) > BUFFER * 4:  # whoever does not read our answers is not read from
+                    self._room = self.server.loop.create_future()
+                    await self._room
+            self._gone()
+        except ProtocolError as cause:  # the library has written the GOAWAY that says why
+            self.server.note("protocol-error", peer=self.peer, reason=f"{type(cause).__name__}: {cause}")
+            self.server.faults += 1
+            self._flush()
+            self._last = True
+            self._gone()
+        except (OSError, asyncio.CancelledError):
+            self._gone()
+        finally:
+            self._wake()
+
+    def _take(self, event: Event) -> None:
+        if isinstance(event, RequestReceived):
+            self._request(event)
+        elif isinstance(event, DataReceived):
+            self._data(event)
+        elif isinstance(event, StreamEnded):
+            stream = self.streams.get(event.stream_id)
+            if stream is not None:
+                stream.client_ended = stream.taken = True
+                if stream._reader.held and not stream.ended:
+                    stream.fail(GrpcError(Code.INTERNAL, "the call ended within a message"))
+                else:
+                    self._call(stream, stream.on_end)
+        elif isinstance(event, StreamReset):
+            if not self.guard.spend(self.server.now(), Act.RESET):
+                self._calm("streams are reset too often")
+            if (stream := self.streams.get(event.stream_id)) is not None:
+                self._drop(stream)
+        elif isinstance(event, WindowUpdated):
+            if event.stream_id:
+                if (stream := self.streams.get(event.stream_id)) is not None:
+                    self.pump(stream, False)
+            else:
+                for stream in list(self.streams.values()):
+                    self.pump(stream, False)
+        elif isinstance(event, RemoteSettingsChanged):
+            if not self.guard.spend(self.server.now(), Act.SETTINGS):
+                self._calm("settings come too often")
+            for stream in list(self.streams.values()):
+                self.pump(stream, False)
+        elif isinstance(event, PingReceived) and not self.guard.spend(self.server.now(), Act.PING):
+            self._calm("pings come too often")
+
+    def _request(self, event: RequestReceived) -> None:
+        id_ = event.stream_id
+        assert id_ is not None
+        self._highest = max(self._highest, id_)
+        if not self.guard.takes:
+            self._reset(id_, ErrorCodes.REFUSED_STREAM)  # nothing was done: trying again is harmless
+            return
+        headers: dict[str, str] = {}
+        for name, value in event.headers or ():
+            key = bytes(name).decode("latin-1")
+            text = bytes(value).decode("latin-1")
+            headers[key] = f"{headers[key]},{text}" if key in headers and not key.startswith(":") else text
+        if headers.get(":method") != "POST" or not headers.get("content-type", "").startswith("application/grpc"):
+            self._h2.send_headers(id_, [(b":status", b"415")], end_stream=True)
+            return
+        now = self.server.now()
+        stream = self.streams[id_] = GrpcStream(self, id_, headers.get(":path", ""), headers, now)
+        self.active = now
+        self.server.streams += 1
+        try:
+            if (limit := headers.get("grpc-timeout")) is not None:
+                try:
+                    stream.deadline = now + timeout_ms(limit)
+                except ValueError as cause:
+                    raise GrpcError(Code.INVALID_ARGUMENT, str(cause)) from None
+            if "grpc-encoding" in headers and headers["grpc-encoding"] != "identity":
+                raise GrpcError(Code.UNIMPLEMENTED, "no compression is spoken here")
+            self.server.handle(stream)
+        except GrpcError as fault:
+            stream.fail(fault)
+        except Exception as fault:  # a fault of ours must not hang a client
+            self.server.failed(fault)
+            stream.finish(Code.INTERNAL, "There was an internal server error.")
+
+    def _data(self, event: DataReceived) -> None:
+        count, id_ = event.flow_controlled_length or 0, event.stream_id or 0
+        if not event.data and not event.stream_ended and not self.guard.spend(self.server.now(), Act.EMPTY):
+            self._calm("empty frames come too often")
+            return
+        stream = self.streams.get(id_)
+        if count:
+            with contextlib.suppress(StreamClosedError, KeyError):
+                self._h2.acknowledge_received_data(count, id_)
+        if stream is None or stream.ended:
+            return
+        before = stream._reader.held
+        try:
+            try:
+                messages = stream._reader.feed(event.data or b"")
+            finally:
+                self.server.partial += stream._reader.held - before
+            if self.server.partial > self.server.limits.partial_bytes:
+                raise GrpcError(Code.RESOURCE_EXHAUSTED, "too much is being received at once", 1000.0)
+        except GrpcError as fault:
+            stream.fail(fault)
+            return
+        for message in messages:
+            self._call(stream, stream.on_message, message)
+
+    def _call(self, stream: GrpcStream, what: Callable[..., None], *words: Any) -> None:
+        if stream.ended:
+            return
+        try:
+            what(*words)
+        except GrpcError as fault:
+            stream.fail(fault)
+        except Exception as fault:
+            self.server.failed(fault)
+            stream.finish(Code.INTERNAL, "There was an internal server error.")
+
+    # Writing.
+
+    def head(self, stream: GrpcStream) -> None:
+        """The first headers of an answer."""
+        with contextlib.suppress(ProtocolError):
+            self._h2.send_headers(stream.id, [(b":status", b"200"), (b"content-type", b"application/grpc")])
+
+    def pump(self, stream: GrpcStream, flush: bool = True) -> None:
+        """Send what a stream has, as far as its flow control allows."""
+        try:
+            while stream._pending:
+                window = min(self._h2.local_flow_control_window(stream.id), self._h2.max_outbound_frame_size)
+                if window <= 0 or len(self._out) > BUFFER * 16:
+                    if stream.blocked_since is None:
+                        stream.blocked_since = self.server.now()
+                    if flush:
+                        self._flush()
+                    return
+                data = stream._pending.popleft()
+                if len(data) > window:
+                    stream._pending.appendleft(data[window:])
+                    data = data[:window]
+                self._h2.send_data(stream.id, data)
+                stream._held -= len(data)
+                self.server.owed -= len(data)
+                stream.blocked_since = None
+            if stream._end is not None:
+                self._close(stream)
+            elif stream._waits_room and stream._held < self.server.limits.stream_bytes // 2:
+                stream._waits_room = False
+                self.server.loop.call_soon(self._call, stream, stream.on_room)
+        except (StreamClosedError, FlowControlError, ProtocolError):
+            self._drop(stream)
+        if flush:
+            self._flush()
+
+    def _close(self, stream: GrpcStream) -> None:
+        ends, stream._end = stream._end or [], None
+        self._forget(stream)
+        if not stream._headed:  # trailers only
+            ends = [(b":status", b"200"), (b"content-type", b"application/grpc"), *ends]
+        self._h2.send_headers(stream.id, ends, end_stream=True)
+        if not stream.client_ended:  # RFC 9113, section 8.1: what still comes is not wanted
+            self._reset(stream.id, ErrorCodes.NO_ERROR)
+
+    def _forget(self, stream: GrpcStream) -> None:
+        if self.streams.pop(stream.id, None) is not None:
+            self.server.streams -= 1
+            self.server.owed -= stream._held
+            self.server.partial -= stream._reader.held
+            stream._held = 0
+            stream._pending.clear()
+            self.active = self.server.now()
+
+    def _drop(self, stream: GrpcStream) -> None:
+        """The client wants no answer any more."""
+        self._forget(stream)
+        if not stream.ended:
+            stream.ended = True
+            gone, stream.on_gone = stream.on_gone, _nothing
+            stream.on_message = stream.on_end = stream.on_room = _nothing
+            gone()
+
+    def reset(self, stream: GrpcStream) -> None:
+        """End a call without waiting for its reader."""
+        self._reset(stream.id, ErrorCodes.CANCEL)
+        self._drop(stream)
+        self._flush()
+
+    def _reset(self, id_: int, code: ErrorCodes) -> None:
+        with contextlib.suppress(ProtocolError):
+            self._h2.reset_stream(id_, code)
+
+    def _calm(self, text: str) -> None:
+        """Too much that costs its sender nothing: told to go (RFC 9113, section 10.5)."""
+        if self._last:
+            return
+        self.server.note("flood", peer=self.peer, reason=text)
+        self.server.floods += 1
+        with contextlib.suppress(ProtocolError):
+            self._h2.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
+        self._flush()
+        self._last = True
+        self._gone()
+        self._wake()
+
+    def look(self, now: float) -> None:
+        """See to age, grace and streams that stand still."""
+        limits = self.server.limits
+        stage = self.guard.due(now, len(self.streams), HEARD_MS)
+        if stage is Stage.WARNED:
+            self._goaway(LAST_STREAM)
+        elif stage is Stage.CLOSING:
+            self._goaway(self._highest)
+        if stage is Stage.OVER or (stage is Stage.CLOSING and not self.streams):
+            for stream in list(self.streams.values()):
+                self.reset(stream)
+            self._last = True
+            self._wake()
+            return
+        for stream in list(self.streams.values()):
+            if stream.blocked_since is not None and now - stream.blocked_since > limits.write_ms:
+                self.server.note("slow-reader", peer=self.peer, bytes=stream._held)
+                self.server.cut += 1
+                self.reset(stream)
+            elif not stream.taken and now - stream.opened > limits.read_ms:
+                stream.finish(Code.DEADLINE_EXCEEDED, "The call did not arrive in time.")
+        if self.writing_since is not None and now - self.writing_since > limits.write_ms:
+            self.abort()
+        elif not self.streams and now - self.active > limits.idle_ms:
+            self.leave()
+
+    def leave(self) -> None:
+        """Close in good order: serve what is in hand."""
+        if self.guard.stage is Stage.OPEN:
+            self.guard.leave(self.server.now())
+            self._goaway(LAST_STREAM)
+
+    def _goaway(self, last: int) -> None:
+        # The library's own way ends the connection's machine at once; a graceful end goes on serving.
+        self._out += GoAwayFrame(0, last_stream_id=last, error_code=0).serialize()
+        self._flush()
+
+    def abort(self) -> None:
+        """Close now."""
+        self._last = True
+        for task in self._tasks:
+            task.cancel()
+
+    def _gone(self) -> None:
+        if self._lost:
+            return
+        self._lost = True
+        self._last = True
+        for stream in list(self.streams.values()):
+            self._drop(stream)
+
+    def _flush(self) -> None:
+        self._out += self._h2.data_to_send()
+        if self._out:
+            self._wake()
+
+    def _wake(self) -> None:
+        if self._more is not None and not self._more.done():
+            self._more.set_result(None)
+
+    async def _write(self) -> None:
+        server = self.server
+        try:
+            while True:
+                if not self._out:
+                    if self._last:
+                        break
+                    self._more = server.loop.create_future()
+                    await self._more
+                    continue
+                data, self._out = self._out, bytearray()
+                self.writing_since = server.now()
+                await self._wire.sendall(data)
+                self.writing_since = None
+                for stream in [s for s in self.streams.values() if s.blocked_since is not None]:
+                    self.pump(stream, False)
+                self._flush()
+                if self._room is not None and not self._room.done():
+                    self._room.set_result(None)
+            self._wire.end()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._last = True
+            self._tasks[0].cancel()
+            self._gone()
+            server.closed(self)
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(self._tasks[0], return_exceptions=True)
+            self._wire.close()
+
+
+class GrpcServer:
+    """Listens, holds connections, sees to their time limits."""
+
+    def __init__(self, handler: Callable[[GrpcStream], None], limits: GrpcLimits | None = None,
+                 note: Callable[..., None] | None = None, tls: Callable[[], ssl.SSLContext] | None = None,
+                 who: Callable[[bytes | None], str] | None = None) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.handle, self.limits = handler, limits or GrpcLimits()
+        self.note = note or (lambda *_args, **_fields: None)
+        self._tls, self._who = tls, who or (lambda _certificate: "")
+        self._sockets: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._connections: dict[GrpcConnection, None] = {}
+        self._accepted = 0  # connections whose handshake is under way, too
+        self.streams = self.owed = self.partial = 0
+        self.cut = self.faults = self.floods = self.turned_away = 0
+        self.address = ""
+
+    def now(self) -> float:
+        """The loop's time in milliseconds."""
+        return self.loop.time() * 1000
+
+    @property
+    def connections(self) -> int:
+        """How many are open."""
+        return len(self._connections)
+
+    def listen(self, host: str, port: int, shared: bool = False, backlog: int = 1024) -> int:
+        """Listen; returns the port (port 0: a free one).  `shared`: others may listen on it too."""
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+        self._sockets.append(sock)
+        bound = int(sock.getsockname()[1])
+        self.address = f"{host}:{bound}"
+        self._begin(self._accept(sock))
+        if len(self._sockets) == 1:
+            self._begin(self._look())
+        return bound
+
+    def _begin(self, what: Any) -> None:
+        task = self.loop.create_task(what)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                client, address = await self.loop.sock_accept(sock)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            if self._accepted >= self.limits.connections:
+                self.turned_away += 1
+                self.note("connection-turned-away", open=self._accepted)
+                client.close()
+                continue
+            client.setblocking(False)
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._accepted += 1
+            peer = f"{address[0]}:{address[1]}"
+            if self._tls is None:
+                self._connections[GrpcConnection(self, Wire(self.loop, client), peer, "")] = None
+            else:
+                self._begin(self._shake(client, peer, self._tls()))
+
+    async def _shake(self, client: socket.socket, peer: str, context: ssl.SSLContext) -> None:
+        wire = TlsWire(self.loop, client, context, True)
+        try:
+            await wire.handshake(self.limits.handshake_ms)
+            if wire.protocol != "h2":
+                raise ssl.SSLError("the client did not ask for h2")
+        except (ssl.SSLError, OSError) as cause:
+            self.note("handshake-failed", peer=peer, reason=str(cause) or type(cause).__name__)
+            self.faults += 1
+            self._accepted -= 1
+            wire.close()
+            return
+        self._connections[GrpcConnection(self, wire, peer, self._who(wire.certificate))] = None
+
+    def owes(self, count: int) -> None:
+        """Keep what is unread within its bound: the stream that has stood still for longest is ended."""
+        self.owed += count
+        while self.owed > self.limits.unread_bytes:
+            found = [(s.blocked_since, c, s) for c in self._connections for s in c.streams.values()
+                     if s.blocked_since is not None and s._held]
+            if not found:
+                return
+            _, connection, stream = min(found, key=lambda entry: entry[0])
+            self.note("slow-reader-cut", peer=connection.peer, bytes=stream._held)
+            self.cut += 1
+            connection.reset(stream)
+
+    async def _look(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            now = self.now()
+            for connection in list(self._connections):
+                connection.look(now)
+
+    def failed(self, cause: Exception) -> None:
+        """A fault of a handler."""
+        self.note("handler-failed", reason=f"{type(cause).__name__}: {cause}")
+
+    def closed(self, connection: GrpcConnection) -> None:
+        """Forget a connection."""
+        if self._connections.pop(connection, 0) is None:
+            self._accepted -= 1
+
+    def stop_listening(self) -> None:
+        """Accept nothing more."""
+        for sock in self._sockets:
+            sock.close()
+        self._sockets.clear()
+
+    def leave(self) -> None:
+        """Ask every connection to go elsewhere; what is in hand is served."""
+        for connection in list(self._connections):
+            connection.leave()
+
+    async def drain(self, within_ms: float) -> bool:
+        """Stop, warn, serve what is in hand; True if nothing was cut off."""
+        self.stop_listening()
+        self.leave()
+        end = self.now() + within_ms
+        while self._connections and self.now() < end:
+            await asyncio.sleep(0.02)
+        clean = not any(c.streams for c in self._connections)
+        for connection in list(self._connections):
+            connection.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+        while self._connections and self.now() < end + 1000:
+            await asyncio.sleep(0.01)
+        return clean
--- /dev/null
+++ b/kelptrail/net/guard.py
@@ -0,0 +1,82 @@
+"""What one HTTP/2 connection may do before it is told to go; free of I/O and clocks.
+
+Counts are of a sliding kind: each budget fills again at a rate and is spent by one act.  Guards against floods that
+cost their sender nothing: streams opened and reset at once, pings, settings, empty frames.  Also: when a connection has
+lived long enough, so that clients spread over dispatchers anew.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Act(Enum):
+    """What is counted."""
+
+    RESET = "reset"
+    PING = "ping"
+    SETTINGS = "settings"
+    EMPTY = "empty"
+
+
+@dataclass(frozen=True, slots=True)
+class GuardSettings:
+    """Acts allowed at once, and again each second; a connection's age in ms (0: no limit) and its last grace."""
+
+    at_once: int = 200
+    per_s: float = 20.0
+    age_ms: float = 0.0
+    grace_ms: float = 10_000.0
+
+
+class Stage(Enum):
+    """Where a connection stands."""
+
+    OPEN = "open"
+    WARNED = "warned"  # told that it will close; streams it opened before it heard are served
+    CLOSING = "closing"  # new streams are refused
+    OVER = "over"
+
+
+class Guard:
+    """One connection's budgets and age.  Times are milliseconds; `spread` (0 to 1) makes ages differ."""
+
+    def __init__(self, settings: GuardSettings, now: float, spread: float = 0.0) -> None:
+        self._settings = settings
+        self._left = {act: float(settings.at_once) for act in Act}
+        self._filled = now
+        self._old_at = now + settings.age_ms * (0.9 + 0.2 * spread) if settings.age_ms else float("inf")
+        self._warned_at = self._closed_at = float("inf")
+        self.stage = Stage.OPEN
+
+    def spend(self, now: float, act: Act) -> bool:
+        """Whether an act is within its budget."""
+        grown, self._filled = (now - self._filled) / 1000 * self._settings.per_s, now
+        for kind in Act:
+            self._left[kind] = min(float(self._settings.at_once), self._left[kind] + grown)
+        self._left[act] -= 1
+        return self._left[act] >= 0
+
+    def leave(self, now: float) -> None:
+        """It is to close: at its age, or because its dispatcher drains or gives up the address."""
+        if self.stage is Stage.OPEN:
+            self.stage, self._warned_at = Stage.WARNED, now
+
+    def due(self, now: float, streams: int, heard_ms: float) -> Stage | None:
+        """The stage that begins now, or None; `heard_ms`: how long a warning takes to be heard."""
+        if self.stage is Stage.OPEN and now >= self._old_at:
+            self.leave(now)
+            return Stage.WARNED
+        if self.stage is Stage.WARNED and now >= self._warned_at + heard_ms:
+            self.stage, self._closed_at = Stage.CLOSING, now
+            return Stage.CLOSING
+        if self.stage is Stage.CLOSING and (not streams or now >= self._closed_at + self._settings.grace_ms):
+            self.stage = Stage.OVER
+            return Stage.OVER
+        return None
+
+    @property
+    def takes(self) -> bool:
+        """Whether a new stream is served; one that is not was never looked at, so trying it again is harmless."""
+        return self.stage in (Stage.OPEN, Stage.WARNED)
--- a/kelptrail/net/pool.py
+++ b/kelptrail/net/pool.py
@@ -34,14 +34,28 @@
 class Call:
     """One request under way; `done` is called exactly once."""
 
-    __slots__ = ("_begun", "_done", "_task", "_written", "data", "reason", "tag")
+    __slots__ = ("_begun", "_done", "_paused", "_resumed", "_task", "_written", "data", "on_piece", "reason", "tag")
 
-    def __init__(self, data: bytes, done: Done, tag: Any) -> None:
+    def __init__(self, data: bytes, done: Done, tag: Any, on_piece: Callable[[bytes], None] | None = None) -> None:
         self.data, self._done, self.tag = data, done, tag
+        self.on_piece = on_piece  # takes a streamed answer's body as it comes
+        self._paused, self._resumed = False, None
         self.reason = ""
         self._written = self._begun = False
         self._task: asyncio.Task[None] | None = None
 
+    _resumed: asyncio.Future[None] | None
+
+    def pause(self) -> None:
+        """Read no more of the answer for now: what the worker sends on waits in the sockets, then with it."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Read on."""
+        self._paused = False
+        if self._resumed is not None and not self._resumed.done():
+            self._resumed.set_result(None)
+
     @property
     def written(self) -> bool:
         """Whether the first byte may have been written."""
@@ -93,9 +107,10 @@
         """Calls under way."""
         return len(self._calls)
 
-    def start(self, data: bytes, done: Done, tag: Any = None) -> Call:
+    def start(self, data: bytes, done: Done, tag: Any = None,
+              on_piece: Callable[[bytes], None] | None = None) -> Call:
         """Begin a call; `done` comes later, never from within."""
-        call = Call(data, done, tag)
+        call = Call(data, done, tag, on_piece)
         self._calls.add(call)
         call._task = self._loop.create_task(self._run(call))
         return call
@@ -115,7 +130,11 @@
             call._written = True
             await self._loop.sock_sendall(link.sock, call.data)
             sock, feed, buffer = link.sock, link.reader.feed, link.buffer
+            link.reader.on_piece = call.on_piece
             while response is None:
+                if call._paused:
+                    call._resumed = self._loop.create_future()
+                    await call._resumed
                 count = await self._loop.sock_recv_into(sock, buffer)
                 if not count:
                     return
@@ -130,6 +149,8 @@
             ending = Ending.BROKEN
         finally:
             self._calls.discard(call)
+            if link is not None:
+                link.reader.on_piece = None
             if link is not None:
                 self._give_back(link, ending is Ending.ANSWERED and response is not None
                                 and response.keep_alive and not link.reader.extra)
--- a/kelptrail/net/server.py
+++ b/kelptrail/net/server.py
@@ -22,6 +22,8 @@
     HttpError,
     Request,
     RequestReader,
+    encode_chunk,
+    encode_head,
     encode_response,
 )
 
@@ -45,13 +47,14 @@
 class Exchange:
     """One request's place in its connection's order of replies."""
 
-    __slots__ = ("_connection", "data", "gone", "keep", "on_gone", "request")
+    __slots__ = ("_connection", "_waits_room", "data", "flows", "gone", "keep", "on_gone", "on_room", "request")
 
     def __init__(self, connection: Connection, request: Request | None) -> None:
         self._connection, self.request = connection, request
         self.data: bytes | None = None
-        self.gone = self.keep = False
+        self.gone = self.keep = self.flows = self._waits_room = False
         self.on_gone: Callable[[], None] | None = None
+        self.on_room: Callable[[], None] | None = None
 
     @property
     def replied(self) -> bool:
@@ -87,6 +90,51 @@
         self._connection.ready()
         return True
 
+    def begin(self, status: int, headers: dict[str, str] | None, content_type: str) -> bool:
+        """Begin a reply whose body comes in pieces; False where the client has gone or one was given already."""
+        if self.data is not None or self.gone:
+            return False
+        request = self.request
+        self.keep = request is not None and request.keep_alive and not self._connection.closing
+        self.flows, self.data = True, b""
+        self._give(encode_head(status, headers, content_type, self.keep))
+        return True
+
+    def piece(self, data: bytes) -> bool:
+        """Go on with the body; False where the client has gone."""
+        if not self.flows or self.gone:
+            return False
+        if data:
+            self._give(encode_chunk(data))
+        return True
+
+    def end(self) -> None:
+        """The body is whole."""
+        if self.flows and not self.gone:
+            self.on_gone = self.on_room = None
+            self.flows = False
+            self._give(encode_chunk(b""))
+
+    def _give(self, data: bytes) -> None:
+        self.data = (self.data or b"") + data
+        self._connection.owes(len(data))
+        self._connection.ready()
+
+    @property
+    def room(self) -> bool:
+        """Whether more may be given without holding too much for a slow reader."""
+        if self._connection.owed < LARGEST_BUFFER:
+            return True
+        self._waits_room = True
+        return False
+
+    def has_room(self) -> None:
+        """Told by the connection once something was written."""
+        if self._waits_room and self._connection.owed < LARGEST_BUFFER // 2:
+            self._waits_room = False
+            if self.on_room is not None:
+                self.on_room()
+
     def drop(self) -> None:
         """Close the connection without a reply."""
         self._connection.abort()
@@ -133,9 +181,13 @@
         """Move replies that are due into the output."""
         moved = False
         while self._exchanges and (data := self._exchanges[0].data) is not None:
-            first = self._exchanges.popleft()
+            first = self._exchanges[0]
             self._out += data
             moved = True
+            if first.flows:  # more of it comes before the next one's turn
+                first.data = b""
+                break
+            self._exchanges.popleft()
             if not first.keep:  # what came after it on this connection is not answered
                 self._last = self.closing = True
                 self._leave()
@@ -157,7 +209,7 @@
         """Tell all that are in hand that the client has gone."""
         left, self._exchanges = list(self._exchanges), deque()
         for exchange in left:
-            if not exchange.replied:
+            if not exchange.replied or exchange.flows:
                 exchange.gone = True
                 if exchange.on_gone is not None:
                     exchange.on_gone()
@@ -286,6 +338,8 @@
                 written = min(len(data), self.owed)  # interim answers are not counted
                 self.owed -= written
                 self._server.owed -= written
+                if self._exchanges and self._exchanges[0].flows:
+                    self._exchanges[0].has_room()
                 if self._room is not None and not self._room.done():
                     self._room.set_result(None)
             await self._linger()
--- /dev/null
+++ b/kelptrail/net/wire.py
@@ -0,0 +1,141 @@
+"""A connection's bytes, plain or under TLS, with the loop's own socket calls below both.
+
+A plain wire hands out `sock_recv_into` and `sock_sendall` as they are.  A TLS wire runs the library's state machine
+over memory buffers: what the socket gives goes in, what comes out goes to the socket, so nothing of the loop's
+transports is needed and both kinds look the same to their users.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+BUFFER = 65_536
+
+
+class Wire:
+    """A plain connection."""
+
+    __slots__ = ("__weakref__", "recv_into", "sendall", "sock")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        self.sock = sock
+        self.recv_into: Callable[[Any], Awaitable[int]] = partial(loop.sock_recv_into, sock)
+        self.sendall: Callable[[Any], Awaitable[None]] = partial(loop.sock_sendall, sock)
+
+    @property
+    def certificate(self) -> bytes | None:
+        """The peer's certificate in DER, if one was asked for and given."""
+        return None
+
+    @property
+    def protocol(self) -> str | None:
+        """What ALPN settled (RFC 7301)."""
+        return None
+
+    def end(self) -> None:
+        """End our sending side."""
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.sock.close()
+
+
+class TlsWire(Wire):
+    """A connection under TLS; `handshake` comes first."""
+
+    __slots__ = ("_buffer", "_in", "_lock", "_loop", "_out", "_tls")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, context: ssl.SSLContext,
+                 server_side: bool, name: str | None = None) -> None:
+        super().__init__(loop, sock)
+        self._loop, self._in, self._out = loop, ssl.MemoryBIO(), ssl.MemoryBIO()
+        self._tls = context.wrap_bio(self._in, self._out, server_side, name)
+        self._buffer = bytearray(BUFFER)
+        self._lock = asyncio.Lock()  # records leave in the order in which they were made
+        self.recv_into, self.sendall = self._recv_into, self._sendall
+
+    async def handshake(self, within_ms: float) -> None:
+        """Raises `ssl.SSLError`, `OSError`, `TimeoutError`."""
+        async with asyncio.timeout(within_ms / 1000):
+            while True:
+                try:
+                    self._tls.do_handshake()
+                    await self._flush()
+                    return
+                except ssl.SSLWantReadError:
+                    await self._flush()
+                    if not await self._fill():
+                        raise ConnectionResetError("the peer went away in the handshake") from None
+                except ssl.SSLError:
+                    await self._flush()  # the alert says why
+                    raise
+
+    async def _fill(self) -> bool:
+        count = await self._loop.sock_recv_into(self.sock, self._buffer)
+        if not count:
+            self._in.write_eof()
+            return False
+        with memoryview(self._buffer) as view:
+            self._in.write(view[:count])
+        return True
+
+    async def _flush(self) -> None:
+        if self._out.pending:
+            async with self._lock:
+                if data := self._out.read():
+                    await self._loop.sock_sendall(self.sock, data)
+
+    async def _recv_into(self, buffer: Any) -> int:
+        while True:
+            try:
+                return self._tls.read(len(buffer), buffer)  # type: ignore[return-value]
+            except ssl.SSLWantReadError:
+                await self._flush()  # answers to key updates
+                if not await self._fill():
+                    return 0
+            except ssl.SSLZeroReturnError:
+                return 0
+            except ssl.SSLError as cause:
+                if "EOF" in str(cause).upper():
+                    return 0
+                raise ConnectionResetError(str(cause)) from None
+
+    async def _sendall(self, data: Any) -> None:
+        view, at = memoryview(data), 0
+        while at < len(view):
+            try:
+                at += self._tls.write(view[at:at + BUFFER])
+            except ssl.SSLError as cause:
+                raise ConnectionResetError(str(cause)) from None
+            await self._flush()
+
+    @property
+    def certificate(self) -> bytes | None:
+        """The peer's certificate in DER, if one was asked for and given."""
+        return self._tls.getpeercert(binary_form=True)
+
+    @property
+    def protocol(self) -> str | None:
+        """What ALPN settled (RFC 7301)."""
+        return self._tls.selected_alpn_protocol()
+
+    @property
+    def version(self) -> str | None:
+        """The version in use."""
+        return self._tls.version()
+
+    def end(self) -> None:
+        """Say that nothing more comes (RFC 8446, section 6.1), as far as the socket takes it at once."""
+        with contextlib.suppress(ssl.SSLError, ValueError):
+            self._tls.unwrap()
+        with contextlib.suppress(OSError):
+            if data := self._out.read():
+                self.sock.send(data)
+        super().end()
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import re
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
@@ -17,6 +17,7 @@
 from .shape import Checker, Group, Many, Shape, Value, number, some, word, yes_no
 
 _NAME = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_@ .\-]{0,254}")
+_DIGEST = re.compile(r"sha256:[0-9a-fA-F]{64}")
 _UUID = re.compile(r"[0-9a-fA-F]{8}(-[0-9a-fA-F]{4}){3}-[0-9a-fA-F]{12}")
 
 
@@ -33,6 +34,22 @@
     scope: str
     remembered_ms: float
     hedge: bool = False
+    stream_ms: float = 600_000.0
+    stall_ms: float = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class KeyHash:
+    """A key known by its digest: `sha256:HEX`.  Two may live at once while one takes over from the other."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class CertificateName:
+    """A name in a client's certificate that stands for the namespace."""
+
+    name: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +60,8 @@
     uuid: str
     key: str
     allowed_per_s: float
+    key_hash: list[KeyHash] = field(default_factory=list)
+    certificate: list[CertificateName] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +137,30 @@
     unread_mb: float
 
 
+@dataclass(frozen=True, slots=True)
+class InferenceSettings:
+    """Limits of the second front, the inference protocol over gRPC."""
+
+    serve: bool
+    port: int
+    connections: int
+    streams: int
+    stream_requests: int
+    header_bytes: int
+    message_bytes: int
+    partial_mb: float
+    unread_mb: float
+    stream_bytes: int
+    read_ms: float
+    write_ms: float
+    idle_ms: float
+    handshake_ms: float
+    age_ms: float
+    grace_ms: float
+    flood_at_once: int
+    flood_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PoolSettings:
     """Limits of the connections to one worker."""
@@ -239,6 +282,7 @@
     rules: RuleSettings
     dispatcher: DispatcherSettings
     front: FrontSettings
+    inference: InferenceSettings
     pool: PoolSettings
     fleet: FleetSettings
     store: StoreSettings
@@ -259,10 +303,14 @@
     "scope": word(("all", "zone", "cell"), "all"),
     "remembered-ms": _ms(0, 3.6e6, 0.0),
     "hedge": yes_no(False),
+    "stream-ms": _ms(1, 8.64e7, 600_000.0),
+    "stall-ms": _ms(1, 3.6e6, 10_000.0),
 }, ("name",), TypeSettings)
 
 NAMESPACE = Shape({
-    "uuid": word(), "key": word(), "allowed-per-s": number(0.001, 1e7, default=1e6),
+    "uuid": word(), "key": word(default=""), "allowed-per-s": number(0.001, 1e7, default=1e6),
+    "key-hash": Many(Shape({}, ("digest",), KeyHash)),
+    "certificate": Many(Shape({}, ("name",), CertificateName)),
 }, ("name",), NamespaceSettings)
 
 ACTION = Shape({
@@ -320,6 +368,27 @@
     "unread-mb": number(0.001, 100_000, default=256.0),
 }, build=FrontSettings)
 
+INFERENCE = Shape({
+    "serve": yes_no(True),
+    "port": number(0, 65535, whole=True, default=0),
+    "connections": number(1, 1_000_000, whole=True, default=10_000),
+    "streams": number(1, 1_000_000, whole=True, default=1000),
+    "stream-requests": number(1, 100_000, whole=True, default=64),
+    "header-bytes": number(256, 1_048_576, whole=True, default=16_384),
+    "message-bytes": number(1, 1 << 30, whole=True, default=4_194_304),
+    "partial-mb": number(0.001, 100_000, default=256.0),
+    "unread-mb": number(0.001, 100_000, default=256.0),
+    "stream-bytes": number(1024, 1 << 30, whole=True, default=262_144),
+    "read-ms": _ms(10, 600_000, 10_000.0),
+    "write-ms": _ms(10, 600_000, 30_000.0),
+    "idle-ms": _ms(10, 8.64e7, 300_000.0),
+    "handshake-ms": _ms(10, 600_000, 5000.0),
+    "age-ms": _ms(0, 8.64e7, 0.0),
+    "grace-ms": _ms(0, 3.6e6, 10_000.0),
+    "flood-at-once": number(1, 1_000_000, whole=True, default=200),
+    "flood-per-s": number(0.01, 1_000_000, default=20.0),
+}, build=InferenceSettings)
+
 POOL = Shape({
     "connections": number(1, 100_000, whole=True, default=128),
     "connect-ms": _ms(1, 60_000, 250.0),
@@ -382,6 +451,7 @@
     "rules": Group(RULES),
     "dispatcher": Group(DISPATCHER),
     "front": Group(FRONT),
+    "inference": Group(INFERENCE),
     "pool": Group(POOL),
     "fleet": Group(FLEET),
     "store": Group(STORE),
@@ -418,7 +488,7 @@
     return Deployment(
         fields["name"], fields["halls"], {t.name: t for t in fields["type"]},
         {n.name: n for n in fields["namespace"]}, actions, fields["rules"], fields["dispatcher"],
-        fields["front"], fields["pool"], fields["fleet"], fields["store"], fields["vrrp"],
+        fields["front"], fields["inference"], fields["pool"], fields["fleet"], fields["store"], fields["vrrp"],
         fields["journal"])
 
 
@@ -460,6 +530,9 @@
                            and (m := _value(f, "answer-margin-ms"))), 100.0)
             if timeout and 0 < _number(timeout[0]) <= 2 * margin:
                 checker.fault(timeout[1], timeout[0], f"over twice the answer-margin-ms, {margin:g}")
+            first, whole_ms = _value(form, "timeout-ms"), _value(form, "stream-ms")
+            if first and whole_ms and _number(whole_ms[0]) < _number(first[0]):
+                checker.fault(whole_ms[1], whole_ms[0], f"a stream's time of at least the timeout, {first[0]}")
             if target and timeout and _number(timeout[0]) < _number(target[0]):
                 checker.fault(timeout[1], timeout[0], f"a timeout of at least the target, {target[0]}")
         if form.head == "action" and (kind := _value(form, "type")) and kind[0] not in types:
@@ -468,6 +541,17 @@
             checker.fault(hall[1], hall[0], "a hall of this file: " + ", ".join(sorted(halls)))
         if form.head == "vrrp":
             _across_vrrp(checker, form)
+        if form.head == "namespace":
+            hashes = [h for h in form.items if isinstance(h, Form) and h.head == "key-hash"]
+            if not hashes and not _value(form, "key") and not any(
+                    isinstance(c, Form) and c.head == "certificate" for c in form.items):
+                checker.fault(form.place, f"namespace {name} without credentials",
+                              "(key ...), (key-hash ...) or (certificate ...)")
+            if len(hashes) > 2:
+                checker.fault(hashes[2].place, "a third key-hash", "two at most: the old one and the new one")
+            for one in hashes:
+                if not _DIGEST.fullmatch(_first(one)):
+                    checker.fault(one.place, _first(one)[:20], "sha256: and 64 hex digits")
         if form.head == "namespace" and (uuid := _value(form, "uuid")):
             if not _UUID.fullmatch(uuid[0]):
                 checker.fault(uuid[1], uuid[0], "a UUID, as 8-4-4-4-12 hex digits")
--- a/kelptrail/standin/worker.py
+++ b/kelptrail/standin/worker.py
@@ -2,13 +2,14 @@
 
 It has cores, memory, lanes, a bounded queue; it loads through the shared store, starts cold, drops repeats of
 deduplicated calls with its group, reports its load in answers.  Its control port takes faults, each timed:
-hang, silent, fail-fast, fail-type, pause, answers-lost, handshakes-slow, models-voided, heavy-work,
-answers-twice, answers-late, restart-cold, crash.
+hang, silent, stall and cut (of streams), fail-fast, fail-type, pause, answers-lost, handshakes-slow,
+models-voided, heavy-work, answers-twice, answers-late, restart-cold, crash.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import time
 import zlib
@@ -19,6 +20,7 @@
 import msgspec
 import numpy as np
 
+from kelptrail.codec.events import CONTENT_TYPE, encode_event
 from kelptrail.codec.http import Request, Response, encode_request, encode_response
 from kelptrail.codec.infer import (
     LOAD_REPORT,
@@ -30,6 +32,7 @@
     infer_answer,
     read_infer,
     read_load,
+    tensors_answer,
     write_report,
 )
 from kelptrail.gateway.clock import now_ms
@@ -256,8 +259,11 @@
     def _worked(self, job: _Job) -> None:
         if job.incarnation != self.incarnation:
             return
-        result = msgspec.json.encode({"by": job.model.action.model, "echo": msgspec.Raw(
-            job.payload.encode())}).decode()
+        if job.request.parameters.get("form") == "tensors":  # its result is known by its mark alone
+            result = "{}"
+        else:
+            result = msgspec.json.encode({"by": job.model.action.model, "echo": msgspec.Raw(
+                job.payload.encode())}).decode()
         if job.model.type.effect == "deduplicated":
             self._ledger("commit", job, result, self._committed)
         else:
@@ -289,16 +295,17 @@
     def _end(self, job: _Job, result: str | None) -> None:
         if job.incarnation != self.incarnation:
             return
-        self._running -= 1
-        job.model.busy -= 1
-        job.model.used = now_ms()
+        if job.request.parameters.get("stream") and result is not None and "silent" not in self._faults:
+            self._loop.create_task(self._flow(job, result))
+            return
+        self._leave(job)
         lost = self._faults.get("answers-lost")
         if "silent" in self._faults or (lost and self._chance.random() < lost.get("share", 0.2)):
             pass
         elif result is None:
             job.exchange.raw(error_response(500, "failed"))
         else:
-            body = infer_answer(job.model.action.model, job.request.id, result, True)
+            body = self._answer(job, result)
             data = encode_response(200, body, {LOAD_REPORT: self._report(1 if job.found else 0, job.company)})
             if "answers-twice" in self._faults:
                 data += data
@@ -308,6 +315,50 @@
                 job.exchange.raw(data)
         self._pump()
 
+    def _leave(self, job: _Job) -> None:
+        self._running -= 1
+        job.model.busy -= 1
+        job.model.used = now_ms()
+
+    def _answer(self, job: _Job, result: str, **more: str | int | float | bool) -> bytes:
+        """One answer of the protocol: the inputs again for a call in tensors, else the result."""
+        request = job.request
+        if request.parameters.get("form") == "tensors":
+            return tensors_answer(job.model.action.model, request.id, request.inputs, success=True, **more)
+        if more.get("final"):
+            return tensors_answer(job.model.action.model, request.id, [], success=True, **more)
+        return infer_answer(job.model.action.model, request.id, result, True)
+
+    async def _flow(self, job: _Job, result: str) -> None:
+        """A streamed answer: `parts` parts, `gap_ms` apart, then the last one.  Faults: stall, cut."""
+        said = dict(job.request.parameters)
+        with contextlib.suppress(msgspec.DecodeError):
+            body = msgspec.json.decode(job.payload or b"{}")
+            said |= {k: v for k, v in body.items() if k in ("parts", "gap_ms", "pad")} if isinstance(body, dict) else {}
+        parts, gap = int(said.get("parts", 3)), float(said.get("gap_ms", 5.0))
+        exchange, pad = job.exchange, int(said.get("pad", 0))
+        exchange.begin(200, {LOAD_REPORT: self._report(1 if job.found else 0, job.company)}, CONTENT_TYPE)
+        fault = next((k for k in ("stall", "cut") if (f := self._faults.get(k))
+                      and self._chance.random() < f.get("share", 0.2)), "")
+        for number in range(parts):
+            if fault and number == (parts + 1) // 2:
+                break
+            while not exchange.gone and not exchange.room:
+                await asyncio.sleep(0.005)
+            if exchange.gone or job.incarnation != self.incarnation:
+                break
+            text = msgspec.json.encode({"part": number, "by": self.id, "pad": "x" * pad}).decode()
+            exchange.piece(encode_event(self._answer(job, text, part=number)))
+            await asyncio.sleep(gap / 1000)
+        if fault == "cut":
+            exchange.drop()
+        elif not fault and not exchange.gone:
+            exchange.piece(encode_event(self._answer(job, result, final=True)))
+            exchange.end()
+        if job.incarnation == self.incarnation:
+            self._leave(job)
+            self._pump()
+
     def _load(self) -> tuple[float, float, float]:
         busy = sum((min(m.standing, -(-m.busy // m.action.lanes)) + m.loading) * m.action.memory_mb
                    for m in self._models.values())
--- a/kelptrail/store/book.py
+++ b/kelptrail/store/book.py
@@ -80,6 +80,8 @@
                 self._run("ALTER TABLE rows RENAME TO entries")
                 self._run(INDEX)
                 self._run(f"PRAGMA user_version={FORMAT}")
+        elif version < FORMAT:
+            self._run(f"PRAGMA user_version={FORMAT}")
 
     def clear_orphans(self) -> None:
         """Drop what belongs to activations that never became safe.  Raises `BookError`."""
--- a/kelptrail/store/entries.py
+++ b/kelptrail/store/entries.py
@@ -11,7 +11,7 @@
 import msgspec
 import zstandard
 
-FORMAT = 2  # 1: results were never compressed and `Accepted` had no digest
+FORMAT = 3  # 2: `Accepted` had no form; 1: results were never compressed and it had no digest
 COMPRESS_FROM = 1024  # bytes of a result
 
 
@@ -28,6 +28,7 @@
     digest: str = ""  # of the payload, to tell another body under the same key
     trace: str = ""
     deferred: bool = True
+    form: str = "json"  # of the payload
 
 
 class MayRun(msgspec.Struct, frozen=True, tag="may-run"):
--- a/tests/program.py
+++ b/tests/program.py
@@ -12,12 +12,18 @@
 import msgspec
 import uvloop
 
+from kelptrail.codec.events import encode_event
 from kelptrail.codec.http import Request, Response, ResponseReader, encode_request
-from kelptrail.codec.infer import infer_answer, read_infer
+from kelptrail.codec.infer import infer_answer, read_infer, tensors_answer
+from kelptrail.codec.tensors import JsonTensor
+from kelptrail.front.callers import Callers
+from kelptrail.front.inference.api import InferenceApi
 from kelptrail.front.invoke.api import InvokeApi
 from kelptrail.gateway.build import World
 from kelptrail.gateway.core import Gateway
 from kelptrail.gateway.driver import Driver
+from kelptrail.gateway.serve import grpc_limits
+from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, HttpServer, Limits
 from kelptrail.roster.members import Entry, Listing
 from kelptrail.settings.deployment import Deployment, parse
@@ -74,7 +80,8 @@
         self.id, self.state = id_, shape
         self.script, self.order = script or answer, order or grant
         self.sends: list[tuple[str, dict[str, Any]]] = []  # mark and parameters of each
-        self.orders = 0
+        self.orders = self.given = 0
+        self.tasks: list[asyncio.Task[None]] = []
         self.exchanges: list[Exchange] = []
         self.server = HttpServer(self._handle)
         self.server.listen("127.0.0.1", 0)
@@ -98,7 +105,10 @@
 def answer(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
     """Completed."""
     infer, payload = read_infer(request.body)
-    exchange.reply(200, infer_answer(request.segments[2], infer.id, payload, True))
+    if infer.parameters.get("form") == "tensors":
+        exchange.reply(200, tensors_answer(request.segments[2], infer.id, infer.inputs, success=True))
+    else:
+        exchange.reply(200, infer_answer(request.segments[2], infer.id, payload, True))
 
 
 def grant(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
@@ -110,6 +120,33 @@
     """Nothing, ever."""
 
 
+def parts(count: int, gap_s: float = 0.0, end: str = "final", pad: int = 0) -> Script:
+    """A streamed answer; `end`: "final", "cut" (the connection breaks), "stall" (nothing more comes)."""
+    def script(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
+        infer, _ = read_infer(request.body)
+        model, tensors = request.segments[2], infer.parameters.get("form") == "tensors"
+
+        async def flow() -> None:
+            exchange.begin(200, None, "text/event-stream")
+            for n in range(count):
+                if tensors:
+                    out = [JsonTensor("out", "INT32", [1], [n]), JsonTensor("pad", "BYTES", [1], ["x" * pad])]
+                    data = tensors_answer(model, infer.id, out, part=n)
+                else:
+                    data = infer_answer(model, infer.id, f'{{"part":{n}}}', True)
+                while not exchange.room and not exchange.gone:
+                    await asyncio.sleep(0.005)
+                worker.given += exchange.piece(encode_event(data))
+                await asyncio.sleep(gap_s)
+            if end == "final":
+                exchange.piece(encode_event(tensors_answer(model, infer.id, [], final=True, success=True)))
+                exchange.end()
+            elif end == "cut":
+                exchange.drop()
+        worker.tasks.append(asyncio.get_running_loop().create_task(flow()))
+    return script
+
+
 def refuse(proof: str | None, status: int = 503) -> Script:
     """A refusal, with or without its proof that nothing ran."""
     def script(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
@@ -137,6 +174,9 @@
             front.connections, front.header_bytes, front.body_bytes, front.pipelined, front.read_ms,
             front.write_ms, front.idle_ms), self.log.warning)
         self.server.listen("127.0.0.1", 0)
+        self.inference = InferenceApi(self.deployment, self.driver, Callers(self.deployment))
+        self.grpc = GrpcServer(self.inference.handle, grpc_limits(self.deployment.inference), self.log.warning)
+        self.grpc.listen("127.0.0.1", 0)
         self.version = 0
         self.list(workers)
 
@@ -217,6 +257,7 @@
         yield dispatcher, workers
     finally:
         await dispatcher.server.drain(0)
+        await dispatcher.grpc.drain(0)
         await dispatcher.driver.drain(0)
         for worker in workers:
             await worker.server.drain(0)
