TLS on both fronts and towards workers, a private authority, streams on the first front

Secrets and calls crossed sockets in the clear. net/wire.py puts the library's TLS over memory buffers on the loop's own socket calls, for fronts (with ALPN, certificates that name a namespace), worker connections and stand-in workers; net/tls.py takes changed files up without touching open connections and tells of ends ahead; `kelptrail keys` makes an authority, issues, rotates, shows. The invoke API gives a streamed answer as server-sent events where asked; a front address under VRRP can carry the second front, too, and leaves by GOAWAY.

--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -397,6 +397,89 @@
     return function
 
 
+@main.group()
+def keys() -> None:
+    """A private authority of one's own: certificates for fronts, workers and clients; keys for namespaces."""
+
+
+def _authority(work: Callable[[], Any]) -> Any:
+    from kelptrail.keys.authority import AuthorityError
+
+    try:
+        return work()
+    except AuthorityError as cause:
+        click.echo(str(cause), err=True)
+        sys.exit(FAILED)
+
+
+def _tell(issued: Any) -> None:
+    from datetime import UTC, datetime
+
+    _say(name=issued.name, names=issued.names, use=issued.use, serial=issued.serial, begins=issued.begins.isoformat(),
+         ends=issued.ends.isoformat(), days_left=round(issued.days_left(datetime.now(UTC)), 1))
+
+
+@keys.command(cls=_Examples, example="kelptrail keys init keys --name north-authority")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--name", default="kelptrail-authority", show_default=True)
+@click.option("--days", default=3650, show_default=True, type=click.IntRange(1, 36_500))
+def init(folder: Path, name: str, days: int) -> None:
+    """Make an authority in FOLDER.  One that is there is never written over."""
+    from datetime import UTC, datetime
+
+    from kelptrail.keys.authority import Authority
+
+    _tell(_authority(lambda: Authority.make(folder, name, days, datetime.now(UTC)).show()[0]))
+
+
+@keys.command(cls=_Examples, example="kelptrail keys issue keys front --server --also 127.0.0.1")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.argument("name")
+@click.option("--server", is_flag=True, help="For a front or a worker.")
+@click.option("--client", is_flag=True, help="For a caller, or a dispatcher towards its workers.")
+@click.option("--also", multiple=True, help="Another DNS name, URI or address that it stands for.")
+@click.option("--days", default=90, show_default=True, type=click.IntRange(1, 36_500))
+def issue(folder: Path, name: str, server: bool, client: bool, also: tuple[str, ...], days: int) -> None:
+    """Issue a certificate: FOLDER/NAME.pem holds its key and itself."""
+    from datetime import UTC, datetime
+
+    from kelptrail.keys.authority import Authority
+
+    _tell(_authority(lambda: Authority(folder).issue(name, also, server, client, days, datetime.now(UTC))))
+
+
+@keys.command(cls=_Examples, example="kelptrail keys rotate keys front")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.argument("name")
+@click.option("--days", default=90, show_default=True, type=click.IntRange(1, 36_500))
+def rotate(folder: Path, name: str, days: int) -> None:
+    """Renew a certificate with a new key; running fronts take it up by themselves."""
+    from datetime import UTC, datetime
+
+    from kelptrail.keys.authority import Authority
+
+    _tell(_authority(lambda: Authority(folder).rotate(name, days, datetime.now(UTC))))
+
+
+@keys.command(cls=_Examples, example="kelptrail keys show keys")
+@click.argument("folder", type=click.Path(path_type=Path))
+def show(folder: Path) -> None:
+    """Show the authority and what it issued, one JSON line each; never a key."""
+    from kelptrail.keys.authority import Authority
+
+    for one in _authority(lambda: Authority(folder).show()):
+        _tell(one)
+
+
+@keys.command(cls=_Examples, example="kelptrail keys api")
+def api() -> None:
+    """Make a key for a namespace: hand out `key`, put `key_hash` into the settings."""
+    from kelptrail.keys.authority import api_key
+
+    key, hashed = api_key()
+    _say(key=key, key_hash=hashed)
+
+
 async def _until_stopped(with_stdin: bool) -> None:
     import signal
 
--- a/kelptrail/front/callers.py
+++ b/kelptrail/front/callers.py
@@ -8,19 +8,14 @@
 
 import base64
 import binascii
-import hashlib
 import hmac
 
+from kelptrail.keys.names import digest, names_in
 from kelptrail.settings.deployment import Deployment, NamespaceSettings
 
 KNOWN = 4096  # sound headers kept so that they are not compared anew
 
 
-def digest(key: str) -> str:
-    """A key as settings may hold it: `sha256:HEX`."""
-    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
-
-
 class Callers:
     """The namespaces of a deployment by their credentials."""
 
@@ -53,6 +48,8 @@
             self._known[header] = found
         return found
 
-    def by_certificate(self, names: list[str]) -> NamespaceSettings | None:
-        """The caller by the names in a certificate that the handshake has checked, or None."""
-        return next((self._by_certificate[name] for name in names if name in self._by_certificate), None)
+    def named(self, certificate: bytes | None) -> str:
+        """The namespace of a client's certificate (DER), which the handshake has checked; empty where it names none."""
+        if certificate is None or not self._by_certificate:
+            return ""
+        return next((self._by_certificate[n].name for n in names_in(certificate) if n in self._by_certificate), "")
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from kelptrail.codec.events import CONTENT_TYPE as EVENT_STREAM
+from kelptrail.codec.events import encode_event
 from kelptrail.codec.http import Request
 from kelptrail.front.callers import Callers
 from kelptrail.gateway.clock import now_ms, wall_ms
@@ -79,7 +81,7 @@
     def _route(self, request: Request, exchange: Exchange) -> None:
         known = self._routes.get((request.method, request.target))
         if known is not None:
-            caller = self._caller(request)
+            caller = self._caller(request, exchange)
             if known.space in ("_", caller.name):
                 self._invoke(request, exchange, caller, known)
                 return
@@ -91,7 +93,7 @@
             exchange.reply(200, views.encode({"description": "kelptrail invoke API", "api_version": "1.0.0",
                                               "api_paths": ["/namespaces", "/actions", "/activations"]}))
             return
-        caller = self._caller(request)
+        caller = self._caller(request, exchange)
         if parts[2] != "namespaces":
             raise ApiError(404, "The requested resource does not exist.")
         if len(parts) == 3:
@@ -114,9 +116,12 @@
             raise ApiError(405, f"Only {' and '.join(methods)} can be used here.",
                            {"allow": ", ".join(methods)})
 
-    def _caller(self, request: Request) -> NamespaceSettings:
+    def _caller(self, request: Request, exchange: Exchange) -> NamespaceSettings:
         """Who calls, by basic authentication (RFC 7617) with `uuid:key`."""
-        found = self._callers.of(request.headers.get("authorization", ""))
+        header = request.headers.get("authorization", "")
+        found = self._callers.of(header)
+        if found is None and not header and exchange.identity:  # named by its certificate
+            found = self._deployment.namespaces.get(exchange.identity)
         if found is None:
             raise ApiError(401, "The supplied authentication is invalid.",
                            {"www-authenticate": 'Basic realm="kelptrail"'})
@@ -168,11 +173,19 @@
             if known is not None:
                 self._repeat(exchange, known, route)
                 return
+        flows = EVENT_STREAM in request.headers.get("accept", "")
+        if flows and (key is not None or not blocking):
+            raise ApiError(400, "A streamed call is blocking and takes no Idempotency-Key.")
+        if flows and request.version == "1.0":
+            raise ApiError(406, "HTTP/1.0 has no streamed answers.")
         if not blocking and gateway.journal is not None and not gateway.journal.takes():
             raise ApiError(503, "Deferred calls cannot be kept safe at the moment; the call was not taken.",
                            {"retry-after": "1"})
         if (reason := gateway.holdings.refusal(caller.name, len(payload))) is not None:
             raise ApiError(429, WORDS[reason], {"retry-after": "1"})
+        if flows:
+            self._flow(exchange, caller, action, payload, trace, route.bare)
+            return
         wait = _Wait(self, exchange, route.bare)
         ivk = gateway.take(now_ms(), wall_ms(), caller.name, action, payload, key, trace, wait.ended, not blocking,
                            digest)
@@ -182,6 +195,45 @@
         # A deferred call that is refused at once is answered 429, not 202: so decide first.
         self._driver.stir_soon(None if blocking else lambda: wait.promise(ivk))
 
+    def _flow(self, exchange: Exchange, caller: NamespaceSettings, action: ActionSettings, payload: bytes, trace: str,
+              bare: bool) -> None:
+        """A streamed answer as server-sent events: `part`s, then one `final` with the record."""
+        driver = self._driver
+        ivk = driver.gateway.take(now_ms(), wall_ms(), caller.name, action, payload, None, trace, streamed=True)
+        held = False
+
+        def part(data: bytes) -> None:
+            nonlocal held
+            if not exchange.replied:
+                exchange.begin(200, {"x-openwhisk-activation-id": ivk.record.id, "cache-control": "no-store"},
+                               EVENT_STREAM)
+            exchange.piece(encode_event(data, "part"))
+            if not exchange.room and not held:  # a slow reader holds its worker back
+                held = True
+                driver.flow(ivk, False)
+
+        def room() -> None:
+            nonlocal held
+            held = False
+            driver.flow(ivk, True)
+
+        def ended(record: Record) -> None:
+            if exchange.replied:
+                exchange.piece(encode_event(views.encode(views.activation(record)), "final"))
+                exchange.end()
+            else:  # nothing of it was given: an answer like any other
+                self.reply_final(exchange, record, bare)
+
+        def gone() -> None:
+            ivk.waiters.clear()
+            ivk.on_part = None
+            driver.gateway.left(now_ms(), ivk)
+            driver.stir_soon()
+
+        ivk.on_part, exchange.on_gone, exchange.on_room = part, gone, room
+        ivk.waiters.append(ended)
+        driver.stir_soon()
+
     def _left(self, ivk: Ivk, wait: _Wait) -> None:
         """A client went away.  One that named a key may come back for the answer; without one nobody wants it."""
         if ivk.record.key:
--- a/kelptrail/gateway/control.py
+++ b/kelptrail/gateway/control.py
@@ -9,6 +9,7 @@
 from kelptrail.codec.http import Request
 from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, HttpServer
+from kelptrail.net.tls import TlsKeeper
 
 from .driver import Driver
 from .standing import Standing
@@ -17,7 +18,9 @@
 class Control:
     """`GET /state` and `GET /vrrp`."""
 
-    def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None) -> None:
+    def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None,
+                 keepers: dict[str, TlsKeeper] | None = None) -> None:
+        self._keepers = keepers or {}
         self._driver, self._front, self._second, self._standing = driver, front, second, standing
 
     def handle(self, request: Request, exchange: Exchange) -> None:
@@ -44,6 +47,7 @@
                 "grpc": {"connections": self._second.connections, "streams": self._second.streams,
                          "unread_bytes": self._second.owed, "partial_bytes": self._second.partial,
                          "cut": self._second.cut, "floods": self._second.floods, "faults": self._second.faults},
+                "tls": {name: keeper.status() for name, keeper in self._keepers.items()},
                 "held_bytes": gateway.holdings.bytes,
                 "refused": dict(gateway.holdings.refused), "records": len(gateway.records),
                 "record_bytes": gateway.records.held_bytes,
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -94,6 +95,7 @@
         self.sight = LinkSight()
         self.journal: JournalDriver | None = None
         self.debug = False
+        self.tls: Callable[[], ssl.SSLContext] | None = None  # towards workers
 
     # What happens.
 
@@ -221,7 +223,7 @@
         if pool is None:
             s = self._settings
             pool = self._pools[worker] = WorkerPool(self.gateway.members.addresses[worker], s.connections,
-                                                    s.connect_ms, s.idle_ms, s.answer_bytes)
+                                                    s.connect_ms, s.idle_ms, s.answer_bytes, self.tls)
         return pool
 
     def _start(self, ivk: Ivk, send: Send) -> None:
--- a/kelptrail/gateway/serve.py
+++ b/kelptrail/gateway/serve.py
@@ -18,7 +18,8 @@
 from kelptrail.front.invoke.api import InvokeApi
 from kelptrail.net.grpc_server import GrpcLimits, GrpcServer
 from kelptrail.net.guard import GuardSettings
-from kelptrail.net.server import HttpServer, Limits
+from kelptrail.net.server import Handler, HttpServer, Limits
+from kelptrail.net.tls import TlsFiles, TlsKeeper
 from kelptrail.roster.client import RosterClient
 from kelptrail.roster.members import PREFIX, Listing, id_prefix
 from kelptrail.settings.deployment import Deployment, FrontSettings, InferenceSettings
@@ -66,6 +67,28 @@
         GuardSettings(front.flood_at_once, front.flood_per_s, front.age_ms, front.grace_ms))
 
 
+def tls_keeper(deployment: Deployment, side: str, alpn: list[str], log: Any) -> TlsKeeper | None:
+    """One side's TLS, if the settings have it.  Raises `ValueError` where its files cannot be used."""
+    found = deployment.tls.get(side)
+    if found is None:
+        return None
+
+    def file(name: str) -> Path | None:
+        return deployment.folder / name if name else None
+
+    files = TlsFiles(file(found.certificate), file(found.key), file(found.authority), found.peers, found.least,
+                     found.ciphers, found.warn_days)
+    return TlsKeeper(files, side != "to-workers", alpn, log, wall_ms)
+
+
+async def _watch(keepers: dict[str, TlsKeeper]) -> None:
+    """Look after certificates."""
+    while True:
+        for keeper in keepers.values():
+            keeper.look()
+        await asyncio.sleep(1.0)
+
+
 def _open(file: Path, most_bytes: float, vfs: str | None, log: Any) -> Book | None:
     """The book, or None where it cannot be used: then deferred calls are refused."""
     try:
@@ -114,11 +137,24 @@
         gateway.passes = lambda step: os.kill(os.getpid(), signal.SIGKILL) if step == options.crash_at else None
     driver = Driver(gateway, f"{options.name}/{boot}", deployment.pool, log)
     driver.debug = debug
+    keepers = {name: keeper for name, side, alpn in (
+        ("front", "front", ["http/1.1"]), ("grpc", "front", ["h2"]), ("to-workers", "to-workers", ["http/1.1"]))
+        if (keeper := tls_keeper(deployment, side, alpn, log)) is not None}
+    if "to-workers" in keepers:
+        driver.tls = keepers["to-workers"].context
+    http_tls, grpc_tls = (keepers[name].context if name in keepers else None for name in ("front", "grpc"))
     callers = Callers(deployment)
     api = InvokeApi(deployment, driver, boot, callers)
     inference = InferenceApi(deployment, driver, callers)
-    second = GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning)
-    server = HttpServer(api.handle, limits(deployment.front), log.warning)
+
+    def first_door(handler: Handler) -> HttpServer:
+        return HttpServer(handler, limits(deployment.front), log.warning, http_tls, callers.named)
+
+    def second_door() -> GrpcServer:
+        return GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning, grpc_tls, callers.named)
+
+    second = second_door()
+    server = first_door(api.handle)
     last = options.state / "last-list.json" if options.state is not None else None
     if book is not None and journal is not None:
         driver.journal = JournalDriver(journal, book, driver.stir_soon, log)
@@ -143,7 +179,8 @@
     gc.set_threshold(50_000, 20, 1_000_000)
     collector = loop.create_task(_collect(gateway))
     port = server.listen(options.host, options.port, options.shared_port)
-    api.own, roster.own = f"http://{server.address}", server.address
+    api.own, roster.own = f"{'https' if http_tls else 'http'}://{server.address}", server.address
+    watch = loop.create_task(_watch(keepers))
     if deployment.inference.serve:
         wanted = deployment.inference.port if options.grpc_port is None else options.grpc_port
         second.listen(options.host, wanted, options.shared_port)
@@ -155,9 +192,10 @@
     standing: Standing | None = None
     if deployment.vrrp is not None and options.name in {i.name for i in deployment.vrrp.instance}:
         standing = Standing(deployment.vrrp, options.name, options.state, driver, api, limits(deployment.front),
-                            deployment.front, log, lambda: roster.saved and not (journal and journal.failing))
+                            deployment.front, log, lambda: roster.saved and not (journal and journal.failing),
+                            first_door, second_door)
         standing.start()
-    control = HttpServer(Control(driver, server, second, standing).handle, Limits(connections=64))
+    control = HttpServer(Control(driver, server, second, standing, keepers).handle, Limits(connections=64))
     if options.control is not None:
         host, _, control_port = options.control.rpartition(":")
         control.listen(host, int(control_port))
@@ -180,6 +218,7 @@
     closed = await second.drain(max(100.0, min(1000.0, end - now_ms())))
     closed = closed and await server.drain(max(500.0, end - now_ms()), deployment.front.linger_ms)
     collector.cancel()
+    watch.cancel()
     control.stop_listening()
     control.abort_all()
     follower.cancel()
--- a/kelptrail/gateway/standing.py
+++ b/kelptrail/gateway/standing.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from kelptrail.front.invoke.api import InvokeApi
-from kelptrail.net.server import HttpServer, Limits
+from kelptrail.net.grpc_server import GrpcServer
+from kelptrail.net.server import Handler, HttpServer, Limits
 from kelptrail.settings.deployment import FrontSettings, VrrpSettings
 from kelptrail.vrrp.address import FrontAddress
 from kelptrail.vrrp.driver import VrrpDriver, next_epoch, split
@@ -30,7 +31,9 @@
     """One dispatcher's part in the virtual routers of its deployment."""
 
     def __init__(self, settings: VrrpSettings, name: str, state: Path | None, driver: Driver, api: InvokeApi,
-                 limits: Limits, front: FrontSettings, log: Any, journal: Callable[[], bool] = lambda: True) -> None:
+                 limits: Limits, front: FrontSettings, log: Any, journal: Callable[[], bool] = lambda: True,
+                 make: Callable[[Handler], HttpServer] | None = None,
+                 second: Callable[[], GrpcServer] | None = None) -> None:
         mine = next(i for i in settings.instance if i.name == name)
         others = [i for i in settings.instance if i.name != name]
         primary = ip_address(split(mine.udp)[0])
@@ -43,7 +46,7 @@
                 routers.append(RouterSettings(vrid, part.priority, (ip_address(router.address),),
                                               router.interval_cs, router.preempt, router.accept))
                 self.addresses[vrid] = FrontAddress(router.address, router.port, api.handle, limits, log,
-                                                    front.linger_ms)
+                                                    front.linger_ms, make, second, router.grpc_port)
         sealer = opener = None
         if settings.key:
             if state is None:
--- /dev/null
+++ b/kelptrail/keys/names.py
@@ -0,0 +1,24 @@
+"""Names in certificates, and keys as digests."""
+
+from __future__ import annotations
+
+import hashlib
+
+from cryptography import x509
+from cryptography.x509.oid import NameOID
+
+
+def digest(key: str) -> str:
+    """A key as settings may hold it: `sha256:HEX`."""
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+def names_in(der: bytes) -> list[str]:
+    """The names that a certificate stands for: its common name, then DNS names, URIs and addresses."""
+    certificate = x509.load_der_x509_certificate(der)
+    found = [str(a.value) for a in certificate.subject.get_attributes_for_oid(NameOID.COMMON_NAME)]
+    try:
+        others = certificate.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
+    except x509.ExtensionNotFound:
+        return found
+    return found + [str(o.value) for o in others if str(o.value) not in found]
--- a/kelptrail/net/pool.py
+++ b/kelptrail/net/pool.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import ssl
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -15,6 +16,8 @@
 
 from kelptrail.codec.http import HttpError, Response, ResponseReader
 
+from .wire import TlsWire, Wire
+
 BUFFER = 16_384
 
 
@@ -79,22 +82,23 @@
 class _Link:
     """One open connection and its parser."""
 
-    __slots__ = ("buffer", "reader", "sock", "used")
+    __slots__ = ("buffer", "reader", "used", "wire")
 
-    def __init__(self, sock: socket.socket, answer_bytes: int) -> None:
-        self.sock, self.reader, self.used = sock, ResponseReader(answer_bytes), 0.0
+    def __init__(self, wire: Wire, answer_bytes: int) -> None:
+        self.wire, self.reader, self.used = wire, ResponseReader(answer_bytes), 0.0
         self.buffer = bytearray(BUFFER)
 
 
 class WorkerPool:
     """The connections to one address.  Times are milliseconds."""
 
-    def __init__(self, address: str, most: int, connect_ms: float, idle_ms: float, answer_bytes: int) -> None:
+    def __init__(self, address: str, most: int, connect_ms: float, idle_ms: float, answer_bytes: int,
+                 tls: Callable[[], ssl.SSLContext] | None = None) -> None:
         host, _, port = address.rpartition(":")
         self.address, self._where = address, (host.strip("[]"), int(port))
         self._most, self._connect_ms, self._idle_ms, self._answer_bytes = (
             most, connect_ms, idle_ms, answer_bytes)
-        self._loop = asyncio.get_running_loop()
+        self._loop, self._tls = asyncio.get_running_loop(), tls
         self._idle: list[_Link] = []
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._closed = False
@@ -128,14 +132,14 @@
                 ending = Ending.UNREACHABLE
                 return
             call._written = True
-            await self._loop.sock_sendall(link.sock, call.data)
-            sock, feed, buffer = link.sock, link.reader.feed, link.buffer
+            await link.wire.sendall(call.data)
+            receive, feed, buffer = link.wire.recv_into, link.reader.feed, link.buffer
             link.reader.on_piece = call.on_piece
             while response is None:
                 if call._paused:
                     call._resumed = self._loop.create_future()
                     await call._resumed
-                count = await self._loop.sock_recv_into(sock, buffer)
+                count = await receive(buffer)
                 if not count:
                     return
                 with memoryview(buffer) as view:
@@ -187,6 +191,10 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self._connect_ms / 1000):
                 await self._loop.sock_connect(sock, self._where)
+                wire = Wire(self._loop, sock)
+                if self._tls is not None:  # a worker that is not vouched for is not reached
+                    wire = secure = TlsWire(self._loop, sock, self._tls(), False, self._where[0])
+                    await secure.handshake(self._connect_ms)
         except BaseException as cause:
             sock.close()
             self.open -= 1
@@ -195,7 +203,7 @@
                 return None
             raise
         self.made += 1
-        return _Link(sock, self._answer_bytes)
+        return _Link(wire, self._answer_bytes)
 
     def _sound(self, link: _Link) -> bool:
         """Whether an idle connection still stands with nothing to read.
@@ -203,14 +211,9 @@
         Guards against a send on a connection that the worker has closed: that would be no proof that it never
         ran.  Bytes that nobody asked for are a second answer to the send before.
         """
-        try:
-            if link.sock.recv(1, socket.MSG_PEEK):
-                self.stray += 1
-            return False
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        quiet = link.wire.quiet()
+        self.stray += quiet is None
+        return quiet is True
 
     def _give_back(self, link: _Link, sound: bool) -> None:
         if not sound or self._closed:
@@ -223,7 +226,7 @@
         self._pass_on()
 
     def _close(self, link: _Link) -> None:
-        link.sock.close()
+        link.wire.close()
         self.open -= 1
         self._pass_on()
 
--- a/kelptrail/net/server.py
+++ b/kelptrail/net/server.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import socket
+import ssl
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,6 +28,8 @@
     encode_response,
 )
 
+from .wire import TlsWire, Wire
+
 FIRST_BUFFER, LARGEST_BUFFER = 8192, 262_144
 
 
@@ -66,6 +69,11 @@
         """The client's address."""
         return self._connection.peer
 
+    @property
+    def identity(self) -> str:
+        """Whom the client's certificate names, by the server's own mapping; empty without one."""
+        return self._connection.identity
+
     def reply(self, status: int, body: bytes, headers: dict[str, str] | None = None,
               close: bool = False, content_type: str = "application/json") -> bool:
         """Give the reply; False where the client has gone or one was given already."""
@@ -146,8 +154,8 @@
 class Connection:
     """One client: a task that reads, a task that writes, the exchanges between them."""
 
-    def __init__(self, server: HttpServer, sock: socket.socket, peer: str) -> None:
-        self._server, self._sock, self.peer = server, sock, peer
+    def __init__(self, server: HttpServer, wire: Wire, peer: str, identity: str = "") -> None:
+        self._server, self._wire, self.peer, self.identity = server, wire, peer, identity
         self._reader = RequestReader(server.limits.header_bytes, server.limits.body_bytes)
         self._exchanges: deque[Exchange] = deque()
         self._out = bytearray()
@@ -237,10 +245,10 @@
 
     async def _read(self) -> None:
         loop = self._server.loop
-        buffer = bytearray(FIRST_BUFFER)
+        buffer, receive = bytearray(FIRST_BUFFER), self._wire.recv_into
         try:
             while not self.closing:
-                count = await loop.sock_recv_into(self._sock, buffer)
+                count = await receive(buffer)
                 if not count:
                     break
                 self._server.bytes_in += count
@@ -299,7 +307,7 @@
         self._wake()
         while self._exchanges:
             await asyncio.sleep(0.02)
-            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            if self._wire.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                 self._lost()
 
     def _refuse(self, fault: HttpError) -> None:
@@ -333,7 +341,7 @@
                     continue
                 data, self._out = self._out, bytearray()
                 self.writing_since = loop.time()
-                await loop.sock_sendall(self._sock, data)
+                await self._wire.sendall(data)
                 self.writing_since, self.idle_since = None, loop.time()
                 written = min(len(data), self.owed)  # interim answers are not counted
                 self.owed -= written
@@ -351,19 +359,19 @@
             self._lost()
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(self._tasks[0], return_exceptions=True)
-            self._sock.close()
+            self._wire.close()
 
     async def _linger(self) -> None:
         """Close without a reset that would eat the reply: end our side, pass over what still comes."""
         self._tasks[0].cancel()
         await asyncio.gather(self._tasks[0], return_exceptions=True)
-        self._sock.shutdown(socket.SHUT_WR)
+        self._wire.end()
         if self._eof:
             return
         scrap = bytearray(16_384)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.5):
-                while await self._server.loop.sock_recv_into(self._sock, scrap):
+                while await self._server.loop.sock_recv_into(self._wire.sock, scrap):
                     pass
 
 
@@ -371,8 +379,12 @@
     """Listens on loopback addresses, holds connections, sees to their time limits."""
 
     def __init__(self, handler: Handler, limits: Limits | None = None,
-                 note: Callable[..., None] | None = None) -> None:
+                 note: Callable[..., None] | None = None, tls: Callable[[], ssl.SSLContext] | None = None,
+                 who: Callable[[bytes | None], str] | None = None) -> None:
         self.loop = asyncio.get_running_loop()
+        self._tls, self._who = tls, who or (lambda _certificate: "")
+        self._shaking = 0  # connections whose handshake is under way
+        self._handshakes: set[asyncio.Task[None]] = set()
         self.limits = limits or Limits()
         self.handle = handler
         self._note = note or (lambda *_args, **_fields: None)
@@ -445,7 +457,7 @@
                 continue
             if self.accept_delay_ms:
                 await asyncio.sleep(self.accept_delay_ms / 1000)
-            if len(self._connections) >= self.limits.connections:
+            if len(self._connections) + self._shaking >= self.limits.connections:
                 self.turned_away += 1
                 self._note("connection-turned-away", open=len(self._connections))
                 with contextlib.suppress(OSError):
@@ -458,7 +470,25 @@
     def _welcome(self, client: socket.socket, peer: str) -> None:
         client.setblocking(False)
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._connections[Connection(self, client, peer)] = None
+        if self._tls is None:
+            self._connections[Connection(self, Wire(self.loop, client), peer)] = None
+            return
+        self._shaking += 1
+        task = self.loop.create_task(self._shake(client, peer, self._tls()))
+        self._handshakes.add(task)
+        task.add_done_callback(self._handshakes.discard)
+
+    async def _shake(self, client: socket.socket, peer: str, context: ssl.SSLContext) -> None:
+        wire = TlsWire(self.loop, client, context, True)
+        try:
+            await wire.handshake(self.limits.read_ms)
+        except (ssl.SSLError, OSError) as cause:
+            self._note("handshake-failed", peer=peer, reason=str(cause) or type(cause).__name__)
+            wire.close()
+            return
+        finally:
+            self._shaking -= 1
+        self._connections[Connection(self, wire, peer, self._who(wire.certificate))] = None
 
     async def _sweep(self) -> None:
         """Time limits of all connections, four times a second."""
--- a/kelptrail/net/wire.py
+++ b/kelptrail/net/wire.py
@@ -38,6 +38,15 @@
         """What ALPN settled (RFC 7301)."""
         return None
 
+    def quiet(self) -> bool | None:
+        """Of an idle connection: True where nothing came, False where it ended, None where something came unasked."""
+        try:
+            return None if self.sock.recv(1, socket.MSG_PEEK) else False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     def end(self) -> None:
         """End our sending side."""
         self.sock.shutdown(socket.SHUT_WR)
@@ -126,6 +135,25 @@
         """What ALPN settled (RFC 7301)."""
         return self._tls.selected_alpn_protocol()
 
+    def quiet(self) -> bool | None:
+        """As a plain one; what only concerns TLS itself, such as new session tickets, is nothing."""
+        try:
+            while True:
+                data = self.sock.recv(BUFFER)
+                if not data:
+                    return False
+                self._in.write(data)
+        except BlockingIOError:
+            pass
+        except OSError:
+            return False
+        try:
+            return None if self._tls.read(1) else False
+        except ssl.SSLWantReadError:
+            return True
+        except ssl.SSLError:
+            return False
+
     @property
     def version(self) -> str | None:
         """The version in use."""
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -236,6 +236,7 @@
     preempt: bool
     accept: bool
     member: list[MemberSettings]
+    grpc_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,6 +261,21 @@
     track: list[TrackPlan]
 
 
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """One side's TLS: `front` (both fronts), `to-workers`, or `runners` (the stand-in workers).  Paths count from the
+    settings file's folder."""
+
+    side: str
+    certificate: str
+    key: str
+    authority: str
+    peers: str
+    least: str
+    ciphers: str
+    warn_days: float
+
+
 @dataclass(frozen=True, slots=True)
 class JournalSettings:
     """What outlives a dispatcher's process; needs a state folder."""
@@ -288,6 +304,8 @@
     store: StoreSettings
     vrrp: VrrpSettings | None = None
     journal: JournalSettings = JournalSettings(True, 1024.0, 64, 100_000)
+    tls: dict[str, TlsSettings] = field(default_factory=dict)
+    folder: Path = Path()  # of the settings file
 
 
 def _ms(low: float, high: float, default: Any = ...) -> Value:
@@ -424,6 +442,7 @@
         "interval-cs": number(1, 4095, whole=True, default=100),
         "preempt": yes_no(True),
         "accept": yes_no(True),
+        "grpc-port": number(0, 65535, whole=True, default=0),
         "member": Many(Shape({"priority": number(1, 255, whole=True)}, ("name",), MemberSettings), 1),
     }, ("vrid",), RouterPlan), 1),
     "track": Many(Shape({
@@ -441,6 +460,17 @@
     "most-waiting": number(1, 10_000_000, whole=True, default=100_000),
 }, build=JournalSettings)
 
+TLS = Shape({
+    "certificate": word(default=""),
+    "key": word(default=""),
+    "authority": word(default=""),
+    "peers": word(("none", "asked", "required"), "none"),
+    "least": word(("1.2", "1.3"), "1.2"),
+    "ciphers": word(default=""),
+    "warn-days": number(0, 3650, default=14.0),
+}, ("side",), TlsSettings)
+SIDES = ("front", "to-workers", "runners")
+
 TRACKED = ("workers", "front", "journal")
 
 DEPLOYMENT = Shape({
@@ -455,6 +485,7 @@
     "pool": Group(POOL),
     "fleet": Group(FLEET),
     "store": Group(STORE),
+    "tls": Many(TLS),
     "vrrp": Group(VRRP, optional=True),
     "journal": Group(JOURNAL),
 }, ("name",))
@@ -489,7 +520,7 @@
         fields["name"], fields["halls"], {t.name: t for t in fields["type"]},
         {n.name: n for n in fields["namespace"]}, actions, fields["rules"], fields["dispatcher"],
         fields["front"], fields["inference"], fields["pool"], fields["fleet"], fields["store"], fields["vrrp"],
-        fields["journal"])
+        fields["journal"], {t.side: t for t in fields["tls"]}, Path(file).parent)
 
 
 def _spread(action: ActionSettings) -> list[ActionSettings]:
@@ -539,6 +570,8 @@
             checker.fault(kind[1], kind[0], "a type of this file: " + ", ".join(sorted(types)))
         if form.head == "dispatcher" and (hall := _value(form, "hall")) and hall[0] not in halls:
             checker.fault(hall[1], hall[0], "a hall of this file: " + ", ".join(sorted(halls)))
+        if form.head == "tls":
+            _across_tls(checker, form, name, named)
         if form.head == "vrrp":
             _across_vrrp(checker, form)
         if form.head == "namespace":
@@ -610,6 +643,22 @@
             checker.fault(form.place, name, "one of " + ", ".join(TRACKED))
 
 
+def _across_tls(checker: Checker, form: Form, side: str, named: dict[tuple[str, str], Place]) -> None:
+    """Sides that there are, once each, with what they cannot do without."""
+    if side not in SIDES:
+        checker.fault(form.place, side, "one of " + ", ".join(SIDES))
+    if ("tls", side) in named:
+        checker.fault(form.place, f"tls {side} again", f"one; line {named['tls', side].line} has it already")
+    named["tls", side] = form.place
+    if side in ("front", "runners") and not _value(form, "certificate"):
+        checker.fault(form.place, f"tls {side} without a certificate", "(certificate FILE)")
+    peers = _value(form, "peers")
+    if side == "to-workers" and not _value(form, "authority"):
+        checker.fault(form.place, "tls to-workers without an authority", "(authority FILE): who vouches for workers")
+    if peers and peers[0] in ("asked", "required") and not _value(form, "authority"):
+        checker.fault(peers[1], f"peers {peers[0]}", "(authority FILE) beside it: who vouches for clients")
+
+
 def _first(form: Form) -> str:
     return str(form.items[1]) if len(form.items) > 1 and not isinstance(form.items[1], Form) else ""
 
--- a/kelptrail/standin/worker.py
+++ b/kelptrail/standin/worker.py
@@ -36,6 +36,7 @@
     write_report,
 )
 from kelptrail.gateway.clock import now_ms
+from kelptrail.gateway.serve import tls_keeper
 from kelptrail.net.client import Errand
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.net.server import Exchange, HttpServer, Limits
@@ -81,7 +82,9 @@
         self._store = WorkerPool(store, 256, 2000.0, pool.idle_ms, 1 << 20)
         self._roster = Errand(roster)
         limits = Limits(self._fleet.connections, idle_ms=120_000.0)
-        self.server, self.control = HttpServer(self._handle, limits), HttpServer(self._command)
+        tls = tls_keeper(deployment, "runners", ["http/1.1"], None)
+        self.server = HttpServer(self._handle, limits, tls=tls.context if tls else None)
+        self.control = HttpServer(self._command)
         self._faults: dict[str, dict[str, Any]] = {}
         self._delay, self._util = Lag(), 0.0
         self._address = ""
--- a/kelptrail/vrrp/address.py
+++ b/kelptrail/vrrp/address.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from kelptrail.codec.http import Request
+from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, Handler, HttpServer, Limits
 
 COME_BACK = b'{"error":"This address has moved to another dispatcher; the call was not taken.","code":"moved"}'
@@ -20,7 +22,11 @@
     """One address and the server on it, while it is held."""
 
     def __init__(self, host: str, port: int, handler: Handler, limits: Limits, log: Any,
-                 linger_ms: float = 0.0) -> None:
+                 linger_ms: float = 0.0, make: Callable[[Handler], HttpServer] | None = None,
+                 second: Callable[[], GrpcServer] | None = None, second_port: int = 0) -> None:
+        self._make = make or (lambda handler: HttpServer(handler, limits, log.warning))
+        self._second, self._second_port = second, second_port
+        self._grpc: GrpcServer | None = None
         self._host, self._port, self._handler, self._limits, self._log = host, port, handler, limits, log
         self._loop = asyncio.get_running_loop()
         self._server: HttpServer | None = None
@@ -43,14 +49,18 @@
         if self._server is not None:
             return
         self._retry = None
-        server = HttpServer(self._handle, self._limits, self._log.warning)
+        server = self._make(self._handle)
+        grpc = self._second() if self._second is not None and self._second_port else None
         try:
             server.listen(self._host, self._port, shared=True)
+            if grpc is not None:
+                grpc.listen(self._host, self._second_port, shared=True)
         except OSError as cause:
+            server.stop_listening()
             self._log.warning("address-not-taken", address=f"{self._host}:{self._port}", reason=str(cause))
             self._retry = self._loop.call_later(0.05, self.take)
             return
-        self._server = server
+        self._server, self._grpc = server, grpc
 
     def give_up(self, drain_ms: float) -> None:
         """Stop listening; what was taken goes on to its answer."""
@@ -60,13 +70,16 @@
         server, self._server = self._server, None
         if server is not None:
             server.handle = self._moved
-            task = self._loop.create_task(self._leave(server, drain_ms))
+            task = self._loop.create_task(self._leave(server, self._grpc, drain_ms))
+            self._grpc = None
             self._leaving.add(task)
             task.add_done_callback(self._leaving.discard)
 
-    async def _leave(self, server: HttpServer, drain_ms: float) -> None:
-        clean = await server.drain(drain_ms, self._linger_ms)
-        if not clean:
+    async def _leave(self, server: HttpServer, grpc: GrpcServer | None, drain_ms: float) -> None:
+        ends = [server.drain(drain_ms, self._linger_ms)]
+        if grpc is not None:  # told to go elsewhere; streams that were begun go on
+            ends.append(grpc.drain(drain_ms))
+        if not all(await asyncio.gather(*ends)):
             self._log.warning("address-left-late", address=f"{self._host}:{self._port}")
 
     def _handle(self, request: Request, exchange: Exchange) -> None:
