--- a/kelptrail/audit/judge.py
+++ b/kelptrail/audit/judge.py
@@ -32,6 +32,7 @@
     late_finals: int = 0
     finals_twice: int = 0
     sends_after_final: int = 0
+    sends_after_part: int = 0
     effects_twice: int = 0
     false_rejections: int = 0
     drain_breaches: int = 0
@@ -45,8 +46,8 @@
     effects: int = 0
     details: list[str] = field(default_factory=list)
 
-    BREACHES = ("unanswered", "accepted_lost", "late_finals", "finals_twice", "sends_after_final", "effects_twice",
-                "false_rejections", "drain_breaches", "cold_breaches", "ration_breaches")
+    BREACHES = ("unanswered", "accepted_lost", "late_finals", "finals_twice", "sends_after_final", "sends_after_part",
+                "effects_twice", "false_rejections", "drain_breaches", "cold_breaches", "ration_breaches")
 
     @property
     def broken(self) -> bool:
@@ -92,6 +93,7 @@
     finals = _answers(verdict, by_kind, calls)
     _effects(verdict, by_kind, calls, finals, world)
     _after_final(verdict, by_kind, finals)
+    _after_part(verdict, by_kind)
     _drains(verdict, by_kind, world)
     _cold(verdict, by_kind, world)
     _ration(verdict, by_kind, calls, finals, world)
@@ -189,6 +191,16 @@
                            f"{event['t'] - final['t']:.0f} ms later")
 
 
+def _after_part(verdict: Verdict, by_kind: dict[str, list[Event]]) -> None:
+    """Of a streamed answer: once its client has seen a part, nothing of it is sent again."""
+    seen = {event["activation"]: event["t"] for event in reversed(by_kind["part"])}
+    for event in by_kind["send"]:
+        since = seen.get(event["activation"])
+        if since is not None and event["t"] - event["lag"] > since + SLACK_MS:
+            verdict.breach("sends_after_part", f"{event['activation']} at {event['worker']}, "
+                           f"{event['t'] - since:.0f} ms later")
+
+
 def _drains(verdict: Verdict, by_kind: dict[str, list[Event]], world: Event) -> None:
     """Rule 3: nothing new to a worker later than the grace after its end was told."""
     grace = world["rules"]["drain_grace_ms"] + SLACK_MS
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -50,12 +50,14 @@
         await self._place.start(day.workers, day.dispatchers, self._out / "state")
         self._capture.note("world", **world_of(deployment, [d.name for d in self._place.dispatchers], day.workers))
         clients = Clients(deployment, [d.said["address"] for d in self._place.dispatchers],
-                          Capture(self._out / "captures" / "clients.jsonl", "clients"), self._seed)
+                          Capture(self._out / "captures" / "clients.jsonl", "clients"), self._seed,
+                          second=[d.said["grpc"] for d in self._place.dispatchers])
         arrivals: list[tuple[float, Callable[[], None]]] = []
         for load in day.load:
             end = min(day.seconds, load.at + load.last)
             for when, action in clients.arrivals(load.rate, load.at, end, load.zipf, load.action):
-                arrivals.append((when, partial(clients.wish, action, load.deferred, load.heed, load.retries)))
+                arrivals.append((when, partial(clients.wish, action, load.deferred, load.heed, load.retries,
+                                                      load.grpc, load.streams)))
         arrivals.sort(key=lambda pair: pair[0])
         gc.collect()
         gc.freeze()
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -30,6 +30,8 @@
     heed: float
     one_off: bool
     action: str
+    grpc: float
+    streams: float
 
     def __init__(self, rate: float, at: float, **rest: object) -> None:
         for name, value in {"rate": rate, "at": at, "last": rest.pop("for"), **rest}.items():
@@ -77,6 +79,8 @@
     "retries": number(0, 10, whole=True, default=1),
     "heed": number(0, 1, default=1.0),
     "one-off": word(("yes", "no"), "no"),
+    "grpc": number(0, 1, default=0.0),
+    "streams": number(0, 1, default=0.0),
     "action": word(default=""),
 }, build=lambda **f: Load(**(f | {"one_off": f["one_off"] == "yes"})))
 
--- a/kelptrail/codec/events.py
+++ b/kelptrail/codec/events.py
@@ -33,7 +33,7 @@
     def feed(self, data: bytes) -> list[bytes]:
         """Whole events.  Raises `TooLongError`."""
         self._buffer += data
-        if b"\r" in data:
+        if b"\r" in self._buffer:
             self._buffer = self._buffer.replace(b"\r\n", b"\n")
         out: list[bytes] = []
         at = 0
--- /dev/null
+++ b/kelptrail/net/grpc_client.py
@@ -0,0 +1,283 @@
+"""Calls of gRPC methods over one HTTP/2 connection to an address, made anew as needed; by the h2 library on sockets.
+
+A call ends exactly once: with the status that its server gave, or with none where the connection or the time ended it;
+`written` tells whether anything of it may have been read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.errors import ErrorCodes
+from h2.events import (
+    ConnectionTerminated,
+    DataReceived,
+    ResponseReceived,
+    StreamEnded,
+    StreamReset,
+    TrailersReceived,
+)
+from h2.exceptions import ProtocolError
+from h2.settings import SettingCodes
+
+from kelptrail.codec.grpc import Code, GrpcError, MessageReader, encode_message, read_trailers
+
+from .wire import TlsWire, Wire
+
+BUFFER, WINDOW = 65_536, 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How a call ended; `code` is None where no status came, `written` whether anything may have been read, `refused`
+    that its server said that it never looked at it."""
+
+    code: Code | None
+    text: str = ""
+    retry_ms: float | None = None
+    reason: str = ""
+    told: dict[str, str] = field(default_factory=dict)
+    written: bool = True
+    refused: bool = False
+
+
+class GrpcCall:
+    """One call under way."""
+
+    __slots__ = ("id", "on_end", "on_message", "reader", "rest", "timer", "written")
+
+    def __init__(self, message: bytes, on_message: Callable[[bytes], None], on_end: Callable[[Ended], None],
+                 most: int) -> None:
+        self.rest = encode_message(message)
+        self.on_message, self.on_end, self.reader = on_message, on_end, MessageReader(most)
+        self.id = 0
+        self.written = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def end(self, ended: Ended) -> None:
+        """Tell of the end, once."""
+        if self.timer is not None:
+            self.timer.cancel()
+        on_end, self.on_end, self.on_message = self.on_end, _nothing, _nothing
+        on_end(ended)
+
+
+def _nothing(*_args: object) -> None:
+    """Stands in for a callback."""
+
+
+class GrpcClient:
+    """Calls to one address."""
+
+    def __init__(self, address: str, connect_ms: float = 500.0, message_bytes: int = 1 << 24,
+                 tls: Callable[[], ssl.SSLContext] | None = None) -> None:
+        host, _, port = address.rpartition(":")
+        self.address, self._where, self._tls = address, (host.strip("[]"), int(port)), tls
+        self._connect_ms, self._most = connect_ms, message_bytes
+        self._loop = asyncio.get_running_loop()
+        self._link: _Link | None = None
+        self._connecting: asyncio.Task[_Link | None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def call(self, path: str, message: bytes, metadata: dict[str, str], on_message: Callable[[bytes], None],
+             on_end: Callable[[Ended], None], timeout_ms: float, patience_ms: float = 0.0) -> GrpcCall:
+        """Begin a call of one request message; `on_end` comes later, never from within.  Its server is told
+        `timeout_ms`, and waited for so much longer."""
+        call = GrpcCall(message, on_message, on_end, self._most)
+        call.timer = self._loop.call_later((timeout_ms + patience_ms) / 1000, self._late, call)
+        headers = [(":method", "POST"), (":scheme", "https" if self._tls else "http"), (":path", path),
+                   (":authority", self.address), ("te", "trailers"), ("content-type", "application/grpc"),
+                   ("grpc-timeout", f"{max(1, round(timeout_ms))}m"), *metadata.items()]
+        task = self._loop.create_task(self._begin(call, headers))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return call
+
+    async def _begin(self, call: GrpcCall, headers: list[tuple[str, str]]) -> None:
+        link = await self._get()
+        if link is None:
+            call.end(Ended(None, "no connection", written=False))
+        elif call.on_end is not _nothing:
+            link.begin(call, headers)
+
+    async def _get(self) -> _Link | None:
+        if self._link is not None and self._link.open:
+            return self._link
+        if self._connecting is None:
+            self._connecting = self._loop.create_task(self._connect())
+        return await asyncio.shield(self._connecting)
+
+    async def _connect(self) -> _Link | None:
+        sock = socket.socket(socket.AF_INET6 if ":" in self._where[0] else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self._connect_ms / 1000):
+                await self._loop.sock_connect(sock, self._where)
+                wire = Wire(self._loop, sock)
+                if self._tls is not None:
+                    wire = secure = TlsWire(self._loop, sock, self._tls(), False, self._where[0])
+                    await secure.handshake(self._connect_ms)
+        except OSError:
+            sock.close()
+            return None
+        finally:
+            self._connecting = None
+        self._link = _Link(self._loop, wire)
+        return self._link
+
+    def _late(self, call: GrpcCall) -> None:
+        if self._link is not None:
+            self._link.cancel(call)
+        call.end(Ended(None, "no answer in time", written=call.written))
+
+    def cancel(self, call: GrpcCall) -> None:
+        """Call it off; it ends without a status."""
+        if self._link is not None:
+            self._link.cancel(call)
+        call.end(Ended(None, "cancelled", written=call.written))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._link is not None:
+            self._link.close()
+
+
+class _Link:
+    """One connection."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, wire: Wire) -> None:
+        self._loop, self._wire = loop, wire
+        self._h2 = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8",
+                                                validate_outbound_headers=False))
+        self._h2.local_settings.update({SettingCodes.ENABLE_PUSH: 0})
+        self._h2.initiate_connection()
+        self._h2.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: WINDOW})
+        self._h2.increment_flow_control_window(WINDOW * 8)
+        self._calls: dict[int, GrpcCall] = {}
+        self._waiting: list[tuple[GrpcCall, list[tuple[str, str]]]] = []
+        self._out = bytearray()
+        self._more: asyncio.Future[None] | None = None
+        self.open = True
+        self._flush()
+        self._tasks = [loop.create_task(self._read()), loop.create_task(self._write())]
+
+    def begin(self, call: GrpcCall, headers: list[tuple[str, str]]) -> None:
+        """Send a call, or keep it until the server takes another stream."""
+        if not self.open:
+            call.end(Ended(None, "the connection closes", written=False))
+            return
+        if len(self._calls) >= self._h2.remote_settings.max_concurrent_streams:
+            self._waiting.append((call, headers))
+            return
+        call.id = self._h2.get_next_available_stream_id()
+        self._calls[call.id] = call
+        call.written = True
+        self._h2.send_headers(call.id, headers)
+        self._pump(call)
+        self._flush()
+
+    def _pump(self, call: GrpcCall) -> None:
+        while call.rest:
+            window = min(self._h2.local_flow_control_window(call.id), self._h2.max_outbound_frame_size)
+            if window <= 0:
+                return
+            data, call.rest = call.rest[:window], call.rest[window:]
+            self._h2.send_data(call.id, data, end_stream=not call.rest)
+
+    def cancel(self, call: GrpcCall) -> None:
+        """Reset a call's stream."""
+        if self._calls.pop(call.id, None) is not None:
+            with contextlib.suppress(ProtocolError):
+                self._h2.reset_stream(call.id, ErrorCodes.CANCEL)
+            self._flush()
+        self._waiting = [w for w in self._waiting if w[0] is not call]
+
+    async def _read(self) -> None:
+        buffer = bytearray(BUFFER)
+        try:
+            while count := await self._wire.recv_into(buffer):
+                for event in self._h2.receive_data(bytes(buffer[:count])):
+                    self._take(event)
+                for call in list(self._calls.values()):
+                    if call.rest:
+                        self._pump(call)
+                self._flush()
+        except (OSError, ProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            self._lost()
+
+    def _take(self, event: object) -> None:
+        if isinstance(event, ConnectionTerminated):
+            self.open = False  # what it has is served on; new calls take a new connection
+            return
+        call = self._calls.get(getattr(event, "stream_id", 0) or 0)
+        if call is None:
+            return
+        if isinstance(event, DataReceived):
+            self._h2.acknowledge_received_data(event.flow_controlled_length or 0, call.id)
+            try:
+                for message in call.reader.feed(event.data or b""):
+                    call.on_message(message)
+            except GrpcError as cause:
+                self._over(call, Ended(None, cause.text))
+        elif isinstance(event, TrailersReceived | ResponseReceived):
+            headers = {str(k): str(v) for k, v in event.headers or ()}
+            if "grpc-status" in headers:
+                code, text, retry, reason, told = read_trailers(headers)
+                self._over(call, Ended(code, text, retry, reason, told))
+        elif isinstance(event, StreamReset):
+            self._over(call, Ended(None, "reset", refused=event.error_code == ErrorCodes.REFUSED_STREAM))
+        elif isinstance(event, StreamEnded):
+            self._over(call, Ended(None, "no status"))
+
+    def _over(self, call: GrpcCall, ended: Ended) -> None:
+        self._calls.pop(call.id, None)
+        call.end(ended)
+        while self._waiting and self.open:
+            self.begin(*self._waiting.pop(0))
+            if len(self._calls) >= self._h2.remote_settings.max_concurrent_streams:
+                break
+
+    def _flush(self) -> None:
+        self._out += self._h2.data_to_send()
+        if self._out and self._more is not None and not self._more.done():
+            self._more.set_result(None)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                if not self._out:
+                    self._more = self._loop.create_future()
+                    await self._more
+                    continue
+                data, self._out = self._out, bytearray()
+                await self._wire.sendall(data)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._lost()
+
+    def _lost(self) -> None:
+        self.open = False
+        calls, self._calls = list(self._calls.values()), {}
+        waiting, self._waiting = self._waiting, []
+        for call in calls:
+            call.end(Ended(None, "the connection ended"))
+        for call, _ in waiting:
+            call.end(Ended(None, "the connection ended", written=False))
+        for task in self._tasks:
+            task.cancel()
+        self._wire.close()
+
+    def close(self) -> None:
+        """Close now."""
+        self._lost()
--- a/kelptrail/net/tls.py
+++ b/kelptrail/net/tls.py
@@ -18,7 +18,7 @@
 from kelptrail.keys.authority import AuthorityError, read_certificate
 from kelptrail.keys.names import names_in
 
-VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
+VERSIONS = {"tls-1.2": ssl.TLSVersion.TLSv1_2, "tls-1.3": ssl.TLSVersion.TLSv1_3}
 DAY_MS = 86_400_000.0
 
 
@@ -31,7 +31,7 @@
     key: Path | None = None
     authority: Path | None = None
     peers: str = "none"
-    least: str = "1.2"
+    least: str = "tls-1.2"
     ciphers: str = ""
     warn_days: float = 14.0
 
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -465,7 +465,7 @@
     "key": word(default=""),
     "authority": word(default=""),
     "peers": word(("none", "asked", "required"), "none"),
-    "least": word(("1.2", "1.3"), "1.2"),
+    "least": word(("tls-1.2", "tls-1.3"), "tls-1.2"),
     "ciphers": word(default=""),
     "warn-days": number(0, 3650, default=14.0),
 }, ("side",), TlsSettings)
@@ -583,8 +583,9 @@
             if len(hashes) > 2:
                 checker.fault(hashes[2].place, "a third key-hash", "two at most: the old one and the new one")
             for one in hashes:
-                if not _DIGEST.fullmatch(_first(one)):
-                    checker.fault(one.place, _first(one)[:20], "sha256: and 64 hex digits")
+                digest = _first(one).strip('"')
+                if not _DIGEST.fullmatch(digest):
+                    checker.fault(one.place, digest[:12] + "...", "sha256: and 64 hex digits")
         if form.head == "namespace" and (uuid := _value(form, "uuid")):
             if not _UUID.fullmatch(uuid[0]):
                 checker.fault(uuid[1], uuid[0], "a UUID, as 8-4-4-4-12 hex digits")
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -14,14 +14,21 @@
 import msgspec
 import numpy as np
 
+from kelptrail.codec.grpc import Code
 from kelptrail.codec.http import Response, encode_request
+from kelptrail.codec.tensors import scalars
+from kelptrail.front.inference import inference_pb2 as pb
+from kelptrail.front.inference.api import SERVICE
 from kelptrail.gateway.clock import now_ms
+from kelptrail.net.grpc_client import Ended, GrpcClient
 from kelptrail.net.pool import Call, Ending, WorkerPool
-from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
+from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings, TypeSettings
 
 from .capture import Capture, Lag
 
 POLL_MS, PATIENCE_MS = 150.0, 3000.0
+STREAM_MS = 5000.0  # what a client allows for a whole stream, beyond the time to its first part
+ABORTED = ("MAY_HAVE_RUN", "NEVER_RAN")
 
 
 @dataclass(slots=True, eq=False)
@@ -39,13 +46,17 @@
     activation: str = ""
     number: str = ""
     asked_at: str = ""
+    grpc: bool = False  # over the second front
+    streamed: bool = False
+    parts: int = 0
 
 
 class Clients:
     """All clients of one place."""
 
     def __init__(self, deployment: Deployment, addresses: list[str], capture: Capture, seed: int,
-                 front: bool = False) -> None:
+                 front: bool = False, second: list[str] | None = None) -> None:
+        self._second = [GrpcClient(address) for address in second or ()]
         self._deployment, self._addresses, self._capture = deployment, addresses, capture
         self._front = front  # the addresses are shared ones: who answers is not known beforehand
         self._chance = np.random.default_rng([seed, 7])
@@ -74,14 +85,20 @@
         picks = self._chance.choice(len(actions), count, p=weights / weights.sum())
         return [(float(t), actions[int(n)]) for t, n in zip(times, picks, strict=True)]
 
-    def wish(self, action: ActionSettings, deferred: float, heed: float, retries: int) -> None:
-        """One client comes."""
+    def wish(self, action: ActionSettings, deferred: float, heed: float, retries: int, grpc: float = 0.0,
+             streams: float = 0.0) -> None:
+        """One client comes; `grpc` and `streams` are the shares that call by the second front, and in streams there."""
         self._tickets += 1
         spaces = list(self._deployment.namespaces.values())
         shares = np.array([s.allowed_per_s for s in spaces])
         space = spaces[int(self._chance.choice(len(spaces), p=shares / shares.sum()))]
-        self._try(Wish(f"t{self._tickets}", action, space, bool(self._chance.random() < deferred),
-                       bool(self._chance.random() < heed), 1 + retries))
+        wish = Wish(f"t{self._tickets}", action, space, bool(self._chance.random() < deferred),
+                    bool(self._chance.random() < heed), 1 + retries)
+        if grpc:
+            wish.grpc = bool(self._chance.random() < grpc)
+            wish.streamed = wish.grpc and bool(self._chance.random() < streams)
+            wish.deferred = wish.deferred and not wish.streamed
+        self._try(wish)
 
     def _try(self, wish: Wish, last: int | None = None) -> None:
         wish.tries -= 1
@@ -90,6 +107,9 @@
         wish.dispatcher = int(self._chance.integers(count)) if last is None else (last + 1) % count
         wish.number, wish.began, wish.activation = f"c{self._calls}", now_ms(), ""
         kind = self._deployment.types[wish.action.type]
+        if wish.grpc and self._second:
+            self._infer(wish, kind)
+            return
         target = f"/api/v1/namespaces/_/actions/{wish.action.path}?blocking={str(not wish.deferred).lower()}"
         headers = {"authorization": self._auth[wish.namespace.name]}
         if kind.effect == "deduplicated":
@@ -103,6 +123,88 @@
         call = self._pools[wish.dispatcher].start(data, self._answered, wish)
         self._loop.call_later((kind.timeout_ms + 500) / 1000, call.give_up, "patience")
 
+    def _infer(self, wish: Wish, kind: TypeSettings) -> None:
+        """The same wish by the second front."""
+        request = pb.ModelInferRequest(model_name=wish.action.path, id=wish.ticket)
+        request.inputs.add(name="ticket", datatype="BYTES", shape=[1]).contents.bytes_contents.append(
+            wish.ticket.encode())
+        if kind.effect == "deduplicated" and not wish.streamed:
+            request.parameters["idempotency_key"].string_param = wish.ticket
+        if wish.deferred:
+            request.parameters["deferred"].bool_param = True
+        wish.parts = 0
+        limit = kind.timeout_ms + (STREAM_MS if wish.streamed else 0.0)
+        self._capture.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
+                           dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=limit, front=self._front,
+                           grpc=True, streamed=wish.streamed)
+        self.out += 1
+        method = "ModelStreamInfer" if wish.streamed else "ModelInfer"
+        message = self._streamed if wish.streamed else self._inferred
+        self._second[wish.dispatcher].call(
+            SERVICE + method, request.SerializeToString(), {"authorization": self._auth[wish.namespace.name]},
+            lambda data: message(wish, data), lambda ended: self._over(wish, ended), limit, 500.0)
+
+    def _inferred(self, wish: Wish, data: bytes) -> None:
+        response = pb.ModelInferResponse.FromString(data)
+        wish.activation = response.parameters["activation_id"].string_param
+        if response.parameters["deferred"].bool_param:
+            wish.asked_at = self._addresses[wish.dispatcher]
+            self._capture.note("accepted", call=wish.number, activation=wish.activation)
+            self.polling += 1
+            self._loop.call_later(POLL_MS / 1000, self._poll, wish)
+        else:
+            self._told(wish, "completed", wish.activation)
+
+    def _streamed(self, wish: Wish, data: bytes) -> None:
+        message = pb.ModelStreamInferResponse.FromString(data)
+        told = scalars(message.infer_response.parameters)
+        activation = str(told.get("activation_id", ""))
+        if not told.get("final_response"):
+            wish.parts += 1
+            if wish.parts == 1:
+                self._capture.note("part", call=wish.number, activation=activation, lag=self._lag.now())
+            return
+        wish.activation = "final"  # its call's status is no answer of its own
+        reason = told.get("reason")
+        if not message.error_message:
+            self._told(wish, "completed", activation)
+        elif reason == "NOT_TAKEN":
+            self._capture.note("not-taken", call=wish.number)
+        else:
+            retry = told.get("retry_after_ms")
+            answer = "rejected" if reason == "REJECTED" else "aborted" if reason in ABORTED else "failed"
+            self._told(wish, answer, activation, float(retry) if retry is not None else 0.0)
+
+    def _told(self, wish: Wish, answer: str, activation: str, retry_ms: float = 0.0,
+              within_ms: float | None = None) -> None:
+        self._capture.note("final", call=wish.number, activation=activation, answer=answer, status=0,
+                           lag=self._lag.now(), took=None, code=0 if answer == "completed" else None)
+        wait = retry_ms if wish.heeds else 0.0
+        if answer == "rejected" and (within_ms is None or wait + self._deployment.types[wish.action.type].timeout_ms
+                                     < within_ms):
+            self._back(wish, wait)
+        elif answer == "aborted" and self._effect(wish) == "repeatable":
+            self._back(wish, 100.0)
+
+    def _over(self, wish: Wish, ended: Ended) -> None:
+        self.out -= 1
+        if ended.code is Code.OK or wish.activation == "final":
+            return
+        if ended.refused or not ended.written or ended.reason == "NOT_TAKEN":
+            self._capture.note("not-taken", call=wish.number)
+            if now_ms() - wish.began < 2000 and wish.tries > -20:
+                self._loop.call_later(0.05, self._try, wish, wish.dispatcher)
+        elif ended.code is None:
+            self._capture.note("no-answer", call=wish.number, ending=ended.text)
+            if self._effect(wish) == "repeatable":
+                self._back(wish, 200.0)
+        else:
+            answer = "rejected" if ended.reason == "REJECTED" else "aborted" if ended.reason in ABORTED else (
+                f"status-{ended.code.name}")
+            within = ended.told.get("repeat_within_ms")
+            self._told(wish, answer, ended.told.get("activation", ""), ended.retry_ms or 0.0,
+                       float(within) if within is not None else None)
+
     def _answered(self, call: Call, ending: Ending, response: Response | None) -> None:
         wish: Wish = call.tag
         self.out -= 1
@@ -186,3 +288,5 @@
         self._lag.stop()
         for pool in [*self._pools, *self._asked.values()]:
             pool.close()
+        for client in self._second:
+            client.close()
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -85,6 +85,8 @@
         words = list(child.words)
         if child.said:
             words += ["--port", child.said["address"].rpartition(":")[2]]
+            if child.said.get("grpc"):
+                words += ["--grpc-port", child.said["grpc"].rpartition(":")[2]]
             if "control" in child.said:
                 words += ["--control-port", child.said["control"].rpartition(":")[2]]
             words = [w for w in words if w != "--warm"]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -116,7 +116,15 @@
     events += [pick(events, "order", copies=1) | {"t": 3300, "worker": "w1"} for _ in range(4)]
 
 
+def send_after_part(events):
+    send = pick(events, "send")
+    again = dict(send, worker="other", send=1, t=send["t"] + 300)
+    events.append({"what": "part", "t": send["t"] + 20, "call": "c1", "activation": send["activation"], "lag": 0.0})
+    events.append(again)
+
+
 @pytest.mark.parametrize(("doctor", "name"), [
+    (send_after_part, "sends_after_part"),
     (lose_final, "unanswered"), (late, "late_finals"), (late_deferred, "late_finals"), (two_finals, "finals_twice"),
     (send_after, "sends_after_final"), (effect_twice, "effects_twice"), (once_only_twice, "effects_twice"),
     (false_rejection, "false_rejections"), (send_to_drained, "drain_breaches"), (order_to_gone, "drain_breaches"),
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -192,3 +192,29 @@
     (tmp_path / "no.tap").write_text("hello\n")
     with pytest.raises(ValueError, match=r"no\.tap:1"):
         look(tmp_path / "no.tap")
+
+
+BOTH_FRONTS = """(bad-day both (deployment "{root}/examples/streams.sexp") (seconds 11) (workers 5) (dispatchers 2)
+  (load (rate 80) (deferred 0.3) (zipf 0.8) (retries 1) (grpc 0.6) (streams 0.5))
+  (trouble cut              (at 1.5) (for 3) (part 0.6) (share 0.3))
+  (trouble stall            (at 3)   (for 2) (part 0.6) (share 0.3))
+  (trouble disk-slow        (at 4)   (for 1) (part 1)   (ms 400))
+  (trouble kill-dispatchers (at 5)   (for 0.4) (part 0.5))
+  (trouble kill-dispatchers (at 6.4) (for 0.2) (part 1))
+  (trouble kill-dispatchers (at 7.4) (for 0.2) (part 1)))
+"""
+
+
+def test_both_fronts_keep_the_rules_through_cut_streams_slow_disks_and_two_kills_in_a_row(tmp_path: Path) -> None:
+    """The twin of the long runs of examples/bad-days."""
+    script, out = tmp_path / "both.sexp", tmp_path / "out"
+    script.write_text(BOTH_FRONTS.format(root=ROOT))
+    done = subprocess.run([sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)], cwd=ROOT,
+                          capture_output=True, text=True, timeout=90, check=False)
+    report = json.loads((out / "report.json").read_text())
+    assert done.returncode == 0 and not report["broken"], report["details"]
+    assert report["taken"] > 600 and report["accepted_lost"] == 0
+    calls = [json.loads(line) for line in (out / "captures" / "clients.jsonl").read_text().splitlines()]
+    streamed = {c["call"] for c in calls if c["what"] == "call" and c.get("streamed")}
+    ends = [c["answer"] for c in calls if c["what"] == "final" and c["call"] in streamed]
+    assert ends.count("completed") > 100 and "aborted" in ends, "some were cut off, and said so"
