--- /dev/null
+++ b/bench/grpc_echo.py
@@ -0,0 +1,99 @@
+"""Bare echoes of a unary gRPC method, for choosing a library: `python bench/grpc_echo.py h2|grpcio|grpcio-uvloop|ours`.
+
+`h2`: the h2 library on the loop's own sockets, nothing else; `grpcio`: the asyncio server of grpcio; `ours`: the
+program's own server with a handler that echoes.  Prints its address and serves until SIGTERM.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import sys
+
+import uvloop
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.events import DataReceived, RequestReceived, StreamEnded
+
+PATH = "/inference.GRPCInferenceService/ModelInfer"
+
+
+async def bare(sock: socket.socket) -> None:
+    """One connection."""
+    loop = asyncio.get_running_loop()
+    made = H2Connection(H2Configuration(client_side=False, header_encoding=None, validate_outbound_headers=False,
+                                        normalize_outbound_headers=False))
+    made.initiate_connection()
+    made.increment_flow_control_window(1 << 24)
+    await loop.sock_sendall(sock, made.data_to_send())
+    buffer, bodies = bytearray(65536), dict[int, bytearray]()
+    while count := await loop.sock_recv_into(sock, buffer):
+        for event in made.receive_data(bytes(buffer[:count])):
+            id_ = event.stream_id if isinstance(event, RequestReceived | DataReceived | StreamEnded) else 0
+            if isinstance(event, RequestReceived):
+                bodies[id_] = bytearray()
+            elif isinstance(event, DataReceived):
+                bodies[id_] += event.data
+                made.acknowledge_received_data(event.flow_controlled_length, id_)
+            elif isinstance(event, StreamEnded):
+                made.send_headers(id_, [(b":status", b"200"), (b"content-type", b"application/grpc")])
+                made.send_data(id_, bytes(bodies.pop(id_)))
+                made.send_headers(id_, [(b"grpc-status", b"0")], end_stream=True)
+        if data := made.data_to_send():
+            await loop.sock_sendall(sock, data)
+
+
+async def serve_bare() -> None:
+    loop = asyncio.get_running_loop()
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(100)
+    listener.setblocking(False)
+    print(f"127.0.0.1:{listener.getsockname()[1]}", flush=True)
+    kept = set()
+    while True:
+        sock, _ = await loop.sock_accept(listener)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        kept.add(loop.create_task(bare(sock)))
+
+
+async def serve_grpcio() -> None:
+    import grpc
+
+    async def echo(request: bytes, _context: object) -> bytes:
+        return request
+
+    server = grpc.aio.server()
+    service, _, method = PATH[1:].partition("/")
+    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(
+        service, {method: grpc.unary_unary_rpc_method_handler(echo)}),))
+    print(f"127.0.0.1:{server.add_insecure_port('127.0.0.1:0')}", flush=True)
+    await server.start()
+    await server.wait_for_termination()
+
+
+async def serve_ours() -> None:
+    from kelptrail.net.grpc_server import GrpcServer, GrpcStream
+
+    def echo(stream: GrpcStream) -> None:
+        kept: list[bytes] = []
+        stream.on_message = kept.append
+
+        def whole() -> None:
+            stream.send(kept[0])
+            stream.finish()
+        stream.on_end = whole
+
+    server = GrpcServer(echo)
+    server.listen("127.0.0.1", 0)
+    print(server.address, flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    kind = sys.argv[1]
+    main = {"h2": serve_bare, "ours": serve_ours}.get(kind, serve_grpcio)()
+    asyncio.run(main) if kind == "grpcio" else uvloop.run(main)
