A deferred call counts for the ration once it is certain that it is taken

Ten minutes of faults broke the ration twice by one order: calls that a failing disk had turned away with 503 had counted as taken. The core tells the module of such a call uncounted, and counts it when its record is safe.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -360,16 +360,20 @@
         self._stirred, self._lagging, self._known = (dict[Function, None]() for _ in range(3))
 
     def taken(self, now: float, act: Activation, anew: bool = True) -> None:
-        """`anew` is False for one that a run before took, and counted: it earns no load orders again."""
+        """`anew` is False for one that a run before took and counted, or that is `counted` once it is certain."""
         if anew:
-            self._gate.taken.append(now)
-            if act.customer is not None:
-                act.customer.taken.append(now)
+            self.counted(now, act)
         act.function.last_taken, act.function.load_ms = now, act.function.load_ms or 1000.0  # told, else 1 s
         self._known[act.function] = self._known.pop(act.function, None)  # the longest not asked for is first
         act.function.arrivals.append(act)
         self._stirred[act.function] = None
 
+    def counted(self, now: float, act: Activation) -> None:
+        """It counts as taken, for the ration and its customer's share."""
+        self._gate.taken.append(now)
+        if act.customer is not None:
+            act.customer.taken.append(now)
+
     def left(self, act: Activation) -> None:
         act.verdict = act.verdict or "left"
         self._revoke(act)
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -47,6 +47,7 @@
     waiters: list[Callable[[Record], None]] = field(default_factory=list)  # told the final answer, by the host
     answer: Answer | None = None
     form: str = "json"  # of the payload and the result: "json", or "tensors" as the inference protocol has them
+    deferred: bool = False  # from the start: its client waits for the id only
     streamed: bool = False  # its client takes the answer in parts
     until: float = 0.0  # when it is given up, unless something comes
     parts: int = 0
@@ -154,6 +155,7 @@
         self._unsafe: deque[Send] = deque()  # sends that will not be: the journal failed
         self._keys: dict[tuple[str, str, str], Record] = {}
         self._joined: dict[str, Ivk] = {}  # calls in hand by id
+        self._certain: deque[Activation] = deque()  # deferred calls whose records have become safe
         self._pace: Pace | None = None  # what a restart found, and since when it is resumed
         self._paced = 0.0
         self._resumed: dict[str, None] = {}
@@ -189,7 +191,7 @@
         kept = self.journal is not None and self.journal.takes() and (deferred or key is not None)
         passage = Passage(settings.effect == Effect.REPEATABLE.value, kept, deferred)
         ivk = Ivk(act, record, action, payload, mark, passage, [waiter] if waiter is not None else [])
-        ivk.form, ivk.streamed, ivk.until = form, streamed, act.deadline
+        ivk.form, ivk.streamed, ivk.until, ivk.deferred = form, streamed, act.deadline, deferred
         record.form = form
         record.key, record.digest, record.deferred = key or "", digest, deferred
         if key is not None:
@@ -200,7 +202,8 @@
         self.counts.taken += 1
         self.holdings.take(namespace, len(payload))
         ivk.passage.queue()
-        self._dispatcher.taken(now, act)
+        # Guards against load orders earned by calls that a failing disk turns away: they were not taken.
+        self._dispatcher.taken(now, act, anew=not (kept and deferred))
         return ivk
 
     def known(self, namespace: str, path: str, key: str, digest: str) -> Record | None:
@@ -263,6 +266,8 @@
 
     def _recorded(self, ivk: Ivk, safe: bool) -> None:
         ivk.passage.told(Need.RECORD, safe)
+        if safe and ivk.deferred:
+            self._certain.append(ivk.act)
         self.passes("journalled")
         promises, ivk.promises = ivk.promises, []
         for done in promises:
@@ -372,6 +377,8 @@
             late = self._ivks.get(act)
             if late is not None and late.passage.stage is Stage.FINAL and not late.passage.owed:
                 self._show(late, True)  # a slow disk does not make a waiting client's answer late
+        while self._certain:
+            self._dispatcher.counted(now, self._certain.popleft())
         while self._unsafe:  # nothing of it was written to a worker
             send = self._unsafe.popleft()
             if send.outcome is None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -336,6 +336,28 @@
     assert gateway.counts.taken == 5 and not world.gate.taken, "they were counted by the run that took them"
 
 
+def test_a_deferred_call_earns_load_orders_only_once_it_is_certain_that_it_is_taken() -> None:
+    """Found in ten minutes of faults: calls turned away by a failing disk had earned an order each."""
+    world = World(parse(DEPLOYMENT, "t"), "a", 1)
+    journal = Journal()
+    gateway = Gateway(world, "b" * 16, journal)
+    action = world.deployment.actions["p/check"]
+    for number, safe in enumerate((True, False)):
+        ivk = gateway.take(float(number), 1000.0, "one", action, b"{}", deferred=True)
+        gateway.promise(ivk, lambda _safe: None)
+        batch = journal.ready(0.0)
+        assert batch is not None and len(world.gate.taken) == number
+        if safe:
+            journal.safe(batch.number)
+        else:
+            journal.failed(0.0, batch.number, "full")
+        while gateway.effect(float(number)) is not None:
+            pass
+    assert len(world.gate.taken) == 1
+    gateway.take(3.0, 1000.0, "one", action, b"{}")
+    assert len(world.gate.taken) == 2, "a blocking call gets an answer in any case"
+
+
 # The API with a journal.
 
 
