--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -360,7 +360,7 @@
         self._stirred, self._lagging, self._known = (dict[Function, None]() for _ in range(3))
 
     def taken(self, now: float, act: Activation, anew: bool = True) -> None:
-        """`anew` is False for one that a run before took and counted, or that is `counted` once it is certain."""
+        """`anew` is False for one that a run before counted, or that is `counted` once it is certain."""
         if anew:
             self.counted(now, act)
         act.function.last_taken, act.function.load_ms = now, act.function.load_ms or 1000.0  # told, else 1 s
