--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -98,8 +98,8 @@
 BAD_DAY = Shape({
     "deployment": word(),
     "seconds": number(1, 86_400),
-    "workers": number(1, 200, whole=True, default=8),
-    "dispatchers": number(1, 50, whole=True, default=3),
+    "workers": number(1, 10_000, whole=True, default=8),
+    "dispatchers": number(1, 1000, whole=True, default=3),
     "load": Many(LOAD, 1),
     "trouble": Many(TROUBLE),
 }, ("name",), BadDay)
--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -337,10 +337,13 @@
         return function.lag >= part * self._per_lane * max(lanes, function.lanes) or self.shed(part, act)
 
     def limit(self, now: float, function: Function, room: bool) -> int:
-        function.limit = function.limit or self._limit  # lag that outlasts a load time raises it by one
+        """Lag that outlasts a load time raises it by what the lag would fill, at most twofold.  Guards
+        against a start with nothing, where one by one took some twenty load times."""
+        function.limit = function.limit or self._limit
         function.lag_since = now if function.lag_since is None else function.lag_since
         if room and now - function.lag_since > function.load_ms:
-            function.limit, function.lag_since = function.limit + 1, now
+            deep = function.lag // (self._per_lane * function.lanes)
+            function.limit, function.lag_since = function.limit + max(1, min(function.limit, deep)), now
         return max(function.limit, int(function.spread))
 
 
--- /dev/null
+++ b/kelptrail/lab/site.py
@@ -0,0 +1,637 @@
+"""Emulated dispatchers around the real gateway core, their network, clients and list: one place in simulated time.
+
+A dispatcher is the program's `Gateway` (and in it the module), with its journal on an emulated disk.  It is driven as
+the program's driver does: told what happens, pulled until there is nothing left, one timer.  Each input costs CPU time,
+so a dispatcher that is overloaded falls behind here, too.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+
+from kelptrail.badday.report import world_of
+from kelptrail.badday.script import ON_DISKS, ON_STORE, ON_WORKERS, BadDay, Load, Trouble
+from kelptrail.codec.infer import Answer
+from kelptrail.dispatch.terms import Order, Outcome, Send
+from kelptrail.gateway.build import World
+from kelptrail.gateway.core import Final, Gateway, GiveUp, Ivk, PlaceOrder, StartSend
+from kelptrail.gateway.records import Record
+from kelptrail.roster.members import Listing
+from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
+from kelptrail.store.book import Life
+from kelptrail.store.entries import Accepted, Ended, MayRun
+from kelptrail.store.journal import Journal
+
+from .engine import Engine, Timer
+from .fleet import LabStore, LabWorker
+
+POLL_MS, PATIENCE_MS, WALL = 150.0, 3000.0, 1e12
+
+
+@dataclass(frozen=True, slots=True)
+class LabSettings:
+    """What the emulation assumes of machines and networks.  Milliseconds."""
+
+    network_ms: float = 0.15  # one way, with what the loops on both ends add
+    cpu_ms: float = 0.1  # of a dispatcher, for each call taken and each answer
+    sync_ms: float = 2.0  # of its disk
+    start_ms: float = 600.0  # a dispatcher's start until it serves
+    restart_ms: float = 700.0  # a worker's
+
+
+@dataclass(slots=True, eq=False)
+class Wish:
+    """What a client wants done, over all its tries."""
+
+    ticket: str
+    action: ActionSettings
+    space: NamespaceSettings
+    deferred: bool
+    heeds: bool
+    tries: int
+    dispatcher: int = 0
+    began: float = 0.0
+    activation: str = ""
+    number: str = ""
+    first: float = 0.0  # when it first came
+    patience: Timer | None = None
+    ivk: Ivk | None = None
+    run: int = 0  # of the dispatcher that took it
+
+
+@dataclass(slots=True)
+class Second:
+    """What became of the calls of one second."""
+
+    calls: int = 0
+    completed: int = 0
+    in_time: int = 0
+    rejected: int = 0
+    aborted: int = 0
+    lost: int = 0
+    sends: int = 0
+    orders: int = 0
+    repeats: int = 0
+
+
+class LabDispatcher:
+    """One dispatcher's process."""
+
+    def __init__(self, site: Site, number: int, hall: str) -> None:
+        self._site, self.number, self.name, self._hall = site, number, f"dispatcher-{number}", hall
+        self.up, self.starts, self._book = False, 0, dict[str, Life]()
+        self._settings, self._engine = site.settings, site.engine
+        self.sync_ms, self.disk_fails = site.settings.sync_ms, False
+        self.listing: Listing | None = None
+        self.begin()
+
+    def begin(self) -> None:
+        """Start with nothing but the last list and the book."""
+        self.starts += 1
+        self.boot = f"{zlib.crc32(f'{self.name}/{self.starts}'.encode()):08x}{self.number:04x}{self.starts:04x}"
+        self.who = f"{self.name}/{self.boot}"
+        site = self._site
+        self.journal = Journal(site.deployment.journal.most_waiting) if site.deployment.journal.keep else None
+        world = World(site.deployment, self._hall, zlib.crc32(self.boot.encode()))
+        self.gateway = Gateway(world, self.boot, self.journal)
+        self._busy, self._wake, self._wake_at, self._stirring = 0.0, None, float("inf"), False
+        self._orders: dict[Order, Timer] = {}
+        self._open: dict[Send, None] = {}
+        self._syncing = False
+        self.up = True
+        if self.journal is not None and self._book:
+            margin = 2 * site.deployment.dispatcher.answer_margin_ms
+            self.gateway.recover(self._engine.now, WALL + self._engine.now, self._book.values(), margin,
+                                 site.deployment.journal.resume_at_once)
+        if self.listing is not None:
+            self.gateway.listed(self._engine.now, self.listing)
+        self.stir()
+
+    _wake: Timer | None
+
+    def kill(self) -> None:
+        """The process is gone; its book stays."""
+        self.up = False
+
+    def listed(self, listing: Listing) -> None:
+        """A new list."""
+        self.listing = listing
+        if self.up:
+            self.gateway.listed(self._engine.now, listing)
+            if self._site.note is not None:
+                self._site.note("list", to=self.who, version=listing.version,
+                                workers={w.id: [w.state, w.incarnation] for w in listing.workers})
+            self.stir()
+
+    def do(self, what: Callable[..., None], *words: Any) -> None:
+        """An input: it waits for its turn on the dispatcher's core."""
+        start = self.starts
+        self._busy = max(self._busy, self._engine.now) + self._settings.cpu_ms
+        self._engine.at(self._busy, self._done, start, what, words)
+
+    def _done(self, start: int, what: Callable[..., None], words: tuple[Any, ...]) -> None:
+        if start == self.starts and self.up:
+            what(*words)
+            self.stir()
+
+    # As the driver does.
+
+    def stir(self) -> None:
+        """Pull effects until there is none; see to the timer and the disk."""
+        if self._stirring:
+            return
+        self._stirring = True
+        now, gateway = self._engine.now, self.gateway
+        try:
+            while (effect := gateway.effect(now)) is not None:
+                if isinstance(effect, StartSend):
+                    self._send(effect.ivk, effect.send)
+                elif isinstance(effect, Final):
+                    waiters, effect.ivk.waiters = effect.ivk.waiters, []
+                    for waiter in waiters:
+                        waiter(effect.ivk.record)
+                elif isinstance(effect, PlaceOrder):
+                    self._order(effect.order)
+                elif isinstance(effect, GiveUp) and effect.send in self._open:
+                    del self._open[effect.send]
+                    outcome = Outcome.REVOKED if effect.reason == "revoked" else Outcome.SILENT
+                    self._engine.after(0.0, self._answered, self.starts, effect.send, outcome, None)
+        finally:
+            self._stirring = False
+        self._sync()
+        due = gateway.next_due()
+        if due < self._wake_at - 0.01 or self._wake is None:
+            if self._wake is not None:
+                self._wake.cancel()
+            self._wake_at = due
+            self._wake = self._engine.at(due, self._rung, self.starts)
+
+    def _rung(self, start: int) -> None:
+        if start == self.starts and self.up:
+            self._wake, self._wake_at = None, float("inf")
+            self.stir()
+
+    def _answered(self, start: int, send: Send, outcome: Outcome, answer: Answer | None) -> None:
+        if start == self.starts and self.up and send.outcome is None:
+            self.gateway.answered(self._engine.now, send, outcome, answer)
+            self.stir()
+
+    def _send(self, ivk: Ivk, send: Send) -> None:
+        worker = self._site.workers[send.copy.worker.id]
+        start, net = self.starts, self._settings.network_ms
+        self._open[send] = None
+        self._site.second().sends += 1
+
+        def back(outcome: Outcome, answer: Answer | None) -> None:
+            if send in self._open:
+                self._engine.after(net, over, outcome, answer)
+
+        def over(outcome: Outcome, answer: Answer | None) -> None:
+            if self.up and start == self.starts and send in self._open:
+                del self._open[send]
+                self.do(self._answered, start, send, outcome, answer)
+
+        def arrive() -> None:
+            if not worker.up:
+                back(Outcome.UNREACHABLE, None)
+                return
+            worker.out[back] = None
+            worker.send(ivk.action, ivk.mark, ivk.record.id, send.number, self.who, send.act.deadline - send.sent, end)
+
+        def end(outcome: Outcome, answer: Answer | None) -> None:
+            worker.out.pop(back, None)
+            back(outcome, answer)
+
+        self._engine.after(net, arrive)
+
+    def _order(self, order: Order) -> None:
+        worker, start, net = self._site.workers[order.copy.worker.id], self.starts, self._settings.network_ms
+        action = self._site.by_model[order.copy.function.id]
+        if order.count:
+            self._site.second().orders += 1
+
+        def told(outcome: Outcome, standing: int) -> None:
+            self._engine.after(net, over, outcome, standing)
+
+        def over(outcome: Outcome, standing: int) -> None:
+            timer = self._orders.pop(order, None) if start == self.starts else None
+            if timer is not None and self.up:
+                timer.cancel()
+                self.gateway.told(self._engine.now, order, outcome, standing)
+                self.stir()
+
+        def arrive() -> None:
+            if worker.up:
+                worker.order(action, order.count, self.who, told)
+            else:
+                told(Outcome.UNREACHABLE, 0)
+
+        self._orders[order] = self._engine.after(self._site.deployment.pool.order_ms, over, Outcome.SILENT, 0)
+        self._engine.after(net, arrive)
+
+    def _sync(self) -> None:
+        """The journal's disk: one batch at a time."""
+        if self.journal is None or self._syncing:
+            return
+        batch = self.journal.ready(self._engine.now)
+        if batch is not None:
+            self._syncing = True
+            self._engine.after(self.sync_ms, self._synced, self.starts, batch)
+
+    def _synced(self, start: int, batch: Any) -> None:
+        if start != self.starts or not self.up or self.journal is None:
+            return
+        self._syncing = False
+        if self.disk_fails:
+            self.journal.failed(self._engine.now, batch.number, "the disk fails")
+        else:
+            for entry in batch.entries:
+                if isinstance(entry, Accepted):
+                    self._book.setdefault(entry.id, Life(entry))
+                elif (life := self._book.get(entry.id)) is not None:
+                    if isinstance(entry, MayRun):
+                        life.may_run = life.may_run or entry
+                    elif isinstance(entry, Ended):
+                        life.ended = life.ended or entry
+            self.journal.safe(batch.number)
+        self.stir()
+
+
+class Site:
+    """One run of a script.  `capture`: keep all events, so that the audit and the bad days' report can read them."""
+
+    def __init__(self, day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None,
+                 capture: bool = False) -> None:
+        self.day, self.deployment, self.settings = day, deployment, settings or LabSettings()
+        self.engine = Engine()
+        self.events: list[dict[str, Any]] = []
+        self.note = self._note if capture else None
+        self._chance = np.random.default_rng([seed, 11])
+        self._clients = np.random.default_rng([seed, 7])
+        self.store = LabStore(self.engine, deployment.store)
+        self.by_model = {a.model: a for a in deployment.actions.values()}
+        self._ledger: dict[tuple[str, str], float] = {}
+        self._listed_ms, self._version = 0.0, 0
+        halls = deployment.halls
+        self.seconds: list[Second] = [Second() for _ in range(int(day.seconds) + 60)]
+        self.latency: dict[str, list[float]] = {name: [] for name in deployment.types}
+        self.give_ups: dict[str, int] = {}
+        if self.note is not None:
+            names = [f"dispatcher-{n}" for n in range(day.dispatchers)]
+            self.note("world", **world_of(deployment, names, day.workers))
+        self.workers = {f"worker-{n}": _Worker(self.engine, deployment, f"worker-{n}", halls[n % len(halls)], n // 2,
+                                               self.store, self._ledger, seed, True, self.note)
+                        for n in range(day.workers)}
+        self.dispatchers = [LabDispatcher(self, n, halls[n % len(halls)]) for n in range(day.dispatchers)]
+        self._tell_lists()
+        self._tickets = self._calls = 0
+        self.start = self.engine.now + 200
+        if self.note is not None:
+            self.note("begin", start=self.start, seconds=day.seconds)
+        spaces = list(deployment.namespaces.values())
+        shares = np.array([s.allowed_per_s for s in spaces])
+        self._spaces, self._shares = spaces, np.cumsum(shares / shares.sum())
+        for load in day.load:
+            self._arrivals(load)
+        for trouble in day.trouble:
+            self.engine.at(self.start + trouble.at * 1000, self._befall, trouble)
+
+    def _note(self, what: str, **fields: Any) -> None:
+        self.events.append({"what": what, "t": self.engine.now, **fields})
+
+    def run(self) -> None:
+        """Play it whole, and then until the last client has its answer."""
+        longest = max(t.timeout_ms for t in self.deployment.types.values())
+        self.engine.run(self.start + self.day.seconds * 1000 + longest + 5000)
+
+    def second(self) -> Second:
+        """The second that it is, from the start of the load."""
+        return self.seconds[max(0, min(len(self.seconds) - 1, int((self.engine.now - self.start) / 1000)))]
+
+    # The list.
+
+    def _tell_lists(self) -> None:
+        self._version += 1
+        entries = [worker.entry for worker in self.workers.values() if worker.up]
+        listing = Listing(self._version, entries, "lab")
+        for dispatcher in self.dispatchers:
+            self.engine.after(self._listed_ms + self.settings.network_ms, dispatcher.listed, listing)
+
+    # Clients.
+
+    def _arrivals(self, load: Load) -> None:
+        """Poisson arrivals, drawn a second at a time."""
+        end = min(self.day.seconds, load.at + load.last)
+        actions = list(self.deployment.actions.values())
+        if load.action:
+            weights = np.array([float(a.path == load.action) for a in actions])
+        else:
+            weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
+        odds = np.cumsum(weights / weights.sum())
+
+        def draw(at: float) -> None:
+            span = min(1.0, end - at)
+            if span <= 0:
+                return
+            count = int(self._clients.poisson(load.rate * span))
+            times = np.sort(self._clients.uniform(at, at + span, count))
+            picks = np.searchsorted(odds, self._clients.random(count))
+            for when, pick in zip(times, picks, strict=True):
+                self.engine.at(self.start + when * 1000, self._wish, actions[int(pick)], load)
+            self.engine.at(self.start + (at + span) * 1000, draw, at + span)
+        self.engine.at(self.start + load.at * 1000, draw, load.at)
+
+    def _wish(self, action: ActionSettings, load: Load) -> None:
+        self._tickets += 1
+        chance = self._clients
+        space = self._spaces[int(np.searchsorted(self._shares, chance.random()))]
+        wish = Wish(f"t{self._tickets}", action, space, bool(chance.random() < load.deferred),
+                    bool(chance.random() < load.heed), 1 + load.retries, first=self.engine.now)
+        self._try(wish, None)
+
+    def _try(self, wish: Wish, last: int | None) -> None:
+        wish.tries -= 1
+        self._calls += 1
+        count, kind = len(self.dispatchers), self.deployment.types[wish.action.type]
+        wish.dispatcher = int(self._clients.integers(count)) if last is None else (last + 1) % count
+        wish.number, wish.began, wish.activation, wish.ivk = f"c{self._calls}", self.engine.now, "", None
+        second = self.second()
+        second.calls += 1
+        second.repeats += self.engine.now > wish.first
+        if self.note is not None:
+            self.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
+                      dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=kind.timeout_ms, front=False)
+        dispatcher = self.dispatchers[wish.dispatcher]
+        wish.patience = self.engine.after(kind.timeout_ms + 500, self._patience, wish, wish.number)
+        self.engine.after(self.settings.network_ms, self._arrive, dispatcher, wish, wish.number)
+
+    def _arrive(self, dispatcher: LabDispatcher, wish: Wish, number: str) -> None:
+        if not dispatcher.up:
+            self._not_taken(wish)
+        else:
+            dispatcher.do(self._taken, dispatcher, wish, number)
+
+    def _not_taken(self, wish: Wish) -> None:
+        self._unwait(wish)
+        if self.note is not None:
+            self.note("not-taken", call=wish.number)
+        if self.engine.now - wish.began < 2000 and wish.tries > -20:
+            self.engine.after(50.0, self._try, wish, wish.dispatcher)
+
+    def _unwait(self, wish: Wish) -> None:
+        if wish.patience is not None:
+            wish.patience.cancel()
+            wish.patience = None
+
+    def _taken(self, dispatcher: LabDispatcher, wish: Wish, number: str) -> None:
+        if wish.number != number:
+            return
+        gateway, now = dispatcher.gateway, self.engine.now
+        kind = self.deployment.types[wish.action.type]
+        key = wish.ticket if kind.effect == "deduplicated" else None
+        if key is not None:
+            known = gateway.known(wish.space.name, wish.action.path, key, "")
+            if known is not None:
+                self._join(dispatcher, wish, known)
+                return
+        if wish.deferred and gateway.journal is not None and not gateway.journal.takes():
+            self._not_taken(wish)
+            return
+        if gateway.holdings.refusal(wish.space.name, 100) is not None:
+            self._final(wish, "", "rejected", 1000.0, None)
+            return
+        ivk = gateway.take(now, WALL + now, wish.space.name, wish.action, b"{}", key, "",
+                           lambda record: self._waited(wish, number, record), wish.deferred)
+        wish.ivk, wish.run = ivk, dispatcher.starts
+        if wish.deferred:
+            dispatcher.stir()
+            if not ivk.record.final:
+                gateway.promise(ivk, lambda safe: self._promised(dispatcher, wish, ivk, safe))
+                dispatcher.stir()
+
+    def _join(self, dispatcher: LabDispatcher, wish: Wish, record: Record) -> None:
+        ivk = dispatcher.gateway.in_hand_of(record.id)
+        if record.shown:
+            self._waited(wish, wish.number, record)
+        elif wish.deferred or ivk is None:
+            self._accepted(wish, record.id)
+        else:
+            number = wish.number
+            ivk.waiters.append(lambda ended: self._waited(wish, number, ended))
+
+    def _promised(self, dispatcher: LabDispatcher, wish: Wish, ivk: Ivk, safe: bool) -> None:
+        if safe:
+            ivk.waiters.clear()
+            self._accepted(wish, ivk.record.id)
+        else:
+            dispatcher.gateway.left(self.engine.now, ivk)
+            self._not_taken(wish)
+
+    def _accepted(self, wish: Wish, id_: str) -> None:
+        self._unwait(wish)
+        wish.activation = id_
+        if self.note is not None:
+            self.note("accepted", call=wish.number, activation=id_)
+        self.engine.after(POLL_MS, self._poll, wish)
+
+    def _poll(self, wish: Wish) -> None:
+        kind, dispatcher = self.deployment.types[wish.action.type], self.dispatchers[wish.dispatcher]
+        record = dispatcher.gateway.records.get(wish.space.name, wish.activation) if dispatcher.up else None
+        if record is not None and record.shown:
+            self._told(wish, record, record.end - record.start)
+        elif self.engine.now - wish.began > kind.timeout_ms + PATIENCE_MS:
+            self._lost(wish, "polled")
+        else:
+            self.engine.after(POLL_MS, self._poll, wish)
+
+    def _waited(self, wish: Wish, number: str, record: Record) -> None:
+        self.engine.after(self.settings.network_ms, self._shown, wish, number, record)
+
+    def _shown(self, wish: Wish, number: str, record: Record) -> None:
+        if wish.number == number and wish.patience is not None:
+            self._unwait(wish)
+            self._told(wish, record, None)
+
+    def _told(self, wish: Wish, record: Record, took: float | None) -> None:
+        within = record.repeat_within_ms or None
+        self._final(wish, record.id, record.answer, record.return_ms, within, took, record.code)
+
+    def _patience(self, wish: Wish, number: str) -> None:
+        if wish.number == number and wish.patience is not None:
+            wish.patience = None
+            dispatcher = self.dispatchers[wish.dispatcher]
+            if dispatcher.up and wish.run == dispatcher.starts and wish.ivk is not None and not wish.ivk.record.key:
+                wish.ivk.waiters.clear()
+                dispatcher.do(self._left, dispatcher, wish.ivk)
+            self._lost(wish, "no-answer")
+
+    @staticmethod
+    def _left(dispatcher: LabDispatcher, ivk: Ivk) -> None:
+        dispatcher.gateway.left(dispatcher._engine.now, ivk)
+
+    def _lost(self, wish: Wish, ending: str) -> None:
+        self.second().lost += 1
+        self.give_ups[ending] = self.give_ups.get(ending, 0) + 1
+        if self.note is not None:
+            self.note("no-answer", call=wish.number, ending=ending)
+        if self.deployment.types[wish.action.type].effect == "repeatable":
+            self._back(wish, 200.0)
+
+    def _final(self, wish: Wish, activation: str, answer: str, return_ms: float, within: float | None,
+               took: float | None = None, code: int = 0) -> None:
+        self._unwait(wish)
+        kind, second = self.deployment.types[wish.action.type], self.second()
+        if self.note is not None:
+            self.note("final", call=wish.number, activation=activation, answer=answer, status=0, lag=0.0, took=took,
+                      code=code)
+        if answer == "completed":
+            took = self.engine.now - wish.began if took is None else took
+            second.completed += 1
+            second.in_time += took <= kind.target_ms
+            self.latency[kind.name].append(took)
+        else:
+            self.give_ups[answer] = self.give_ups.get(answer, 0) + 1
+            if answer == "rejected":
+                second.rejected += 1
+                wait = return_ms if wish.heeds else 0.0
+                if within is None or wait + kind.timeout_ms < within:
+                    self._back(wish, wait)
+            else:
+                second.aborted += 1
+                if kind.effect == "repeatable":
+                    self._back(wish, 100.0)
+
+    def _back(self, wish: Wish, wait: float) -> None:
+        if wish.tries > 0:
+            self.engine.after(wait * float(self._clients.uniform(1.0, 1.2)), self._try, wish, wish.dispatcher)
+
+    # Troubles.
+
+    def _befall(self, trouble: Trouble) -> None:
+        kind = trouble.kind
+        if kind in ON_WORKERS:
+            up = [w for w in self.workers.values() if w.up]
+            count = min(len(up), max(1, round(trouble.part * len(up))))
+            victims = [up[int(n)] for n in self._chance.choice(len(up), count, replace=False)] if up else []
+            self._trouble(kind, trouble, [w.id for w in victims])
+            for number, worker in enumerate(victims):
+                if kind == "crash":
+                    self._crash(worker, trouble.last * 1000)
+                elif kind in ("rolling-deploy", "drain"):
+                    pause = trouble.last * 1000 / max(1, len(victims))
+                    self.engine.after(number * (pause + 1000), self._deploy, worker, kind == "rolling-deploy")
+                elif kind == "pause":
+                    worker.fault("hang", trouble)
+                else:
+                    worker.fault(kind, trouble)
+                    if kind == "restart-cold":
+                        worker.break_all()
+                        self._tell_lists()
+            return
+        victims_d = self.dispatchers
+        if kind == "kill-dispatchers" or kind in ON_DISKS:
+            count = max(1, round(trouble.part * len(self.dispatchers)))
+            victims_d = [self.dispatchers[int(n)] for n in
+                         self._chance.choice(len(self.dispatchers), count, replace=False)]
+        self._trouble(kind, trouble, [d.name for d in victims_d] if kind not in ON_STORE else [])
+        if kind in ON_STORE:
+            self.store.fault(kind.removeprefix("store-"), trouble.factor, trouble.last * 1000)
+        elif kind == "list-late":
+            self._listed_ms = trouble.ms
+            self.engine.after(trouble.last * 1000, setattr, self, "_listed_ms", 0.0)
+        elif kind == "kill-dispatchers":
+            for dispatcher in victims_d:
+                self._kill(dispatcher, trouble.last * 1000)
+        elif kind in ON_DISKS:
+            for dispatcher in victims_d:
+                if kind == "disk-slow":
+                    dispatcher.sync_ms = trouble.ms
+                else:
+                    dispatcher.disk_fails = True
+                self.engine.after(trouble.last * 1000, self._heal_disk, dispatcher)
+
+    def _trouble(self, kind: str, trouble: Trouble, of: list[str]) -> None:
+        if self.note is not None:
+            self.note("trouble", kind=kind, seconds=trouble.last, of=of)
+
+    def _heal_disk(self, dispatcher: LabDispatcher) -> None:
+        dispatcher.sync_ms, dispatcher.disk_fails = self.settings.sync_ms, False
+
+    def _kill(self, dispatcher: LabDispatcher, down_ms: float) -> None:
+        if not dispatcher.up:
+            return
+        if self.note is not None:
+            self.note("kill", dispatcher=dispatcher.number)
+        dispatcher.kill()
+        self.engine.after(down_ms + self.settings.start_ms, self._again, dispatcher)
+
+    def _again(self, dispatcher: LabDispatcher) -> None:
+        dispatcher.begin()
+        if self.note is not None:
+            self.note("restarted", dispatcher=dispatcher.number)
+
+    def _crash(self, worker: _Worker, down_ms: float) -> None:
+        worker.up = False
+        worker.break_all()
+        self._tell_lists()
+        self.engine.after(down_ms + self.settings.restart_ms, self._back_up, worker)
+
+    def _back_up(self, worker: _Worker) -> None:
+        worker.up, worker.state = True, "live"
+        worker.begin(warm=False)
+        self._tell_lists()
+
+    def _deploy(self, worker: _Worker, again: bool) -> None:
+        """Drain, tell the worker, let its work end, stop it, start it anew."""
+        if not worker.up:
+            return
+        worker.state = "draining"
+        self._tell_lists()
+        self.engine.after(self.deployment.rules.drain_grace_ms, setattr, worker, "draining", True)
+        down = self.deployment.rules.drain_grace_ms + 1500
+
+        def stop() -> None:
+            worker.up = False
+            worker.break_all()
+            self._tell_lists()
+            if again:
+                self.engine.after(self.settings.restart_ms, self._back_up, worker)
+        self.engine.after(down, stop)
+
+
+class _Worker(LabWorker):
+    """A worker with the ends of its connections."""
+
+    def __init__(self, *words: Any) -> None:
+        self.out: dict[Callable[[Outcome, Answer | None], None], None] = {}
+        super().__init__(*words)
+
+    def break_all(self) -> None:
+        """All its connections end."""
+        out, self.out = self.out, {}
+        for back in out:
+            back(Outcome.BROKEN, None)
+
+
+@dataclass(slots=True)
+class Result:
+    """What one run came to."""
+
+    seconds: list[Second]
+    latency: dict[str, list[float]]
+    give_ups: dict[str, int]
+    events: int
+    loads: int
+    extra: dict[str, float] = field(default_factory=dict)
+
+
+def play(day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None) -> Result:
+    """One run, for figures."""
+    site = Site(day, deployment, seed, settings)
+    site.run()
+    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches)
