--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -397,6 +397,93 @@
     return function
 
 
+@main.group()
+def lab() -> None:
+    """What we balance, emulated in simulated time around the real cores; experiments on it."""
+
+
+@lab.command("play", cls=_Examples, example="kelptrail lab play examples/bad-days/kills.sexp")
+@click.argument("script")
+@click.option("--seed", default=1, show_default=True)
+def lab_play(script: str, seed: int) -> None:
+    """Play a bad day's SCRIPT in the lab and judge it by the audit; exit 6 where a rule is broken."""
+    import time
+
+    from kelptrail.audit.judge import judge
+    from kelptrail.badday.report import latencies
+    from kelptrail.badday.script import load as load_script
+    from kelptrail.lab.site import Site
+    from kelptrail.settings.reader import SettingsError
+
+    try:
+        day = load_script(script)
+    except SettingsError as cause:
+        for fault in cause.faults:
+            click.echo(str(fault), err=True)
+        sys.exit(UNUSABLE)
+    except OSError as cause:
+        click.echo(f"{script}: {cause.strerror}", err=True)
+        sys.exit(UNUSABLE)
+    site = Site(day, _settings(day.deployment), seed, capture=True)
+    began = time.perf_counter()
+    site.run()
+    took = time.perf_counter() - began
+    events = sorted(site.events, key=lambda event: event["t"])
+    verdict = judge(events)
+    _say(name=day.name, seed=seed, **verdict.counts(), broken=verdict.broken, details=verdict.details[:20],
+         latency_ms=latencies(events), simulated_s_a_second=round(day.seconds / took, 1))
+    sys.exit(BROKEN_RULE if verdict.broken else 0)
+
+
+@lab.command("run", cls=_Examples, example="kelptrail lab run examples/experiments/ramp.sexp --out out/ramp")
+@click.argument("experiment")
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for the results.")
+@click.option("--processes", default=4, show_default=True, type=click.IntRange(1, 256))
+def lab_run(experiment: str, out: Path, processes: int) -> None:
+    """Play an EXPERIMENT's variants, points and seeds in parallel; write columns, plots and a report."""
+    from kelptrail.lab.compare import report
+    from kelptrail.lab.experiment import load, read_seconds
+    from kelptrail.lab.experiment import run as run_all
+    from kelptrail.settings.reader import SettingsError
+
+    try:
+        count = sum(1 for _ in load(experiment).runs())
+    except SettingsError as cause:
+        for fault in cause.faults:
+            click.echo(str(fault), err=True)
+        sys.exit(UNUSABLE)
+    except OSError as cause:
+        click.echo(f"{experiment}: {cause.strerror}", err=True)
+        sys.exit(UNUSABLE)
+    with click.progressbar(length=count, label="runs", file=sys.stderr) as bar:
+        runs = run_all(experiment, out, processes, lambda _row: bar.update(1))
+    file = report(out, runs, read_seconds(out))
+    _say(runs=len(runs), report=str(file))
+
+
+@lab.command("compare", cls=_Examples, example="kelptrail lab compare out/ramp --first as-is --second other")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True))
+@click.option("--first", required=True, help="A variant.")
+@click.option("--second", required=True, help="The variant that is judged beside it.")
+@click.option("--other-folder", type=click.Path(path_type=Path, exists=True), help="Where the second one is.")
+def lab_compare(folder: Path, first: str, second: str, other_folder: Path | None) -> None:
+    """Say of each figure whether the second variant is better, worse or not told apart."""
+    from dataclasses import asdict
+
+    from kelptrail.lab.compare import compare
+    from kelptrail.lab.experiment import read_runs
+
+    one = [r for r in read_runs(folder) if r["variant"] == first]
+    two = [r for r in read_runs(other_folder or folder) if r["variant"] == second]
+    try:
+        found = compare(one, two)
+    except ValueError as cause:
+        click.echo(str(cause), err=True)
+        sys.exit(FAILED)
+    for difference in found:
+        _say(**asdict(difference))
+
+
 @main.group()
 def keys() -> None:
     """A private authority of one's own: certificates for fronts, workers and clients; keys for namespaces."""
--- /dev/null
+++ b/kelptrail/lab/compare.py
@@ -0,0 +1,132 @@
+"""Variants told apart: differences of runs with the same point and seed, with confidence intervals; plots; a report."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+from scipy import stats
+
+# Figure: whether more of it is better.
+BETTER = {"served_share": True, "recovery_s": False, "p99_ms": False, "p50_ms": False, "rejected": False, "lost": False,
+          "sends": False, "loads": False}
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One figure of two variants over their common runs."""
+
+    figure: str
+    point: str
+    pairs: int
+    first: float
+    second: float
+    low: float
+    high: float
+    verdict: str  # "better", "worse" or "not told apart": the second beside the first
+
+
+def interval(differences: np.ndarray, confidence: float = 0.95) -> tuple[float, float]:
+    """Where the mean of paired differences lies (Student's t); without bounds for fewer than two pairs."""
+    if len(differences) < 2:
+        return float("-inf"), float("inf")
+    mean, error = float(np.mean(differences)), float(stats.sem(differences))
+    if error == 0:
+        return mean, mean
+    low, high = stats.t.interval(confidence, len(differences) - 1, loc=mean, scale=error)
+    return float(low), float(high)
+
+
+def compare(first: list[dict[str, Any]], second: list[dict[str, Any]]) -> list[Difference]:
+    """Two variants' runs, paired by point and seed.  Raises `ValueError` where they have none in common."""
+    mine = {(r["point"], r["seed"]): r for r in first}
+    pairs: dict[str, list[tuple[dict[str, Any], dict[str, Any]]]] = defaultdict(list)
+    for row in second:
+        if (other := mine.get((row["point"], row["seed"]))) is not None:
+            pairs[row["point"]].append((other, row))
+    if not pairs:
+        raise ValueError("no run of both has the same point and seed")
+    out = []
+    for point, found in pairs.items():
+        for figure, more in BETTER.items():
+            a, b = (np.array([pair[n][figure] for pair in found], dtype=float) for n in (0, 1))
+            low, high = interval(b - a)
+            verdict = "not told apart"
+            if low > 0 or high < 0:
+                verdict = "better" if (low > 0) is more else "worse"
+            out.append(Difference(figure, point, len(found), float(a.mean()), float(b.mean()), low, high, verdict))
+    return out
+
+
+def report(folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]]) -> Path:
+    """`report.md` beside the data, with its plots."""
+    name = runs[0]["experiment"]
+    variants = list(dict.fromkeys(r["variant"] for r in runs))
+    points = list(dict.fromkeys(r["point"] for r in runs))
+    lines = [f"# Experiment {name}", "", f"{len(runs)} runs: {len(variants)} variants, {len(points)} points, "
+             f"{len({r['seed'] for r in runs})} seeds.  All figures are emulated.", "",
+             "| variant | point | served in time | recovery s | p50 ms | p99 ms | rejected | lost | sends | loads |",
+             "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
+    for variant in variants:
+        for point in points:
+            mine = [r for r in runs if r["variant"] == variant and r["point"] == point]
+            if mine:
+                def mean(key: str, of: list[dict[str, Any]] = mine) -> float:
+                    return float(np.mean([r[key] for r in of]))
+                lines.append(f"| {variant} | {point or '-'} | {mean('served_share'):.3f} | {mean('recovery_s'):.1f} | "
+                             f"{mean('p50_ms'):.0f} | {mean('p99_ms'):.0f} | {mean('rejected'):.0f} | "
+                             f"{mean('lost'):.0f} | {mean('sends'):.0f} | {mean('loads'):.0f} |")
+    for other in variants[1:]:
+        lines += ["", f"## {other} beside {variants[0]}", "",
+                  "| figure | point | pairs | difference (95%) | verdict |", "| --- | --- | --- | --- | --- |"]
+        both = [[r for r in runs if r["variant"] == v] for v in (variants[0], other)]
+        for d in compare(*both):
+            lines.append(f"| {d.figure} | {d.point or '-'} | {d.pairs} | {d.low:.3g} to {d.high:.3g} | {d.verdict} |")
+    _draw(folder, runs, seconds, variants, points)
+    lines += ["", "![service over time](service.png)", ""]
+    if len(points) > 1:
+        lines += ["![recovery by point](recovery.png)", ""]
+    file = folder / "report.md"
+    file.write_text("\n".join(lines))
+    return file
+
+
+def _draw(folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]], variants: list[str],
+          points: list[str]) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(len(points), 1, figsize=(10, 2.6 * len(points) + 0.6), squeeze=False, sharex=True)
+    for axis, point in zip(axes[:, 0], points, strict=True):
+        for variant in variants:
+            by: dict[int, list[float]] = defaultdict(list)
+            for row in seconds:
+                if row["variant"] == variant and row["point"] == point:
+                    fresh = row["calls"] - row["repeats"]
+                    by[row["second"]].append(row["in_time"] / fresh if fresh else 1.0)
+            axis.plot(sorted(by), [float(np.mean(by[s])) for s in sorted(by)], label=variant)
+        axis.set_ylabel("in time / new")
+        axis.set_ylim(0, 1.5)
+        axis.set_title(point or "as scripted", fontsize=9)
+    axes[0, 0].legend(fontsize=8)
+    axes[-1, 0].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(folder / "service.png", dpi=100)
+    pyplot.close(figure)
+    if len(points) > 1:
+        figure, axis = pyplot.subplots(figsize=(7, 4))
+        for variant in variants:
+            values = [float(np.mean([r["recovery_s"] for r in runs if r["variant"] == variant and r["point"] == p]))
+                      for p in points]
+            axis.plot(points, values, marker="o", label=variant)
+        axis.set_ylabel("recovery, s")
+        axis.legend(fontsize=8)
+        figure.autofmt_xdate()
+        figure.tight_layout()
+        figure.savefig(folder / "recovery.png", dpi=100)
+        pyplot.close(figure)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,10 +14,14 @@
 from kelptrail.badday.script import Load, Trouble
 from kelptrail.badday.script import load as load_script
 from kelptrail.dispatch.terms import Order, Outcome
+from kelptrail.lab.compare import compare, interval, report
 from kelptrail.lab.engine import Engine
+from kelptrail.lab.experiment import load as load_experiment
+from kelptrail.lab.experiment import read_runs, read_seconds, recovery, run
 from kelptrail.lab.fleet import LabStore, LabWorker
-from kelptrail.lab.site import LabSettings, Site, play
+from kelptrail.lab.site import LabSettings, Result, Second, Site, play
 from kelptrail.settings.deployment import load
+from kelptrail.settings.reader import SettingsError
 
 ROOT = Path(__file__).parent.parent
 
@@ -133,3 +137,73 @@
     shallow.load_ms, shallow.lag_since, shallow.limit = 1000.0, 0.0, 4
     shallow.waiting.extend(activation(shallow, 0.0, n) for n in range(5))
     assert quiet._queues.limit(1500.0, shallow, True) == 5, "a shallow lag still adds one"
+
+
+# Experiments.
+
+
+EXPERIMENT = """(experiment small (script "{root}/examples/bad-days/kills.sexp") (seeds 1 2 3)
+  (variant as-is (set script.seconds 12))
+  (variant slower (set script.seconds 12) (set lab.network-ms 30))
+  (sweep load.rate 30 60))
+"""
+
+
+def test_an_experiment_plays_its_runs_in_parallel_keeps_columns_and_tells_variants_apart(tmp_path: Path) -> None:
+    file, out = tmp_path / "small.sexp", tmp_path / "out"
+    file.write_text(EXPERIMENT.format(root=ROOT))
+    seen: list[Any] = []
+    runs = run(str(file), out, 3, seen.append)
+    assert len(runs) == len(seen) == 12 and read_runs(out) == runs
+    seconds = read_seconds(out)
+    assert len(seconds) == 12 * 12 and {s["point"] for s in seconds} == {"load.rate=30.0", "load.rate=60.0"}
+    assert [r["calls"] for r in runs if r["value"] == 60.0] > [r["calls"] for r in runs if r["value"] == 30.0]
+    as_is, slower = ([r for r in runs if r["variant"] == v] for v in ("as-is", "slower"))
+    found = {(d.figure, d.point): d.verdict for d in compare(as_is, slower)}
+    assert found["p50_ms", "load.rate=60.0"] == "worse" and found["lost", "load.rate=60.0"] != "better"
+    same = compare(as_is, as_is)
+    assert {d.verdict for d in same} == {"not told apart"}, "a variant beside itself"
+    better = {(d.figure, d.point): d.verdict for d in compare(slower, as_is)}
+    assert better["p50_ms", "load.rate=60.0"] == "better"
+    with pytest.raises(ValueError, match="same point"):
+        compare(as_is, [])
+    text = report(out, runs, seconds).read_text()
+    assert "slower beside as-is" in text and (out / "service.png").stat().st_size > 5000
+    assert (out / "recovery.png").exists()
+
+
+def test_intervals_cover_what_they_should() -> None:
+    chance = np.random.default_rng(4)
+    covered = 0
+    for _ in range(400):
+        low, high = interval(chance.normal(1.0, 2.0, 8))
+        covered += low <= 1.0 <= high
+    assert 0.91 < covered / 400 < 0.99
+    assert interval(np.array([3.0])) == (float("-inf"), float("inf"))
+
+
+@pytest.mark.parametrize(("text", "word"), [
+    ("(experiment x)", "no script"),
+    ('(experiment x (script "{d}") (variant v (set dispatcher.nothing 1)))', "a key"),
+    ('(experiment x (script "{d}") (variant v (set nothing.at-all 1)))', "a section"),
+    ('(experiment x (script "{d}") (variant v (set dispatcher.hall 1)))', "a value like"),
+    ('(experiment x (script "{d}") (variant v (seconds 1)))', "SECTION.KEY"),
+    ('(experiment x (script "{d}") (sweep load 1))', "SECTION.KEY"),
+    ('(experiment x (script "{d}") (seeds a))', "whole numbers"),
+    ('(experiment x (script "{d}") (hop 1))', "one of script"),
+    ("(trial x)", "one \\(experiment"),
+])
+def test_faults_of_experiments_are_named(text: str, word: str, tmp_path: Path) -> None:
+    file = tmp_path / "x.sexp"
+    file.write_text(text.replace("{d}", str(ROOT / "examples" / "bad-days" / "kills.sexp")))
+    with pytest.raises(SettingsError, match=word):
+        load_experiment(file)
+
+
+def test_recovery_counts_from_the_last_troubles_end() -> None:
+    day = load_script(ROOT / "examples" / "bad-days" / "kills.sexp")
+    end = max(t.at + t.last for t in day.trouble)
+    seconds = [Second(calls=10, in_time=10 if n < 5 or n >= end + 3 else 2) for n in range(int(day.seconds) + 60)]
+    assert recovery(day, Result(seconds, {}, {}, 0, 0)) == 3.0
+    never = [Second(calls=10, in_time=1)] * 100
+    assert recovery(day, Result(never, {}, {}, 0, 0)) == day.seconds - end
