Storms: seen by one dispatcher, each that is turned away told a time of its own

After an outage everybody was told to come back in a second: clients spent their tries on it. The storm core (pure, gateway/storm.py) sees a storm by those that come again and by those turned away while more than the usual come, with stages and hysteresis; return times then stand in a row at the pace of what is completed beyond new calls, comers before their time are refused at the door and told longer; a rush that is served is left alone.

--- a/kelptrail/front/inference/api.py
+++ b/kelptrail/front/inference/api.py
@@ -11,6 +11,7 @@
 import asyncio
 import hashlib
 import os
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -175,23 +176,26 @@
         if deferred and gateway.journal is not None and not gateway.journal.takes():
             raise GrpcError(Code.UNAVAILABLE, "Deferred calls cannot be kept safe at the moment; the call was not "
                             "taken.", 1000.0, "NOT_TAKEN")
-        self.admit(caller, len(payload))
+        who = self.admit(caller, action, payload, key)
         ivk = gateway.take(now_ms(), wall_ms(), caller.name, action, payload, key, self._trace(stream), waits.ended,
-                           deferred, digest, float("inf") if deferred else limit, "tensors")
+                           deferred, digest, float("inf") if deferred else limit, "tensors", who=who)
         if deferred:
             self._driver.stir_soon(lambda: waits.promise(ivk))
             return
         waits.wait(ivk, key)
         self._driver.stir_soon()
 
-    def admit(self, caller: NamespaceSettings, size: int) -> None:
-        """Refuse what is beyond a bound, or comes while the dispatcher closes, before anything is done for it."""
+    def admit(self, caller: NamespaceSettings, action: ActionSettings, payload: bytes, key: str | None = None) -> str:
+        """Refuse what is beyond a bound, or comes while the dispatcher closes, before anything is done for it.
+        Returns by what its client's coming again is known."""
         if self.leaving:
             raise GrpcError(Code.UNAVAILABLE, "This dispatcher is closing; the call was not taken.", 1000.0,
                             "NOT_TAKEN")
-        reason = self._driver.gateway.holdings.refusal(caller.name, size)
-        if reason is not None:
-            raise GrpcError(Code.RESOURCE_EXHAUSTED, WORDS[reason], 1000.0, "NOT_TAKEN")
+        who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
+        refused = self._driver.gateway.door(now_ms(), caller.name, action.path, len(payload), who)
+        if refused is not None:
+            raise GrpcError(Code.RESOURCE_EXHAUSTED, WORDS[refused[0]], refused[1], "NOT_TAKEN")
+        return who
 
     def _limit(self, stream: GrpcStream) -> float:
         """What the client's deadline leaves, in ms."""
@@ -423,14 +427,14 @@
             if given.keys() & OURS:
                 raise GrpcError(Code.INVALID_ARGUMENT, "a streamed request is neither deferred, polled nor marked")
             action, payload, _ = api._read(request, given)
-            api.admit(self._caller, len(payload))
+            who = api.admit(self._caller, action, payload)
         except GrpcError as cause:
             self._refuse(request.id, request.model_name, cause)
             return
         # Until its first part it has its type's time, then the time of a stream.
         limit = api._limit(self._stream)
         ivk = api._driver.gateway.take(now_ms(), wall_ms(), self._caller.name, action, payload, None,
-                                       api._trace(self._stream), None, False, "", limit, "tensors", True)
+                                       api._trace(self._stream), None, False, "", limit, "tensors", True, who)
         ivk.stream_limit_ms = limit
         ivk.on_part = lambda part: self._part(ivk, part)
         ivk.waiters.append(lambda record: self._final(ivk, record))
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -10,6 +10,7 @@
 import hashlib
 import math
 import os
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
@@ -181,14 +182,16 @@
         if not blocking and gateway.journal is not None and not gateway.journal.takes():
             raise ApiError(503, "Deferred calls cannot be kept safe at the moment; the call was not taken.",
                            {"retry-after": "1"})
-        if (reason := gateway.holdings.refusal(caller.name, len(payload))) is not None:
-            raise ApiError(429, WORDS[reason], {"retry-after": "1"})
+        who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
+        if (refused := gateway.door(now_ms(), caller.name, action.path, len(payload), who)) is not None:
+            reason, back = refused
+            raise ApiError(429, WORDS[reason], {"retry-after": str(max(1, math.ceil(back / 1000)))})
         if flows:
-            self._flow(exchange, caller, action, payload, trace, route.bare)
+            self._flow(exchange, caller, action, payload, trace, route.bare, who)
             return
         wait = _Wait(self, exchange, route.bare)
         ivk = gateway.take(now_ms(), wall_ms(), caller.name, action, payload, key, trace, wait.ended, not blocking,
-                           digest)
+                           digest, who=who)
         if blocking:
             exchange.on_gone = lambda: self._left(ivk, wait)
             wait.blocking(ivk, route.wait_ms)
@@ -196,10 +199,11 @@
         self._driver.stir_soon(None if blocking else lambda: wait.promise(ivk))
 
     def _flow(self, exchange: Exchange, caller: NamespaceSettings, action: ActionSettings, payload: bytes, trace: str,
-              bare: bool) -> None:
+              bare: bool, who: str) -> None:
         """A streamed answer as server-sent events: `part`s, then one `final` with the record."""
         driver = self._driver
-        ivk = driver.gateway.take(now_ms(), wall_ms(), caller.name, action, payload, None, trace, streamed=True)
+        ivk = driver.gateway.take(now_ms(), wall_ms(), caller.name, action, payload, None, trace, streamed=True,
+                                  who=who)
         held = False
 
         def part(data: bytes) -> None:
--- a/kelptrail/gateway/control.py
+++ b/kelptrail/gateway/control.py
@@ -47,6 +47,7 @@
                 "grpc": {"connections": self._second.connections, "streams": self._second.streams,
                          "unread_bytes": self._second.owed, "partial_bytes": self._second.partial,
                          "cut": self._second.cut, "floods": self._second.floods, "faults": self._second.faults},
+                "storm": gateway.storm.status(),
                 "tls": {name: keeper.status() for name, keeper in self._keepers.items()},
                 "held_bytes": gateway.holdings.bytes,
                 "refused": dict(gateway.holdings.refused), "records": len(gateway.records),
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from zlib import crc32
 
 import msgspec
 
@@ -25,8 +26,9 @@
 
 from .build import World
 from .lifecycle import Need, Passage, Stage
-from .limits import Holdings
+from .limits import EARLY, Holdings
 from .records import Record, Records
+from .storm import Storm, StormSettings
 
 OUTCOMES = {"completed": Outcome.COMPLETED, "error": Outcome.ERROR, "full": Outcome.FULL, "miss": Outcome.MISS}
 MAY_HAVE_RUN = b'{"error":"The activation was aborted: it may have run, so trying again may repeat its effect."}'
@@ -50,6 +52,7 @@
     deferred: bool = False  # from the start: its client waits for the id only
     streamed: bool = False  # its client takes the answer in parts
     until: float = 0.0  # when it is given up, unless something comes
+    who: str = ""  # by which its client's coming again is known
     parts: int = 0
     stream_limit_ms: float = float("inf")  # what the client allows for the whole
     on_part: Callable[[bytes], None] | None = None  # told each part, by the host
@@ -156,6 +159,9 @@
         self._keys: dict[tuple[str, str, str], Record] = {}
         self._joined: dict[str, Ivk] = {}  # calls in hand by id
         self._certain: deque[Activation] = deque()  # deferred calls whose records have become safe
+        damping = world.deployment.storm
+        self.storm = Storm(StormSettings(damping.damp, longest_ms=damping.longest_return_ms,
+                                         most_known=damping.most_known), crc32(boot.encode()))
         self._pace: Pace | None = None  # what a restart found, and since when it is resumed
         self._paced = 0.0
         self._resumed: dict[str, None] = {}
@@ -176,7 +182,7 @@
     def take(self, now: float, wall: float, namespace: str, action: ActionSettings, payload: bytes,
              key: str | None = None, trace: str = "", waiter: Callable[[Record], None] | None = None,
              deferred: bool = False, digest: str = "", limit_ms: float = float("inf"), form: str = "json",
-             streamed: bool = False) -> Ivk:
+             streamed: bool = False, who: str = "") -> Ivk:
         """Take a call; `key` is the client's own mark against repeats.  `now`, `wall`: milliseconds.  `limit_ms`: what
         the client itself allows, where that is less than its type's time."""
         settings = self._world.deployment.types[action.type]
@@ -192,6 +198,7 @@
         passage = Passage(settings.effect == Effect.REPEATABLE.value, kept, deferred)
         ivk = Ivk(act, record, action, payload, mark, passage, [waiter] if waiter is not None else [])
         ivk.form, ivk.streamed, ivk.until, ivk.deferred = form, streamed, act.deadline, deferred
+        ivk.who = f"{namespace}/{action.path}/{who or key or id_}"
         record.form = form
         record.key, record.digest, record.deferred = key or "", digest, deferred
         if key is not None:
@@ -206,6 +213,18 @@
         self._dispatcher.taken(now, act, anew=not (kept and deferred))
         return ivk
 
+    def door(self, now: float, namespace: str, path: str, size: int, mark: str) -> tuple[str, float] | None:
+        """Why a call is refused before anything is done for it, and when to come back; None: it may be taken.  `mark`
+        is the client's own, or what else tells its repeat: both only count as one that was turned away before."""
+        reason = self.holdings.refusal(namespace, size)
+        if reason is not None:
+            return reason, 1000.0
+        back = self.storm.came(now, f"{namespace}/{path}/{mark}")
+        if back is not None:
+            self.holdings.refused[EARLY] += 1
+            return EARLY, back
+        return None
+
     def known(self, namespace: str, path: str, key: str, digest: str) -> Record | None:
         """The activation that a client's repeat joins, or None where it is to be taken anew.
 
@@ -439,10 +458,13 @@
         ran = [send for send in act.sends if send.may_have_run]
         if verdict == "completed" and ivk.answer is not None:
             self.counts.completed += 1
+            self.storm.completed(now, ivk.who)
             self.records.end(now, record, verdict, 0 if ivk.answer.success else 1, ivk.answer.result)
         elif verdict == "rejected":
             self.counts.rejected += 1
             record.return_ms = act.return_ms
+            if not ran:
+                record.return_ms = self.storm.turn(now, ivk.who, act.return_ms)
             if ran and act.type.effect is Effect.DEDUPLICATED:
                 record.repeat_within_ms = max(0.0, ran[0].sent + act.type.remembered_ms - now)
             self.records.end(now, record, verdict, 3,
--- a/kelptrail/gateway/limits.py
+++ b/kelptrail/gateway/limits.py
@@ -7,10 +7,11 @@
 
 from collections import Counter
 
-HELD, BYTES, NAMESPACE = "held", "bytes", "namespace"
+HELD, BYTES, NAMESPACE, EARLY = "held", "bytes", "namespace", "early"
 WORDS = {
     HELD: "Too many calls are in hand at this dispatcher.",
     BYTES: "The calls in hand at this dispatcher take too much memory.",
+    EARLY: "The call came again before the time that it was told.",
     NAMESPACE: "Too many concurrent requests in flight for this namespace.",
 }
 
--- a/kelptrail/lab/experiment.py
+++ b/kelptrail/lab/experiment.py
@@ -32,7 +32,7 @@
 
 from .site import LabSettings, Result, play
 
-OF_DEPLOYMENT = ("dispatcher", "rules", "fleet", "store", "front", "pool", "journal")
+OF_DEPLOYMENT = ("dispatcher", "rules", "fleet", "store", "front", "pool", "journal", "storm")
 RUN_SECONDS = 3  # that many good ones in a row: recovered
 
 
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -276,6 +276,15 @@
     warn_days: float
 
 
+@dataclass(frozen=True, slots=True)
+class StormPlan:
+    """Damping of storms of clients that come again."""
+
+    damp: bool
+    longest_return_ms: float
+    most_known: int
+
+
 @dataclass(frozen=True, slots=True)
 class JournalSettings:
     """What outlives a dispatcher's process; needs a state folder."""
@@ -305,6 +314,7 @@
     vrrp: VrrpSettings | None = None
     journal: JournalSettings = JournalSettings(True, 1024.0, 64, 100_000)
     tls: dict[str, TlsSettings] = field(default_factory=dict)
+    storm: StormPlan = StormPlan(True, 12_000.0, 200_000)
     folder: Path = Path()  # of the settings file
 
 
@@ -460,6 +470,12 @@
     "most-waiting": number(1, 10_000_000, whole=True, default=100_000),
 }, build=JournalSettings)
 
+STORM = Shape({
+    "damp": yes_no(True),
+    "longest-return-ms": _ms(100, 600_000, 12_000.0),
+    "most-known": number(1, 10_000_000, whole=True, default=200_000),
+}, build=StormPlan)
+
 TLS = Shape({
     "certificate": word(default=""),
     "key": word(default=""),
@@ -486,6 +502,7 @@
     "fleet": Group(FLEET),
     "store": Group(STORE),
     "tls": Many(TLS),
+    "storm": Group(STORM),
     "vrrp": Group(VRRP, optional=True),
     "journal": Group(JOURNAL),
 }, ("name",))
@@ -520,7 +537,7 @@
         fields["name"], fields["halls"], {t.name: t for t in fields["type"]},
         {n.name: n for n in fields["namespace"]}, actions, fields["rules"], fields["dispatcher"],
         fields["front"], fields["inference"], fields["pool"], fields["fleet"], fields["store"], fields["vrrp"],
-        fields["journal"], {t.side: t for t in fields["tls"]}, Path(file).parent)
+        fields["journal"], {t.side: t for t in fields["tls"]}, fields["storm"], Path(file).parent)
 
 
 def _spread(action: ActionSettings) -> list[ActionSettings]:
--- a/tests/test_inference.py
+++ b/tests/test_inference.py
@@ -35,6 +35,7 @@
 from kelptrail.codec.grpc import Code, GrpcError, MessageReader, encode_message, read_trailers, timeout_ms, trailers
 from kelptrail.codec.tensors import KINDS, JsonTensor, TensorError, fill, to_json, values_of
 from kelptrail.front.inference import inference_pb2 as pb
+from kelptrail.front.inference.api import SERVICE
 from kelptrail.net.grpc_server import GrpcLimits, GrpcServer, GrpcStream
 from kelptrail.net.guard import Act, Guard, GuardSettings, Stage
 from kelptrail.settings.deployment import parse
@@ -728,3 +729,87 @@
         raw.sock.close()
         await server.drain(0)
     run(main())
+
+
+def test_two_thousand_fuzzed_connections_leave_memory_flat_and_others_served() -> None:
+    """Frames of a sound call with bytes changed, and tensors changed within sound frames."""
+    import os
+
+    def memory_mb() -> float:
+        return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    async def main() -> None:
+        async with place(answer) as (dispatcher, _):
+            loop, chance = asyncio.get_running_loop(), np.random.default_rng(9)
+            message = ask("p/check", [tensor("FP32", [1.0, 2.0]), tensor("BYTES", [b"abc"], name="u")])
+            sound = Raw(await connect(dispatcher.grpc.address))
+            sound.call(1, SERVICE + "ModelInfer", data=encode_message(message.SerializeToString()))
+            whole = bytes(sound.h2.data_to_send())
+            sound.sock.close()
+            before = 0.0
+            for n in range(2000):
+                sock = await connect(dispatcher.grpc.address)
+                data = bytearray(whole)
+                first = 24 if n % 2 else len(whole) - 60  # frames, or what the last one carries
+                for _ in range(int(chance.integers(1, 5))):
+                    data[int(chance.integers(first, len(data)))] = int(chance.integers(256))
+                await loop.sock_sendall(sock, bytes(data))
+                if n % 40 == 0:
+                    await asyncio.sleep(0.02)
+                sock.close()
+                if n == 500:
+                    await asyncio.sleep(0.2)
+                    before = memory_mb()
+            await asyncio.sleep(0.5)
+            assert memory_mb() - before < 12, "1,500 more take no more"
+            assert dispatcher.grpc.connections == 0 and dispatcher.grpc.partial == 0 and dispatcher.grpc.owed == 0
+            assert not any(event == "handler-failed" for event, _ in dispatcher.log.lines), dispatcher.log.lines[-3:]
+            client = Client(dispatcher.grpc.address)
+            assert (await client.infer("p/check", [tensor("INT8", [1])])).outputs
+            await client.channel.close()
+    run(main())
+
+
+def test_a_client_library_against_the_real_program_with_faults(tmp_path: Path) -> None:
+    """Processes of their own: a place, one dispatcher; a worker's faults are set while calls run."""
+    from kelptrail.settings.deployment import load
+    from kelptrail.standin.place import Place
+    file = str(ROOT / "examples" / "streams.sexp")
+
+    async def main() -> None:
+        deployment = load(file)
+        made = Place(deployment, file, tmp_path, quiet=True)
+        await made.start(2, 1, tmp_path / "state")
+        try:
+            space = deployment.namespaces["families"]
+            client = Client(made.dispatchers[0].said["grpc"], auth(space.uuid, space.key))
+            one = [tensor("INT32", [4, 2])]
+            assert list((await client.infer("places/place-check", one)).outputs[0].contents.int_contents) == [4, 2]
+            out = [r async for r in client.stream([ask("places/place-check", one, parts=4)])]
+            assert len(out) == 5 and out[-1].infer_response.parameters["final_response"].bool_param
+            given = await client.infer("grant", one, deferred=True)
+            id_ = given.parameters["activation_id"].string_param
+            assert (await client.infer("grant", poll=id_, wait_ms=3000)).outputs
+            assert (await fails(client.infer("grant", [tensor("INT8", [999])])))[0] == "INVALID_ARGUMENT"
+            call = client.stream([ask("places/place-check", one, parts=500, gap_ms=10.0)])
+            reads = call.__aiter__()
+            await anext(reads)
+            call.cancel()
+            for worker in made.workers:
+                await made.fault(worker, kind="cut", share=1.0, for_ms=600)
+            await asyncio.sleep(0.05)
+            out = [r async for r in client.stream([ask("grant", one, parts=4)])]
+            assert out[-1].error_message.startswith("ABORTED") and len(out) >= 2
+            await asyncio.sleep(0.7)
+            for worker in made.workers:
+                await made.fault(worker, kind="hang", for_ms=1500)
+            await asyncio.sleep(0.05)
+            code, _, reason, more = await fails(client.infer("grant", one, timeout=0.8))
+            assert (code, reason) == ("DEADLINE_EXCEEDED", "MAY_HAVE_RUN") and "second effect" in more["retrying"]
+            await asyncio.sleep(1.0)
+            out = (await client.infer("places/place-activate", one, idempotency_key="k1", timeout=4)).outputs
+            assert list(out[0].contents.int_contents) == [4, 2]
+            await client.channel.close()
+        finally:
+            assert await made.stop()
+    run(main())
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -10,11 +10,13 @@
 from pathlib import Path
 
 from program import Dispatcher, ScriptedWorker, Silent, answer, auth, connect, read_reply, run, silent
+from test_inference import Client, tensor
 
 from kelptrail.codec.http import Request, encode_request
 from kelptrail.dispatch.terms import Outcome
 from kelptrail.gateway.sight import LinkSight
 from kelptrail.gateway.standing import Standing
+from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, Limits
 from kelptrail.settings.deployment import parse
 from kelptrail.vrrp.address import FrontAddress
@@ -209,3 +211,40 @@
     assert report["taken_over"] == 2 and report["completed"] > 100 and not report["broken"]
     assert report["effects_twice"] == report["unanswered"] == report["finals_twice"] == 0
     assert (tmp_path / "masters.png").stat().st_size > 10_000
+
+
+def test_a_front_address_carries_the_second_front_and_leaves_it_by_goaway() -> None:
+    async def main() -> None:
+        held: list[tuple[ScriptedWorker, Request, Exchange]] = []
+        one, two = Dispatcher([ScriptedWorker("w", lambda *line: held.append(line))]), Dispatcher(
+            [ScriptedWorker("v", answer)])
+        port, second = free_port(), free_port()
+
+        def address(of: Dispatcher) -> FrontAddress:
+            return FrontAddress("127.0.0.1", port, of.api.handle, Limits(), Silent(), 0.0, None,
+                                lambda: GrpcServer(of.inference.handle), second)
+
+        old, new = address(one), address(two)
+        old.take()
+        client = Client(f"127.0.0.1:{second}")
+        call = asyncio.create_task(client.infer("p/check", [tensor("INT8", [7])]))
+        while not held:
+            await asyncio.sleep(0.01)
+        new.take()
+        old.give_up(3000.0)
+        await asyncio.sleep(0.2)  # the warning is heard
+        # What the old one took is served by it; the same client's next call goes to the new one, none fails.
+        after = [await client.infer("p/check", [tensor("INT8", [n])]) for n in range(3)]
+        assert [list(r.outputs[0].contents.int_contents) for r in after] == [[0], [1], [2]]
+        assert two.gateway.counts.taken >= 1 and one.gateway.counts.taken + two.gateway.counts.taken == 4
+        answer(*held[0])
+        assert list((await call).outputs[0].contents.int_contents) == [7]
+        await old.left()
+        await client.channel.close()
+        new.give_up(0.0)
+        await new.left()
+        for end in (one, two):
+            await end.grpc.drain(0)
+            await end.driver.drain(0)
+            await end.server.drain(0)
+    run(main())
--- /dev/null
+++ b/tests/test_storm.py
@@ -0,0 +1,97 @@
+"""The storm core: stages with hysteresis, return times in a row, and what must not be damped."""
+
+from __future__ import annotations
+
+import random
+
+from kelptrail.gateway.storm import Stage, Storm, StormSettings
+
+
+def rush(storm: Storm, start: float, seconds: float, per_s: float, turned: float, done: float, seed: int = 1,
+         again: float = 0.0) -> tuple[float, list[float]]:
+    """Comers at a rate, of whom a part is turned away and a part completed; `again`: the share that comes again at
+    once.  Returns when it ends, and the return times told."""
+    chance, now, told, waiting = random.Random(seed), start, list[float](), list[str]()
+    number = 0
+    while now < start + seconds * 1000:
+        now += chance.expovariate(per_s / 1000)
+        number += 1
+        who = waiting.pop(0) if waiting and chance.random() < again else f"{seed}-{start}-{number}"
+        back = storm.came(now, who)
+        if back is not None:
+            told.append(back)
+            waiting.append(who)
+        elif chance.random() < turned:
+            told.append(storm.turn(now, who, 1000.0))
+            waiting.append(who)
+        elif chance.random() < done:
+            storm.completed(now, who)
+    return now, told
+
+
+def test_a_storm_is_seen_as_it_starts_and_ends_in_steps() -> None:
+    storm = Storm(StormSettings(), 1)
+    now, told = rush(storm, 0.0, 10, 400, 0.0, 1.0)
+    assert storm.stage is Stage.CALM and not told
+    began = now
+    now, told = rush(storm, now, 6, 1600, 0.8, 1.0, 2, again=0.6)
+    assert storm.stage is Stage.STORM
+    seen = dict(reversed([(stage, when) for when, stage in storm.stages]))
+    assert seen[Stage.RISING] - began < 1000 and seen[Stage.STORM] - began < 2500
+    now, _ = rush(storm, now, 2, 420, 0.02, 1.0, 3)
+    assert storm.stage is Stage.RECOVERING
+    now, _ = rush(storm, now, 6, 400, 0.0, 1.0, 4)
+    assert storm.stage is Stage.CALM
+    order = [stage for _, stage in storm.stages]
+    assert order[:2] == [Stage.RISING, Stage.STORM] and order[-2:] == [Stage.RECOVERING, Stage.CALM]
+    assert len(order) <= 8, "it does not flap"
+
+
+def test_a_rush_that_is_served_and_a_few_refusals_are_no_storm() -> None:
+    for turned, per_s in ((0.0, 2000.0), (0.1, 400.0), (0.1, 1200.0)):
+        storm = Storm(StormSettings(), 1)
+        now, _ = rush(storm, 0.0, 10, 400, 0.0, 1.0)
+        _, told = rush(storm, now, 8, per_s, turned, 1.0, 2)
+        assert storm.stage is Stage.CALM, (turned, per_s)
+        assert set(told) <= {1000.0}, "the decisions' own return time"
+
+
+def test_return_times_stand_in_a_row_that_fits_what_can_be_taken() -> None:
+    storm = Storm(StormSettings(longest_ms=600_000.0), 1)
+    now, _ = rush(storm, 0.0, 10, 400, 0.0, 1.0)
+    now, _ = rush(storm, now, 4, 1600, 0.7, 1.0, 2)
+    assert storm.stage is Stage.STORM
+    spare = max(storm.done_per_s - storm.fresh_per_s, 0.1 * storm.done_per_s, 1.0)
+    before = storm._slot
+    times = sorted(now + storm.turn(now, f"x{n}", 0.0) for n in range(200))
+    assert storm._slot - before > 0.9 * 200 * 1000 / spare, "each has a place of its own"
+    assert len({round(t) for t in times}) > 190, "not all at one moment"
+    bounded = Storm(StormSettings(longest_ms=3000.0), 1)
+    now, _ = rush(bounded, 0.0, 10, 400, 0.0, 1.0)
+    now, told = rush(bounded, now, 6, 4000, 0.95, 1.0, 2)
+    assert max(told) <= 3000 and len({round(t) for t in told[-200:]}) > 100, "spread also at the bound"
+    assert bounded._slot <= now + 3000
+
+
+def test_whoever_comes_early_is_refused_at_the_door_and_told_longer_but_not_without_end() -> None:
+    storm = Storm(StormSettings(), 1)
+    now, _ = rush(storm, 0.0, 10, 400, 0.0, 1.0)
+    now, _ = rush(storm, now, 6, 1600, 0.8, 1.0, 2, again=0.6)
+    assert storm.stage is Stage.STORM
+    first = storm.turn(now, "me", 4000.0)
+    slot = storm._slot
+    backs = [storm.came(now + 10 + n, "me") for n in range(8)]
+    assert all(b is not None and b <= 12_000 for b in backs) and storm._slot == slot, "it takes nobody else's place"
+    assert backs[0] is not None and backs[0] > 0.74 * min(12_000.0, 1.5 * (first - 10)), "longer, not shorter"
+    last = backs[-1]
+    assert last is not None and storm.came(now + 20 + last + 100, "me") is None, "at its time it is let in"
+    storm.completed(now + 30_000, "me")
+    assert "me" not in storm._known
+
+
+def test_undamped_it_only_watches_and_memory_is_bounded() -> None:
+    storm = Storm(StormSettings(damp=False, most_known=500), 1)
+    now, _ = rush(storm, 0.0, 5, 400, 0.0, 1.0)
+    _, told = rush(storm, now, 6, 1600, 0.8, 1.0, 2, again=0.6)
+    assert storm.stage is Stage.STORM and set(told) == {1000.0} and len(storm._known) <= 500
+    assert storm.status()["stage"] == "storm"
