--- a/kelptrail/gateway/storm.py
+++ b/kelptrail/gateway/storm.py
@@ -39,6 +39,7 @@
     longest_ms: float = 12_000.0
     spare_share: float = 0.1  # of what is completed: at least so much is left for repeats
     most_known: int = 200_000
+    known_ms: float = 30_000.0  # past its time, one that has not come is forgotten
 
 
 @dataclass(slots=True)
@@ -158,6 +159,11 @@
         self.share += 0.5 * (sign - self.share)
         self._comers = self._repeats = self._done = self._turns = 0
         self._since += 1
+        while self._known:
+            who, oldest = next(iter(self._known.items()))
+            if self._window < oldest.until + settings.known_ms:
+                break
+            del self._known[who]
         high, low, ripe = self.share >= settings.high, self.share <= settings.low, self._since >= settings.steady
         if self.stage is Stage.CALM:
             if high:
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -89,6 +89,14 @@
     assert "me" not in storm._known
 
 
+def test_whoever_never_comes_back_is_forgotten() -> None:
+    storm = Storm(StormSettings(known_ms=2000.0), 1)
+    now, _ = rush(storm, 0.0, 5, 400, 0.3, 1.0)
+    assert len(storm._known) > 300
+    rush(storm, now, 5, 200, 0.0, 1.0, 2)
+    assert not storm._known
+
+
 def test_undamped_it_only_watches_and_memory_is_bounded() -> None:
     storm = Storm(StormSettings(damp=False, most_known=500), 1)
     now, _ = rush(storm, 0.0, 5, 400, 0.0, 1.0)
