--- /dev/null
+++ b/examples/large.sexp
@@ -0,0 +1,15 @@
+; The largest place that the lab is tried with: five thousand models on a thousand workers.
+(deployment large
+  (halls east west north)
+  (type read  (effect repeatable)   (target-ms 500) (timeout-ms 5000) (utility 1) (late-share 0.3))
+  (type write (effect deduplicated) (target-ms 500) (timeout-ms 5000) (utility 3) (late-share 0.3)
+              (scope all) (remembered-ms 8000))
+  (namespace network-a (uuid "5c3b4a52-55a0-4b0e-9f7e-0a4a6c1d0001") (key "loopback-only-a") (allowed-per-s 20000))
+  (action read  (package models) (type read)  (count 4000) (memory-mb 500) (lanes 4) (work-ms 100) (load-ms 1000))
+  (action write (package models) (type write) (count 1000) (memory-mb 500) (lanes 4) (work-ms 100) (load-ms 1000))
+  (rules (drain-grace-ms 500) (tip 3) (tip-ms 3000) (cold-share 0.3) (cold-ms 5000)
+         (free-loads 8) (load-share 0.3) (load-span-ms 10000))
+  (dispatcher (keep-ms 20000) (longest-return-ms 2000))
+  (fleet (workers 1000) (cores 4) (memory-mb 24000) (keep-ms 20000) (loads 4))
+  (store (fetches 1000) (most 8000) (fetch-share 0.6))
+  (journal (keep no)))
