Read over: a cut stream is not told as a deadline; dead settings and names go

The second front guessed from a record's times whether an aborted call had run out of time, so a stream that was cut off long after its first part was told DEADLINE_EXCEEDED. The core, which knows the deadline in force, says so in the record now; a test repeats the case. Gone: a fleet setting that decided nothing, a count of refusals and three names that nobody read, an assertion that could not fail.

--- a/kelptrail/front/inference/api.py
+++ b/kelptrail/front/inference/api.py
@@ -41,8 +41,6 @@
     "deduplicated": "it may have run; a repeat is dropped only with the same mark, in its group and time",
     "once-only": "it may have run; a repeat may have a second effect",
 }
-_outputs = msgspec.json.Decoder(list[JsonTensor]).decode
-
 
 class _Result(msgspec.Struct):
     outputs: list[JsonTensor] = []
@@ -289,8 +287,7 @@
             text = msgspec.json.decode(record.result).get("error", "aborted")
             ran = record.sends > 0
             told["retrying"] = RISK[record.effect] if ran else "nothing of it ran"
-            late = record.end - record.start >= record.timeout_ms - 2 * self._deployment.dispatcher.answer_margin_ms
-            return GrpcError(Code.DEADLINE_EXCEEDED if late else Code.ABORTED, text, None,
+            return GrpcError(Code.DEADLINE_EXCEEDED if record.timed_out else Code.ABORTED, text, None,
                              "MAY_HAVE_RUN" if ran else "NEVER_RAN", told)
         text = record.result[:500].decode("utf-8", "replace")
         return GrpcError(Code.UNKNOWN, f"The model failed: {text}", None, "MODEL_FAILED", told)
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -26,7 +26,7 @@
 
 from .build import World
 from .lifecycle import Need, Passage, Stage
-from .limits import EARLY, Holdings
+from .limits import EARLY, RETURN_MS, Holdings
 from .records import Record, Records
 from .storm import Storm, StormSettings
 
@@ -218,7 +218,7 @@
         is the client's own, or what else tells its repeat: both only count as one that was turned away before."""
         reason = self.holdings.refusal(namespace, size)
         if reason is not None:
-            return reason, 1000.0
+            return reason, RETURN_MS
         back = self.storm.came(now, f"{namespace}/{path}/{mark}")
         if back is not None:
             self.holdings.refused[EARLY] += 1
@@ -471,6 +471,7 @@
                              b'{"error":"The activation was rejected; trying again is harmless."}')
         else:
             self.counts.aborted += 1
+            record.timed_out = now >= act.deadline - self._margin_ms
             why = CUT_OFF if act.bound else MAY_HAVE_RUN if ran else NEVER_RAN
             self.records.end(now, record, "aborted", 3, result or why)
         self.holdings.give(record.namespace, len(ivk.payload))
--- a/kelptrail/gateway/limits.py
+++ b/kelptrail/gateway/limits.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 HELD, BYTES, NAMESPACE, EARLY = "held", "bytes", "namespace", "early"
+RETURN_MS = 1000.0  # when to come back after a refusal at a bound
 WORDS = {
     HELD: "Too many calls are in hand at this dispatcher.",
     BYTES: "The calls in hand at this dispatcher take too much memory.",
--- a/kelptrail/gateway/records.py
+++ b/kelptrail/gateway/records.py
@@ -33,6 +33,7 @@
     return_ms: float = 0.0  # with a rejection: when to come back
     repeat_within_ms: float = 0.0  # with a deduplicated one that may have run: how long its mark still holds
     sends: int = 0
+    timed_out: bool = False  # it was aborted as its time, or that of its stream, was up; not kept over a restart
     waited_ms: float = 0.0  # from taken to the first send
     safe: bool = True  # its final answer may be shown: it is as durable as it was promised to be
     key: str = ""  # the client's mark against repeats, and what tells another body under it
--- a/kelptrail/gateway/storm.py
+++ b/kelptrail/gateway/storm.py
@@ -47,8 +47,7 @@
     """One that was told to come back."""
 
     until: float
-    times: int  # refusals so far
-    early: int  # of them, coming before the time
+    early: int = 0  # how often it came before the time
 
 
 class Storm:
@@ -124,8 +123,8 @@
     def _keep(self, who: str, until: float) -> None:
         known = self._known.pop(who, None)
         if known is None:
-            known = _Turned(until, 0, 0)
-        known.until, known.times = until, known.times + 1
+            known = _Turned(until)
+        known.until = until
         self._known[who] = known
         while len(self._known) > self._settings.most_known:
             self._known.popitem(last=False)
--- a/kelptrail/lab/experiment.py
+++ b/kelptrail/lab/experiment.py
@@ -27,7 +27,7 @@
 from kelptrail.badday.script import load as load_script
 from kelptrail.settings.deployment import Deployment
 from kelptrail.settings.deployment import load as load_deployment
-from kelptrail.settings.reader import Form, Place, SettingsError, read
+from kelptrail.settings.reader import Form, Place, read
 from kelptrail.settings.shape import Checker
 
 from .site import LabSettings, Result, play
@@ -250,5 +250,3 @@
     """Their seconds."""
     return list(pyarrow.parquet.read_table(folder / "seconds.parquet").to_pylist())
 
-
-SETTINGS_FAULTS = (SettingsError, OSError)
--- a/kelptrail/net/grpc_server.py
+++ b/kelptrail/net/grpc_server.py
@@ -168,7 +168,6 @@
         self._highest = 0
         self.writing_since: float | None = None
         self.active = now  # when a stream was last there
-        self.owed = 0
         self._flush()
         self._tasks = [server.loop.create_task(self._read()), server.loop.create_task(self._write())]
 
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -183,7 +183,6 @@
     connections: int
     loads: int
     keep_ms: float
-    core_share: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -433,7 +432,6 @@
     "connections": number(1, 1_000_000, whole=True, default=1024),
     "loads": number(1, 1024, whole=True, default=4),
     "keep-ms": _ms(100, 3.6e6, 8000.0),
-    "core-share": number(0, 1, default=0.2),
 }, build=FleetSettings)
 
 STORE = Shape({
--- a/tests/test_inference.py
+++ b/tests/test_inference.py
@@ -15,7 +15,7 @@
 import numpy as np
 import pytest
 from h2.config import H2Configuration
-from hyperframe.frame import GoAwayFrame, PingFrame
+from hyperframe.frame import GoAwayFrame
 from program import (
     DEPLOYMENT,
     Dispatcher,
@@ -398,6 +398,17 @@
     run(main())
 
 
+def test_a_stream_cut_off_long_after_its_first_part_was_not_late() -> None:
+    """Guards against telling a deadline where a worker broke off: a stream has a time of its own."""
+    async def main() -> None:
+        async with place(parts(12, 0.1, "cut")) as (dispatcher, _):  # 1.2 s, its type has 900 ms to the first part
+            client = Client(dispatcher.grpc.address)
+            out = [r async for r in client.stream([ask("grant")])]
+            assert numbers(out[:-1]) == list(range(12)) and out[-1].error_message.startswith("ABORTED")
+            await client.channel.close()
+    run(main())
+
+
 def test_before_its_first_part_a_stream_goes_to_another_worker() -> None:
     async def main() -> None:
         async with place(reset, reset) as (dispatcher, workers):
@@ -725,7 +736,7 @@
         raw.h2.ping(b"abcdefgh")
         await raw.flush()
         event = await raw.read(h2.events.PingAckReceived)
-        assert event.ping_data == b"abcdefgh" and PingFrame(0).type == 6
+        assert event.ping_data == b"abcdefgh"
         raw.sock.close()
         await server.drain(0)
     run(main())
