Nobody is lost at a door that closes; connections are taken at a pace

Cause: the tests of an address given up and of a thousand streams failed now and then on a busy machine. The first showed a fault: a task that waited in sock_accept was cancelled in the very turn in which it had taken a client, and the client was dropped. The second measured its own machine: how many streams overlapped within 0.9 s.

Change: both servers accept through one door (net/door.py), in one step from the loop's word, and close it at once when an address is given up. The door keeps a pace (connects-at-once, connects-per-s): whoever connects beyond is told at once a time of its own, by Retry-After and Connection: close, without a reset. The streams' test holds its workers until all are open.

--- a/kelptrail/gateway/control.py
+++ b/kelptrail/gateway/control.py
@@ -44,6 +44,7 @@
                 "orders": counts.orders, "second_sends": counts.second_sends, "second_saved": counts.second_saved,
                 "journal": self._journal(), "connections": self._front.connections,
                 "unread_bytes": self._front.owed, "slow_readers_cut": self._front.cut,
+                "connected_early": self._front.early + self._second.early,
                 "grpc": {"connections": self._second.connections, "streams": self._second.streams,
                          "unread_bytes": self._second.owed, "partial_bytes": self._second.partial,
                          "cut": self._second.cut, "floods": self._second.floods, "faults": self._second.faults},
--- a/kelptrail/gateway/serve.py
+++ b/kelptrail/gateway/serve.py
@@ -16,6 +16,7 @@
 from kelptrail.front.callers import Callers
 from kelptrail.front.inference.api import InferenceApi
 from kelptrail.front.invoke.api import InvokeApi
+from kelptrail.net.door import ConnectPace, PaceSettings
 from kelptrail.net.grpc_server import GrpcLimits, GrpcServer
 from kelptrail.net.guard import GuardSettings
 from kelptrail.net.server import Handler, HttpServer, Limits
@@ -144,14 +145,21 @@
         driver.tls = keepers["to-workers"].context
     http_tls, grpc_tls = (keepers[name].context if name in keepers else None for name in ("front", "grpc"))
     callers = Callers(deployment)
+
+    def pace(door: FrontSettings | InferenceSettings) -> ConnectPace:
+        return ConnectPace(PaceSettings(door.connects_at_once, door.connects_per_s, deployment.storm.longest_return_ms),
+                           zlib.crc32(boot.encode()))
+
     api = InvokeApi(deployment, driver, boot, callers)
     inference = InferenceApi(deployment, driver, callers)
 
     def first_door(handler: Handler) -> HttpServer:
-        return HttpServer(handler, limits(deployment.front), log.warning, http_tls, callers.named)
+        return HttpServer(handler, limits(deployment.front), log.warning, http_tls, callers.named,
+                          pace(deployment.front))
 
     def second_door() -> GrpcServer:
-        return GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning, grpc_tls, callers.named)
+        return GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning, grpc_tls, callers.named,
+                          pace(deployment.inference))
 
     second = second_door()
     server = first_door(api.handle)
--- /dev/null
+++ b/kelptrail/net/door.py
@@ -0,0 +1,156 @@
+"""A door that clients connect through: accepting, the pace of it, and early, cheap refusals.
+
+`ConnectPace` decides and is free of I/O; `Door` holds the listening sockets.  Accepting is done in one step from the
+loop's word that somebody waits: an `await sock_accept` that is called off at the wrong moment has taken a client out of
+the kernel's queue and loses it, which looked like a reset at an address that was just being given up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from zlib import crc32
+
+AT_ONCE = 256  # accepted before others have their turn on the loop
+LINGER_MS, MOST_LINGERING = 300.0, 2048  # so long refused ones are held: a reset would eat what they are told
+
+
+@dataclass(frozen=True, slots=True)
+class PaceSettings:
+    """Connections taken at once, and again each second; whoever comes beyond is told a time of its own, at most
+    `longest_ms` away.  `per_s` 0: no pace."""
+
+    at_once: float = 1000.0
+    per_s: float = 0.0
+    longest_ms: float = 12_000.0
+
+
+class ConnectPace:
+    """How fast connections are taken.  Guards against everybody's reconnecting at once after an outage: handshakes and
+    first requests of thousands would take the loop from the calls in hand.  Times in milliseconds."""
+
+    def __init__(self, settings: PaceSettings, seed: int) -> None:
+        self._settings, self._seed, self._draws = settings, seed, 0
+        self._left, self._seen = settings.at_once, 0.0
+        self._row = 0.0  # until when places were given out
+
+    def came(self, now: float) -> float | None:
+        """Somebody connects.  None: take it; else the time in ms after which it may come back."""
+        settings = self._settings
+        if not settings.per_s:
+            return None
+        self._left = min(settings.at_once, self._left + (now - self._seen) / 1000 * settings.per_s)
+        self._seen = now
+        if self._left >= 1:
+            self._left -= 1
+            return None
+        # Places in a row at half the pace: the other half is for those who were never told.
+        self._row = min(max(self._row, now) + 2000 / settings.per_s, now + settings.longest_ms)
+        self._draws += 1
+        spread = 0.75 + 0.25 * crc32(f"{self._seed} door {self._draws}".encode()) / 2**32
+        return max(50.0, (self._row - now) * spread)
+
+
+class Door:
+    """Listening sockets of one server.  `came` gets each client that is let in, `early` each that comes too fast."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, came: Callable[[socket.socket, str], None],
+                 early: Callable[[socket.socket, str, float], None], note: Callable[..., None],
+                 pace: ConnectPace | None = None) -> None:
+        self._loop, self._came, self._early, self._note, self._pace = loop, came, early, note, pace
+        self._sockets: dict[socket.socket, asyncio.TimerHandle | None] = {}
+        self._lingering: deque[socket.socket] = deque()
+        self.delay_ms = 0.0
+        self.early = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether any socket listens."""
+        return bool(self._sockets)
+
+    def open(self, sock: socket.socket) -> None:
+        """Take in whoever connects to a listening socket; it is closed with the door."""
+        self._sockets[sock] = None
+        self._loop.add_reader(sock, self._ready, sock)
+
+    def close(self, last: Callable[[socket.socket, str], Any] | None = None) -> None:
+        """Close; `last` gets whoever has connected already: closing the socket would reset them."""
+        sockets, self._sockets = self._sockets, {}
+        for sock, timer in sockets.items():
+            if timer is not None:
+                timer.cancel()
+            self._loop.remove_reader(sock)
+            while last is not None and (found := self._next(sock)) is not None:
+                last(*found)
+            sock.close()
+
+    def refuse(self, client: socket.socket, told: bytes) -> None:
+        """Tell a client something and let it go, at little cost and without a reset as long as there is room."""
+        with contextlib.suppress(OSError):
+            if told:
+                client.send(told)
+                client.shutdown(socket.SHUT_WR)
+        if not told:
+            client.close()
+            return
+        self._lingering.append(client)
+        if len(self._lingering) > MOST_LINGERING:
+            self._let_go(self._lingering[0])
+        else:
+            self._loop.call_later(LINGER_MS / 1000, self._let_go, client)
+
+    def _let_go(self, client: socket.socket) -> None:
+        if client.fileno() < 0:
+            return
+        with contextlib.suppress(ValueError):
+            self._lingering.remove(client)
+        with contextlib.suppress(OSError):
+            client.recv(65_536)
+        client.close()
+
+    @staticmethod
+    def _next(sock: socket.socket) -> tuple[socket.socket, str] | None:
+        try:
+            client, address = sock.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return None
+        client.setblocking(False)
+        return client, f"{address[0]}:{address[1]}"
+
+    def _ready(self, sock: socket.socket) -> None:
+        for _ in range(1 if self.delay_ms else AT_ONCE):
+            if sock not in self._sockets:
+                return
+            try:
+                found = self._next(sock)
+            except OSError as cause:  # out of descriptors: let some close
+                self._note("accept-failed", reason=str(cause))
+                self._rest(sock, 100.0)
+                return
+            if found is None:
+                return
+            if self.delay_ms:
+                self._rest(sock, self.delay_ms)
+                self._loop.call_later(self.delay_ms / 1000, self._came, *found)
+                return
+            back = None if self._pace is None else self._pace.came(self._loop.time() * 1000)
+            if back is None:
+                self._came(*found)
+            else:
+                self.early += 1
+                self._early(*found, back)
+
+    def _rest(self, sock: socket.socket, for_ms: float) -> None:
+        """Accept nobody for a while."""
+        self._loop.remove_reader(sock)
+        self._sockets[sock] = self._loop.call_later(for_ms / 1000, self._again, sock)
+
+    def _again(self, sock: socket.socket) -> None:
+        if sock in self._sockets:
+            self._sockets[sock] = None
+            self._loop.add_reader(sock, self._ready, sock)
--- a/kelptrail/net/grpc_server.py
+++ b/kelptrail/net/grpc_server.py
@@ -36,6 +36,7 @@
 
 from kelptrail.codec.grpc import Code, GrpcError, MessageReader, encode_message, timeout_ms, trailers
 
+from .door import ConnectPace, Door
 from .guard import Act, Guard, GuardSettings, Stage
 from .wire import TlsWire, Wire
 
@@ -488,12 +489,12 @@
 
     def __init__(self, handler: Callable[[GrpcStream], None], limits: GrpcLimits | None = None,
                  note: Callable[..., None] | None = None, tls: Callable[[], ssl.SSLContext] | None = None,
-                 who: Callable[[bytes | None], str] | None = None) -> None:
+                 who: Callable[[bytes | None], str] | None = None, pace: ConnectPace | None = None) -> None:
         self.loop = asyncio.get_running_loop()
         self.handle, self.limits = handler, limits or GrpcLimits()
         self.note = note or (lambda *_args, **_fields: None)
         self._tls, self._who = tls, who or (lambda _certificate: "")
-        self._sockets: list[socket.socket] = []
+        self._door = Door(self.loop, self._came, self._early, self.note, pace)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._connections: dict[GrpcConnection, None] = {}
         self._accepted = 0  # connections whose handshake is under way, too
@@ -505,6 +506,11 @@
         """The loop's time in milliseconds."""
         return self.loop.time() * 1000
 
+    @property
+    def early(self) -> int:
+        """How many connected faster than the pace."""
+        return self._door.early
+
     @property
     def connections(self) -> int:
         """How many are open."""
@@ -519,12 +525,11 @@
         sock.bind((host, port))
         sock.listen(backlog)
         sock.setblocking(False)
-        self._sockets.append(sock)
         bound = int(sock.getsockname()[1])
         self.address = f"{host}:{bound}"
-        self._begin(self._accept(sock))
-        if len(self._sockets) == 1:
+        if not self._door.is_open:
             self._begin(self._look())
+        self._door.open(sock)
         return bound
 
     def _begin(self, what: Any) -> None:
@@ -532,26 +537,25 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _accept(self, sock: socket.socket) -> None:
-        while True:
-            try:
-                client, address = await self.loop.sock_accept(sock)
-            except OSError:
-                await asyncio.sleep(0.05)
-                continue
-            if self._accepted >= self.limits.connections:
-                self.turned_away += 1
-                self.note("connection-turned-away", open=self._accepted)
-                client.close()
-                continue
-            client.setblocking(False)
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._accepted += 1
-            peer = f"{address[0]}:{address[1]}"
-            if self._tls is None:
-                self._connections[GrpcConnection(self, Wire(self.loop, client), peer, "")] = None
-            else:
-                self._begin(self._shake(client, peer, self._tls()))
+    def _came(self, client: socket.socket, peer: str) -> None:
+        if self._accepted >= self.limits.connections:
+            self.turned_away += 1
+            self.note("connection-turned-away", open=self._accepted)
+            self._door.refuse(client, b"")
+            return
+        self._welcome(client, peer)
+
+    def _early(self, client: socket.socket, peer: str, back_ms: float) -> None:
+        """Somebody connects faster than the pace.  HTTP/2 has nothing to say so before its preface: it is closed."""
+        self._door.refuse(client, b"")
+
+    def _welcome(self, client: socket.socket, peer: str) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._accepted += 1
+        if self._tls is None:
+            self._connections[GrpcConnection(self, Wire(self.loop, client), peer, "")] = None
+        else:
+            self._begin(self._shake(client, peer, self._tls()))
 
     async def _shake(self, client: socket.socket, peer: str, context: ssl.SSLContext) -> None:
         wire = TlsWire(self.loop, client, context, True)
@@ -598,9 +602,7 @@
 
     def stop_listening(self) -> None:
         """Accept nothing more."""
-        for sock in self._sockets:
-            sock.close()
-        self._sockets.clear()
+        self._door.close(self._welcome)
 
     def leave(self) -> None:
         """Ask every connection to go elsewhere; what is in hand is served."""
--- a/kelptrail/net/server.py
+++ b/kelptrail/net/server.py
@@ -28,9 +28,12 @@
     encode_response,
 )
 
+from .door import ConnectPace, Door
 from .wire import TlsWire, Wire
 
 FIRST_BUFFER, LARGEST_BUFFER = 8192, 262_144
+TOO_MANY = encode_response(503, b'{"error":"too many connections","code":"503"}', {"retry-after": "1"},
+                           keep_alive=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -380,7 +383,7 @@
 
     def __init__(self, handler: Handler, limits: Limits | None = None,
                  note: Callable[..., None] | None = None, tls: Callable[[], ssl.SSLContext] | None = None,
-                 who: Callable[[bytes | None], str] | None = None) -> None:
+                 who: Callable[[bytes | None], str] | None = None, pace: ConnectPace | None = None) -> None:
         self.loop = asyncio.get_running_loop()
         self._tls, self._who = tls, who or (lambda _certificate: "")
         self._shaking = 0  # connections whose handshake is under way
@@ -388,10 +391,9 @@
         self.limits = limits or Limits()
         self.handle = handler
         self._note = note or (lambda *_args, **_fields: None)
-        self._sockets: list[socket.socket] = []
+        self._door = Door(self.loop, self._came, self._early, self._note, pace)
         self._tasks: list[asyncio.Task[Any]] = []
         self._connections: dict[Connection, None] = {}
-        self.accept_delay_ms = 0.0  # stand-ins only: slow handshakes
         self.bytes_in = 0
         self.turned_away = 0
         self.owed = 0  # bytes of replies that clients have not read yet
@@ -415,6 +417,20 @@
             self.owed, slow.owed = self.owed - slow.owed, 0
             slow.abort()
 
+    @property
+    def accept_delay_ms(self) -> float:
+        """How long each that connects is left waiting; stand-ins only."""
+        return self._door.delay_ms
+
+    @accept_delay_ms.setter
+    def accept_delay_ms(self, delay_ms: float) -> None:
+        self._door.delay_ms = delay_ms
+
+    @property
+    def early(self) -> int:
+        """How many connected faster than the pace and were told to come back."""
+        return self._door.early
+
     @property
     def connections(self) -> int:
         """How many are open."""
@@ -439,33 +455,27 @@
         except OSError:
             sock.close()
             raise
-        self._sockets.append(sock)
-        self._tasks.append(self.loop.create_task(self._accept(sock)))
-        if len(self._tasks) == 1:
+        self._door.open(sock)
+        if not self._tasks:
             self._tasks.append(self.loop.create_task(self._sweep()))
         bound = int(sock.getsockname()[1])
         self.address = f"{host}:{bound}"
         return bound
 
-    async def _accept(self, sock: socket.socket) -> None:
-        while True:
-            try:
-                client, address = await self.loop.sock_accept(sock)
-            except OSError as cause:  # out of descriptors: let some close
-                self._note("accept-failed", reason=str(cause))
-                await asyncio.sleep(0.1)
-                continue
-            if self.accept_delay_ms:
-                await asyncio.sleep(self.accept_delay_ms / 1000)
-            if len(self._connections) + self._shaking >= self.limits.connections:
-                self.turned_away += 1
-                self._note("connection-turned-away", open=len(self._connections))
-                with contextlib.suppress(OSError):
-                    client.send(encode_response(503, b'{"error":"too many connections","code":"503"}',
-                                                {"retry-after": "1"}, keep_alive=False))
-                client.close()
-                continue
-            self._welcome(client, f"{address[0]}:{address[1]}")
+    def _came(self, client: socket.socket, peer: str) -> None:
+        """Somebody has connected."""
+        if len(self._connections) + self._shaking >= self.limits.connections:
+            self.turned_away += 1
+            self._note("connection-turned-away", open=len(self._connections))
+            self._door.refuse(client, TOO_MANY)
+            return
+        self._welcome(client, peer)
+
+    def _early(self, client: socket.socket, peer: str, back_ms: float) -> None:
+        """Somebody connects faster than the pace: told at once when to come back.  Over TLS it is only closed."""
+        body = b'{"error":"Too many connect at once; come back later.","code":"503"}'
+        self._door.refuse(client, b"" if self._tls is not None else encode_response(
+            503, body, {"retry-after": str(max(1, round(back_ms / 1000))), "retry-after-ms": f"{back_ms:.0f}"}, False))
 
     def _welcome(self, client: socket.socket, peer: str) -> None:
         client.setblocking(False)
@@ -524,19 +534,13 @@
         for task in self._tasks:
             task.cancel()
         self._tasks.clear()
-        for sock in self._sockets:
-            sock.close()
-        self._sockets.clear()
+        self._door.close()
 
-    def _accept_waiting(self) -> None:
-        """Take in whoever has connected already: closing the socket would reset them."""
-        for sock in self._sockets:
-            while True:
-                try:
-                    client, address = sock.accept()
-                except OSError:
-                    break
-                self._welcome(client, f"{address[0]}:{address[1]}")
+    def leave(self) -> None:
+        """Take in whoever has connected already, and nobody after; each reply closes its connection."""
+        self.draining = True
+        self._door.close(self._welcome)
+        self.stop_listening()
 
     def abort_all(self) -> None:
         """Close every connection now."""
@@ -549,9 +553,7 @@
         Idle connections stay open for `linger_ms`: a request that was sent while we closed would be lost without
         an answer (RFC 9112 section 9.5).  Whatever comes on them is answered, and then they close.
         """
-        self.draining = True
-        self._accept_waiting()
-        self.stop_listening()
+        self.leave()
         end = self.loop.time() + within_ms / 1000
         lingers = self.loop.time() + min(linger_ms, within_ms) / 1000
         while self._connections and self.loop.time() < lingers:
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -135,6 +135,8 @@
     drain_ms: float
     linger_ms: float
     unread_mb: float
+    connects_at_once: float
+    connects_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +161,8 @@
     grace_ms: float
     flood_at_once: int
     flood_per_s: float
+    connects_at_once: float
+    connects_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -393,6 +397,8 @@
     "drain-ms": _ms(0, 600_000, 10_000.0),
     "linger-ms": _ms(0, 60_000, 1000.0),
     "unread-mb": number(0.001, 100_000, default=256.0),
+    "connects-at-once": number(1, 1_000_000, default=2000.0),
+    "connects-per-s": number(0, 1_000_000, default=1000.0),
 }, build=FrontSettings)
 
 INFERENCE = Shape({
@@ -414,6 +420,8 @@
     "grace-ms": _ms(0, 3.6e6, 10_000.0),
     "flood-at-once": number(1, 1_000_000, whole=True, default=200),
     "flood-per-s": number(0.01, 1_000_000, default=20.0),
+    "connects-at-once": number(1, 1_000_000, default=2000.0),
+    "connects-per-s": number(0, 1_000_000, default=1000.0),
 }, build=InferenceSettings)
 
 POOL = Shape({
--- a/kelptrail/vrrp/address.py
+++ b/kelptrail/vrrp/address.py
@@ -70,6 +70,9 @@
         server, self._server = self._server, None
         if server is not None:
             server.handle = self._moved
+            server.leave()  # at once: who connects from here on reaches whoever listens there now
+            if self._grpc is not None:
+                self._grpc.stop_listening()
             task = self._loop.create_task(self._leave(server, self._grpc, drain_ms))
             self._grpc = None
             self._leaving.add(task)
--- a/tests/program.py
+++ b/tests/program.py
@@ -120,8 +120,10 @@
     """Nothing, ever."""
 
 
-def parts(count: int, gap_s: float = 0.0, end: str = "final", pad: int = 0) -> Script:
-    """A streamed answer; `end`: "final", "cut" (the connection breaks), "stall" (nothing more comes)."""
+def parts(count: int, gap_s: float = 0.0, end: str = "final", pad: int = 0,
+          gate: asyncio.Event | None = None) -> Script:
+    """A streamed answer; `end`: "final", "cut" (the connection breaks), "stall" (nothing more comes).  Past its first
+    part it waits for `gate`."""
     def script(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
         infer, _ = read_infer(request.body)
         model, tensors = request.segments[2], infer.parameters.get("form") == "tensors"
@@ -137,6 +139,8 @@
                 while not exchange.room and not exchange.gone:
                     await asyncio.sleep(0.005)
                 worker.given += exchange.piece(encode_event(data))
+                if gate is not None:
+                    await gate.wait()
                 await asyncio.sleep(gap_s)
             if end == "final":
                 exchange.piece(encode_event(tensors_answer(model, infer.id, [], final=True, success=True)))
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,77 @@
+"""The door: the pace of connecting, early refusals, and nobody lost as it closes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+
+import pytest
+from program import Silent, connect, exchange, read_reply, run
+
+from kelptrail.codec.http import Request, encode_request
+from kelptrail.net.door import ConnectPace, PaceSettings
+from kelptrail.net.server import Exchange, HttpServer, Limits
+
+CALL = encode_request("GET", "/", "x", b"", {})
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_pace_is_kept_and_those_told_fit_in(seed: int) -> None:
+    chance = random.Random(seed)
+    settings = PaceSettings(chance.randint(1, 200), chance.uniform(5, 500), 20_000.0)
+    pace, now, taken, told = ConnectPace(settings, seed), 0.0, 0, list[float]()
+    for _ in range(3000):
+        now += chance.expovariate(1 / 0.5)
+        back = pace.came(now)
+        taken += back is None
+        assert taken <= settings.at_once + settings.per_s * now / 1000 + 1
+        if back is not None:
+            assert 50 <= back <= settings.longest_ms
+            told.append(now + back)
+    told.sort()
+    # Those told fill half the pace; only at the bound do they bunch.
+    for early, late in zip(told, told[100:], strict=False):
+        if late < now + settings.longest_ms * 0.7:
+            assert 100 / max(1.0, late - early) * 1000 <= 0.8 * settings.per_s + 100
+    assert ConnectPace(PaceSettings(1, 0), 1).came(0) is None
+
+
+def test_who_connects_too_fast_is_told_when_to_come_back() -> None:
+    async def main() -> None:
+        def handle(request: Request, exchange: Exchange) -> None:
+            exchange.reply(200, b"{}")
+        server = HttpServer(handle, Limits(), Silent().warning, pace=ConnectPace(PaceSettings(10, 10.0, 3000.0), 1))
+        server.listen("127.0.0.1", 0)
+        replies = await asyncio.gather(*(exchange(server.address, CALL) for _ in range(40)))
+        early = [r for r in replies if r.status == 503]
+        assert 25 <= len(early) == server.early <= 30 and all(not r.keep_alive for r in early)
+        told = [float(r.headers["retry-after-ms"]) for r in early]
+        assert len(set(told)) == len(told) and max(told) <= 3000, "each a time of its own"
+        await asyncio.sleep(0.35)
+        assert (await exchange(server.address, CALL)).status == 200, "a pace, not a ban"
+        await server.drain(100)
+    run(main())
+
+
+def test_nobody_who_has_connected_is_lost_as_the_door_closes() -> None:
+    """Guards against a connection that `sock_accept` had taken and that was dropped with its task."""
+    async def main() -> None:
+        def handle(request: Request, exchange: Exchange) -> None:
+            exchange.reply(200, b"{}")
+        for turn in range(40):
+            server = HttpServer(handle, Limits())
+            server.listen("127.0.0.1", 0)
+            for _ in range(turn % 4):
+                await asyncio.sleep(0)
+            socks: list[socket.socket] = [await connect(server.address) for _ in range(3)]
+            for _ in range(turn // 4 % 4):
+                await asyncio.sleep(0)
+            for sock in socks:
+                sock.send(CALL)
+            drained = asyncio.create_task(server.drain(2000))
+            assert [(await read_reply(sock)).status for sock in socks] == [200] * 3
+            assert await drained
+            for sock in socks:
+                sock.close()
+    run(main())
--- a/tests/test_inference.py
+++ b/tests/test_inference.py
@@ -486,28 +486,32 @@
 
 
 def test_a_thousand_streams_at_once() -> None:
-    settings = parse(DEPLOYMENT.replace("(lanes 4)", "(lanes 2000)").replace("(timeout-ms 900)", "(timeout-ms 9000)")
-                     .replace("(pool (connect-ms 150))", "(pool (connect-ms 3000) (connections 1200))"), "t")
+    settings = parse(DEPLOYMENT.replace("(lanes 4)", "(lanes 2000)").replace("(timeout-ms 900)", "(timeout-ms 25000)")
+                     .replace("(pool (connect-ms 150))", "(pool (connect-ms 9000) (connections 1200))"), "t")
 
     async def main() -> None:
-        workers = [ScriptedWorker(f"w{n}", parts(3, 0.3)) for n in range(4)]
+        all_open = asyncio.Event()  # no worker goes on past its first part before
+        workers = [ScriptedWorker(f"w{n}", parts(3, gate=all_open)) for n in range(4)]
         dispatcher = Dispatcher(workers, settings)
         for known in dispatcher.gateway.members:
             known.window = 400.0
         client = Client(dispatcher.grpc.address)
-        most = 0
+
+        async def watch() -> int:
+            while dispatcher.grpc.streams < 1000:
+                await asyncio.sleep(0.005)
+            all_open.set()
+            return dispatcher.grpc.streams
 
         async def one(n: int) -> list[int]:
-            nonlocal most
             out = []
             async for response in client.stream([ask("p/check", id_=str(n))]):
-                most = max(most, dispatcher.grpc.streams)
                 out.append(response)
             assert not out[-1].error_message, out[-1].error_message
             return numbers(out)
 
-        done = await asyncio.gather(*(one(n) for n in range(1000)))
-        assert done == [[0, 1, 2]] * 1000 and most > 900
+        most, *done = await asyncio.gather(watch(), *(one(n) for n in range(1000)))
+        assert done == [[0, 1, 2]] * 1000 and most == 1000
         assert dispatcher.grpc.streams == 0 and dispatcher.grpc.owed == 0
         await client.channel.close()
         await dispatcher.grpc.drain(0)
