--- a/bench/vrrp_failover.py
+++ b/bench/vrrp_failover.py
@@ -26,6 +26,7 @@
 from kelptrail.audit.judge import judge, read
 from kelptrail.badday.report import latencies, world_of
 from kelptrail.gateway.clock import now_ms
+from kelptrail.load.plan import steady
 from kelptrail.settings.deployment import Deployment, load
 from kelptrail.standin.capture import Capture
 from kelptrail.standin.clients import Clients
@@ -96,7 +97,7 @@
         seconds = failovers * (HARM_S + REST_S + 1.5) + 2
         arrivals: list[tuple[float, Callable[[], None]]] = [
             (when, partial(clients.wish, action, 0.25, 1.0, 1))
-            for when, action in clients.arrivals(self._rate, 0.0, seconds, 0.8, "")]
+            for when, action in clients.arrivals(steady(self._rate, seconds, 0.8), seconds)]
         self.start = now_ms()
         self._capture.note("begin", start=self.start, seconds=seconds)
         calling = asyncio.create_task(clients.play(arrivals, self.start))
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -55,9 +55,9 @@
         arrivals: list[tuple[float, Callable[[], None]]] = []
         for load in day.load:
             end = min(day.seconds, load.at + load.last)
-            for when, action in clients.arrivals(load.rate, load.at, end, load.zipf, load.action):
+            for when, action in clients.arrivals(load, end):
                 arrivals.append((when, partial(clients.wish, action, load.deferred, load.heed, load.retries,
-                                                      load.grpc, load.streams)))
+                                               load.grpc, load.streams, load.half_heed)))
         arrivals.sort(key=lambda pair: pair[0])
         gc.collect()
         gc.freeze()
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from kelptrail.load.plan import LOAD, Load, check_load
 from kelptrail.settings.reader import Form, Place, read
 from kelptrail.settings.shape import Checker, Many, Shape, number, word
 
@@ -17,27 +18,6 @@
 KINDS = ON_WORKERS + ON_STORE + ON_DISKS + OTHERS
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Calls at a rate, from a time, for a time; `action` empty: all actions by popularity."""
-
-    rate: float
-    at: float
-    last: float
-    deferred: float
-    zipf: float
-    retries: int
-    heed: float
-    one_off: bool
-    action: str
-    grpc: float
-    streams: float
-
-    def __init__(self, rate: float, at: float, **rest: object) -> None:
-        for name, value in {"rate": rate, "at": at, "last": rest.pop("for"), **rest}.items():
-            object.__setattr__(self, name, value)
-
-
 @dataclass(frozen=True, slots=True)
 class Trouble:
     """One trouble: its kind, from when, for how long, on which part of those it can befall."""
@@ -69,20 +49,11 @@
     load: list[Load]
     trouble: list[Trouble]
 
+    @property
+    def ends(self) -> float:
+        """When the last trouble is over."""
+        return max((t.at + t.last for t in self.trouble), default=0.0)
 
-LOAD = Shape({
-    "rate": number(0.01, 100_000),
-    "at": number(0, 86_400, default=0.0),
-    "for": number(0.01, 86_400, default=86_400.0),
-    "deferred": number(0, 1, default=0.2),
-    "zipf": number(0, 4, default=1.1),
-    "retries": number(0, 10, whole=True, default=1),
-    "heed": number(0, 1, default=1.0),
-    "one-off": word(("yes", "no"), "no"),
-    "grpc": number(0, 1, default=0.0),
-    "streams": number(0, 1, default=0.0),
-    "action": word(default=""),
-}, build=lambda **f: Load(**(f | {"one_off": f["one_off"] == "yes"})))
 
 TROUBLE = Shape({
     "at": number(0, 86_400),
@@ -123,6 +94,9 @@
     day = checker.form(whole, BAD_DAY)
     checker.done()
     made: BadDay = day
+    for form, one in zip((i for i in whole.items if isinstance(i, Form) and i.head == "load"), made.load, strict=True):
+        check_load(checker, form.place, one, Path(path).parent)
+    checker.done()
     file = Path(made.deployment)
     if not file.is_absolute():
         file = Path(path).parent / file
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -317,17 +317,8 @@
     from kelptrail.audit.judge import judge, read
     from kelptrail.badday.player import Player
     from kelptrail.badday.report import write
-    from kelptrail.badday.script import load
-    from kelptrail.settings.reader import SettingsError
 
-    try:
-        day = load(script)
-    except SettingsError as cause:
-        click.echo(str(cause), err=True)
-        sys.exit(UNUSABLE)
-    except OSError as cause:
-        click.echo(f"{script}: {cause.strerror}", err=True)
-        sys.exit(UNUSABLE)
+    day = _script(script)
     player = Player(day, _settings(day.deployment), seed, out, context.obj["level"])
     clean = bool(_run(player.play()))
     events = read(out / "captures")
@@ -411,19 +402,9 @@
 
     from kelptrail.audit.judge import judge
     from kelptrail.badday.report import latencies
-    from kelptrail.badday.script import load as load_script
     from kelptrail.lab.site import Site
-    from kelptrail.settings.reader import SettingsError
 
-    try:
-        day = load_script(script)
-    except SettingsError as cause:
-        for fault in cause.faults:
-            click.echo(str(fault), err=True)
-        sys.exit(UNUSABLE)
-    except OSError as cause:
-        click.echo(f"{script}: {cause.strerror}", err=True)
-        sys.exit(UNUSABLE)
+    day = _script(script)
     site = Site(day, _settings(day.deployment), seed, capture=True)
     began = time.perf_counter()
     site.run()
@@ -442,8 +423,9 @@
 def lab_run(experiment: str, out: Path, processes: int) -> None:
     """Play an EXPERIMENT's variants, points and seeds in parallel; write columns, plots and a report."""
     from kelptrail.lab.compare import report
-    from kelptrail.lab.experiment import load, read_seconds
+    from kelptrail.lab.experiment import load
     from kelptrail.lab.experiment import run as run_all
+    from kelptrail.lab.results import read
     from kelptrail.settings.reader import SettingsError
 
     try:
@@ -457,7 +439,7 @@
         sys.exit(UNUSABLE)
     with click.progressbar(length=count, label="runs", file=sys.stderr) as bar:
         runs = run_all(experiment, out, processes, lambda _row: bar.update(1))
-    file = report(out, runs, read_seconds(out))
+    file = report(out, runs, read(out, "seconds"), read(out, "spread"))
     _say(runs=len(runs), report=str(file))
 
 
@@ -471,7 +453,7 @@
     from dataclasses import asdict
 
     from kelptrail.lab.compare import compare
-    from kelptrail.lab.experiment import read_runs
+    from kelptrail.lab.results import read_runs
 
     one = [r for r in read_runs(folder) if r["variant"] == first]
     two = [r for r in read_runs(other_folder or folder) if r["variant"] == second]
@@ -484,6 +466,75 @@
         _say(**asdict(difference))
 
 
+@main.command("load", cls=_Examples, example="kelptrail load examples/bad-days/steady.sexp --at 127.0.0.1:8080 "
+              "--processes 2 --out out/load")
+@click.argument("script")
+@click.option("--at", "addresses", multiple=True, required=True, help="A dispatcher's address; may be given again.")
+@click.option("--control", "controls", multiple=True, help="A dispatcher's control address: its sends and orders.")
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for the results.")
+@click.option("--processes", default=2, show_default=True, type=click.IntRange(1, 64))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--variant", default="as-is", show_default=True, help="Its name in comparisons.")
+@click.option("--churn", default=0.0, show_default=True, type=click.FloatRange(0, 1),
+              help="Share of calls that close their connection.")
+@click.option("--connections", default=2000, show_default=True, help="At most, of a process to an address.")
+def load_(script: str, addresses: tuple[str, ...], controls: tuple[str, ...], out: Path, processes: int, seed: int,
+          variant: str, churn: float, connections: int) -> None:
+    """Drive running dispatchers with a SCRIPT's load; its troubles are not played.  Tables as the lab's."""
+    from kelptrail.load.hand import HandSettings
+    from kelptrail.load.tool import HandError, drive, keep
+
+    day = _script(script)
+    settings = HandSettings(addresses, 0, processes, seed, churn, connections)
+    try:
+        found = _run(drive(script, day, settings, list(controls)))
+    except HandError as cause:
+        click.echo(str(cause), err=True)
+        sys.exit(FAILED)
+    who = {"experiment": day.name, "variant": variant, "point": "", "value": 0.0, "seed": seed}
+    _say(**keep(out, who, day, found))
+
+
+@main.command("load-hand", hidden=True)
+@click.argument("script")
+@click.option("--at", "addresses", multiple=True)
+@click.option("--start", type=float)
+@click.option("--number", type=int)
+@click.option("--of", type=int)
+@click.option("--seed", type=int)
+@click.option("--churn", type=float)
+@click.option("--connections", type=int)
+def load_hand(script: str, addresses: tuple[str, ...], start: float, number: int, of: int, seed: int, churn: float,
+              connections: int) -> None:
+    """One process of the load tool."""
+    from kelptrail.load.hand import Hand, HandSettings, packed
+
+    day = _script(script)
+
+    settings = HandSettings(addresses, number, of, seed, churn, connections)
+
+    async def go() -> None:
+        _say(**packed(await Hand(day, _settings(day.deployment), settings, start).play()))
+
+    _run(go())
+
+
+def _script(script: str) -> Any:
+    """A bad day's script, or its faults and the exit code for them."""
+    from kelptrail.badday.script import load
+    from kelptrail.settings.reader import SettingsError
+
+    try:
+        return load(script)
+    except SettingsError as cause:
+        for fault in cause.faults:
+            click.echo(str(fault), err=True)
+        sys.exit(UNUSABLE)
+    except OSError as cause:
+        click.echo(f"{script}: {cause.strerror}", err=True)
+        sys.exit(UNUSABLE)
+
+
 @main.group()
 def keys() -> None:
     """A private authority of one's own: certificates for fronts, workers and clients; keys for namespaces."""
--- a/kelptrail/lab/compare.py
+++ b/kelptrail/lab/compare.py
@@ -61,7 +61,8 @@
     return out
 
 
-def report(folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]]) -> Path:
+def report(folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]],
+           spread: list[dict[str, Any]]) -> Path:
     """`report.md` beside the data, with its plots."""
     name = runs[0]["experiment"]
     variants = list(dict.fromkeys(r["variant"] for r in runs))
@@ -89,6 +90,10 @@
     lines += ["", "![service over time](service.png)", ""]
     if len(points) > 1:
         lines += ["![recovery by point](recovery.png)", ""]
+    lines += ["![latency](latency.png)", "", "![give-ups by cause](give-ups.png)", "",
+              "![loads, orders, calls in hand, dispatchers that are not calm](work.png)", ""]
+    _draw_spread(folder, spread, variants, points)
+    _draw_work(folder, seconds, variants, points)
     file = folder / "report.md"
     file.write_text("\n".join(lines))
     return file
@@ -130,3 +135,68 @@
         figure.tight_layout()
         figure.savefig(folder / "recovery.png", dpi=100)
         pyplot.close(figure)
+
+
+def _draw_spread(folder: Path, spread: list[dict[str, Any]], variants: list[str], points: list[str]) -> None:
+    """How latencies lie, of all types, and what calls were given up for."""
+    from matplotlib import pyplot
+
+    figure, axis = pyplot.subplots(figsize=(8, 4))
+    found = [r for r in spread if r["what"] == "latency_ms"]
+    for variant in variants:
+        for kind in dict.fromkeys(r["name"] for r in found):
+            by: dict[float, list[float]] = defaultdict(list)
+            for row in found:
+                if row["variant"] == variant and row["name"] == kind and row["point"] == points[0]:
+                    by[row["part"]].append(row["value"])
+            parts = sorted(p for p in by if p < 100)
+            axis.plot([1 / (1 - p / 100) for p in parts], [float(np.mean(by[p])) for p in parts], marker=".",
+                      label=f"{variant} {kind}")
+    axis.set_xscale("log")
+    axis.set_yscale("log")
+    axis.set_xlabel("one call in so many takes longer")
+    axis.set_ylabel("ms")
+    axis.set_title(points[0] or "as scripted", fontsize=9)
+    axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(folder / "latency.png", dpi=100)
+    pyplot.close(figure)
+    causes = list(dict.fromkeys(r["name"] for r in spread if r["what"] == "give_ups"))
+    figure, axis = pyplot.subplots(figsize=(8, 4))
+    bars = [(variant, point) for variant in variants for point in points]
+    bottom = np.zeros(len(bars))
+    for cause in causes:
+        mine = [[r["value"] for r in spread if r["what"] == "give_ups" and r["name"] == cause and r["variant"] == v
+                 and r["point"] == p] for v, p in bars]
+        heights = np.array([float(np.mean(values)) if values else 0.0 for values in mine])
+        axis.bar([f"{v}\n{p}" for v, p in bars], heights, bottom=bottom, label=cause)
+        bottom += heights
+    axis.set_ylabel("tries given up, a run")
+    if causes:
+        axis.legend(fontsize=7)
+    axis.tick_params(axis="x", labelsize=7)
+    figure.tight_layout()
+    figure.savefig(folder / "give-ups.png", dpi=100)
+    pyplot.close(figure)
+
+
+def _draw_work(folder: Path, seconds: list[dict[str, Any]], variants: list[str], points: list[str]) -> None:
+    """Loads, orders, calls in hand and dispatchers that see a storm, over time, at the first point."""
+    from matplotlib import pyplot
+
+    names = {"loads": "loads / s", "orders": "orders / s", "in_hand": "calls in hand", "storming": "not calm"}
+    figure, axes = pyplot.subplots(len(names), 1, figsize=(10, 7), sharex=True)
+    for axis, (name, label) in zip(axes, names.items(), strict=True):
+        for variant in variants:
+            by: dict[int, list[float]] = defaultdict(list)
+            for row in seconds:
+                if row["variant"] == variant and row["point"] == points[0]:
+                    by[row["second"]].append(row[name])
+            axis.plot(sorted(by), [float(np.mean(by[s])) for s in sorted(by)], label=variant)
+        axis.set_ylabel(label, fontsize=8)
+    axes[0].set_title(points[0] or "as scripted", fontsize=9)
+    axes[0].legend(fontsize=8)
+    axes[-1].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(folder / "work.png", dpi=100)
+    pyplot.close(figure)
--- a/kelptrail/lab/experiment.py
+++ b/kelptrail/lab/experiment.py
@@ -19,10 +19,6 @@
 from pathlib import Path
 from typing import Any
 
-import numpy as np
-import pyarrow
-import pyarrow.parquet
-
 from kelptrail.badday.script import BadDay
 from kelptrail.badday.script import load as load_script
 from kelptrail.settings.deployment import Deployment
@@ -30,10 +26,10 @@
 from kelptrail.settings.reader import Form, Place, read
 from kelptrail.settings.shape import Checker
 
-from .site import LabSettings, Result, play
+from .results import Rows, figures, rows_of, spread_of, write
+from .site import LabSettings, play
 
 OF_DEPLOYMENT = ("dispatcher", "rules", "fleet", "store", "front", "pool", "journal", "storm")
-RUN_SECONDS = 3  # that many good ones in a row: recovered
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,38 +173,8 @@
     return made
 
 
-def figures(day: BadDay, result: Result) -> dict[str, float]:
-    """What one run came to.  Times in ms, `recovery_s` in seconds: see `recovery`."""
-    seconds = result.seconds[:int(day.seconds)]
-    calls = sum(s.calls for s in seconds) or 1
-    wishes = calls - sum(s.repeats for s in seconds) or 1
-    every = np.concatenate([np.asarray(v) for v in result.latency.values()]) if any(
-        result.latency.values()) else np.zeros(1)
-    good = sum(s.in_time for s in seconds)
-    return {"calls": calls, "wishes": wishes, "completed": sum(s.completed for s in seconds), "in_time": good,
-            "served_share": good / wishes, "rejected": sum(s.rejected for s in seconds),
-            "aborted": sum(s.aborted for s in seconds), "lost": sum(s.lost for s in seconds),
-            "sends": sum(s.sends for s in seconds), "orders": sum(s.orders for s in seconds), "loads": result.loads,
-            "p50_ms": float(np.percentile(every, 50)), "p99_ms": float(np.percentile(every, 99)),
-            "recovery_s": recovery(day, result), "events": result.events}
-
-
-def recovery(day: BadDay, result: Result) -> float:
-    """Seconds from the last trouble's end, or from the start where there is none, until three seconds in a row serve
-    95% of what came new then, in time; the rest of the script where that never comes."""
-    since = max((t.at + t.last for t in day.trouble), default=0.0)
-    row = 0
-    for number in range(int(since), int(day.seconds)):
-        second = result.seconds[number]
-        fresh = second.calls - second.repeats
-        row = row + 1 if second.in_time >= 0.95 * fresh else 0
-        if row == RUN_SECONDS:
-            return max(0.0, number - RUN_SECONDS + 1 - since)
-    return day.seconds - since
-
-
-def one(path: str, variant: str, point: Change | None, seed: int) -> tuple[dict[str, Any], list[dict[str, Any]]]:
-    """One run in a process of its own: its figures and its seconds."""
+def one(path: str, variant: str, point: Change | None, seed: int) -> tuple[Rows, Rows, Rows]:
+    """One run in a process of its own: its figures, its seconds, its latencies."""
     experiment = load(path)
     day = load_script(experiment.script)
     changes = [*experiment.variants[variant], *([point] if point is not None else [])]
@@ -218,35 +184,21 @@
     took = time.perf_counter() - began
     who = {"experiment": experiment.name, "variant": variant, "point": str(point) if point is not None else "",
            "value": float(point.value) if point is not None and isinstance(point.value, float) else 0.0, "seed": seed}
-    rows = [who | {"second": n} | {f.name: getattr(s, f.name) for f in dataclasses.fields(s)}
-            for n, s in enumerate(result.seconds[:int(day.seconds)])]
-    return who | figures(day, result) | {"took_s": took, "simulated_s_a_second": day.seconds / took}, rows
+    row = who | figures(day.seconds, day.ends, result) | {"took_s": took, "simulated_s_a_second": day.seconds / took}
+    return [row], rows_of(who, day.seconds, result), spread_of(who, result)
 
 
-def run(path: str, out: Path, workers: int, progress: Callable[[dict[str, Any]], None]) -> list[dict[str, Any]]:
-    """Play all runs over several processes; write `runs.parquet` and `seconds.parquet`."""
+def run(path: str, out: Path, workers: int, progress: Callable[[dict[str, Any]], None]) -> Rows:
+    """Play all runs over several processes; write the tables of `kelptrail.lab.results`."""
     experiment = load(path)
-    runs, seconds = list[dict[str, Any]](), list[dict[str, Any]]()
+    tables: tuple[Rows, Rows, Rows] = ([], [], [])
     with ProcessPoolExecutor(workers) as pool:
         jobs = [pool.submit(one, path, *words) for words in experiment.runs()]
         for job in as_completed(jobs):
-            row, rows = job.result()
-            runs.append(row)
-            seconds += rows
-            progress(row)
-    runs.sort(key=lambda r: (r["variant"], r["value"], r["point"], r["seed"]))
-    out.mkdir(parents=True, exist_ok=True)
-    for name, table in (("runs", runs), ("seconds", seconds)):
-        pyarrow.parquet.write_table(pyarrow.Table.from_pylist(table), out / f"{name}.parquet", compression="zstd")
-    return runs
-
-
-def read_runs(folder: Path) -> list[dict[str, Any]]:
-    """The runs of a folder.  Raises `OSError` where there are none."""
-    return list(pyarrow.parquet.read_table(folder / "runs.parquet").to_pylist())
-
-
-def read_seconds(folder: Path) -> list[dict[str, Any]]:
-    """Their seconds."""
-    return list(pyarrow.parquet.read_table(folder / "seconds.parquet").to_pylist())
-
+            found = job.result()
+            for table, rows in zip(tables, found, strict=True):
+                table += rows
+            progress(found[0][0])
+    tables[0].sort(key=lambda r: (r["variant"], r["value"], r["point"], r["seed"]))
+    write(out, *tables)
+    return tables[0]
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -9,18 +9,22 @@
 
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import numpy as np
 
 from kelptrail.badday.report import world_of
-from kelptrail.badday.script import ON_DISKS, ON_STORE, ON_WORKERS, BadDay, Load, Trouble
+from kelptrail.badday.script import ON_DISKS, ON_STORE, ON_WORKERS, BadDay, Trouble
 from kelptrail.codec.infer import Answer
 from kelptrail.dispatch.terms import Order, Outcome, Send
 from kelptrail.gateway.build import World
 from kelptrail.gateway.core import Final, Gateway, GiveUp, Ivk, PlaceOrder, StartSend
 from kelptrail.gateway.records import Record
+from kelptrail.gateway.storm import Stage as Calm
+from kelptrail.load.arrivals import Arrivals
+from kelptrail.load.habits import Habits, Heard, again, habits_of
+from kelptrail.load.plan import Load
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
 from kelptrail.store.book import Life
@@ -29,6 +33,7 @@
 
 from .engine import Engine, Timer
 from .fleet import LabStore, LabWorker
+from .results import Result, Second
 
 POLL_MS, PATIENCE_MS, WALL = 150.0, 3000.0, 1e12
 
@@ -52,7 +57,7 @@
     action: ActionSettings
     space: NamespaceSettings
     deferred: bool
-    heeds: bool
+    habits: Habits
     tries: int
     dispatcher: int = 0
     began: float = 0.0
@@ -62,21 +67,7 @@
     patience: Timer | None = None
     ivk: Ivk | None = None
     run: int = 0  # of the dispatcher that took it
-
-
-@dataclass(slots=True)
-class Second:
-    """What became of the calls of one second."""
-
-    calls: int = 0
-    completed: int = 0
-    in_time: int = 0
-    rejected: int = 0
-    aborted: int = 0
-    lost: int = 0
-    sends: int = 0
-    orders: int = 0
-    repeats: int = 0
+    after: Callable[[], None] | None = None  # of a closed loop: what its client does next
 
 
 class LabDispatcher:
@@ -300,6 +291,17 @@
             self._arrivals(load)
         for trouble in day.trouble:
             self.engine.at(self.start + trouble.at * 1000, self._befall, trouble)
+        self._fetched = 0
+        self.engine.at(self.start + 999.0, self._sample)
+
+    def _sample(self) -> None:
+        """What a second ends with."""
+        second = self.second()
+        second.in_hand = sum(d.gateway.in_hand for d in self.dispatchers if d.up)
+        second.loads, self._fetched = self.store.fetches - self._fetched, self.store.fetches
+        second.storming = sum(d.up and d.gateway.storm.stage is not Calm.CALM for d in self.dispatchers)
+        if self.engine.now < self.start + (len(self.seconds) - 1) * 1000:
+            self.engine.after(1000.0, self._sample)
 
     def _note(self, what: str, **fields: Any) -> None:
         self.events.append({"what": what, "t": self.engine.now, **fields})
@@ -325,33 +327,47 @@
     # Clients.
 
     def _arrivals(self, load: Load) -> None:
-        """Poisson arrivals, drawn a second at a time."""
+        """A load's arrivals, drawn a second at a time; of a closed loop its clients, spread over their first pause."""
         end = min(self.day.seconds, load.at + load.last)
         actions = list(self.deployment.actions.values())
+        by_path = {a.path: a for a in actions}
         if load.action:
             weights = np.array([float(a.path == load.action) for a in actions])
         else:
             weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
         odds = np.cumsum(weights / weights.sum())
+        drawn = Arrivals(load, self._clients)
 
         def draw(at: float) -> None:
             span = min(1.0, end - at)
             if span <= 0:
                 return
-            count = int(self._clients.poisson(load.rate * span))
-            times = np.sort(self._clients.uniform(at, at + span, count))
-            picks = np.searchsorted(odds, self._clients.random(count))
-            for when, pick in zip(times, picks, strict=True):
-                self.engine.at(self.start + when * 1000, self._wish, actions[int(pick)], load)
+            found = drawn.draw(at, span)
+            picks = np.searchsorted(odds, self._clients.random(len(found)))
+            for (when, named), pick in zip(found, picks, strict=True):
+                self.engine.at(self.start + when * 1000, self._wish, by_path.get(named) or actions[int(pick)], load)
             self.engine.at(self.start + (at + span) * 1000, draw, at + span)
-        self.engine.at(self.start + load.at * 1000, draw, load.at)
 
-    def _wish(self, action: ActionSettings, load: Load) -> None:
+        def come() -> None:
+            if self.engine.now < self.start + end * 1000:
+                self._wish(actions[int(np.searchsorted(odds, self._clients.random()))], load, think)
+
+        def think() -> None:
+            self.engine.after(float(self._clients.exponential(load.think)) * 1000, come)
+
+        if load.shape == "closed":
+            for _ in range(load.clients):
+                self.engine.at(self.start + load.at * 1000, think)
+        else:
+            self.engine.at(self.start + load.at * 1000, draw, load.at)
+
+    def _wish(self, action: ActionSettings, load: Load, after: Callable[[], None] | None = None) -> None:
         self._tickets += 1
         chance = self._clients
         space = self._spaces[int(np.searchsorted(self._shares, chance.random()))]
         wish = Wish(f"t{self._tickets}", action, space, bool(chance.random() < load.deferred),
-                    bool(chance.random() < load.heed), 1 + load.retries, first=self.engine.now)
+                    habits_of(float(chance.random()), load.heed, load.half_heed), 1 + load.retries,
+                    first=self.engine.now, after=after)
         self._try(wish, None)
 
     def _try(self, wish: Wish, last: int | None) -> None:
@@ -378,10 +394,10 @@
 
     def _not_taken(self, wish: Wish) -> None:
         self._unwait(wish)
+        self.second().not_taken += 1
         if self.note is not None:
             self.note("not-taken", call=wish.number)
-        if self.engine.now - wish.began < 2000 and wish.tries > -20:
-            self.engine.after(50.0, self._try, wish, wish.dispatcher)
+        self._again(wish, Heard.NOT_TAKEN)
 
     def _unwait(self, wish: Wish) -> None:
         if wish.patience is not None:
@@ -480,8 +496,7 @@
         self.give_ups[ending] = self.give_ups.get(ending, 0) + 1
         if self.note is not None:
             self.note("no-answer", call=wish.number, ending=ending)
-        if self.deployment.types[wish.action.type].effect == "repeatable":
-            self._back(wish, 200.0)
+        self._again(wish, Heard.LOST)
 
     def _final(self, wish: Wish, activation: str, answer: str, return_ms: float, within: float | None,
                took: float | None = None, code: int = 0) -> None:
@@ -499,17 +514,21 @@
             self.give_ups[answer] = self.give_ups.get(answer, 0) + 1
             if answer == "rejected":
                 second.rejected += 1
-                wait = return_ms if wish.heeds else 0.0
-                if within is None or wait + kind.timeout_ms < within:
-                    self._back(wish, wait)
             else:
                 second.aborted += 1
-                if kind.effect == "repeatable":
-                    self._back(wish, 100.0)
+        self._again(wish, Heard(answer), return_ms, within)
 
-    def _back(self, wish: Wish, wait: float) -> None:
-        if wish.tries > 0:
-            self.engine.after(wait * float(self._clients.uniform(1.0, 1.2)), self._try, wish, wish.dispatcher)
+    def _again(self, wish: Wish, heard: Heard, told_ms: float = 0.0, within_ms: float | None = None) -> None:
+        """The client's next step, by its habits."""
+        kind = self.deployment.types[wish.action.type]
+        wait = again(wish.habits, heard, kind.effect, kind.timeout_ms, told_ms, within_ms, self.engine.now - wish.began)
+        if wait is not None and heard is Heard.NOT_TAKEN and wish.tries > -20:
+            self.engine.after(wait, self._try, wish, wish.dispatcher)
+        elif wait is not None and heard is not Heard.NOT_TAKEN and wish.tries > 0:
+            self.engine.after(wait * float(self._clients.uniform(*wish.habits.spread)), self._try, wish,
+                              wish.dispatcher)
+        elif wish.after is not None:
+            wish.after()
 
     # Troubles.
 
@@ -569,9 +588,9 @@
         if self.note is not None:
             self.note("kill", dispatcher=dispatcher.number)
         dispatcher.kill()
-        self.engine.after(down_ms + self.settings.start_ms, self._again, dispatcher)
+        self.engine.after(down_ms + self.settings.start_ms, self._up_again, dispatcher)
 
-    def _again(self, dispatcher: LabDispatcher) -> None:
+    def _up_again(self, dispatcher: LabDispatcher) -> None:
         dispatcher.begin()
         if self.note is not None:
             self.note("restarted", dispatcher=dispatcher.number)
@@ -619,18 +638,6 @@
             back(Outcome.BROKEN, None)
 
 
-@dataclass(slots=True)
-class Result:
-    """What one run came to."""
-
-    seconds: list[Second]
-    latency: dict[str, list[float]]
-    give_ups: dict[str, int]
-    events: int
-    loads: int
-    extra: dict[str, float] = field(default_factory=dict)
-
-
 def play(day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None) -> Result:
     """One run, for figures."""
     site = Site(day, deployment, seed, settings)
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -20,6 +20,8 @@
 from kelptrail.front.inference import inference_pb2 as pb
 from kelptrail.front.inference.api import SERVICE
 from kelptrail.gateway.clock import now_ms
+from kelptrail.load.arrivals import Arrivals
+from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.net.grpc_client import Ended, GrpcClient
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings, TypeSettings
@@ -39,7 +41,7 @@
     action: ActionSettings
     namespace: NamespaceSettings
     deferred: bool
-    heeds: bool
+    habits: Habits
     tries: int
     dispatcher: int = 0
     began: float = 0.0
@@ -73,27 +75,27 @@
     def _pool(address: str) -> WorkerPool:
         return WorkerPool(address, 2000, 500.0, 10_000.0, 1 << 22)
 
-    def arrivals(self, rate: float, start: float, end: float, zipf: float, path: str) -> list[Any]:
-        """Poisson arrivals (seconds) with the index of an action each, popular ones first by rank."""
-        count = int(self._chance.poisson(rate * max(0.0, end - start)))
-        times = np.sort(self._chance.uniform(start, end, count))
+    def arrivals(self, load: Any, end: float) -> list[tuple[float, ActionSettings]]:
+        """A load's arrivals (seconds) with the action of each, popular ones first by rank."""
         actions = list(self._deployment.actions.values())
-        if path:
-            weights = np.array([float(a.path == path) for a in actions])
+        by_path = {a.path: a for a in actions}
+        if load.action:
+            weights = np.array([float(a.path == load.action) for a in actions])
         else:
-            weights = 1.0 / np.arange(1, len(actions) + 1) ** zipf
-        picks = self._chance.choice(len(actions), count, p=weights / weights.sum())
-        return [(float(t), actions[int(n)]) for t, n in zip(times, picks, strict=True)]
+            weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
+        drawn = Arrivals(load, self._chance).draw(load.at, max(0.0, end - load.at))
+        picks = self._chance.choice(len(actions), len(drawn), p=weights / weights.sum())
+        return [(t, by_path.get(named) or actions[int(n)]) for (t, named), n in zip(drawn, picks, strict=True)]
 
     def wish(self, action: ActionSettings, deferred: float, heed: float, retries: int, grpc: float = 0.0,
-             streams: float = 0.0) -> None:
+             streams: float = 0.0, half: float = 0.0) -> None:
         """One client comes; `grpc` and `streams` are the shares that call by the second front, and in streams there."""
         self._tickets += 1
         spaces = list(self._deployment.namespaces.values())
         shares = np.array([s.allowed_per_s for s in spaces])
         space = spaces[int(self._chance.choice(len(spaces), p=shares / shares.sum()))]
         wish = Wish(f"t{self._tickets}", action, space, bool(self._chance.random() < deferred),
-                    bool(self._chance.random() < heed), 1 + retries)
+                    habits_of(float(self._chance.random()), heed, half), 1 + retries)
         if grpc:
             wish.grpc = bool(self._chance.random() < grpc)
             wish.streamed = wish.grpc and bool(self._chance.random() < streams)
@@ -179,12 +181,8 @@
               within_ms: float | None = None) -> None:
         self._capture.note("final", call=wish.number, activation=activation, answer=answer, status=0,
                            lag=self._lag.now(), took=None, code=0 if answer == "completed" else None)
-        wait = retry_ms if wish.heeds else 0.0
-        if answer == "rejected" and (within_ms is None or wait + self._deployment.types[wish.action.type].timeout_ms
-                                     < within_ms):
-            self._back(wish, wait)
-        elif answer == "aborted" and self._effect(wish) == "repeatable":
-            self._back(wish, 100.0)
+        if answer in ("rejected", "aborted"):
+            self._again(wish, Heard(answer), retry_ms, within_ms)
 
     def _over(self, wish: Wish, ended: Ended) -> None:
         self.out -= 1
@@ -192,12 +190,10 @@
             return
         if ended.refused or not ended.written or ended.reason == "NOT_TAKEN":
             self._capture.note("not-taken", call=wish.number)
-            if now_ms() - wish.began < 2000 and wish.tries > -20:
-                self._loop.call_later(0.05, self._try, wish, wish.dispatcher)
+            self._again(wish, Heard.NOT_TAKEN)
         elif ended.code is None:
             self._capture.note("no-answer", call=wish.number, ending=ended.text)
-            if self._effect(wish) == "repeatable":
-                self._back(wish, 200.0)
+            self._again(wish, Heard.LOST)
         else:
             answer = "rejected" if ended.reason == "REJECTED" else "aborted" if ended.reason in ABORTED else (
                 f"status-{ended.code.name}")
@@ -211,13 +207,12 @@
         if ending in (Ending.UNREACHABLE, Ending.UNSENT) or (
                 response is not None and response.status == 503):
             self._capture.note("not-taken", call=wish.number)
-            if now_ms() - wish.began < 2000 and wish.tries > -20:
-                self._loop.call_later(0.05, self._try, wish, wish.dispatcher)
+            told = response.headers.get("retry-after-ms", "0") if response is not None else "0"
+            self._again(wish, Heard.NOT_TAKEN, float(told))
             return
         if response is None:
             self._capture.note("no-answer", call=wish.number, ending=ending.value)
-            if self._effect(wish) == "repeatable":
-                self._back(wish, 200.0)
+            self._again(wish, Heard.LOST)
             return
         body = msgspec.json.decode(response.body)
         if response.status == 202:
@@ -237,20 +232,19 @@
                            status=status, lag=self._lag.now(),
                            took=body.get("duration") if wish.deferred else None,
                            code=body.get("response", {}).get("statusCode"))
-        if answer == "rejected":
-            wait = float(told.get("retry_after_ms", 0.0)) if wish.heeds else 0.0
-            within = told.get("repeat_within_ms")
-            if within is None or wait + self._deployment.types[wish.action.type].timeout_ms < within:
-                self._back(wish, wait)
-        elif answer == "aborted" and self._effect(wish) == "repeatable":
-            self._back(wish, 100.0)
+        if answer in ("rejected", "aborted"):
+            self._again(wish, Heard(answer), float(told.get("retry_after_ms", 0.0)), told.get("repeat_within_ms"))
 
-    def _effect(self, wish: Wish) -> str:
-        return self._deployment.types[wish.action.type].effect
-
-    def _back(self, wish: Wish, wait_ms: float) -> None:
-        if wish.tries > 0:
-            self._loop.call_later(wait_ms / 1000 * float(self._chance.uniform(1.0, 1.2)), self._try, wish)
+    def _again(self, wish: Wish, heard: Heard, told_ms: float = 0.0, within_ms: float | None = None) -> None:
+        kind = self._deployment.types[wish.action.type]
+        wait = again(wish.habits, heard, kind.effect, kind.timeout_ms, told_ms, within_ms, now_ms() - wish.began)
+        if wait is None:
+            return
+        if heard is Heard.NOT_TAKEN:
+            if wish.tries > -20:
+                self._loop.call_later(wait / 1000, self._try, wish, wish.dispatcher)
+        elif wish.tries > 0:
+            self._loop.call_later(wait / 1000 * float(self._chance.uniform(*wish.habits.spread)), self._try, wish)
 
     def _poll(self, wish: Wish) -> None:
         kind = self._deployment.types[wish.action.type]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,15 +11,17 @@
 from helpers import activation, make, model, pull
 
 from kelptrail.audit.judge import judge
-from kelptrail.badday.script import Load, Trouble
+from kelptrail.badday.script import Trouble
 from kelptrail.badday.script import load as load_script
 from kelptrail.dispatch.terms import Order, Outcome
 from kelptrail.lab.compare import compare, interval, report
 from kelptrail.lab.engine import Engine
 from kelptrail.lab.experiment import load as load_experiment
-from kelptrail.lab.experiment import read_runs, read_seconds, recovery, run
+from kelptrail.lab.experiment import run
 from kelptrail.lab.fleet import LabStore, LabWorker
-from kelptrail.lab.site import LabSettings, Result, Second, Site, play
+from kelptrail.lab.results import Result, Second, read, read_runs, read_seconds, recovery
+from kelptrail.lab.site import LabSettings, Site, play
+from kelptrail.load.plan import steady
 from kelptrail.settings.deployment import load
 from kelptrail.settings.reader import SettingsError
 
@@ -105,9 +107,7 @@
     """A lab whose dispatchers cost nothing would flatter."""
     day = load_script(ROOT / "examples" / "bad-days" / "second-sends.sexp")
     deployment = load(day.deployment)
-    rest = {"deferred": 0.0, "zipf": 0.8, "retries": 0, "heed": 1.0, "one_off": False, "action": "", "grpc": 0.0,
-            "streams": 0.0}
-    day = type(day)(day.name, day.deployment, 5.0, 6, 1, [Load(200.0, 0.0, **rest, **{"for": 5.0})], list[Trouble]())
+    day = type(day)(day.name, day.deployment, 5.0, 6, 1, [steady(200.0, 5.0, 0.8)], list[Trouble]())
     runs = [play(day, deployment, 1, LabSettings(cpu_ms=cpu)) for cpu in (0.1, 2.6)]
     medians = [float(np.median(run.latency["check"])) for run in runs]
     assert medians[1] > 4 * medians[0]
@@ -167,9 +167,10 @@
     assert better["p50_ms", "load.rate=60.0"] == "better"
     with pytest.raises(ValueError, match="same point"):
         compare(as_is, [])
-    text = report(out, runs, seconds).read_text()
+    text = report(out, runs, seconds, read(out, "spread")).read_text()
     assert "slower beside as-is" in text and (out / "service.png").stat().st_size > 5000
-    assert (out / "recovery.png").exists()
+    for name in ("recovery", "latency", "give-ups", "work"):
+        assert (out / f"{name}.png").stat().st_size > 5000 and f"{name}.png" in text
 
 
 def test_intervals_cover_what_they_should() -> None:
@@ -204,6 +205,6 @@
     day = load_script(ROOT / "examples" / "bad-days" / "kills.sexp")
     end = max(t.at + t.last for t in day.trouble)
     seconds = [Second(calls=10, in_time=10 if n < 5 or n >= end + 3 else 2) for n in range(int(day.seconds) + 60)]
-    assert recovery(day, Result(seconds, {}, {}, 0, 0)) == 3.0
+    assert recovery(day.seconds, day.ends, Result(seconds, {}, {}, 0, 0)) == 3.0
     never = [Second(calls=10, in_time=1)] * 100
-    assert recovery(day, Result(never, {}, {}, 0, 0)) == day.seconds - end
+    assert recovery(day.seconds, day.ends, Result(never, {}, {}, 0, 0)) == day.seconds - end
