Storm core: alarms from connects and cold misses, repeats of one over its share by a budget

Need: a storm was seen only once callers were turned away; one customer's repeats competed with others' first tries.

Change: many more connects than usual, and misses while workers are cold, raise the alarm (rising, never a storm by themselves); in a storm repeats of a customer over its share take what completed calls leave, the more useful first, first tries before them. A door's refusal says 'rejected' and its own return time in the body, as the decisions' do.

--- /dev/null
+++ b/examples/storm-sockets-undamped.sexp
@@ -0,0 +1,17 @@
+; As storm-sockets.sexp, without damping: to be compared with it.
+(deployment storm-sockets-undamped
+  (storm (damp no))
+  (type read  (effect repeatable)   (target-ms 500) (timeout-ms 3000) (utility 1) (late-share 0.3))
+  (type write (effect deduplicated) (target-ms 500) (timeout-ms 3000) (utility 3) (late-share 0.3)
+              (scope all) (remembered-ms 8000))
+  (namespace network-a (uuid "5c3b4a52-55a0-4b0e-9f7e-0a4a6c1d0001") (key "loopback-only-a") (allowed-per-s 2000))
+  (namespace network-b (uuid "5c3b4a52-55a0-4b0e-9f7e-0a4a6c1d0002") (key "loopback-only-b") (allowed-per-s 1000))
+  (action read  (package models) (type read)  (count 40) (memory-mb 500) (lanes 16) (work-ms 80) (load-ms 800))
+  (action write (package models) (type write) (count 10) (memory-mb 500) (lanes 16) (work-ms 80) (load-ms 800))
+  (rules (drain-grace-ms 500) (tip 3) (tip-ms 3000) (cold-share 0.3) (cold-ms 5000)
+         (free-loads 10) (load-share 0.3) (load-span-ms 10000))
+  (dispatcher (keep-ms 20000) (longest-return-ms 2000) (held 100000) (held-mb 1000) (held-each 100000))
+  (fleet (workers 20) (cores 20) (memory-mb 24000) (keep-ms 20000) (loads 4) (queue 200))
+  (pool (connections 512))
+  (store (fetches 40) (most 300) (fetch-share 0.6))
+  (journal (keep no)))
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -7,7 +7,6 @@
 import gc
 import socket
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -28,7 +27,8 @@
     """One run.  The seed settles arrivals, victims and the stand-ins' chance."""
 
     def __init__(self, day: BadDay, deployment: Deployment, seed: int, out: Path,
-                 log_level: str = "info") -> None:
+                 log_level: str = "info", script: str = "") -> None:
+        self._script = script
         self._day, self._deployment, self._out = day, deployment, out
         self._chance = np.random.default_rng([seed, 11])
         logs, captures = out / "logs", out / "captures"
@@ -49,36 +49,37 @@
         day, deployment = self._day, self._deployment
         await self._place.start(day.workers, day.dispatchers, self._out / "state")
         self._capture.note("world", **world_of(deployment, [d.name for d in self._place.dispatchers], day.workers))
-        clients = Clients(deployment, [d.said["address"] for d in self._place.dispatchers],
-                          Capture(self._out / "captures" / "clients.jsonl", "clients"), self._seed,
-                          second=[d.said["grpc"] for d in self._place.dispatchers])
+        addresses = [d.said["address"] for d in self._place.dispatchers]
+        second = [d.said["grpc"] for d in self._place.dispatchers]
+        clients: Clients | None = None
         arrivals: list[tuple[float, Callable[[], None]]] = []
-        for load in day.load:
-            end = min(day.seconds, load.at + load.last)
-            for when, action in clients.arrivals(load, end):
-                arrivals.append((when, partial(clients.wish, action, load.deferred, load.heed, load.retries,
-                                               load.grpc, load.streams, load.half_heed)))
-        arrivals.sort(key=lambda pair: pair[0])
+        if day.client_processes == 1:
+            clients = Clients(deployment, addresses, Capture(self._out / "captures" / "clients.jsonl", "clients"),
+                              self._seed, second=second)
+            arrivals = clients.plan(day.load, day.seconds)
         gc.collect()
         gc.freeze()
         gc.set_threshold(50_000, 20, 1_000_000)  # the clients' own pauses must not look like late answers
-        self.start = now_ms() + 200
+        self.start = now_ms() + (200 if clients is not None else 3000)
         self._capture.note("begin", start=self.start, seconds=day.seconds)
         timers = [asyncio.create_task(self._at(trouble)) for trouble in day.trouble]
         watch = asyncio.create_task(self._watch())
-        await clients.play(arrivals, self.start)
         longest = max(t.timeout_ms for t in deployment.types.values())
-        quiet = now_ms() + longest + 5000
-        await asyncio.sleep(max(0.0, self.start / 1000 + day.seconds - now_ms() / 1000))
-        while (clients.out or clients.polling) and now_ms() < quiet:
-            await asyncio.sleep(0.05)
+        if clients is not None:
+            await clients.play(arrivals, self.start)
+            quiet = now_ms() + longest + 5000
+            await asyncio.sleep(max(0.0, self.start / 1000 + day.seconds - now_ms() / 1000))
+            await clients.settled(quiet)
+        else:
+            await self._place.clients(self._script, day.client_processes, self.start, addresses, second)
         await asyncio.sleep(0.5)
         watch.cancel()
         for timer in timers:
             timer.cancel()
         for task in list(self._tasks):
             task.cancel()
-        clients.close()
+        if clients is not None:
+            clients.close()
         for dispatcher in self._place.dispatchers:
             with contextlib.suppress(OSError, HttpError):
                 self.states.append(await ask(dispatcher.said["asked_at"], "GET", "/state"))
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -46,6 +46,7 @@
     seconds: float
     workers: int
     dispatchers: int
+    client_processes: int
     load: list[Load]
     trouble: list[Trouble]
 
@@ -71,6 +72,7 @@
     "seconds": number(1, 86_400),
     "workers": number(1, 10_000, whole=True, default=8),
     "dispatchers": number(1, 1000, whole=True, default=3),
+    "client-processes": number(1, 64, whole=True, default=1),
     "load": Many(LOAD, 1),
     "trouble": Many(TROUBLE),
 }, ("name",), BadDay)
@@ -100,4 +102,5 @@
     file = Path(made.deployment)
     if not file.is_absolute():
         file = Path(path).parent / file
-    return BadDay(made.name, str(file), made.seconds, made.workers, made.dispatchers, made.load, made.trouble)
+    return BadDay(made.name, str(file), made.seconds, made.workers, made.dispatchers, made.client_processes,
+                  made.load, made.trouble)
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -319,7 +319,7 @@
     from kelptrail.badday.report import write
 
     day = _script(script)
-    player = Player(day, _settings(day.deployment), seed, out, context.obj["level"])
+    player = Player(day, _settings(day.deployment), seed, out, context.obj["level"], script)
     clean = bool(_run(player.play()))
     events = read(out / "captures")
     report = write(out, day.name, seed, events, judge(events), clean, player.memory, player.states)
@@ -647,6 +647,44 @@
     _run(go())
 
 
+@standin.command("clients", hidden=True)
+@click.argument("script")
+@click.option("--at", "addresses", multiple=True)
+@click.option("--second", multiple=True)
+@click.option("--start", type=float)
+@click.option("--number", type=int)
+@click.option("--of", type=int)
+@click.option("--seed", type=int)
+@click.option("--capture", type=click.Path(path_type=Path))
+def standin_clients(script: str, addresses: tuple[str, ...], second: tuple[str, ...], start: float, number: int,
+                    of: int, seed: int, capture: Path | None) -> None:
+    """One process of a bad day's clients."""
+    import gc
+
+    from kelptrail.gateway.clock import now_ms
+    from kelptrail.standin.capture import Capture
+    from kelptrail.standin.clients import Clients
+
+    day = _script(script)
+    deployment = _settings(day.deployment)
+
+    async def go() -> None:
+        name = f"clients-{number}"
+        made = Clients(deployment, list(addresses), Capture(capture / f"{name}.jsonl" if capture else None, name), seed,
+                       second=list(second), part=(number, of))
+        plan = made.plan(day.load, day.seconds)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(50_000, 20, 1_000_000)
+        await made.play(plan, start)
+        longest = max(t.timeout_ms for t in deployment.types.values())
+        await asyncio.sleep(max(0.0, start / 1000 + day.seconds - now_ms() / 1000))
+        await made.settled(now_ms() + longest + 5000)
+        made.close()
+
+    _run(go())
+
+
 @standin.command(cls=_Examples, example="kelptrail standin roster --port 7000")
 @_standin
 def roster(host: str, port: int, capture: Path | None, with_stdin: bool) -> None:
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -40,9 +40,9 @@
 class ApiError(Exception):
     """An answer other than the wanted one."""
 
-    def __init__(self, status: int, text: str, headers: dict[str, str] | None = None) -> None:
+    def __init__(self, status: int, text: str, headers: dict[str, str] | None = None, **more: Any) -> None:
         super().__init__(text)
-        self.status, self.headers = status, headers
+        self.status, self.headers, self.more = status, headers, more
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
         try:
             self._route(request, exchange)
         except ApiError as cause:
-            exchange.reply(cause.status, views.error(str(cause), code), cause.headers)
+            exchange.reply(cause.status, views.error(str(cause), code, **cause.more), cause.headers)
 
     def _route(self, request: Request, exchange: Exchange) -> None:
         known = self._routes.get((request.method, request.target))
@@ -185,7 +185,8 @@
         who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
         if (refused := gateway.door(now_ms(), caller.name, action.path, len(payload), who)) is not None:
             reason, back = refused
-            raise ApiError(429, WORDS[reason], {"retry-after": str(max(1, math.ceil(back / 1000)))})
+            raise ApiError(429, WORDS[reason], {"retry-after": str(max(1, math.ceil(back / 1000)))}, answer="rejected",
+                           retry_after_ms=round(back, 3))
         if flows:
             self._flow(exchange, caller, action, payload, trace, route.bare, who)
             return
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -161,7 +161,10 @@
         self._certain: deque[Activation] = deque()  # deferred calls whose records have become safe
         damping = world.deployment.storm
         self.storm = Storm(StormSettings(damping.damp, longest_ms=damping.longest_return_ms,
-                                         most_known=damping.most_known), crc32(boot.encode()))
+                                         most_known=damping.most_known), crc32(boot.encode()),
+                           {space.name: space.allowed_per_s for space in world.deployment.namespaces.values()})
+        self._most_useful = max(kind.utility for kind in world.deployment.types.values())
+        self._cold_ms, self._next_count = world.deployment.rules.cold_ms, -1e18
         self._pace: Pace | None = None  # what a restart found, and since when it is resumed
         self._paced = 0.0
         self._resumed: dict[str, None] = {}
@@ -219,7 +222,8 @@
         reason = self.holdings.refusal(namespace, size)
         if reason is not None:
             return reason, RETURN_MS
-        back = self.storm.came(now, f"{namespace}/{path}/{mark}")
+        kind = self._world.deployment.types[self._world.deployment.actions[path].type]
+        back = self.storm.came(now, f"{namespace}/{path}/{mark}", namespace, kind.utility / self._most_useful)
         if back is not None:
             self.holdings.refused[EARLY] += 1
             return EARLY, back
@@ -328,6 +332,8 @@
             ivk.answer = answer
             self.counts.second_saved += _second(send)
         heard = answer or Answer("none")
+        if outcome in (Outcome.COMPLETED, Outcome.MISS):
+            self.storm.met(now, outcome is Outcome.MISS)
         self._dispatcher.answered(now, send, outcome, over, heard.load_failed, heard.found, heard.company,
                                   heard.report)
         if ivk is not None and not ivk.record.final and act.verdict == "completed":
@@ -385,6 +391,10 @@
             if stale is not None:
                 self._world.forget(stale)
             self.records.trim(now)
+            if now >= self._next_count:  # CPU: a large fleet is not counted at each beat
+                self._next_count = now + 1000
+                cold = [w.started is not None and now - w.started < self._cold_ms for w in self.members if w.live]
+                self.storm.cold_share = sum(cold) / len(cold) if cold else 0.0
         while (act := self._due.pop_due(now)) is not None:
             flowing = self._ivks.get(act)
             if flowing is not None and flowing.until > now:  # something has come meanwhile
--- a/kelptrail/gateway/serve.py
+++ b/kelptrail/gateway/serve.py
@@ -150,16 +150,23 @@
         return ConnectPace(PaceSettings(door.connects_at_once, door.connects_per_s, deployment.storm.longest_return_ms),
                            zlib.crc32(boot.encode()))
 
+    def connected() -> None:
+        gateway.storm.connected(now_ms())
+
     api = InvokeApi(deployment, driver, boot, callers)
     inference = InferenceApi(deployment, driver, callers)
 
     def first_door(handler: Handler) -> HttpServer:
-        return HttpServer(handler, limits(deployment.front), log.warning, http_tls, callers.named,
+        made = HttpServer(handler, limits(deployment.front), log.warning, http_tls, callers.named,
                           pace(deployment.front))
+        made.door.on_connect = connected
+        return made
 
     def second_door() -> GrpcServer:
-        return GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning, grpc_tls, callers.named,
+        made = GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning, grpc_tls, callers.named,
                           pace(deployment.inference))
+        made.door.on_connect = connected
+        return made
 
     second = second_door()
     server = first_door(api.handle)
--- a/kelptrail/gateway/storm.py
+++ b/kelptrail/gateway/storm.py
@@ -2,14 +2,18 @@
 
 What one dispatcher sees is enough: who was turned away here and comes again, and whether before the time it was told;
 how many come beside the usual, and how many of them the decisions turn away (clients mostly come again elsewhere); how
-many the workers complete.  In a storm each one that is turned away is told a time of its own, so that the sum of the
-comers fits what is completed beyond what comes new; whoever comes before its time is refused at the door, at no cost,
-and told a longer one.  All others go on to the decisions: a rush that they can serve is not damped.
+many the workers complete.  Two signs come earlier and raise no more than an alarm: many more connects than usual, and
+sends that miss their copies while workers are cold.  In a storm each one that is turned away is told a time of its own,
+so that the sum of the comers fits what is completed beyond what comes new; whoever comes before its time is refused at
+the door, at no cost, and told a longer one.  Of a customer that is over its share, repeats are let in by a budget that
+follows what is completed, the most useful first, and first tries before them.  All others go on to the decisions: a
+rush that they can serve is not damped.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from zlib import crc32
@@ -38,6 +42,9 @@
     steady: int = 4  # windows that a stage lasts before it may end
     longest_ms: float = 12_000.0
     spare_share: float = 0.1  # of what is completed: at least so much is left for repeats
+    connects: float = 4.0  # times the usual connects, from which they raise an alarm
+    cold: float = 0.3  # share of cold workers, from which misses raise an alarm
+    over: float = 1.25  # times its share of the comers, from which a customer is over it
     most_known: int = 200_000
     known_ms: float = 30_000.0  # past its time, one that has not come is forgotten
 
@@ -53,8 +60,19 @@
 class Storm:
     """One dispatcher's view.  Times in milliseconds; `seed` spreads return times."""
 
-    def __init__(self, settings: StormSettings, seed: int) -> None:
+    def __init__(self, settings: StormSettings, seed: int, shares: Mapping[str, float] | None = None) -> None:
+        """`shares`: of each customer, what it may ask for beside the others'."""
         self._settings, self._seed, self._draws = settings, seed, 0
+        whole = sum((shares or {}).values()) or 1.0
+        self._shares = {name: share / whole for name, share in (shares or {}).items()}
+        self._by_space, self._rates = dict[str, int](), dict[str, float]()  # comers of this window, on the average
+        self._overs = set[str]()  # those over their share
+        self._room = 0.0  # of the budget for repeats of those over their share
+        self._connects = self._misses = self._answers = 0
+        self.usual_connects = 0.0  # a window, while it is calm
+        self.cold_share = 0.0  # of the workers; kept by whoever knows them
+        self.alarm = 0.0  # how strong the early signs are, on the recent average
+        self.held_back = 0  # repeats of customers over their share that found no room
         self.stage = Stage.CALM
         self._since = 0  # windows in this stage
         self._known: OrderedDict[str, _Turned] = OrderedDict()
@@ -69,15 +87,34 @@
 
     # Inputs.
 
-    def came(self, now: float, who: str) -> float | None:
-        """Somebody comes.  None: on to the decisions; else it is refused at the door and told this return time."""
+    def connected(self, now: float) -> None:
+        """Somebody connects."""
+        self._pass(now)
+        self._connects += 1
+
+    def met(self, now: float, missed: bool) -> None:
+        """A send was answered; `missed`: its copy was not there."""
+        self._pass(now)
+        self._answers += 1
+        self._misses += missed
+
+    def came(self, now: float, who: str, space: str = "", worth: float = 1.0) -> float | None:
+        """Somebody comes, of a customer, for what is worth a share of the most useful.  None: on to the decisions; else
+        it is refused at the door and told this return time."""
         self._pass(now)
         self._comers += 1
+        self._by_space[space] = self._by_space.get(space, 0) + 1
         known = self._known.get(who)
         if known is None:
+            self._room -= self._over(space)  # first tries go before repeats
             return None
         self._repeats += 1
-        if now >= known.until - 20 or not self._settings.damp or self.stage is Stage.CALM:
+        if not self._settings.damp or self.stage is Stage.CALM:
+            return None
+        if now >= known.until - 20:
+            if self.stage is Stage.STORM and self._over(space) and not self._spend(worth):
+                self.held_back += 1
+                return self._tell(now, who, 0.0)
             return None
         self.early += 1
         known.early += 1
@@ -96,10 +133,25 @@
         """Somebody has its answer."""
         self._pass(now)
         self._done += 1
+        self._room += 1
         self._known.pop(who, None)
 
     # Decisions.
 
+    def _over(self, space: str) -> bool:
+        """Whether a customer is over its share.  Guards against one customer's storm that others would feel."""
+        return space in self._overs
+
+    def _spend(self, worth: float) -> bool:
+        """Whether the budget has room for one repeat; the less useful only where there is more of it."""
+        if self._room < 1 + 0.5 * (1 - worth) * self._most_room():
+            return False
+        self._room -= 1
+        return True
+
+    def _most_room(self) -> float:
+        return max(1.0, self.done_per_s * self._settings.window_ms / 1000)
+
     def _tell(self, now: float, who: str, least: float) -> float:
         """A time of its own: the next place in a row that goes at the pace of what can be taken beyond new calls;
         longer, but never out of bounds, for those who come early again and again.  Guards against everybody's coming
@@ -156,7 +208,18 @@
             if comers / seconds > settings.beyond * self.usual_per_s:
                 sign = max(sign, self._turns / comers)
         self.share += 0.5 * (sign - self.share)
+        self.alarm += 0.5 * (self._signs() - self.alarm)
+        for space in set(self._rates) | set(self._by_space):
+            before = self._rates.get(space, 0.0)
+            self._rates[space] = before + 0.2 * (self._by_space.get(space, 0) - before)
+        whole = sum(self._rates.values())
+        self._overs = {space for space, rate in self._rates.items()
+                       if rate > settings.over * self._shares.get(space, 1.0) * whole}
+        most = self._most_room()
+        self._room = max(-most, min(most, self._room))
         self._comers = self._repeats = self._done = self._turns = 0
+        self._connects = self._misses = self._answers = 0
+        self._by_space.clear()
         self._since += 1
         while self._known:
             who, oldest = next(iter(self._known.items()))
@@ -164,13 +227,14 @@
                 break
             del self._known[who]
         high, low, ripe = self.share >= settings.high, self.share <= settings.low, self._since >= settings.steady
+        alarmed = self.alarm >= settings.high
         if self.stage is Stage.CALM:
-            if high:
+            if high or alarmed:
                 self._to(Stage.RISING)
         elif self.stage is Stage.RISING:
             if high and ripe:
                 self._to(Stage.STORM)
-            elif not high and ripe:
+            elif not high and not alarmed and ripe:
                 self._to(Stage.CALM)
         elif self.stage is Stage.STORM:
             if low and ripe:
@@ -181,6 +245,18 @@
             self._to(Stage.CALM)
             self._slot = 0.0
 
+    def _signs(self) -> float:
+        """The early signs of the window, from 0 to 1: connects beyond the usual, and misses while workers are cold."""
+        settings, sign = self._settings, 0.0
+        if self._connects >= settings.least and self.usual_connects and (
+                self._connects > settings.connects * self.usual_connects):
+            sign = 1 - self.usual_connects / self._connects
+        if self._answers >= settings.least and self.cold_share >= settings.cold:
+            sign = max(sign, self._misses / self._answers)
+        if self.stage is Stage.CALM:
+            self.usual_connects += (0.02 if self.usual_connects else 1.0) * (self._connects - self.usual_connects)
+        return sign
+
     def _to(self, stage: Stage) -> None:
         self.stage, self._since = stage, 0
         self.stages.append((self._window, stage))
@@ -190,4 +266,5 @@
         """What operators are shown."""
         return {"stage": self.stage.value, "repeats": round(self.share, 3), "fresh_per_s": round(self.fresh_per_s, 1),
                 "done_per_s": round(self.done_per_s, 1), "told_to_return": self.turned, "came_early": self.early,
-                "known": len(self._known)}
+                "known": len(self._known),
+                "alarm": round(self.alarm, 3), "held_back": self.held_back}
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -280,6 +280,7 @@
                         for n in range(day.workers)}
         self.dispatchers = [LabDispatcher(self, n, halls[n % len(halls)]) for n in range(day.dispatchers)]
         self._tell_lists()
+        self.by_space: dict[str, list[int]] = {n: [0, 0] for n in deployment.namespaces}  # wanted, served in time
         self._tickets = self._calls = 0
         self.start = self.engine.now + 200
         if self.note is not None:
@@ -364,10 +365,12 @@
     def _wish(self, action: ActionSettings, load: Load, after: Callable[[], None] | None = None) -> None:
         self._tickets += 1
         chance = self._clients
-        space = self._spaces[int(np.searchsorted(self._shares, chance.random()))]
+        space = self.deployment.namespaces.get(load.namespace) or (
+            self._spaces[int(np.searchsorted(self._shares, chance.random()))])
         wish = Wish(f"t{self._tickets}", action, space, bool(chance.random() < load.deferred),
                     habits_of(float(chance.random()), load.heed, load.half_heed), 1 + load.retries,
                     first=self.engine.now, after=after)
+        self.by_space[space.name][0] += 1
         self._try(wish, None)
 
     def _try(self, wish: Wish, last: int | None) -> None:
@@ -509,6 +512,7 @@
             took = self.engine.now - wish.began if took is None else took
             second.completed += 1
             second.in_time += took <= kind.target_ms
+            self.by_space[wish.space.name][1] += took <= kind.target_ms
             self.latency[kind.name].append(took)
         else:
             self.give_ups[answer] = self.give_ups.get(answer, 0) + 1
@@ -642,4 +646,5 @@
     """One run, for figures."""
     site = Site(day, deployment, seed, settings)
     site.run()
-    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches)
+    served = {f"served_{name}": good / wanted for name, (wanted, good) in site.by_space.items() if wanted}
+    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, served)
--- a/kelptrail/load/hand.py
+++ b/kelptrail/load/hand.py
@@ -160,7 +160,8 @@
     def _wish(self, action: ActionSettings, load: Load, due: float, after: Callable[[], None] | None = None) -> None:
         self._tickets += 1
         chance, settings = self._chance, self._settings
-        space = self._spaces[int(np.searchsorted(self._shares, chance.random()))]
+        space = self._deployment.namespaces.get(load.namespace) or (
+            self._spaces[int(np.searchsorted(self._shares, chance.random()))])
         wish = _Wish(f"l{settings.seed}-{settings.number}-{self._tickets}", action, space, load,
                      bool(chance.random() < load.deferred),
                      habits_of(float(chance.random()), load.heed, load.half_heed), 1 + load.retries, due, due,
--- a/kelptrail/load/plan.py
+++ b/kelptrail/load/plan.py
@@ -14,7 +14,8 @@
 @dataclass(frozen=True, slots=True)
 class Load:
     """Calls at a rate, from a time, for a time; `action` empty: all actions by popularity.  The shapes of arrivals are
-    those of `kelptrail/load/arrivals.py`; `heed` is the share of clients that heed advice, `half_heed` of those that
+    those of `kelptrail/load/arrivals.py`; `namespace` empty: all
+    by their allowed rates; `heed` is the share of clients that heed advice, `half_heed` of those that
     wait half of what they are told; the rest comes at once."""
 
     rate: float
@@ -39,6 +40,7 @@
     file: str
     clients: int
     think: float
+    namespace: str
 
     def __init__(self, rate: float, at: float, **rest: object) -> None:
         for name, value in {"rate": rate, "at": at, "last": rest.pop("for"), **rest}.items():
@@ -68,6 +70,7 @@
     "file": word(default=""),
     "clients": number(1, 1_000_000, whole=True, default=100),
     "think": number(0.001, 86_400, default=1.0),
+    "namespace": word(default=""),
 }, build=lambda **f: Load(**(f | {"one_off": f["one_off"] == "yes"})))
 
 def check_load(checker: Checker, place: Place, load: Load, folder: Path) -> None:
--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -67,6 +67,7 @@
         self._lingering: deque[socket.socket] = deque()
         self.delay_ms = 0.0
         self.early = 0
+        self.on_connect: Callable[[], None] = _nothing  # told of each that connects
 
     @property
     def is_open(self) -> bool:
@@ -134,6 +135,7 @@
                 return
             if found is None:
                 return
+            self.on_connect()
             if self.delay_ms:
                 self._rest(sock, self.delay_ms)
                 self._loop.call_later(self.delay_ms / 1000, self._came, *found)
@@ -154,3 +156,7 @@
         if sock in self._sockets:
             self._sockets[sock] = None
             self._loop.add_reader(sock, self._ready, sock)
+
+
+def _nothing() -> None:
+    """Stands in where nobody wants to be told."""
--- a/kelptrail/net/grpc_server.py
+++ b/kelptrail/net/grpc_server.py
@@ -494,7 +494,7 @@
         self.handle, self.limits = handler, limits or GrpcLimits()
         self.note = note or (lambda *_args, **_fields: None)
         self._tls, self._who = tls, who or (lambda _certificate: "")
-        self._door = Door(self.loop, self._came, self._early, self.note, pace)
+        self.door = Door(self.loop, self._came, self._early, self.note, pace)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._connections: dict[GrpcConnection, None] = {}
         self._accepted = 0  # connections whose handshake is under way, too
@@ -509,7 +509,7 @@
     @property
     def early(self) -> int:
         """How many connected faster than the pace."""
-        return self._door.early
+        return self.door.early
 
     @property
     def connections(self) -> int:
@@ -527,9 +527,9 @@
         sock.setblocking(False)
         bound = int(sock.getsockname()[1])
         self.address = f"{host}:{bound}"
-        if not self._door.is_open:
+        if not self.door.is_open:
             self._begin(self._look())
-        self._door.open(sock)
+        self.door.open(sock)
         return bound
 
     def _begin(self, what: Any) -> None:
@@ -541,13 +541,13 @@
         if self._accepted >= self.limits.connections:
             self.turned_away += 1
             self.note("connection-turned-away", open=self._accepted)
-            self._door.refuse(client, b"")
+            self.door.refuse(client, b"")
             return
         self._welcome(client, peer)
 
     def _early(self, client: socket.socket, peer: str, back_ms: float) -> None:
         """Somebody connects faster than the pace.  HTTP/2 has nothing to say so before its preface: it is closed."""
-        self._door.refuse(client, b"")
+        self.door.refuse(client, b"")
 
     def _welcome(self, client: socket.socket, peer: str) -> None:
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -602,7 +602,7 @@
 
     def stop_listening(self) -> None:
         """Accept nothing more."""
-        self._door.close(self._welcome)
+        self.door.close(self._welcome)
 
     def leave(self) -> None:
         """Ask every connection to go elsewhere; what is in hand is served."""
--- a/kelptrail/net/server.py
+++ b/kelptrail/net/server.py
@@ -391,7 +391,7 @@
         self.limits = limits or Limits()
         self.handle = handler
         self._note = note or (lambda *_args, **_fields: None)
-        self._door = Door(self.loop, self._came, self._early, self._note, pace)
+        self.door = Door(self.loop, self._came, self._early, self._note, pace)
         self._tasks: list[asyncio.Task[Any]] = []
         self._connections: dict[Connection, None] = {}
         self.bytes_in = 0
@@ -420,16 +420,16 @@
     @property
     def accept_delay_ms(self) -> float:
         """How long each that connects is left waiting; stand-ins only."""
-        return self._door.delay_ms
+        return self.door.delay_ms
 
     @accept_delay_ms.setter
     def accept_delay_ms(self, delay_ms: float) -> None:
-        self._door.delay_ms = delay_ms
+        self.door.delay_ms = delay_ms
 
     @property
     def early(self) -> int:
         """How many connected faster than the pace and were told to come back."""
-        return self._door.early
+        return self.door.early
 
     @property
     def connections(self) -> int:
@@ -455,7 +455,7 @@
         except OSError:
             sock.close()
             raise
-        self._door.open(sock)
+        self.door.open(sock)
         if not self._tasks:
             self._tasks.append(self.loop.create_task(self._sweep()))
         bound = int(sock.getsockname()[1])
@@ -467,14 +467,14 @@
         if len(self._connections) + self._shaking >= self.limits.connections:
             self.turned_away += 1
             self._note("connection-turned-away", open=len(self._connections))
-            self._door.refuse(client, TOO_MANY)
+            self.door.refuse(client, TOO_MANY)
             return
         self._welcome(client, peer)
 
     def _early(self, client: socket.socket, peer: str, back_ms: float) -> None:
         """Somebody connects faster than the pace: told at once when to come back.  Over TLS it is only closed."""
         body = b'{"error":"Too many connect at once; come back later.","code":"503"}'
-        self._door.refuse(client, b"" if self._tls is not None else encode_response(
+        self.door.refuse(client, b"" if self._tls is not None else encode_response(
             503, body, {"retry-after": str(max(1, round(back_ms / 1000))), "retry-after-ms": f"{back_ms:.0f}"}, False))
 
     def _welcome(self, client: socket.socket, peer: str) -> None:
@@ -534,12 +534,12 @@
         for task in self._tasks:
             task.cancel()
         self._tasks.clear()
-        self._door.close()
+        self.door.close()
 
     def leave(self) -> None:
         """Take in whoever has connected already, and nobody after; each reply closes its connection."""
         self.draining = True
-        self._door.close(self._welcome)
+        self.door.close(self._welcome)
         self.stop_listening()
 
     def abort_all(self) -> None:
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -9,6 +9,7 @@
 import base64
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -22,6 +23,7 @@
 from kelptrail.gateway.clock import now_ms
 from kelptrail.load.arrivals import Arrivals
 from kelptrail.load.habits import Habits, Heard, again, habits_of
+from kelptrail.load.plan import Load
 from kelptrail.net.grpc_client import Ended, GrpcClient
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings, TypeSettings
@@ -57,11 +59,12 @@
     """All clients of one place."""
 
     def __init__(self, deployment: Deployment, addresses: list[str], capture: Capture, seed: int,
-                 front: bool = False, second: list[str] | None = None) -> None:
+                 front: bool = False, second: list[str] | None = None, part: tuple[int, int] = (0, 1)) -> None:
+        self._part, self._mark = part, f"{part[0]}-" if part[1] > 1 else ""
         self._second = [GrpcClient(address) for address in second or ()]
         self._deployment, self._addresses, self._capture = deployment, addresses, capture
         self._front = front  # the addresses are shared ones: who answers is not known beforehand
-        self._chance = np.random.default_rng([seed, 7])
+        self._chance = np.random.default_rng([seed, 7, *part] if part[1] > 1 else [seed, 7])
         self._loop = asyncio.get_running_loop()
         self._pools = [self._pool(a) for a in addresses]
         self._asked: dict[str, WorkerPool] = {}  # where deferred calls are asked for
@@ -75,7 +78,7 @@
     def _pool(address: str) -> WorkerPool:
         return WorkerPool(address, 2000, 500.0, 10_000.0, 1 << 22)
 
-    def arrivals(self, load: Any, end: float) -> list[tuple[float, ActionSettings]]:
+    def arrivals(self, load: Load, end: float) -> list[tuple[float, ActionSettings]]:
         """A load's arrivals (seconds) with the action of each, popular ones first by rank."""
         actions = list(self._deployment.actions.values())
         by_path = {a.path: a for a in actions}
@@ -83,18 +86,19 @@
             weights = np.array([float(a.path == load.action) for a in actions])
         else:
             weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
-        drawn = Arrivals(load, self._chance).draw(load.at, max(0.0, end - load.at))
+        drawn = Arrivals(load, self._chance, self._part).draw(load.at, max(0.0, end - load.at))
         picks = self._chance.choice(len(actions), len(drawn), p=weights / weights.sum())
         return [(t, by_path.get(named) or actions[int(n)]) for (t, named), n in zip(drawn, picks, strict=True)]
 
     def wish(self, action: ActionSettings, deferred: float, heed: float, retries: int, grpc: float = 0.0,
-             streams: float = 0.0, half: float = 0.0) -> None:
+             streams: float = 0.0, half: float = 0.0, namespace: str = "") -> None:
         """One client comes; `grpc` and `streams` are the shares that call by the second front, and in streams there."""
         self._tickets += 1
         spaces = list(self._deployment.namespaces.values())
         shares = np.array([s.allowed_per_s for s in spaces])
-        space = spaces[int(self._chance.choice(len(spaces), p=shares / shares.sum()))]
-        wish = Wish(f"t{self._tickets}", action, space, bool(self._chance.random() < deferred),
+        space = self._deployment.namespaces.get(namespace) or (
+            spaces[int(self._chance.choice(len(spaces), p=shares / shares.sum()))])
+        wish = Wish(f"t{self._mark}{self._tickets}", action, space, bool(self._chance.random() < deferred),
                     habits_of(float(self._chance.random()), heed, half), 1 + retries)
         if grpc:
             wish.grpc = bool(self._chance.random() < grpc)
@@ -107,7 +111,7 @@
         self._calls += 1
         count = len(self._pools)
         wish.dispatcher = int(self._chance.integers(count)) if last is None else (last + 1) % count
-        wish.number, wish.began, wish.activation = f"c{self._calls}", now_ms(), ""
+        wish.number, wish.began, wish.activation = f"c{self._mark}{self._calls}", now_ms(), ""
         kind = self._deployment.types[wish.action.type]
         if wish.grpc and self._second:
             self._infer(wish, kind)
@@ -190,7 +194,7 @@
             return
         if ended.refused or not ended.written or ended.reason == "NOT_TAKEN":
             self._capture.note("not-taken", call=wish.number)
-            self._again(wish, Heard.NOT_TAKEN)
+            self._again(wish, Heard.NOT_TAKEN, ended.retry_ms or 0.0)
         elif ended.code is None:
             self._capture.note("no-answer", call=wish.number, ending=ended.text)
             self._again(wish, Heard.LOST)
@@ -269,6 +273,21 @@
         else:
             self._loop.call_later(POLL_MS / 1000, self._poll, wish)
 
+    def plan(self, loads: list[Load], seconds: float) -> list[tuple[float, Callable[[], None]]]:
+        """All that comes by a script's loads: when (seconds), and the coming.  Closed loops are the load tool's."""
+        out: list[tuple[float, Callable[[], None]]] = []
+        for load in loads:
+            for when, action in self.arrivals(load, min(seconds, load.at + load.last)):
+                out.append((when, partial(self.wish, action, load.deferred, load.heed, load.retries, load.grpc,
+                                          load.streams, load.half_heed, load.namespace)))
+        out.sort(key=lambda pair: pair[0])
+        return out
+
+    async def settled(self, until: float) -> None:
+        """Wait for the last answer, at the longest until a time (ms of the clock)."""
+        while (self.out or self.polling) and now_ms() < until:
+            await asyncio.sleep(0.05)
+
     async def play(self, arrivals: list[tuple[float, Callable[[], None]]], start: float) -> None:
         """Let clients come at their times (seconds after `start`, in ms of the clock)."""
         for when, come in arrivals:
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -118,6 +118,26 @@
             with contextlib.suppress(OSError):
                 await self.tell_list(child, "gone")
 
+    async def clients(self, script: str, count: int, start: float, addresses: list[str], second: list[str]) -> None:
+        """The clients of a script in processes of their own, until all of them have their answers."""
+        words = ["standin", "clients", script, "--start", str(start), "--seed", str(self._seed), "--of", str(count)]
+        for address in addresses:
+            words += ["--at", address]
+        for address in second:
+            words += ["--second", address]
+        capture = ["--capture", str(self._out)] if self._out is not None else []
+        children = [await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "kelptrail", *words, "--number", str(n), *capture, start_new_session=True)
+            for n in range(count)]
+        try:
+            codes = [await child.wait() for child in children]
+        finally:
+            for child in children:
+                if child.returncode is None:
+                    child.kill()
+        if any(codes):
+            raise RuntimeError(f"clients ended with {codes}")
+
     async def tell_list(self, worker: Child, state: str) -> None:
         """Have the worker list say so of a worker."""
         await ask(self.roster.said["address"], "POST", "/state",
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from heapq import heappop, heappush
 
 from kelptrail.gateway.storm import Stage, Storm, StormSettings
 
@@ -103,3 +104,53 @@
     _, told = rush(storm, now, 6, 1600, 0.8, 1.0, 2, again=0.6)
     assert storm.stage is Stage.STORM and set(told) == {1000.0} and len(storm._known) <= 500
     assert storm.status()["stage"] == "storm"
+
+
+def test_connects_and_misses_raise_an_alarm_but_no_storm() -> None:
+    storm = Storm(StormSettings(), 1)
+    now = 0.0
+    while now < 10_000:
+        now += 5
+        storm.connected(now) if now % 50 == 0 else storm.met(now, False)
+    assert storm.stage is Stage.CALM
+    while now < 12_000:  # everybody connects anew
+        now += 2
+        storm.connected(now)
+    assert storm.stage is Stage.RISING and [s for _, s in storm.stages] == [Stage.RISING]
+    while now < 15_000:
+        now += 50
+        storm.connected(now)
+    assert storm.stage is Stage.CALM
+    storm.cold_share = 0.1
+    for share, stage in ((0.1, Stage.CALM), (0.6, Stage.RISING)):
+        storm.cold_share = share
+        for _ in range(600):
+            now += 3
+            storm.met(now, True)
+        assert storm.stage is stage, "misses alone are no sign, misses while workers are cold are"
+
+
+def test_repeats_of_a_customer_over_its_share_take_what_is_left() -> None:
+    """One customer storms, the other asks for what it always does: its first tries and its repeats go on."""
+    storm, chance, now = Storm(StormSettings(), 1, {"quiet": 1.0, "loud": 1.0}), random.Random(3), 0.0
+    held, passed, number, told = {"quiet": 0, "loud": 0}, {"quiet": 0, "loud": 0}, 0, list[tuple[float, str, str]]()
+    while now < 30_000:
+        now += 1
+        comers = [(space, f"{space}-{number}-{n}") for space, odds in (("quiet", 0.2), ("loud", 0.2 + (now > 8000)))
+                  for n in range(1) if chance.random() < odds]
+        while told and told[0][0] <= now:
+            comers.append(heappop(told)[1:])
+        for space, who in comers:
+            number += 1
+            back = storm.came(now, who, space, 1.0)
+            late = now > 12_000 and storm.stage is Stage.STORM
+            if back is not None:
+                held[space] += late
+                heappush(told, (now + back, space, who))
+            elif chance.random() < (0.0 if now < 8000 else 0.7):
+                passed[space] += late
+                heappush(told, (now + storm.turn(now, who, 100.0), space, who))
+            else:
+                passed[space] += late
+                storm.completed(now, who)
+    assert storm.held_back > 100 and held["loud"] > 100 and held["quiet"] == 0 and passed["quiet"] > 1000
