One run of the lab over several processes, in conservative windows

Need: the largest size ran at a tenth of real time in one process; a run could not use the other cores.

--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -396,23 +396,44 @@
 @lab.command("play", cls=_Examples, example="kelptrail lab play examples/bad-days/kills.sexp")
 @click.argument("script")
 @click.option("--seed", default=1, show_default=True)
-def lab_play(script: str, seed: int) -> None:
+@click.option("--processes", default=1, show_default=True, type=click.IntRange(1, 64), help="Over which it is spread.")
+@click.option("--network-ms", default=0.15, show_default=True, type=click.FloatRange(0.01, 1000), help="One way.")
+@click.option("--audit/--no-audit", "judged", default=True, show_default=True, help="Keep all events and judge them.")
+def lab_play(script: str, seed: int, processes: int, network_ms: float, judged: bool) -> None:
     """Play a bad day's SCRIPT in the lab and judge it by the audit; exit 6 where a rule is broken."""
     import time
 
     from kelptrail.audit.judge import judge
     from kelptrail.badday.report import latencies
-    from kelptrail.lab.site import Site
+    from kelptrail.lab.results import figures
+    from kelptrail.lab.shards import ShardError, play_sharded
+    from kelptrail.lab.site import LabSettings, Site, result_of
 
     day = _script(script)
-    site = Site(day, _settings(day.deployment), seed, capture=True)
+    deployment, settings = _settings(day.deployment), LabSettings(network_ms=network_ms)
+    if processes > day.dispatchers or processes > (day.workers + 1) // 2:
+        click.echo(f"{processes} processes are more than there are dispatchers, or pairs of workers", err=True)
+        sys.exit(UNUSABLE)
     began = time.perf_counter()
-    site.run()
+    if processes == 1:
+        site = Site(day, deployment, seed, settings, judged)
+        site.run()
+        result, events = result_of(site), sorted(site.events, key=lambda event: event["t"])
+    else:
+        try:
+            result, events = play_sharded(day, deployment, seed, settings, processes, judged)
+        except ShardError as cause:
+            click.echo(str(cause), err=True)
+            sys.exit(FAILED)
     took = time.perf_counter() - began
-    events = sorted(site.events, key=lambda event: event["t"])
+    row = figures(day.seconds, day.ends, result)
+    pace = {"took_s": round(took, 1), "simulated_s_a_second": round(day.seconds / took, 3)}
+    if not judged:
+        _say(name=day.name, seed=seed, **row, **pace)
+        return
     verdict = judge(events)
     _say(name=day.name, seed=seed, **verdict.counts(), broken=verdict.broken, details=verdict.details[:20],
-         latency_ms=latencies(events), simulated_s_a_second=round(day.seconds / took, 1))
+         latency_ms=latencies(events), served_share=row["served_share"], recovery_s=row["recovery_s"], **pace)
     sys.exit(BROKEN_RULE if verdict.broken else 0)
 
 
--- a/kelptrail/lab/engine.py
+++ b/kelptrail/lab/engine.py
@@ -45,6 +45,13 @@
         """Let something happen after a delay."""
         return self.at(self.now + delay, what, *words)
 
+    def next_at(self) -> float:
+        """When the next thing happens; infinity where there is none."""
+        heap = self._heap
+        while heap and heap[0][2].what is None:
+            heappop(heap)
+        return heap[0][0] if heap else float("inf")
+
     def run(self, until: float) -> None:
         """Let everything happen up to a time."""
         heap = self._heap
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -34,6 +34,7 @@
 from .engine import Engine, Timer
 from .fleet import LabStore, LabWorker
 from .results import Result, Second
+from .shards import RemoteDispatcher, RemoteStore, RemoteWorker, Shard, SharedLedger, answer_remote
 
 POLL_MS, PATIENCE_MS, WALL = 150.0, 3000.0, 1e12
 
@@ -177,6 +178,12 @@
         start, net = self.starts, self._settings.network_ms
         self._open[send] = None
         self._site.second().sends += 1
+        if isinstance(worker, RemoteWorker):
+            if worker.up:
+                worker.go("send", lambda outcome, answer: over(outcome, answer), ivk.action.path, ivk.mark,
+                          ivk.record.id, send.number, self.who, send.act.deadline - send.sent)
+            else:
+                self._engine.after(2 * net, lambda: over(Outcome.UNREACHABLE, None))
 
         def back(outcome: Outcome, answer: Answer | None) -> None:
             if send in self._open:
@@ -188,6 +195,7 @@
                 self.do(self._answered, start, send, outcome, answer)
 
         def arrive() -> None:
+            assert not isinstance(worker, RemoteWorker)
             if not worker.up:
                 back(Outcome.UNREACHABLE, None)
                 return
@@ -195,10 +203,12 @@
             worker.send(ivk.action, ivk.mark, ivk.record.id, send.number, self.who, send.act.deadline - send.sent, end)
 
         def end(outcome: Outcome, answer: Answer | None) -> None:
+            assert not isinstance(worker, RemoteWorker)
             worker.out.pop(back, None)
             back(outcome, answer)
 
-        self._engine.after(net, arrive)
+        if not isinstance(worker, RemoteWorker):
+            self._engine.after(net, arrive)
 
     def _order(self, order: Order) -> None:
         worker, start, net = self._site.workers[order.copy.worker.id], self.starts, self._settings.network_ms
@@ -217,13 +227,17 @@
                 self.stir()
 
         def arrive() -> None:
+            assert not isinstance(worker, RemoteWorker)
             if worker.up:
                 worker.order(action, order.count, self.who, told)
             else:
                 told(Outcome.UNREACHABLE, 0)
 
         self._orders[order] = self._engine.after(self._site.deployment.pool.order_ms, over, Outcome.SILENT, 0)
-        self._engine.after(net, arrive)
+        if isinstance(worker, RemoteWorker):
+            worker.go("order", over, order.copy.function.id, order.count, self.who)
+        else:
+            self._engine.after(net, arrive)
 
     def _sync(self) -> None:
         """The journal's disk: one batch at a time."""
@@ -257,33 +271,50 @@
     """One run of a script.  `capture`: keep all events, so that the audit and the bad days' report can read them."""
 
     def __init__(self, day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None,
-                 capture: bool = False) -> None:
+                 capture: bool = False, shard: Shard | None = None) -> None:
+        """`shard`: this process's part of a run over several."""
+        part, self.shard = (shard.number, shard.of) if shard is not None else (0, 1), shard
+        self._part, self._mark = part, f"{part[0]}-" if part[1] > 1 else ""
         self.day, self.deployment, self.settings = day, deployment, settings or LabSettings()
         self.engine = Engine()
         self.events: list[dict[str, Any]] = []
         self.note = self._note if capture else None
         self._chance = np.random.default_rng([seed, 11])
-        self._clients = np.random.default_rng([seed, 7])
-        self.store = LabStore(self.engine, deployment.store)
+        self._clients = np.random.default_rng([seed, 7, *part] if part[1] > 1 else [seed, 7])
+        self.store: Any = LabStore(self.engine, deployment.store)
         self.by_model = {a.model: a for a in deployment.actions.values()}
         self._ledger: dict[tuple[str, str], float] = {}
+        if shard is not None:
+            self._ledger = SharedLedger(shard, self.engine, self.settings)
+            if shard.number:
+                self.store = RemoteStore(shard, self.engine, self.settings)
         self._listed_ms, self._version = 0.0, 0
         halls = deployment.halls
         self.seconds: list[Second] = [Second() for _ in range(int(day.seconds) + 60)]
         self.latency: dict[str, list[float]] = {name: [] for name in deployment.types}
         self.give_ups: dict[str, int] = {}
-        if self.note is not None:
+        first = part[0] == 0
+        if self.note is not None and first:
             names = [f"dispatcher-{n}" for n in range(day.dispatchers)]
             self.note("world", **world_of(deployment, names, day.workers))
-        self.workers = {f"worker-{n}": _Worker(self.engine, deployment, f"worker-{n}", halls[n % len(halls)], n // 2,
-                                               self.store, self._ledger, seed, True, self.note)
-                        for n in range(day.workers)}
-        self.dispatchers = [LabDispatcher(self, n, halls[n % len(halls)]) for n in range(day.dispatchers)]
+        self.workers: dict[str, _Worker | RemoteWorker] = {}
+        for n in range(day.workers):
+            id_, hall, cell = f"worker-{n}", halls[n % len(halls)], n // 2
+            if shard is not None and shard.home(n) != shard.number:
+                self.workers[id_] = RemoteWorker(shard, shard.home(n), id_, hall, cell, self.engine, self.settings,
+                                                 deployment.rules.cold_ms)
+            else:
+                self.workers[id_] = _Worker(self.engine, deployment, id_, hall, cell, self.store, self._ledger, seed,
+                                            True, self.note)
+        self.dispatchers: list[LabDispatcher | RemoteDispatcher] = [
+            LabDispatcher(self, n, halls[n % len(halls)]) if shard is None or shard.has(n) else RemoteDispatcher(n)
+            for n in range(day.dispatchers)]
+        self.own = [d for d in self.dispatchers if isinstance(d, LabDispatcher)]
         self._tell_lists()
         self.by_space: dict[str, list[int]] = {n: [0, 0] for n in deployment.namespaces}  # wanted, served in time
         self._tickets = self._calls = 0
         self.start = self.engine.now + 200
-        if self.note is not None:
+        if self.note is not None and first:
             self.note("begin", start=self.start, seconds=day.seconds)
         spaces = list(deployment.namespaces.values())
         shares = np.array([s.allowed_per_s for s in spaces])
@@ -298,9 +329,9 @@
     def _sample(self) -> None:
         """What a second ends with."""
         second = self.second()
-        second.in_hand = sum(d.gateway.in_hand for d in self.dispatchers if d.up)
+        second.in_hand = sum(d.gateway.in_hand for d in self.own if d.up)
         second.loads, self._fetched = self.store.fetches - self._fetched, self.store.fetches
-        second.storming = sum(d.up and d.gateway.storm.stage is not Calm.CALM for d in self.dispatchers)
+        second.storming = sum(d.up and d.gateway.storm.stage is not Calm.CALM for d in self.own)
         if self.engine.now < self.start + (len(self.seconds) - 1) * 1000:
             self.engine.after(1000.0, self._sample)
 
@@ -337,7 +368,7 @@
         else:
             weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
         odds = np.cumsum(weights / weights.sum())
-        drawn = Arrivals(load, self._clients)
+        drawn = Arrivals(load, self._clients, self._part)
 
         def draw(at: float) -> None:
             span = min(1.0, end - at)
@@ -357,7 +388,7 @@
             self.engine.after(float(self._clients.exponential(load.think)) * 1000, come)
 
         if load.shape == "closed":
-            for _ in range(load.clients):
+            for _ in range(self._part[0], load.clients, self._part[1]):
                 self.engine.at(self.start + load.at * 1000, think)
         else:
             self.engine.at(self.start + load.at * 1000, draw, load.at)
@@ -367,7 +398,7 @@
         chance = self._clients
         space = self.deployment.namespaces.get(load.namespace) or (
             self._spaces[int(np.searchsorted(self._shares, chance.random()))])
-        wish = Wish(f"t{self._tickets}", action, space, bool(chance.random() < load.deferred),
+        wish = Wish(f"t{self._mark}{self._tickets}", action, space, bool(chance.random() < load.deferred),
                     habits_of(float(chance.random()), load.heed, load.half_heed), 1 + load.retries,
                     first=self.engine.now, after=after)
         self.by_space[space.name][0] += 1
@@ -376,16 +407,17 @@
     def _try(self, wish: Wish, last: int | None) -> None:
         wish.tries -= 1
         self._calls += 1
-        count, kind = len(self.dispatchers), self.deployment.types[wish.action.type]
+        count, kind = len(self.own), self.deployment.types[wish.action.type]
         wish.dispatcher = int(self._clients.integers(count)) if last is None else (last + 1) % count
-        wish.number, wish.began, wish.activation, wish.ivk = f"c{self._calls}", self.engine.now, "", None
+        wish.number, wish.began, wish.activation, wish.ivk = f"c{self._mark}{self._calls}", self.engine.now, "", None
         second = self.second()
         second.calls += 1
         second.repeats += self.engine.now > wish.first
         if self.note is not None:
             self.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
-                      dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=kind.timeout_ms, front=False)
-        dispatcher = self.dispatchers[wish.dispatcher]
+                      dispatcher=self.own[wish.dispatcher].number, deferred=wish.deferred, limit_ms=kind.timeout_ms,
+                      front=False)
+        dispatcher = self.own[wish.dispatcher]
         wish.patience = self.engine.after(kind.timeout_ms + 500, self._patience, wish, wish.number)
         self.engine.after(self.settings.network_ms, self._arrive, dispatcher, wish, wish.number)
 
@@ -460,7 +492,7 @@
         self.engine.after(POLL_MS, self._poll, wish)
 
     def _poll(self, wish: Wish) -> None:
-        kind, dispatcher = self.deployment.types[wish.action.type], self.dispatchers[wish.dispatcher]
+        kind, dispatcher = self.deployment.types[wish.action.type], self.own[wish.dispatcher]
         record = dispatcher.gateway.records.get(wish.space.name, wish.activation) if dispatcher.up else None
         if record is not None and record.shown:
             self._told(wish, record, record.end - record.start)
@@ -484,7 +516,7 @@
     def _patience(self, wish: Wish, number: str) -> None:
         if wish.number == number and wish.patience is not None:
             wish.patience = None
-            dispatcher = self.dispatchers[wish.dispatcher]
+            dispatcher = self.own[wish.dispatcher]
             if dispatcher.up and wish.run == dispatcher.starts and wish.ivk is not None and not wish.ivk.record.key:
                 wish.ivk.waiters.clear()
                 dispatcher.do(self._left, dispatcher, wish.ivk)
@@ -534,6 +566,39 @@
         elif wish.after is not None:
             wish.after()
 
+    # Other shards.
+
+    def mail(self, what: str, words: tuple[Any, ...]) -> None:
+        """What another shard sent arrives now."""
+        shard, net = self.shard, self.settings.network_ms
+        assert shard is not None
+        if what == "reply":
+            shard.replied(*words)
+        elif what == "mark":
+            assert isinstance(self._ledger, SharedLedger)
+            self._ledger.heard(*words)
+        else:
+            to, number, *rest = words
+            reply = answer_remote(shard, self.engine, net, to, number)
+            if what == "fetch":
+                self.store.fetch(rest[0], reply)
+                return
+            worker = self.workers[rest[0]]
+            assert isinstance(worker, _Worker)
+            if not worker.up:
+                reply(Outcome.UNREACHABLE, None if what == "send" else 0)
+            elif what == "order":
+                worker.order(self.by_model[rest[1]], rest[2], rest[3], reply)
+            else:
+                path, mark, activation, send, who, limit = rest[1:]
+                worker.out[reply] = None
+
+                def end(outcome: Outcome, answer: Answer | None) -> None:
+                    worker.out.pop(reply, None)
+                    reply(outcome, answer)
+
+                worker.send(self.deployment.actions[path], mark, activation, send, who, limit, end)
+
     # Troubles.
 
     def _befall(self, trouble: Trouble) -> None:
@@ -580,37 +645,37 @@
                 self.engine.after(trouble.last * 1000, self._heal_disk, dispatcher)
 
     def _trouble(self, kind: str, trouble: Trouble, of: list[str]) -> None:
-        if self.note is not None:
+        if self.note is not None and self._part[0] == 0:
             self.note("trouble", kind=kind, seconds=trouble.last, of=of)
 
-    def _heal_disk(self, dispatcher: LabDispatcher) -> None:
+    def _heal_disk(self, dispatcher: LabDispatcher | RemoteDispatcher) -> None:
         dispatcher.sync_ms, dispatcher.disk_fails = self.settings.sync_ms, False
 
-    def _kill(self, dispatcher: LabDispatcher, down_ms: float) -> None:
+    def _kill(self, dispatcher: LabDispatcher | RemoteDispatcher, down_ms: float) -> None:
         if not dispatcher.up:
             return
-        if self.note is not None:
+        if self.note is not None and dispatcher in self.own:
             self.note("kill", dispatcher=dispatcher.number)
         dispatcher.kill()
         self.engine.after(down_ms + self.settings.start_ms, self._up_again, dispatcher)
 
-    def _up_again(self, dispatcher: LabDispatcher) -> None:
+    def _up_again(self, dispatcher: LabDispatcher | RemoteDispatcher) -> None:
         dispatcher.begin()
-        if self.note is not None:
+        if self.note is not None and dispatcher in self.own:
             self.note("restarted", dispatcher=dispatcher.number)
 
-    def _crash(self, worker: _Worker, down_ms: float) -> None:
+    def _crash(self, worker: _Worker | RemoteWorker, down_ms: float) -> None:
         worker.up = False
         worker.break_all()
         self._tell_lists()
         self.engine.after(down_ms + self.settings.restart_ms, self._back_up, worker)
 
-    def _back_up(self, worker: _Worker) -> None:
+    def _back_up(self, worker: _Worker | RemoteWorker) -> None:
         worker.up, worker.state = True, "live"
         worker.begin(warm=False)
         self._tell_lists()
 
-    def _deploy(self, worker: _Worker, again: bool) -> None:
+    def _deploy(self, worker: _Worker | RemoteWorker, again: bool) -> None:
         """Drain, tell the worker, let its work end, stop it, start it anew."""
         if not worker.up:
             return
@@ -642,9 +707,14 @@
             back(Outcome.BROKEN, None)
 
 
+def result_of(site: Site) -> Result:
+    """What a run in one process came to."""
+    served = {f"served_{name}": good / wanted for name, (wanted, good) in site.by_space.items() if wanted}
+    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, served)
+
+
 def play(day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None) -> Result:
     """One run, for figures."""
     site = Site(day, deployment, seed, settings)
     site.run()
-    served = {f"served_{name}": good / wanted for name, (wanted, good) in site.by_space.items() if wanted}
-    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, served)
+    return result_of(site)
--- /dev/null
+++ b/tests/test_shards.py
@@ -0,0 +1,85 @@
+"""A run of the lab over several processes: the same rules, the same figures, the same each time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from kelptrail.audit.judge import judge
+from kelptrail.badday.script import BadDay, Trouble
+from kelptrail.lab.engine import Engine
+from kelptrail.lab.results import figures
+from kelptrail.lab.shards import RemoteStore, Shard, ShardError, SharedLedger, play_sharded
+from kelptrail.lab.site import LabSettings, Site, result_of
+from kelptrail.load.plan import steady
+from kelptrail.settings.deployment import load
+
+ROOT = Path(__file__).parent.parent
+SETTINGS = LabSettings(network_ms=1.0)
+
+
+def day_of(trouble: list[Trouble]) -> BadDay:
+    file = str(ROOT / "examples" / "nursery.sexp")
+    return BadDay("sharded", file, 8.0, 12, 6, 1, [steady(180.0, 8.0, 1.0)], trouble)
+
+
+def trouble(kind: str, at: float, seconds: float, part: float) -> Trouble:
+    return Trouble(kind, at, **{"for": seconds}, part=part, share=1.0, factor=4.0, ms=100.0, type="", count=1)
+
+
+def test_a_run_over_processes_is_the_same_each_time_and_close_to_one_in_a_single_process() -> None:
+    day, deployment = day_of([]), load(ROOT / "examples" / "nursery.sexp")
+    one = Site(day, deployment, 2, SETTINGS)
+    one.run()
+    whole = figures(8.0, 0.0, result_of(one))
+    (first, _), (second, _) = (play_sharded(day, deployment, 2, SETTINGS, 3) for _ in range(2))
+    assert first.latency == second.latency and first.seconds == second.seconds and first.events == second.events
+    found = figures(8.0, 0.0, first)
+    assert found["wishes"] == pytest.approx(whole["wishes"], rel=0.12)
+    assert found["served_share"] == pytest.approx(whole["served_share"], abs=0.05)
+    assert found["p50_ms"] == pytest.approx(whole["p50_ms"], rel=0.15)
+    assert first.loads == pytest.approx(one.store.fetches, rel=0.25), "all loads go through the first shard's store"
+
+
+def test_troubles_fall_on_all_shards_alike_and_no_rule_breaks() -> None:
+    """Effects are told apart by mark, sends by activation: one shard that believed in other workers would show."""
+    troubles = [trouble("crash", 2, 1.5, 0.2), trouble("rolling-deploy", 3, 2, 0.2),
+                trouble("kill-dispatchers", 4, 0.5, 0.3), trouble("hang", 5, 1.5, 0.2),
+                trouble("store-slow", 2, 2, 1), trouble("restart-cold", 1, 0, 0.2)]
+    day, deployment = day_of(troubles), load(ROOT / "examples" / "nursery.sexp")
+    _, events = play_sharded(day, deployment, 5, SETTINGS, 3, capture=True)
+    verdict = judge(events)
+    assert not verdict.broken, verdict.details
+    assert verdict.taken > 800 and verdict.unanswered == 0 and verdict.completed > 0.8 * verdict.taken
+    assert [e["kind"] for e in events if e["what"] == "trouble"] == sorted(
+        (t.kind for t in troubles), key=lambda kind: next(t.at for t in troubles if t.kind == kind))
+    senders = {(e["dispatcher"].split("/")[0], e["worker"]) for e in events if e["what"] == "send"}
+    across = [(d, w) for d, w in senders if int(d[11:]) % 3 != int(w[7:]) // 2 % 3]
+    assert len(across) > len(senders) / 2, "sends cross shards"
+    starts = {e["incarnation"] for e in events if e["what"] == "start"}
+    listed = {i for e in events if e["what"] == "list" for _, i in e["workers"].values()}
+    assert listed <= starts, "every shard lists the incarnations that there are"
+
+
+def test_a_mark_set_in_one_shard_is_known_in_the_others_a_way_later() -> None:
+    engine, shard = Engine(), Shard(1, 3)
+    ledger = SharedLedger(shard, engine, SETTINGS)
+    ledger["all", "m"] = 5.0
+    ledger["cell-2", "n"] = 6.0
+    assert shard.out == [(1.0, to, "mark", (("all", "m"), 5.0)) for to in (0, 2)], "a cell is in one shard"
+    ledger.heard(("all", "x"), 7.0)
+    assert ledger["all", "x"] == 7.0 and len(shard.out) == 2
+    told: list[bool] = []
+    RemoteStore(shard, engine, SETTINGS).fetch(30.0, told.append)
+    assert shard.out[-1] == (1.0, 0, "fetch", (1, 1, 30.0))
+    shard.replied(1, (True,))
+    shard.replied(1, (False,))
+    assert told == [True], "the first reply counts"
+
+
+def test_a_shard_that_fails_is_told_with_its_cause() -> None:
+    day, deployment = day_of([trouble("nonsense", 1, 1, 0.2)]), load(ROOT / "examples" / "nursery.sexp")
+    object.__setattr__(day.trouble[0], "at", "soon")
+    with pytest.raises(ShardError, match="TypeError"):
+        play_sharded(day, deployment, 1, SETTINGS, 2)
