One customer's storm is held back while others are hurt; planners in the lab

Need: a customer that storms alone halved what the others got in time, and the storm core saw it late: answers were late, not refused.

Change: customers within their share that are turned away or late while another is over its own raise an alarm, and of the latter ever fewer are let in until the others are well again. The lab plays planners: the real cores, reports, leases, slow solvers.

--- /dev/null
+++ b/examples/season.sexp
@@ -0,0 +1,16 @@
+; Half a thousand models on sixty workers, planned ahead; for the lab.
+(deployment season
+  (planner (every-ms 3000) (down-ms 20000))
+  (type read  (effect repeatable)   (target-ms 500) (timeout-ms 5000) (utility 1) (late-share 0.3))
+  (type write (effect deduplicated) (target-ms 500) (timeout-ms 5000) (utility 3) (late-share 0.3)
+              (scope all) (remembered-ms 8000))
+  (namespace network-a (uuid "5c3b4a52-55a0-4b0e-9f7e-0a4a6c1d0001") (key "loopback-only-a") (allowed-per-s 2000))
+  (namespace network-b (uuid "5c3b4a52-55a0-4b0e-9f7e-0a4a6c1d0002") (key "loopback-only-b") (allowed-per-s 1000))
+  (action read  (package models) (type read)  (count 400) (memory-mb 500) (lanes 4) (work-ms 100) (load-ms 1000))
+  (action write (package models) (type write) (count 100) (memory-mb 500) (lanes 4) (work-ms 100) (load-ms 1000))
+  (rules (drain-grace-ms 500) (tip 3) (tip-ms 3000) (cold-share 0.3) (cold-ms 5000)
+         (free-loads 20) (load-share 0.3) (load-span-ms 10000))
+  (dispatcher (keep-ms 20000) (longest-return-ms 2000) (held 100000) (held-mb 1000) (held-each 100000))
+  (fleet (workers 60) (cores 4) (memory-mb 24000) (keep-ms 20000) (loads 4))
+  (store (fetches 300) (most 2000) (fetch-share 0.6))
+  (journal (keep no)))
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -470,6 +470,9 @@
 
     day = _script(script)
     deployment, settings = _settings(day.deployment), LabSettings(network_ms=network_ms)
+    if processes > 1 and day.planners:
+        click.echo("planners are played in one process only", err=True)
+        sys.exit(UNUSABLE)
     if processes > day.dispatchers or processes > (day.workers + 1) // 2:
         click.echo(f"{processes} processes are more than there are dispatchers, or pairs of workers", err=True)
         sys.exit(UNUSABLE)
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -509,14 +509,14 @@
         ran = [send for send in act.sends if send.may_have_run]
         if verdict == "completed" and ivk.answer is not None:
             self.counts.completed += 1
-            self.storm.completed(now, ivk.who)
+            self.storm.completed(now, ivk.who, record.namespace, now - act.taken > act.type.target_ms)
             self.records.end(now, record, verdict, 0 if ivk.answer.success else 1, ivk.answer.result)
         elif verdict == "rejected":
             self.counts.rejected += 1
             self._tally(record.path).rejected += 1
             record.return_ms = act.return_ms
             if not ran:
-                record.return_ms = self.storm.turn(now, ivk.who, act.return_ms)
+                record.return_ms = self.storm.turn(now, ivk.who, act.return_ms, record.namespace)
             if ran and act.type.effect is Effect.DEDUPLICATED:
                 record.repeat_within_ms = max(0.0, ran[0].sent + act.type.remembered_ms - now)
             self.records.end(now, record, verdict, 3,
--- a/kelptrail/gateway/storm.py
+++ b/kelptrail/gateway/storm.py
@@ -2,8 +2,9 @@
 
 What one dispatcher sees is enough: who was turned away here and comes again, and whether before the time it was told;
 how many come beside the usual, and how many of them the decisions turn away (clients mostly come again elsewhere); how
-many the workers complete.  Two signs come earlier and raise no more than an alarm: many more connects than usual, and
-sends that miss their copies while workers are cold.  In a storm each one that is turned away is told a time of its own,
+many the workers complete.  Three signs raise no more than an alarm: many more connects than usual, sends that miss
+their copies while workers are cold, and customers within their share who are turned away or late while another is
+over its own.  In a storm each one that is turned away is told a time of its own,
 so that the sum of the comers fits what is completed beyond what comes new; whoever comes before its time is refused at
 the door, at no cost, and told a longer one.  Of a customer that is over its share, repeats are let in by a budget that
 follows what is completed, the most useful first, and first tries before them.  All others go on to the decisions: a
@@ -45,6 +46,7 @@
     connects: float = 4.0  # times the usual connects, from which they raise an alarm
     cold: float = 0.3  # share of cold workers, from which misses raise an alarm
     over: float = 1.25  # times its share of the comers, from which a customer is over it
+    hurt: float = 0.1  # share of the others' calls turned away or late, from which those over theirs are held back
     most_known: int = 200_000
     known_ms: float = 30_000.0  # past its time, one that has not come is forgotten
 
@@ -67,6 +69,8 @@
         self._shares = {name: share / whole for name, share in (shares or {}).items()}
         self._by_space, self._rates = dict[str, int](), dict[str, float]()  # comers of this window, on the average
         self._overs = set[str]()  # those over their share
+        self._others = self._hurt = 0  # calls of customers within their share, and those turned away or late
+        self.allowed = 1.0  # of what comes from those over their share
         self._room = 0.0  # of the budget for repeats of those over their share
         self._connects = self._misses = self._answers = 0
         self.usual_connects = 0.0  # a window, while it is calm
@@ -104,15 +108,20 @@
         self._pass(now)
         self._comers += 1
         self._by_space[space] = self._by_space.get(space, 0) + 1
+        over = self._over(space)
+        self._others += not over
         known = self._known.get(who)
         if known is None:
-            self._room -= self._over(space)  # first tries go before repeats
+            if over and not self._let_in(self.allowed):
+                self.held_back += 1
+                return self._tell(now, who, 0.0)
+            self._room -= over  # first tries go before repeats
             return None
         self._repeats += 1
         if not self._settings.damp or self.stage is Stage.CALM:
             return None
         if now >= known.until - 20:
-            if self.stage is Stage.STORM and self._over(space) and not self._spend(worth):
+            if over and not (self._let_in(self.allowed**2) and (self.stage is not Stage.STORM or self._spend(worth))):
                 self.held_back += 1
                 return self._tell(now, who, 0.0)
             return None
@@ -120,19 +129,21 @@
         known.early += 1
         return self._tell(now, who, 0.0)
 
-    def turn(self, now: float, who: str, return_ms: float) -> float:
+    def turn(self, now: float, who: str, return_ms: float, space: str = "") -> float:
         """The decisions turn somebody away: the return time that it is told, not below theirs."""
         self._pass(now)
         self._turns += 1
+        self._hurt += not self._over(space)
         if self.stage is Stage.CALM or not self._settings.damp:
             self._keep(who, now + return_ms)
             return return_ms
         return self._tell(now, who, return_ms)
 
-    def completed(self, now: float, who: str) -> None:
-        """Somebody has its answer."""
+    def completed(self, now: float, who: str, space: str = "", late: bool = False) -> None:
+        """Somebody has its answer, past its target latency or within."""
         self._pass(now)
         self._done += 1
+        self._hurt += late and not self._over(space)
         self._room += 1
         self._known.pop(who, None)
 
@@ -142,6 +153,14 @@
         """Whether a customer is over its share.  Guards against one customer's storm that others would feel."""
         return space in self._overs
 
+    def _let_in(self, part: float) -> bool:
+        """Whether one of so many is let in, by chance.  Guards against one customer's storm that the others feel: of
+        those over their share ever fewer go on to the decisions while the others are turned away or late."""
+        if part >= 1 or not self._settings.damp:
+            return True
+        self._draws += 1
+        return crc32(f"{self._seed} in {self._draws}".encode()) < part * 2**32
+
     def _spend(self, worth: float) -> bool:
         """Whether the budget has room for one repeat; the less useful only where there is more of it."""
         if self._room < 1 + 0.5 * (1 - worth) * self._most_room():
@@ -208,13 +227,19 @@
             if comers / seconds > settings.beyond * self.usual_per_s:
                 sign = max(sign, self._turns / comers)
         self.share += 0.5 * (sign - self.share)
-        self.alarm += 0.5 * (self._signs() - self.alarm)
+        harmed = self._hurt > settings.hurt * max(self._others, settings.least)
+        self.alarm += 0.5 * (max(self._signs(), float(bool(self._overs) and harmed)) - self.alarm)
         for space in set(self._rates) | set(self._by_space):
             before = self._rates.get(space, 0.0)
             self._rates[space] = before + 0.2 * (self._by_space.get(space, 0) - before)
         whole = sum(self._rates.values())
         self._overs = {space for space, rate in self._rates.items()
                        if rate > settings.over * self._shares.get(space, 1.0) * whole}
+        if self._overs and harmed:
+            self.allowed = max(0.05, 0.85 * self.allowed)
+        else:
+            self.allowed = min(1.0, self.allowed + (0.08 if self.stage is Stage.CALM else 0.01))
+        self._others = self._hurt = 0
         most = self._most_room()
         self._room = max(-most, min(most, self._room))
         self._comers = self._repeats = self._done = self._turns = 0
@@ -267,4 +292,5 @@
         return {"stage": self.stage.value, "repeats": round(self.share, 3), "fresh_per_s": round(self.fresh_per_s, 1),
                 "done_per_s": round(self.done_per_s, 1), "told_to_return": self.turned, "came_early": self.early,
                 "known": len(self._known),
-                "alarm": round(self.alarm, 3), "held_back": self.held_back}
+                "alarm": round(self.alarm, 3), "held_back": self.held_back,
+                "over_share": sorted(self._overs), "allowed_of_those": round(self.allowed, 3)}
--- a/kelptrail/lab/fleet.py
+++ b/kelptrail/lab/fleet.py
@@ -181,6 +181,12 @@
             return 1.0
         return self._rules.cold_share + (1 - self._rules.cold_share) * age / self._rules.cold_ms
 
+    @property
+    def idle_mb(self) -> float:
+        """Memory of copies that stand and on which nothing runs."""
+        return sum((m.standing - min(m.standing, -(-m.busy // m.action.lanes))) * m.action.memory_mb
+                   for m in self._held.values())
+
     # Sends.
 
     def send(self, action: ActionSettings, mark: str, activation: str, number: int, dispatcher: str, limit_ms: float,
--- a/kelptrail/lab/results.py
+++ b/kelptrail/lab/results.py
@@ -31,6 +31,7 @@
     loads: int = 0
     repeats: int = 0
     in_hand: int = 0  # at its end
+    idle_mb: float = 0.0  # memory of copies on which nothing runs, at its end
     storming: int = 0  # dispatchers that are not calm at its end
 
 
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -15,7 +15,7 @@
 import numpy as np
 
 from kelptrail.badday.report import world_of
-from kelptrail.badday.script import ON_DISKS, ON_STORE, ON_WORKERS, BadDay, Trouble
+from kelptrail.badday.script import ON_DISKS, ON_PLANNERS, ON_STORE, ON_WORKERS, BadDay, Trouble
 from kelptrail.codec.infer import Answer
 from kelptrail.dispatch.terms import Order, Outcome, Send
 from kelptrail.gateway.build import World
@@ -33,6 +33,7 @@
 
 from .engine import Engine, Timer
 from .fleet import LabStore, LabWorker
+from .planned import LabEdge, LabPlanner
 from .results import Result, Second
 from .shards import RemoteDispatcher, RemoteStore, RemoteWorker, Shard, SharedLedger, answer_remote
 
@@ -81,6 +82,7 @@
         self.sync_ms, self.disk_fails = site.settings.sync_ms, False
         self.listing: Listing | None = None
         self.begin()
+        self.edge = LabEdge(site, self) if site.day.planners else None
 
     def begin(self) -> None:
         """Start with nothing but the last list and the book."""
@@ -105,6 +107,7 @@
         self.stir()
 
     _wake: Timer | None
+    edge: LabEdge | None
 
     def kill(self) -> None:
         """The process is gone; its book stays."""
@@ -115,6 +118,8 @@
         self.listing = listing
         if self.up:
             self.gateway.listed(self._engine.now, listing)
+            if self.edge is not None:
+                self.edge.listed()
             if self._site.note is not None:
                 self._site.note("list", to=self.who, version=listing.version,
                                 workers={w.id: [w.state, w.incarnation] for w in listing.workers})
@@ -309,7 +314,10 @@
         self.dispatchers: list[LabDispatcher | RemoteDispatcher] = [
             LabDispatcher(self, n, halls[n % len(halls)]) if shard is None or shard.has(n) else RemoteDispatcher(n)
             for n in range(day.dispatchers)]
+        self.listing: Listing | None = None
+        self.planners: list[LabPlanner] = []
         self.own = [d for d in self.dispatchers if isinstance(d, LabDispatcher)]
+        self.planners = [LabPlanner(self, n, day.solver) for n in range(day.planners)]
         self._tell_lists()
         self.by_space: dict[str, list[int]] = {n: [0, 0] for n in deployment.namespaces}  # wanted, served in time
         self._tickets = self._calls = 0
@@ -331,6 +339,7 @@
         second = self.second()
         second.in_hand = sum(d.gateway.in_hand for d in self.own if d.up)
         second.loads, self._fetched = self.store.fetches - self._fetched, self.store.fetches
+        second.idle_mb = sum(w.idle_mb for w in self.workers.values() if isinstance(w, _Worker) and w.up)
         second.storming = sum(d.up and d.gateway.storm.stage is not Calm.CALM for d in self.own)
         if self.engine.now < self.start + (len(self.seconds) - 1) * 1000:
             self.engine.after(1000.0, self._sample)
@@ -352,7 +361,10 @@
     def _tell_lists(self) -> None:
         self._version += 1
         entries = [worker.entry for worker in self.workers.values() if worker.up]
-        listing = Listing(self._version, entries, "lab")
+        listing = self.listing = Listing(self._version, entries, "lab")
+        for planner in self.planners:
+            if planner.up:
+                self.engine.after(self._listed_ms + self.settings.network_ms, planner.listed, listing)
         for dispatcher in self.dispatchers:
             self.engine.after(self._listed_ms + self.settings.network_ms, dispatcher.listed, listing)
 
@@ -622,6 +634,10 @@
                         worker.break_all()
                         self._tell_lists()
             return
+        if kind in ON_PLANNERS:
+            self._trouble(kind, trouble, [p.name for p in self.planners])
+            self._on_planners(trouble)
+            return
         victims_d = self.dispatchers
         if kind == "kill-dispatchers" or kind in ON_DISKS:
             count = max(1, round(trouble.part * len(self.dispatchers)))
@@ -644,6 +660,19 @@
                     dispatcher.disk_fails = True
                 self.engine.after(trouble.last * 1000, self._heal_disk, dispatcher)
 
+    def _on_planners(self, trouble: Trouble) -> None:
+        count = max(1, round(trouble.part * len(self.planners))) if self.planners else 0
+        victims = [self.planners[int(n)] for n in self._chance.choice(len(self.planners), count, replace=False)] if (
+            count) else []
+        for planner in victims:
+            if trouble.kind == "planners-slow":
+                planner.slow_ms = trouble.ms
+                self.engine.after(trouble.last * 1000, setattr, planner, "slow_ms", 0.0)
+            else:
+                planner.kill()
+                self.engine.after(trouble.last * 1000 + self.settings.start_ms, planner.begin,
+                                  trouble.kind == "planners-forget")
+
     def _trouble(self, kind: str, trouble: Trouble, of: list[str]) -> None:
         if self.note is not None and self._part[0] == 0:
             self.note("trouble", kind=kind, seconds=trouble.last, of=of)
@@ -661,6 +690,8 @@
 
     def _up_again(self, dispatcher: LabDispatcher | RemoteDispatcher) -> None:
         dispatcher.begin()
+        if isinstance(dispatcher, LabDispatcher) and dispatcher.edge is not None:
+            dispatcher.edge.begin()
         if self.note is not None and dispatcher in self.own:
             self.note("restarted", dispatcher=dispatcher.number)
 
@@ -710,7 +741,9 @@
 def result_of(site: Site) -> Result:
     """What a run in one process came to."""
     served = {f"served_{name}": good / wanted for name, (wanted, good) in site.by_space.items() if wanted}
-    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, served)
+    planned = {"plans": float(sum(p.plans for p in site.planners)), "moves": float(sum(p.moves for p in site.planners)),
+               "idle_mb": float(np.mean([s.idle_mb for s in site.seconds[:int(site.day.seconds)]]))}
+    return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, served | planned)
 
 
 def play(day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None) -> Result:
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -154,3 +154,34 @@
                 passed[space] += late
                 storm.completed(now, who)
     assert storm.held_back > 100 and held["loud"] > 100 and held["quiet"] == 0 and passed["quiet"] > 1000
+
+
+def test_one_customer_over_its_share_is_held_back_while_the_others_are_hurt_and_no_longer() -> None:
+    storm, chance, now = Storm(StormSettings(), 1, {"quiet": 2.0, "loud": 1.0}), random.Random(5), 0.0
+    let_in: dict[float, list[int]] = {}
+    while now < 30_000:
+        now += 1
+        loud = 10_000 < now < 20_000
+        for space, odds in (("quiet", 0.4), ("loud", 1.0 if loud else 0.2)):
+            if chance.random() >= odds:
+                continue
+            who = f"{space} {now}"
+            back = storm.came(now, who, space)
+            second = let_in.setdefault(now // 1000, [0, 0])
+            if space == "loud":
+                second[0] += 1
+                second[1] += back is None
+            else:
+                assert back is None, "whoever keeps to its share is not held back"
+            if back is None:
+                crowded = loud and storm.allowed > 0.4  # what is let in is more than can be carried
+                storm.completed(now, who, space, late=crowded and chance.random() < 0.5)
+    share = {second: good / came for second, (came, good) in let_in.items() if came}
+    assert all(share[n] == 1.0 for n in range(10)) and all(share[n] < 0.6 for n in range(13, 20))
+    assert all(share[n] == 1.0 for n in range(24, 30)), "and no longer"
+    other = Storm(StormSettings(), 1, {"quiet": 2.0, "loud": 1.0})
+    for step in range(20_000):  # over its share, and nobody is the worse for it
+        space = "loud" if step % 2 else "quiet"
+        assert other.came(step, f"{space} {step}", space) is None
+        other.completed(step, f"{space} {step}", space)
+    assert other.allowed == 1.0
