Calls that came at one moment are given up in time to answer them all; growth follows the plan

And after a release every edge loaded copies of its own.

Change: the margin before a deadline grows with the calls in hand and what an answer takes, up to a quarter of the time (gateway); where lag asks for a copy of a planned function, the plan's open places come first (module; nothing without a plan).

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -584,7 +584,7 @@
         return self._grow(now, function, count)
 
     def _grow(self, now: float, function: Function, count: int) -> Decision | None:
-        worker, room = self._placement.host(now, function, self.workers)
+        worker, room = self._planned_host(now, function) or self._placement.host(now, function, self.workers)
         if worker is None or count >= self._queues.limit(now, function, room) or (
                 (copy := self._copies.at(function, worker)).order):
             return None
@@ -600,6 +600,17 @@
             self._copies.forget(copy)
         return order
 
+    def _planned_host(self, now: float, function: Function) -> tuple[Worker, bool] | None:
+        """Lag says that a copy is needed; a plan, while it has places left, where.  Guards against every
+        dispatcher's loading copies of its own after a release, where a few serve all."""
+        if function.planned:
+            for copy in function.copies.values():
+                if copy.standing < copy.wanted and not copy.order and now >= copy.barred_until and (
+                        now >= copy.worker.crammed_until) and (
+                        self._health.usable(now, copy.worker, function.type)):
+                    return copy.worker, True
+        return None
+
     def _order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
         copy.order = copy.ordered = self._gate.order(now, copy, count, spare)
         copy.worker.loading += copy.order is not None
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -33,6 +33,7 @@
 
 OUTCOMES = {"completed": Outcome.COMPLETED, "error": Outcome.ERROR, "full": Outcome.FULL, "miss": Outcome.MISS}
 MAY_HAVE_RUN = b'{"error":"The activation was aborted: it may have run, so trying again may repeat its effect."}'
+MOST_MARGIN = 0.25  # of a call's time: at the most so much earlier it is given up
 CUT_OFF = b'{"error":"The activation was aborted in the middle of its stream; what was given stands."}'
 NEVER_RAN = b'{"error":"The activation was aborted before any run of it began."}'
 
@@ -149,6 +150,7 @@
         place = world.deployment.dispatcher
         self._world, self._boot, self._number = world, boot, 0
         self._margin_ms = place.answer_margin_ms
+        self.answer_ms = 0.0  # what answering one call takes the host; kept by it
         self._dispatcher = world.dispatcher
         self._ivks: dict[Activation, Ivk] = {}
         self._owed: deque[EffectOut] = deque()
@@ -195,8 +197,11 @@
         id_ = f"{self._boot}{self._number:016x}"
         record = Record(id_, namespace, action.path, action.type, settings.effect, wall, now,
                         min(settings.timeout_ms, limit_ms), trace)
+        # Guards against a herd of calls that came at one moment and must all be answered at one: so many answers take
+        # their time, and the last of them would be late.
+        margin = min(MOST_MARGIN * record.timeout_ms, self._margin_ms + self.answer_ms * len(self._ivks))
         act = Activation(id_, self._world.types[action.type], self._world.function(action.path),
-                         self._world.customers[namespace], now, now + record.timeout_ms - self._margin_ms,
+                         self._world.customers[namespace], now, now + record.timeout_ms - max(self._margin_ms, margin),
                          marked=key is not None)
         mark = f"{namespace}/{action.path}/{key}" if key is not None else id_
         kept = self.journal is not None and self.journal.takes() and (deferred or key is not None)
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -33,6 +33,7 @@
 from .sight import LinkSight
 
 BEHIND_MS = 50.0  # a timer that rings so late is told of: the loop has too much to do
+MOST_ANSWER_MS = 2.0  # what one answer may be taken to cost: a stall is not the answers'
 GIVEN_UP = {"revoked": Outcome.REVOKED, "silent": Outcome.SILENT, "order-time": Outcome.SILENT,
             "malformed": Outcome.BROKEN}
 ENDED = {Ending.UNREACHABLE: Outcome.UNREACHABLE, Ending.UNSENT: Outcome.UNSENT,
@@ -172,13 +173,14 @@
         if self._stirring:
             return
         self._stirring, self._soon = True, False
-        now = now_ms()
+        now, finals = now_ms(), 0
         try:
             while (effect := self.gateway.effect(now)) is not None:
                 if isinstance(effect, StartSend):
                     self._start(effect.ivk, effect.send)
                 elif isinstance(effect, Final):
                     self._final(effect.ivk)
+                    finals += 1
                 elif isinstance(effect, Part):
                     if effect.ivk.on_part is not None:
                         effect.ivk.on_part(effect.data)
@@ -198,6 +200,9 @@
             for after in ready:
                 after()
         done = now_ms()
+        if finals:  # writing it out costs about as much again, on the loop
+            took = min(MOST_ANSWER_MS, 2 * (done - now) / finals)
+            self.gateway.answer_ms += 0.02 * (took - self.gateway.answer_ms)
         if done - now > BEHIND_MS:
             self._log.warning("long-decision", ms=round(done - now), in_hand=self.gateway.in_hand)
         due = self.gateway.next_due()
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -93,6 +93,7 @@
         self.journal = Journal(site.deployment.journal.most_waiting) if site.deployment.journal.keep else None
         world = World(site.deployment, self._hall, zlib.crc32(self.boot.encode()))
         self.gateway = Gateway(world, self.boot, self.journal)
+        self.gateway.answer_ms = 2 * self._settings.cpu_ms
         self._busy, self._wake, self._wake_at, self._stirring = 0.0, None, float("inf"), False
         self._orders: dict[Order, Timer] = {}
         self._open: dict[Send, None] = {}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -166,3 +166,17 @@
     assert holdings.refusal("one", 10) is None and holdings.bytes == 30
     with pytest.raises(ValueError, match="three"):
         holdings.give("three", 1)
+
+
+def test_calls_that_came_at_one_moment_are_given_up_in_time_to_answer_them_all() -> None:
+    """Guards against a herd of deadlines: two thousand calls taken within 100 ms by a dispatcher that had just come
+    back were answered up to 140 ms late."""
+    gateway = Gateway(World(parse(DEPLOYMENT, "t"), "a", 1), "b" * 16)
+    action = gateway._world.deployment.actions["p/check"]
+    plain = [gateway.take(0.0, 0.0, "one", action, b"{}").act.deadline for _ in range(20)]
+    assert set(plain) == {800.0}, "900 less the margin"
+    gateway.answer_ms = 0.5
+    herd = [gateway.take(0.0, 0.0, "one", action, b"{}").act.deadline for _ in range(1000)]
+    assert herd[0] == 790.0 and herd == sorted(herd, reverse=True)
+    assert herd[200] == 900 - 100 - 0.5 * 220, "so much earlier that those before it can be answered"
+    assert herd[-1] == 900 - 0.25 * 900, "at the most a quarter of its time"
