--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -280,6 +280,7 @@
                  capture: bool = False, shard: Shard | None = None) -> None:
         """`shard`: this process's part of a run over several."""
         part, self.shard = (shard.number, shard.of) if shard is not None else (0, 1), shard
+        self._seed = seed
         self._part, self._mark = part, f"{part[0]}-" if part[1] > 1 else ""
         self.day, self.deployment, self.settings = day, deployment, settings or LabSettings()
         self.engine = Engine()
@@ -381,14 +382,16 @@
         else:
             weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
         odds = np.cumsum(weights / weights.sum())
-        drawn = Arrivals(load, self._clients, self._part)
+        # A stream of its own: variants of an experiment meet the same arrivals, whatever their clients do.
+        chance = np.random.default_rng([self._seed, 13, self.day.load.index(load), self._part[0]])
+        drawn = Arrivals(load, chance, self._part)
 
         def draw(at: float) -> None:
             span = min(1.0, end - at)
             if span <= 0:
                 return
             found = drawn.draw(at, span)
-            picks = np.searchsorted(odds, self._clients.random(len(found)))
+            picks = np.searchsorted(odds, chance.random(len(found)))
             for (when, named), pick in zip(found, picks, strict=True):
                 self.engine.at(self.start + when * 1000, self._wish, by_path.get(named) or actions[int(pick)], load)
             self.engine.at(self.start + (at + span) * 1000, draw, at + span)
