Read over: each planner hears all of the demand; one way to read files, one popularity

Cause: an edge shared its counts out among the planners that were ready at one moment, so of two that are told at different moments each heard a part of the demand. Three copies of how popular actions are, three of how a faulty file is told, two of which workers a planner may use; the lab took settings from the planner's driver; fields that nothing read.

Change: each link counts for itself; popularity() beside the arrivals; planner/build.py; the command line reads files in one place.

--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -25,9 +25,8 @@
     return uvloop.run(main)
 
 
-def _settings(file: str) -> Any:
-    """A deployment, or exit 2 with every fault on standard error."""
-    from kelptrail.settings.deployment import load
+def _read(load: Callable[[str], Any], file: str) -> Any:
+    """What a file holds, or exit 2 with every fault on standard error."""
     from kelptrail.settings.reader import SettingsError
 
     try:
@@ -36,10 +35,21 @@
         for fault in cause.faults:
             click.echo(str(fault), err=True)
         click.echo(f"{len(cause.faults)} faults", err=True)
-        sys.exit(UNUSABLE)
     except OSError as cause:
         click.echo(f"{file}: {cause.strerror}", err=True)
-        sys.exit(UNUSABLE)
+    sys.exit(UNUSABLE)
+
+
+def _settings(file: str) -> Any:
+    from kelptrail.settings.deployment import load
+
+    return _read(load, file)
+
+
+def _script(script: str) -> Any:
+    from kelptrail.badday.script import load
+
+    return _read(load, script)
 
 
 def _say(**fields: Any) -> None:
@@ -509,17 +519,8 @@
     from kelptrail.lab.experiment import load
     from kelptrail.lab.experiment import run as run_all
     from kelptrail.lab.results import read
-    from kelptrail.settings.reader import SettingsError
 
-    try:
-        count = sum(1 for _ in load(experiment).runs())
-    except SettingsError as cause:
-        for fault in cause.faults:
-            click.echo(str(fault), err=True)
-        sys.exit(UNUSABLE)
-    except OSError as cause:
-        click.echo(f"{experiment}: {cause.strerror}", err=True)
-        sys.exit(UNUSABLE)
+    count = sum(1 for _ in _read(load, experiment).runs())
     with click.progressbar(length=count, label="runs", file=sys.stderr) as bar:
         runs = run_all(experiment, out, processes, lambda _row: bar.update(1))
     file = report(out, runs, read(out, "seconds"), read(out, "spread"))
@@ -602,22 +603,6 @@
     _run(go())
 
 
-def _script(script: str) -> Any:
-    """A bad day's script, or its faults and the exit code for them."""
-    from kelptrail.badday.script import load
-    from kelptrail.settings.reader import SettingsError
-
-    try:
-        return load(script)
-    except SettingsError as cause:
-        for fault in cause.faults:
-            click.echo(str(fault), err=True)
-        sys.exit(UNUSABLE)
-    except OSError as cause:
-        click.echo(f"{script}: {cause.strerror}", err=True)
-        sys.exit(UNUSABLE)
-
-
 @main.group()
 def keys() -> None:
     """A private authority of one's own: certificates for fronts, workers and clients; keys for namespaces."""
--- a/kelptrail/lab/planned.py
+++ b/kelptrail/lab/planned.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any
 
+from kelptrail.planner.build import hosts_of, models_of, settings_of
 from kelptrail.planner.channel import Led
 from kelptrail.planner.core import Planner, Problem, Role
 from kelptrail.planner.follow import Follower
-from kelptrail.planner.place import Host, greedy, solve
+from kelptrail.planner.place import greedy, solve
 from kelptrail.planner.plan import FORMAT, Order, Packet, Plan
-from kelptrail.planner.serve import models_of, settings_of
 from kelptrail.roster.members import Listing
 
 if TYPE_CHECKING:
@@ -47,10 +47,8 @@
 
     def listed(self, listing: Listing) -> None:
         """A new list."""
-        fleet, rules = self._site.deployment.fleet, self._site.deployment.rules
-        self.core.listed(self._site.engine.now, [
-            Host(w.id, fleet.memory_mb, fleet.cores * w.size, w.age_ms < rules.cold_ms) for w in listing.workers
-            if w.state == "live"], (listing.lineage, listing.version))
+        self.core.listed(self._site.engine.now, hosts_of(self._site.deployment, listing),
+                         (listing.lineage, listing.version))
 
     def _tick(self, start: int) -> None:
         if start != self._starts or not self.up:
@@ -73,7 +71,7 @@
     def _send(self) -> None:
         now, net = self._site.engine.now, self._site.settings.network_ms
         by_name = {d.name: d for d in self._site.own}
-        for edge, plan, _ in self.core.plans(now):
+        for edge, plan in self.core.plans(now):
             if (side := by_name[edge].edge) is not None:
                 self._site.engine.after(net, side.offered, self, plan, self.core.age_ms(now))
 
--- a/kelptrail/lab/results.py
+++ b/kelptrail/lab/results.py
@@ -74,7 +74,7 @@
         row = row + 1 if second.in_time >= 0.95 * fresh else 0
         if row == RUN_SECONDS:
             return max(0.0, number - RUN_SECONDS + 1 - trouble_ends)
-    return length - trouble_ends
+    return max(0.0, length - trouble_ends)
 
 
 def rows_of(who: dict[str, Any], length: float, result: Result) -> Rows:
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -22,7 +22,7 @@
 from kelptrail.gateway.core import Final, Gateway, GiveUp, Ivk, PlaceOrder, StartSend
 from kelptrail.gateway.records import Record
 from kelptrail.gateway.storm import Stage as Calm
-from kelptrail.load.arrivals import Arrivals
+from kelptrail.load.arrivals import Arrivals, popularity
 from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.load.plan import Load
 from kelptrail.roster.members import Listing
@@ -377,11 +377,7 @@
         end = min(self.day.seconds, load.at + load.last)
         actions = list(self.deployment.actions.values())
         by_path = {a.path: a for a in actions}
-        if load.action:
-            weights = np.array([float(a.path == load.action) for a in actions])
-        else:
-            weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
-        odds = np.cumsum(weights / weights.sum())
+        odds = np.cumsum(popularity(list(by_path), load))
         # A stream of its own: variants of an experiment meet the same arrivals, whatever their clients do.
         chance = np.random.default_rng([self._seed, 13, self.day.load.index(load), self._part[0]])
         drawn = Arrivals(load, chance, self._part)
--- a/kelptrail/load/arrivals.py
+++ b/kelptrail/load/arrivals.py
@@ -56,6 +56,16 @@
     return Trace(np.array(times), actions, max(times[-1] * (1 + 1 / len(times)), 1e-3))
 
 
+def popularity(paths: list[str], load: Load) -> np.ndarray:
+    """The share of each action: the one that the load names, or by rank (Zipf)."""
+    if load.action:
+        weights = np.array([float(path == load.action) for path in paths])
+    else:
+        weights = 1.0 / np.arange(1, len(paths) + 1) ** load.zipf
+    shares: np.ndarray = weights / weights.sum()
+    return shares
+
+
 class Arrivals:
     """One load's arrivals; `part` n of m of them, for a load that several processes play together."""
 
--- a/kelptrail/load/hand.py
+++ b/kelptrail/load/hand.py
@@ -25,7 +25,7 @@
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
 
-from .arrivals import Arrivals
+from .arrivals import Arrivals, popularity
 from .habits import Habits, Heard, again, habits_of
 from .plan import Load
 
@@ -118,11 +118,7 @@
         end = min(self._day.seconds, load.at + load.last)
         actions = list(self._deployment.actions.values())
         by_path = {a.path: a for a in actions}
-        if load.action:
-            weights = np.array([float(a.path == load.action) for a in actions])
-        else:
-            weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
-        odds = np.cumsum(weights / weights.sum())
+        odds = np.cumsum(popularity(list(by_path), load))
 
         def pick() -> ActionSettings:
             return actions[int(np.searchsorted(odds, self._chance.random()))]
--- a/kelptrail/planner/channel.py
+++ b/kelptrail/planner/channel.py
@@ -113,6 +113,7 @@
                  report_ms: float = 1000.0) -> None:
         self._follower, self._led, self._report_ms = follower, led, report_ms
         self.out: list[bytes] = [frame(Hello(VERSION, who, lineage, follower.fence))]
+        self._counts: dict[str, Tally] = {}  # since the last report on this connection
         self._told: Wants | None = None  # copies as the planner knows them; None: nothing yet
         self._next = now
         self.heard = now
@@ -151,7 +152,13 @@
         """Whether a report may go."""
         return now >= self._next
 
-    def report(self, now: float, tallies: dict[str, Tally], standing: Wants) -> None:
+    def counted(self, tallies: dict[str, Tally]) -> None:
+        """What was asked of functions; it goes with the next report.  Each link counts for itself: planners that are
+        told at different moments must each hear all of it."""
+        for model, tally in tallies.items():
+            self._counts[model] = self._counts.get(model, Tally()).plus(tally)
+
+    def report(self, now: float, standing: Wants) -> None:
         """Put a report into the output."""
         self._next = now + self._report_ms
         before = self._told
@@ -159,7 +166,8 @@
             m: changes for m in before.keys() | standing.keys()
             if (changes := _moved(before.get(m, {}), standing.get(m, {})))}
         self._told = standing
-        self.out.append(frame(Report(self._follower.fence, self._led.quiet_ms(now), tallies, moved, before is None)))
+        counts, self._counts = self._counts, {}
+        self.out.append(frame(Report(self._follower.fence, self._led.quiet_ms(now), counts, moved, before is None)))
 
 
 def _moved(before: dict[str, int], after: dict[str, int]) -> dict[str, int]:
--- a/kelptrail/planner/core.py
+++ b/kelptrail/planner/core.py
@@ -71,8 +71,6 @@
     heard: float
     order: Order = FIRST  # the latest plan that it has seen
     quiet_ms: float = 0.0  # how long it has heard no planner that acts
-    sent: Plan | None = None  # the last plan sent to it, that it did not refuse
-    wants_whole: bool = True
 
 
 @dataclass(slots=True)
@@ -143,7 +141,7 @@
         mine = self.edges.get(edge)
         if mine is None:
             return
-        mine.sent, mine.order = None, max(mine.order, order)
+        mine.order = max(mine.order, order)
         self._fenced(now, order)
         if reason == "workers":
             self._next = min(self._next, now + 500)
@@ -204,23 +202,21 @@
         budget = max(self._settings.moves_least, int(coming * self._settings.moves_share))
         return Problem(self._out, self.hosts, needs, budget, self.roster)
 
-    def plans(self, now: float) -> list[tuple[str, Plan, Plan | None]]:
-        """Plans to send: for each edge what concerns it, and the one before if a delta from it will do."""
+    def plans(self, now: float) -> list[tuple[str, Plan]]:
+        """Plans to send: for each edge what concerns it."""
         if self.role is not Role.ACTING or not self._dirty or not self._number:
             return []
         dirty, self._dirty = sorted(self._dirty), set()
         out = []
         for name in dirty:
-            edge = self.edges.get(name)
-            if edge is None:
+            if name not in self.edges:
                 continue
             asks = self.demand.asks(now, name, self._settings.asks_ms)
             wants = {m: at for m, at in self.wants.items() if m in asks}
             self._number += 1
             plan = make(self._settings.lineage, (self.epoch, self.name, self._number), self._settings.valid_ms,
                         self.roster, wants)
-            out.append((name, plan, edge.sent))
-            edge.sent = plan
+            out.append((name, plan))
         return out
 
     def age_ms(self, now: float) -> float:
@@ -240,8 +236,6 @@
         if role is Role.ACTING:
             self.epoch = 1 + max([self.epoch, *(e.order[0] for e in self.edges.values())])
             self._number, self._next, self._out = 0, now, None
-            for edge in self.edges.values():
-                edge.sent = None
         else:
             self._dirty.clear()
 
--- a/kelptrail/planner/demand.py
+++ b/kelptrail/planner/demand.py
@@ -21,6 +21,11 @@
     lag: int = 0
     work_ms: float = 0.0
 
+    def plus(self, later: Tally) -> Tally:
+        """Both together; the lag is the later one's."""
+        return Tally(self.taken + later.taken, self.completed + later.completed, self.rejected + later.rejected,
+                     self.missed + later.missed, self.late + later.late, later.lag, self.work_ms + later.work_ms)
+
 
 @dataclass(slots=True)
 class Asked:
@@ -52,13 +57,7 @@
         asked = self.edges.setdefault(edge, {})
         for model, tally in tallies.items():
             mine = self.functions.setdefault(model, Asked())
-            before = mine.now.get(edge)
-            if before is None:
-                mine.now[edge] = tally
-            else:
-                mine.now[edge] = Tally(before.taken + tally.taken, before.completed + tally.completed,
-                                       before.rejected + tally.rejected, before.missed + tally.missed,
-                                       before.late + tally.late, tally.lag, before.work_ms + tally.work_ms)
+            mine.now[edge] = mine.now.get(edge, Tally()).plus(tally)
             if tally.taken:
                 asked[model] = now
 
--- a/kelptrail/planner/edge.py
+++ b/kelptrail/planner/edge.py
@@ -50,7 +50,6 @@
         self._links: dict[EdgeLink, socket.socket] = {}
         self._applied: Order | None = None  # the plan that the core was told of
         self._saved: Order = FIRST
-        self._pending: dict[str, Any] = {}
         self.bytes_in = self.bytes_out = self.reconnects = 0
 
     @property
@@ -107,22 +106,16 @@
             self._stir()
 
     def report(self) -> None:
-        """Background work: what was asked since the last time, to whoever listens; else it adds up."""
+        """Background work: what was asked since the last time, to each planner that listens and is ready for more."""
         now = now_ms()
         self.apply()  # it may have run out
-        for model, tally in self._gateway.tallies().items():
-            before = self._pending.get(model)
-            if before is not None:
-                for name in ("taken", "completed", "rejected", "missed", "late", "work_ms"):
-                    setattr(tally, name, getattr(tally, name) + getattr(before, name))
-            self._pending[model] = tally
+        tallies = self._gateway.tallies()
+        for link in self._links:
+            link.counted(tallies)
         ready = [link for link in self._links if link.due(now) and not link.out and not link.writing]
-        if not ready:
-            return
-        standing = self._gateway.standing()
-        pending, self._pending = self._pending, {}
+        standing = self._gateway.standing() if ready else {}
         for link in ready:
-            link.report(now, pending, standing)
+            link.report(now, standing)
             self._write(link)
 
     def save(self) -> None:
--- a/kelptrail/planner/serve.py
+++ b/kelptrail/planner/serve.py
@@ -28,8 +28,9 @@
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import Deployment
 
+from .build import hosts_of, models_of, settings_of
 from .channel import Beat, ChannelError, FrameReader, Hello, PlannerLink, Reply, Report, frame
-from .core import Model, Planner, PlannerSettings, Role
+from .core import Planner, Role
 from .place import Host, Placed, greedy, solve
 from .plan import Wants
 
@@ -64,19 +65,6 @@
 _decode = msgspec.msgpack.Decoder(Snapshot).decode
 
 
-def settings_of(deployment: Deployment) -> PlannerSettings:
-    """A deployment's planner settings."""
-    plan = deployment.planner
-    return PlannerSettings(deployment.name, plan.every_ms, plan.valid_ms, plan.lease_ms, plan.down_ms, plan.moves_share,
-                           plan.moves_least)
-
-
-def models_of(deployment: Deployment) -> dict[str, Model]:
-    """What the settings say of functions."""
-    return {a.model: Model(a.memory_mb, a.lanes, a.load_ms, deployment.types[a.type].utility)
-            for a in deployment.actions.values()}
-
-
 def solve_one(solver: str, slow_ms: float, hosts: list[Host], needs: Any, budget: int) -> Placed:
     """In the solver's process."""
     if slow_ms:
@@ -164,7 +152,7 @@
         """Plans to links, links' output to sockets, problems to the solver."""
         now = now_ms()
         by_name = {link.edge: link for link in self._links}
-        for edge, plan, _ in self.core.plans(now):
+        for edge, plan in self.core.plans(now):
             if (link := by_name.get(edge)) is not None:
                 link.offer(plan, now - self.core.age_ms(now))
         for link in self._links:
@@ -229,10 +217,7 @@
 
     def listed(self, listing: Listing) -> None:
         """A new worker list."""
-        fleet, rules = self._deployment.fleet, self._deployment.rules
-        hosts = [Host(w.id, fleet.memory_mb, fleet.cores * w.size, w.age_ms < rules.cold_ms) for w in listing.workers
-                 if w.state == "live"]
-        self.core.listed(now_ms(), hosts, (listing.lineage, listing.version))
+        self.core.listed(now_ms(), hosts_of(self._deployment, listing), (listing.lineage, listing.version))
         self.background.want("tick")
 
     def beat(self) -> None:
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -21,7 +21,7 @@
 from kelptrail.front.inference import inference_pb2 as pb
 from kelptrail.front.inference.api import SERVICE
 from kelptrail.gateway.clock import now_ms
-from kelptrail.load.arrivals import Arrivals
+from kelptrail.load.arrivals import Arrivals, popularity
 from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.load.plan import Load
 from kelptrail.net.grpc_client import Ended, GrpcClient
@@ -82,12 +82,8 @@
         """A load's arrivals (seconds) with the action of each, popular ones first by rank."""
         actions = list(self._deployment.actions.values())
         by_path = {a.path: a for a in actions}
-        if load.action:
-            weights = np.array([float(a.path == load.action) for a in actions])
-        else:
-            weights = 1.0 / np.arange(1, len(actions) + 1) ** load.zipf
         drawn = Arrivals(load, self._chance, self._part).draw(load.at, max(0.0, end - load.at))
-        picks = self._chance.choice(len(actions), len(drawn), p=weights / weights.sum())
+        picks = self._chance.choice(len(actions), len(drawn), p=popularity(list(by_path), load))
         return [(t, by_path.get(named) or actions[int(n)]) for (t, named), n in zip(drawn, picks, strict=True)]
 
     def wish(self, action: ActionSettings, deferred: float, heed: float, retries: int, grpc: float = 0.0,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -255,7 +255,7 @@
                 planner.tick(now, 8)
                 if (problem := planner.problem(now, 8)) is not None:
                     planner.solved(now, problem.number, greedy(problem.hosts, problem.needs, problem.budget))
-                for edge, plan, _ in planner.plans(now):
+                for edge, plan in planner.plans(now):
                     for _ in range(1 + (chance.random() < 0.1)):
                         mail.append((now + chance.choice([0, 100, 100, 3000]), edge, plan))
                 if planner.role is Role.ACTING:
@@ -325,10 +325,12 @@
     assert follower.fence == (1, "p", 5) and follower.wants(2.0) == {"m": {"w5": 1}}, "the ones between were left out"
     assert follower.taken == 2 and told.quiet_ms(2.0) == 0.0
     for standing in ({"a": {"w1": 2}}, {"a": {"w1": 1}, "b": {"w2": 1}}, {"b": {"w2": 1}}):
-        edge.report(3.0, {"a": Tally(1)}, standing)
+        edge.counted({"a": Tally(1, 1, 0, 0, 0, 4, 5.0)})
+        edge.counted({"a": Tally(2, 1, 0, 0, 0, 2, 5.0)})
+        edge.report(3.0, standing)
         edge.out, sent = [], list(edge.out)
-        for message in back.feed(b"".join(sent)):
-            link.received(message)
+        heard = [link.received(message) for message in back.feed(b"".join(sent))][-1]
+        assert isinstance(heard, Report) and heard.tallies == {"a": Tally(3, 2, 0, 0, 0, 2, 10.0)}
         joined = {m: kept for m, at in link.standing.items() if (kept := {w: n for w, n in at.items() if n})}
         assert joined == standing
     assert not edge.due(3.5) and edge.due(1003.0)
@@ -453,3 +455,20 @@
                 outcome = chance.choice([Outcome.COMPLETED] * 5 + [Outcome.MISS, Outcome.FULL])
                 dispatcher.answered(now, decision, outcome, outcome is Outcome.COMPLETED, False, True, 0, None)
     assert placed
+
+
+def test_planners_that_are_told_at_different_moments_each_hear_all() -> None:
+    """Guards against a demand that is shared out among the planners that listen."""
+    follower, led = Follower("here"), Led(0.0)
+    links = [EdgeLink("e", "here", follower, led, start, 1000.0) for start in (0.0, 500.0)]
+    heard = [0, 0]
+    readers = [FrameReader(), FrameReader()]
+    for step in range(41):
+        for number, (link, reader) in enumerate(zip(links, readers, strict=True)):
+            link.counted({"m": Tally(1)})
+            if link.due(step * 250.0):
+                link.report(step * 250.0, {})
+            for message in reader.feed(b"".join(link.out)):
+                heard[number] += message.tallies["m"].taken if isinstance(message, Report) else 0
+            link.out.clear()
+    assert heard[0] == 41 and heard[1] == 39, "all but what came since the last report"
