--- /dev/null
+++ b/kelptrail/codec/feed.py
@@ -0,0 +1,99 @@
+"""The numbered events of the platform's worker list, as frames and as JSON; free of I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from struct import Struct
+from typing import Any
+
+NOTHING, WHOLE, CHANGES = 0, 1, 2
+_HEAD = Struct(">IQB")
+_RECORD = Struct(">I4sHBBBHIQ")
+_STATES = {"in_service": 0, "terminating": 1, "terminated": 2}
+READY, DRAINING, GONE = 0, 1, 2
+
+
+class FeedError(ValueError):
+    """Bytes or JSON that are no event."""
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A worker as an event tells of it; `started` is a Unix millisecond, 0 for long ago."""
+
+    id: str
+    address: str
+    port: int
+    state: int
+    zone: int
+    kind: int
+    cell: int
+    size: float
+    started: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event: its number, and the whole list or what changed; None where there is nothing new."""
+
+    number: int
+    whole: bool
+    records: list[Record] | None
+
+
+class FeedReader:
+    """Takes in bytes as they come; hands out whole events."""
+
+    def __init__(self, zones: int, kinds: int, most: int = 4 << 20) -> None:
+        self._zones, self._kinds, self._most, self._buffer = zones, kinds, most, bytearray()
+
+    def feed(self, data: memoryview | bytes) -> None:
+        """Take in bytes."""
+        self._buffer += data
+
+    def next(self) -> Event | None:
+        """The next whole event, or None.  Raises `FeedError`."""
+        buffer = self._buffer
+        if len(buffer) < 4:
+            return None
+        length = int.from_bytes(buffer[:4], "big")
+        if not 9 <= length <= self._most:
+            raise FeedError(f"an event of length {length}")
+        if len(buffer) < 4 + length:
+            return None
+        _, number, kind = _HEAD.unpack_from(buffer)
+        payload = bytes(buffer[_HEAD.size:4 + length])
+        del buffer[:4 + length]
+        if kind > CHANGES or len(payload) % _RECORD.size or (kind == NOTHING and payload):
+            raise FeedError(f"an event of kind {kind} with {len(payload)} bytes")
+        return Event(number, kind == WHOLE, None if kind == NOTHING else list(self._records(payload)))
+
+    def _records(self, payload: bytes) -> Iterator[Record]:
+        for id_, address, port, state, zone, kind, cell, weight, started in _RECORD.iter_unpack(payload):
+            if state > GONE or zone >= self._zones or kind >= self._kinds or not (weight or state):
+                raise FeedError("a record out of range")
+            yield Record(f"s-{id_:08x}", ".".join(map(str, address)), port, state, zone, kind, cell, weight / 1000,
+                         started)
+
+
+def read_known(known: dict[str, Any], zones: list[str], kinds: list[str]) -> list[Event]:
+    """The events that a configuration holds.  Raises `FeedError`."""
+    out = []
+    try:
+        for entry in known["entries"]:
+            records = []
+            for at in entry["hosts"]["targets"]:
+                address, _, port = at["endpoint"].rpartition(":")
+                records.append(Record(at["uid"], address, int(port), _STATES[at["state"]], zones.index(at["az"]),
+                                      kinds.index(at["model"]), int(at["pod_group"]), float(at["capacity_hint"]),
+                                      int(at["boot_ms"] or 0)))
+            out.append(Event(int(entry["pos"]), bool(entry["hosts"]["all"]), records))
+    except (KeyError, ValueError, TypeError, AttributeError) as cause:
+        raise FeedError(f"known events that cannot be read: {type(cause).__name__}: {cause}") from None
+    return out
+
+
+def ask(number: int) -> bytes:
+    """What asks for all events after this one."""
+    return number.to_bytes(8, "big")
--- a/kelptrail/drill/__main__.py
+++ b/kelptrail/drill/__main__.py
@@ -8,17 +8,18 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from kelptrail.drill.host import Fields, Host, MalformedError
+from kelptrail.drill.instance import Fields, Instance
+from kelptrail.host.host import MalformedError
 
-CALLS: dict[str, Callable[[Host, float, Fields], None]] = {
-    "Req": Host.taken,
-    "Answer": Host.answered,
-    "Aborted": Host.left,
-    "First": Host.begun,
-    "ReadyThere": Host.told,
-    "DeadlineHit": Host.timer,
-    "Echo": Host.probed,
-    "Heard": Host.probed,
+CALLS: dict[str, Callable[[Instance, float, Fields], None]] = {
+    "Req": Instance.taken,
+    "Answer": Instance.answered,
+    "Aborted": Instance.left,
+    "First": Instance.begun,
+    "ReadyThere": Instance.told,
+    "DeadlineHit": Instance.timer,
+    "Echo": Instance.probed,
+    "Heard": Instance.probed,
 }
 
 
@@ -26,7 +27,7 @@
     """All instances of this process, and the lists that travelled to it."""
 
     def __init__(self) -> None:
-        self._hosts: dict[str, Host] = {}
+        self._hosts: dict[str, Instance] = {}
         self._tables: dict[int, list[Fields]] = {}
 
     def reply(self, line: str) -> dict[str, Any]:
@@ -42,7 +43,7 @@
                 continue
             name = fields["i"]
             if kind == "Hello":
-                self._hosts[name] = Host(name, fields["nonce64"], fields["env"])
+                self._hosts[name] = Instance(name, fields["nonce64"], fields["env"])
             elif kind == "Exit":
                 self._hosts.pop(name, None)
                 touched.pop(name, None)
--- /dev/null
+++ b/kelptrail/host/host.py
@@ -0,0 +1,168 @@
+"""Hosts one dispatcher: builds it from the settings object and turns ids into objects and back.
+
+Both doors use it: the simulator's (`kelptrail/drill`) and the platform's (`kelptrail/platform`).  Nothing is chosen
+here.  Times are milliseconds with fractions on whatever clock the door keeps; the settings object has microseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from kelptrail.dispatch.agenda import Agenda
+from kelptrail.dispatch.rules import Copies, Decision, Dispatcher, Gate, Health, Placement, Queues
+from kelptrail.dispatch.terms import (
+    Activation,
+    Customer,
+    Effect,
+    Function,
+    NamespaceType,
+    Order,
+    Outcome,
+    Send,
+    State,
+    Worker,
+)
+
+EFFECTS = {"free": Effect.REPEATABLE, "guarded": Effect.DEDUPLICATED, "single_shot": Effect.ONCE_ONLY}
+REPORTED = {"cpu": "util"}
+
+
+class MalformedError(Exception):
+    """Input that is not of the protocol, or settings that cannot be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of a worker list; `started` on the door's clock, None for long ago."""
+
+    id: str
+    zone: int
+    kind: int
+    cell: int
+    state: State
+    size: float
+    started: float | None
+
+
+class Host:
+    """One dispatcher, apart from all others, and the objects behind the ids it is told of."""
+
+    def __init__(self, seed: int, settings: Mapping[str, Any]) -> None:
+        rules, bounds, extras = settings["rules"], settings["bounds"], settings["specifics"]
+        self.types = [
+            NamespaceType(
+                c["name"],
+                EFFECTS[c["effect"]],
+                c["aim_us"] / 1000,
+                c["gain"],
+                c["late_worth"],
+                c.get("key_scope") or "all",
+                (c.get("window_us") or 0) / 1000,
+            )
+            for c in settings["classes"]
+        ]
+        self.customers = [Customer(c["name"], c["allowance_per_s"]) for c in settings.get("customers") or []]
+        self.fields = [REPORTED.get(name, name) for name in settings["report"]["fields"]]
+        self.tells_warm = bool(extras["says_warm"])
+        agenda = Agenda()
+        gate = Gate(
+            seed=seed,
+            parallel=bounds["parallel_tries"],
+            most_sends=bounds["max_attempts"],
+            tip=rules["tip_multiple"],
+            tip_ms=rules["fall_us"] / 1000,
+            cold_share=rules["start_capacity"],
+            cold_ms=rules["cold_us"] / 1000,
+            ration=(
+                extras["load_control"],
+                extras["free_loads"],
+                extras["load_share"],
+                extras["load_span_us"] / 1000,
+            ),
+        )
+        health = Health()
+        self._dispatcher = Dispatcher(
+            gate,
+            health,
+            Placement(gate, health, settings["my_zone"], seed),
+            Copies(agenda, extras["idle_life_us"] / 1000),
+            Queues(seed, self.types, self.customers),
+            agenda,
+            bounds["may_cancel"],
+            bounds["max_retry_after_us"] / 1000 if bounds["retry_after"] else 0.0,
+        )
+        self.beat_ms = self._dispatcher.beat_ms
+        self.next_due = agenda.next_due
+        self.workers: dict[str, Worker] = {}
+        self.functions: dict[str, Function] = {}
+        self.acts: dict[str, Activation] = {}
+
+    def taken(self, now: float, id_: str, type_: NamespaceType, customer: Customer | None, function_id: str,
+              left_ms: float, memory_mb: float, lanes: int, load_ms: float | None,
+              effort_ms: float | None) -> Activation:
+        """An activation that is owed a final answer within `left_ms`."""
+        function = self.functions.get(function_id)
+        if function is None:
+            function = self.functions[function_id] = Function(
+                function_id, type_, memory_mb, max(1, lanes), load_ms or 0.0)
+        act = Activation(id_, type_, function, customer, now, now + left_ms, effort_ms)
+        self.acts[id_] = act
+        self._dispatcher.taken(now, act)
+        return act
+
+    def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool = False,
+                 warm: bool | None = None, company: int = 0, report: Sequence[float] | None = None) -> None:
+        """How a send ended; `report` in the order of the settings' fields."""
+        told = dict(zip(self.fields, report, strict=True)) if report else None
+        self._dispatcher.answered(now, send, outcome, over, load_failed, warm if self.tells_warm else None,
+                                  company, told)
+        self.settle(send.act)
+
+    def left(self, act: Activation) -> None:
+        """Nobody waits for it any more."""
+        self._dispatcher.left(act)
+        self.settle(act)
+
+    def told(self, now: float, order: Order, outcome: Outcome, standing: int) -> None:
+        """How a hold order ended, and how many copies stand."""
+        self._dispatcher.told(now, order, outcome, standing)
+
+    def listed(self, now: float, whole: bool, entries: Iterable[Entry]) -> list[Worker]:
+        """A list or what changed of it; returns the workers that started anew under their id."""
+        entries = list(entries)
+        named = {entry.id for entry in entries}
+        restarted = []
+        for id_, worker in self.workers.items():
+            if whole and id_ not in named:
+                worker.state = State.GONE
+        for entry in entries:
+            worker = self.workers.get(entry.id)
+            if worker is None:
+                worker = self.workers[entry.id] = Worker(entry.id)
+            if entry.started != worker.started and entry.started is not None:
+                restarted.append(worker)
+            worker.zone, worker.cell, worker.kind = entry.zone, entry.cell, entry.kind
+            worker.size, worker.state, worker.started = entry.size, entry.state, entry.started
+        self._dispatcher.listed(now, list(self.workers.values()), restarted)
+        for id_ in [id_ for id_, worker in self.workers.items() if worker.gone and not worker.sends]:
+            del self.workers[id_]
+        return restarted
+
+    def beat(self, now: float) -> None:
+        """The periodic work, every `beat_ms`."""
+        if (stale := self._dispatcher.beat(now)) is not None:
+            del self.functions[stale.id]
+
+    def decide(self, now: float) -> Decision | None:
+        """The next decision of the moment, or None."""
+        decision = self._dispatcher.decide(now)
+        if isinstance(decision, Activation):
+            self.settle(decision)
+        return decision
+
+    def settle(self, act: Activation) -> None:
+        """Forget an activation once it is over and nothing of it is out."""
+        if act.verdict is not None and all(send.outcome is not None for send in act.sends):
+            self.acts.pop(act.id, None)
--- /dev/null
+++ b/kelptrail/platform/front.py
@@ -0,0 +1,268 @@
+"""The clients' side: connections, requests, answers.
+
+What cannot be read or used is answered with an error or a close at once and never becomes an activation.  A usual
+client closes what it no longer needs; descriptors and memory are kept for it by closing first what has said nothing,
+then what has idled longest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from kelptrail.codec import frames
+from kelptrail.codec.frames import FrameError, FrameReader
+from kelptrail.dispatch.terms import Activation, Customer, Effect, NamespaceType
+from kelptrail.net.door import Door
+from kelptrail.net.link import Link
+
+OPEN = 32  # requests that one connection may have open
+WAITING = 1 << 20  # bytes that a client may leave unread
+FIRST_MS = 2_000.0  # within which a connection's first frame, and every frame begun, has come whole
+IDLE_MS = 6_000.0  # a usual client closes sooner
+_HEX16 = re.compile(r"[0-9a-f]{16}")
+_KEY = re.compile(r"[0-9A-Za-z._:-]{1,64}")
+_FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
+
+
+class UnusableError(ValueError):
+    """A request that cannot be used."""
+
+
+class Request:
+    """A request that was taken, until its answer is given."""
+
+    __slots__ = ("act", "body", "client", "id", "key", "stream")
+
+    def __init__(self, client: Client, stream: int, id_: str, key: str, body: bytes) -> None:
+        self.client, self.stream, self.id, self.key, self.body = client, stream, id_, key, body
+        self.act: Activation | None = None
+
+
+class Asked:
+    """What a request says, checked."""
+
+    __slots__ = ("customer", "id", "item", "key", "lanes", "left_ms", "load_ms", "memory_mb", "type", "work_ms")
+
+    def __init__(self, told: dict[str, str], types: Mapping[str, NamespaceType], longest: Mapping[str, float],
+                 customers: Mapping[str, Customer], most_mb: float) -> None:
+        self.id, self.item, self.key = told.get("txn", ""), told.get("item", ""), told.get("unique", "")
+        if not _HEX16.fullmatch(self.id) or not _HEX16.fullmatch(self.item):
+            raise UnusableError("an id or a function that is none")
+        if (type_ := types.get(told.get("verb", ""))) is None:
+            raise UnusableError("an unknown class")
+        self.type, self.customer = type_, customers.get(told.get("team", ""))
+        if customers and self.customer is None:
+            raise UnusableError("an unknown tenant")
+        if (self.key and not _KEY.fullmatch(self.key)) or (
+                not self.key and type_.effect is Effect.DEDUPLICATED):
+            raise UnusableError("an idempotency key that is none")
+        self.left_ms = _figure(told.get("limit", ""), 1, longest[type_.name])
+        further = {}
+        for part in (told.get("info") or "").split(";"):
+            name, _, value = part.partition(":")
+            further[name] = value
+        self.memory_mb = _figure(further.get("memory_mb", ""), 1, most_mb)
+        self.lanes = int(_figure(further.get("lanes", ""), 1, 1024))
+        self.load_ms = _figure(further["load_ms"], 0, 1e7) if "load_ms" in further else None
+        self.work_ms = _figure(told["cpu"], 0, 1e9) if "cpu" in told else None
+
+
+def _figure(text: str, least: float, most: float) -> float:
+    if not _FIGURE.fullmatch(text) or not least <= (figure := float(text)) <= most:
+        raise UnusableError("a figure out of range")
+    return figure
+
+
+class Client:
+    """One client's connection."""
+
+    __slots__ = ("_front", "begun", "link", "open", "reader", "since")
+
+    def __init__(self, front: Front, sock: socket.socket) -> None:
+        self._front, self.reader = front, FrameReader()
+        self.open: dict[int, Request] = {}
+        self.since = front.time()  # connected, or last had something open
+        self.begun: float | None = None  # since when a frame is not whole
+        self.link = Link(front.loop, sock, self._got, self._ended, WAITING)
+
+    def _got(self, data: memoryview) -> None:
+        self.reader.feed(data)
+        try:
+            while not self.link.closed and (frame := self.reader.next()) is not None:
+                self.begun = None
+                self._front.heard(self)
+                self._front.frame(self, *frame)
+        except FrameError as cause:
+            self._front.unreadable(self, cause)
+            return
+        if not len(self.reader):
+            self.begun = None
+        elif self.begun is None:
+            self.begun = self._front.time()
+
+    def _ended(self) -> None:
+        self._front.gone(self)
+
+
+class Front:
+    """All clients of one dispatcher.  `take` gets each request that can be used, `left` each that nobody waits for
+    any more."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Mapping[str, Any], types: list[NamespaceType],
+                 customers: list[Customer], most: int, most_bytes: int, take: Callable[[Request, Asked], None],
+                 left: Callable[[Request], None], known: Callable[[str], bool], note: Callable[..., None]) -> None:
+        self.loop, self.time, self._note = loop, loop.time, note
+        self._types = {type_.name: type_ for type_ in types}
+        self._longest = {c["name"]: c["give_up_us"] / 1000 for c in settings["classes"]}
+        self._customers = {customer.name: customer for customer in customers}
+        self._most_mb = max(settings["specifics"]["machine_mb"])
+        self._most, self._most_bytes, self._bytes = most, most_bytes, 0
+        self._take, self._left, self._known = take, left, known
+        self._fresh: dict[Client, None] = {}  # those that have not yet sent a whole frame, oldest first
+        self._idle: dict[Client, None] = {}  # with nothing open, the longest idle first
+        self._busy: dict[Client, None] = {}
+        self._door = Door(loop, self._came, _nobody, note)
+        self.ready = True
+
+    def __len__(self) -> int:
+        return len(self._fresh) + len(self._idle) + len(self._busy)
+
+    def open(self, where: tuple[str, int]) -> None:
+        """Listen.  Raises `OSError`."""
+        sock = socket.socket(socket.AF_INET6 if ":" in where[0] else socket.AF_INET)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(where)
+        sock.listen(1024)
+        sock.setblocking(False)
+        self._door.open(sock)
+
+    def close(self) -> None:
+        """Close the door and all connections."""
+        self._door.close()
+        for client in [*self._fresh, *self._idle, *self._busy]:
+            client.link.close()
+
+    def go_away(self) -> None:
+        """Ready no longer: tell all that are connected to ask for nothing new here."""
+        self.ready = False
+        for client in [*self._fresh, *self._idle, *self._busy]:
+            client.link.write(frames.frame(frames.GO_AWAY, 0))
+
+    def answer(self, request: Request, code: int, body: bytes = b"", later_ms: int = 0) -> None:
+        """The one final answer of a request."""
+        client = request.client
+        if client.open.pop(request.stream, None) is not None:
+            self._bytes -= len(request.body)
+            client.link.write(frames.answer(request.stream, code, body, later_ms))
+            if not client.open:
+                self._rest(client)
+
+    def sweep(self) -> None:
+        """Close connections that said nothing in time, stopped in the middle of a frame, or idled."""
+        now = self.time()
+        for group, within in ((self._fresh, FIRST_MS), (self._idle, IDLE_MS)):
+            for client in list(group):
+                if (now - client.since) * 1000 < within:
+                    break
+                self._drop(client)
+        for client in [*self._idle, *self._busy]:
+            if client.begun is not None and (now - client.begun) * 1000 > FIRST_MS:
+                self.unreadable(client, FrameError("a frame that does not end"))
+
+    # What the connections tell.
+
+    def heard(self, client: Client) -> None:
+        """A whole frame came."""
+        if client in self._fresh:
+            del self._fresh[client]
+            self._rest(client)
+
+    def frame(self, client: Client, kind: int, stream: int, payload: bytes) -> None:
+        """One frame.  Raises `FrameError` for what has no place here."""
+        if kind == frames.REQUEST:
+            self._request(client, stream, payload)
+        elif kind == frames.CANCEL:
+            if (request := client.open.get(stream)) is not None:
+                self._forget(request)
+        elif kind == frames.ASK_READY:
+            client.link.write(frames.ready(stream, self.ready))
+        else:
+            raise FrameError(f"a frame of type {kind}", stream)
+
+    def unreadable(self, client: Client, cause: FrameError) -> None:
+        """What came cannot be read: say so and close; nobody can tell any longer what belongs to what."""
+        stream = cause.stream if cause.stream not in client.open else 0
+        self._abandon(client)
+        client.link.write(frames.answer(stream, frames.FAILED))
+        client.link.finish()
+
+    def gone(self, client: Client) -> None:
+        """A connection has ended."""
+        self._abandon(client)
+
+    def _came(self, sock: socket.socket, _: str) -> None:
+        if len(self) >= self._most:
+            victim = next(iter(self._fresh), None) or next(iter(self._idle), None)
+            if victim is None:
+                sock.close()
+                return
+            self._drop(victim)
+        client = Client(self, sock)
+        self._fresh[client] = None
+
+    def _request(self, client: Client, stream: int, payload: bytes) -> None:
+        if not stream or stream in client.open:
+            raise FrameError("a stream that is not new", stream)
+        if len(client.open) >= OPEN:
+            raise FrameError("more requests than a connection may have open", stream)
+        told, at = frames.read_fields(payload)
+        body = payload[at:]
+        if len(body) > frames.BODY:
+            raise FrameError("a body that is too long", stream)
+        try:
+            asked = Asked(told, self._types, self._longest, self._customers, self._most_mb)
+            if self._known(asked.id):
+                raise UnusableError("the id of an open request")
+        except UnusableError:
+            client.link.write(frames.answer(stream, frames.FAILED))
+            return
+        if self._bytes + len(body) > self._most_bytes:  # memory: what was taken comes first
+            client.link.write(frames.answer(stream, frames.REFUSED))
+            return
+        self._bytes += len(body)
+        request = client.open[stream] = Request(client, stream, asked.id, asked.key, body)
+        self._idle.pop(client, None)
+        self._busy[client] = None
+        self._take(request, asked)
+
+    def _forget(self, request: Request) -> None:
+        client = request.client
+        del client.open[request.stream]
+        self._bytes -= len(request.body)
+        self._left(request)
+        if not client.open:
+            self._rest(client)
+
+    def _rest(self, client: Client) -> None:
+        if self._busy.pop(client, True) is None or client not in self._idle:
+            client.since = self.time()
+            self._idle[client] = None
+
+    def _abandon(self, client: Client) -> None:
+        for request in list(client.open.values()):
+            self._forget(request)
+        for group in (self._fresh, self._idle, self._busy):
+            group.pop(client, None)
+
+    def _drop(self, client: Client) -> None:
+        self._abandon(client)
+        client.link.close()
+
+
+def _nobody(sock: socket.socket, address: str, back: float) -> None:
+    """No pace is set, so nobody comes too early."""
+    sock.close()
--- /dev/null
+++ b/kelptrail/platform/service.py
@@ -0,0 +1,235 @@
+"""One dispatcher on the loop: the host between its clients, its workers and the worker list, and its one timer."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from typing import Any
+
+from kelptrail.codec import frames
+from kelptrail.codec.feed import GONE, READY, Event, FeedReader
+from kelptrail.codec.lines import Answer, call
+from kelptrail.dispatch.agenda import Agenda
+from kelptrail.dispatch.terms import Activation, Order, Outcome, Send, State, Worker
+from kelptrail.host.host import Entry, Host
+
+from .config import Config
+from .feed import Feed
+from .front import Asked, Front, Request
+from .workers import Bounds, Item, WorkerLinks
+
+STATES = {READY: State.LIVE, GONE: State.GONE}
+LAST_MS = 700.0  # after the word to end, requests are still under way to us for so long
+
+
+def note(what: str, **more: Any) -> None:
+    """A line of the log, on standard output."""
+    told = "".join(f" {name}={value}" for name, value in more.items())
+    print(f"{time.strftime('%H:%M:%S')} {what}{told}", file=sys.stdout, flush=True)
+
+
+class Service:
+    """The dispatcher of one configuration."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
+        self._loop, self._config, settings = loop, config, config.settings
+        self._host = Host(config.seed, settings)
+        bounds, classes = settings["bounds"], settings["classes"]
+        self._wall_ms = time.time() * 1000 - self._now()  # from the list's clock to the loop's, once
+        self._longest_ms = max(c["give_up_us"] for c in classes) / 1000
+        self._order_ms = settings["specifics"]["answer_within_us"] / 1000
+        self._sockets = config.sockets
+        self._bounds = Bounds(bounds["connect_timeout_us"] / 1000, bounds["idle_close_us"] / 1000,
+                              bounds["multiplex"], 1, frames.BODY * 8)
+        # A third of the descriptors is the usual clients'; some more hold those that come too many.
+        self._front = Front(loop, settings, self._host.types, self._host.customers, config.sockets // 2,
+                            int(config.memory_mb * (1 << 20) / 16), self._take, self._left,
+                            lambda id_: id_ in self._host.acts, note)
+        self._requests: dict[Activation, Request] = {}
+        self._links: dict[Worker, WorkerLinks] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._due = Agenda()  # what the sockets owe: sends whose time is up, orders out for too long
+        self._timer: asyncio.TimerHandle | None = None
+        self._armed = float("inf")
+        self._beat_due = self._now() + self._host.beat_ms
+        self._soon = False
+        self._last_taken = 0.0
+        self.over = loop.create_future()
+        for event in config.known:
+            self._listed(event)
+        zones, kinds = len(settings["failure_domains"]), len(settings["models"])
+        self._feed = Feed(loop, config.journal, config.known[-1].number if config.known else 0,
+                          lambda: FeedReader(zones, kinds), self._listed, note, bounds["connect_timeout_us"] / 1000)
+
+    def open(self) -> None:
+        """Begin to serve.  Raises `OSError`."""
+        self._front.open(self._config.listen)
+        self._stir_soon()
+
+    def reload(self, config: Config) -> None:
+        """A new configuration: the worker list may be told at another address."""
+        note("configuration", journal=config.journal)
+        self._feed.moved(config.journal)
+
+    def end(self) -> None:
+        """A planned end: nothing new is asked for, what was taken and what still comes is answered."""
+        if self._front.ready:
+            note("ending", in_hand=len(self._requests))
+            self._front.go_away()
+            self._last_taken = self._now()
+            self._loop.call_later(LAST_MS / 1000, self._end_if_idle)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._feed.close()
+        self._front.close()
+        for links in list(self._links.values()):
+            links.close()
+
+    def _end_if_idle(self) -> None:
+        if self._requests:
+            self._loop.call_later(0.02, self._end_if_idle)
+        elif not self.over.done():
+            self._loop.call_later(0.05, self.over.set_result, None)
+
+    def _now(self) -> float:
+        return self._loop.time() * 1000
+
+    # What happens.
+
+    def _take(self, request: Request, asked: Asked) -> None:
+        act = request.act = self._host.taken(
+            self._now(), asked.id, asked.type, asked.customer, asked.item, asked.left_ms, asked.memory_mb,
+            asked.lanes, asked.load_ms, asked.work_ms)
+        self._requests[act] = request
+        self._stir_soon()
+
+    def _left(self, request: Request) -> None:
+        if request.act is not None and self._requests.pop(request.act, None) is not None:
+            self._host.left(request.act)
+            self._stir_soon()
+
+    def _ended(self, item: Item, outcome: Outcome, answer: Answer | None) -> None:
+        now = self._now()
+        if isinstance(item, Order):
+            units = answer.units if answer is not None else 0
+            self._host.told(now, item, outcome, units)
+        else:
+            over = item.act.verdict is not None
+            if outcome is Outcome.COMPLETED and answer is not None and (
+                    request := self._requests.pop(item.act, None)) is not None:
+                self._front.answer(request, frames.SERVED, answer.body)
+                over = True
+            said = answer or Answer("", "")
+            report = None if said.meter is None else [
+                said.meter.get(name, said.meter.get("cpu", 0.0) if name == "util" else 0.0)
+                for name in self._host.fields]
+            self._host.answered(now, item, outcome, over, said.tell == "crashed", said.tell == "up", said.ahead,
+                                report)
+        self._stir_soon()
+
+    def _listed(self, event: Event) -> None:
+        now = self._now()
+        entries = [Entry(r.id, r.zone, r.kind, r.cell, STATES.get(r.state, State.DRAINING), r.size,
+                         r.started - self._wall_ms if r.started else None) for r in event.records or ()]
+        before = dict(self._host.workers)
+        restarted = self._host.listed(now, event.whole, entries)
+        for record in event.records or ():
+            self._addresses[record.id] = record.address, record.port
+        for worker in {**before, **self._host.workers}.values():
+            links = self._links.get(worker)
+            if links is not None and (worker in restarted or links.address != self._addresses[worker.id]):
+                del self._links[worker]
+                links.close()
+            if worker.gone and worker.id not in self._host.workers:
+                self._addresses.pop(worker.id, None)
+        live = sum(worker.live for worker in self._host.workers.values())
+        self._bounds.most = max(2, self._sockets // 4 // max(1, len(self._host.workers)))
+        note("list", number=event.number, workers=len(self._host.workers), live=live)
+        self._stir_soon()
+
+    # What to do.
+
+    def _stir_soon(self) -> None:
+        """Decide once all that the loop has ready was taken in."""
+        if not self._soon:
+            self._soon = True
+            self._loop.call_soon(self._stir)
+
+    def _stir(self) -> None:
+        self._soon = False
+        now = self._now()
+        while (decision := self._host.decide(now)) is not None:
+            if isinstance(decision, Send):
+                if decision.revoked:
+                    self._give_up(now, decision, Outcome.REVOKED)
+                else:
+                    self._send(now, decision)
+            elif isinstance(decision, Order):
+                self._links_to(decision.copy.worker).order(decision)
+                self._due.add(now + self._order_ms, decision)
+            elif isinstance(decision, Activation):
+                self._final(decision)
+            else:
+                note(decision)
+        self._arm()
+
+    def _send(self, now: float, send: Send) -> None:
+        act, request = send.act, self._requests[send.act]
+        limit = max(1, int(act.deadline - now))
+        self._links_to(send.copy.worker).send(send, call(
+            act.id, act.type.name, act.function.id, limit, request.key, request.body))
+
+    def _final(self, act: Activation) -> None:
+        request = self._requests.pop(act, None)
+        if request is not None:
+            rejected = act.verdict == "rejected"
+            self._front.answer(request, frames.REFUSED if rejected else frames.FAILED,
+                               later_ms=round(act.return_ms) if rejected else 0)
+        for send in act.sends:
+            if send.outcome is None:
+                self._due.add(act.deadline, send)
+
+    def _give_up(self, now: float, send: Send, outcome: Outcome) -> None:
+        links = self._links.get(send.copy.worker)
+        arrived = None if links is None else links.give_up(send)
+        if send.outcome is None and arrived is not None:
+            self._host.answered(now, send, outcome if arrived else Outcome.UNSENT, send.act.verdict is not None)
+
+    def _links_to(self, worker: Worker) -> WorkerLinks:
+        links = self._links.get(worker)
+        if links is None:
+            links = self._links[worker] = WorkerLinks(self._loop, worker.id, self._addresses[worker.id],
+                                                      self._bounds, self._ended, note)
+        return links
+
+    # The one timer.
+
+    def _arm(self) -> None:
+        due = min(self._beat_due, self._host.next_due() or self._beat_due, self._due.next_due() or self._beat_due)
+        if self._timer is None or due < self._armed - 0.01:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._armed = due
+            self._timer = self._loop.call_at(due / 1000, self._rung)
+
+    def _rung(self) -> None:
+        self._timer, now = None, self._now()
+        while (item := self._due.pop_due(now)) is not None:
+            if isinstance(item, Send):
+                self._give_up(now, item, Outcome.SILENT)
+            else:
+                links = self._links.get(item.copy.worker)
+                if links is not None and links.give_up(item) is not None:
+                    self._host.told(now, item, Outcome.SILENT, 0)
+        if now >= self._beat_due:
+            self._beat_due = now + self._host.beat_ms
+            self._host.beat(now)
+            self._front.sweep()
+            for worker, links in list(self._links.items()):
+                links.sweep()
+                if worker.gone and not links.open:
+                    del self._links[worker]
+                    links.close()
+        self._stir()
