--- a/kelptrail/net/link.py
+++ b/kelptrail/net/link.py
@@ -13,7 +13,7 @@
 
 from .wire import Wire
 
-BUFFER = 16_384
+BUFFER = 8_192
 CHUNK = 65_536
 
 
@@ -61,6 +61,7 @@
             return
         self.closed = True
         self._out.clear()
+        self._got = self._ended = _nothing  # else a cycle would keep it, and its user, till the collector comes
         current = asyncio.current_task(self._loop)
         for task in (self._reader, self._writer):
             if task is not None and task is not current:
@@ -69,8 +70,9 @@
 
     def _lost(self) -> None:
         if not self.closed:
+            ended = self._ended
             self.close()
-            self._ended()
+            ended()
 
     async def _read(self) -> None:
         buffer = bytearray(BUFFER)
@@ -125,6 +127,10 @@
             self.close()
 
 
+def _nothing(*_: object) -> None:
+    """Stands in for what the user gave, once the link is closed."""
+
+
 async def connect(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within_ms: float) -> socket.socket:
     """A connected socket.  Raises `OSError`; `TimeoutError`, which is one, past `within_ms`."""
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
