Tests of the platform's door: codecs and a whole dispatcher between scripted parties

Each kind of bad client and spoilt answer, the feed through breaks and repeats, a planned end, connections that give way. A configuration read anew keeps all but the address of the list.

--- a/kelptrail/platform/__main__.py
+++ b/kelptrail/platform/__main__.py
@@ -20,7 +20,7 @@
 
     def reload() -> None:
         try:
-            service.reload(config.read(path))
+            service.reload(config.read(path, service.config))
         except config.ConfigError as cause:
             note("configuration kept", cause=cause)
 
--- a/kelptrail/platform/config.py
+++ b/kelptrail/platform/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from kelptrail.codec.feed import Event, FeedError, read_known
@@ -35,16 +35,28 @@
     return host.strip("[]"), int(port)
 
 
-def read(path: str) -> Config:
+def read(path: str, before: Config | None = None) -> Config:
     """The configuration at `path`.  Raises `ConfigError`."""
     try:
         with open(path, encoding="utf-8") as file:
-            told = json.load(file)
+            return parse(file.read(), before)
+    except (OSError, ConfigError) as cause:
+        raise ConfigError(f"{path}: {cause}") from None
+
+
+def parse(text: str, before: Config | None = None) -> Config:
+    """A configuration; of one that replaces another only what a running dispatcher can take up is read anew, the
+    address of the worker list.  Raises `ConfigError`."""
+    try:
+        told = json.loads(text)
+        journal = address(told["journal"])
+        if before is not None:
+            return replace(before, journal=journal)
         settings = told["settings"]
         return Config(told["name"], address(told["listen"]), int(told["seed"], 16), int(told["limits"]["sockets"]),
-                      float(told["limits"]["memory_mb"]), address(told["journal"]),
+                      float(told["limits"]["memory_mb"]), journal,
                       read_known(told["known"], settings["failure_domains"], settings["models"]), settings)
-    except (OSError, json.JSONDecodeError, FeedError) as cause:
-        raise ConfigError(f"{path}: {cause}") from None
+    except FeedError as cause:
+        raise ConfigError(str(cause)) from None
     except (KeyError, ValueError, TypeError, AttributeError) as cause:
-        raise ConfigError(f"{path}: {type(cause).__name__}: {cause}") from None
+        raise ConfigError(f"{type(cause).__name__}: {cause}") from None
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -131,14 +131,15 @@
     def __len__(self) -> int:
         return len(self._fresh) + len(self._idle) + len(self._busy)
 
-    def open(self, where: tuple[str, int]) -> None:
-        """Listen.  Raises `OSError`."""
+    def open(self, where: tuple[str, int]) -> int:
+        """Listen; returns the port.  Raises `OSError`."""
         sock = socket.socket(socket.AF_INET6 if ":" in where[0] else socket.AF_INET)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(where)
         sock.listen(1024)
         sock.setblocking(False)
         self._door.open(sock)
+        return sock.getsockname()[1]
 
     def close(self) -> None:
         """Close the door and all connections."""
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -33,7 +33,7 @@
     """The dispatcher of one configuration."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
-        self._loop, self._config, settings = loop, config, config.settings
+        self._loop, self.config, settings = loop, config, config.settings
         self._host = Host(config.seed, settings)
         bounds, classes = settings["bounds"], settings["classes"]
         self._wall_ms = time.time() * 1000 - self._now()  # from the list's clock to the loop's, once
@@ -62,13 +62,20 @@
         self._feed = Feed(loop, config.journal, config.known[-1].number if config.known else 0,
                           lambda: FeedReader(zones, kinds), self._listed, note, bounds["connect_timeout_us"] / 1000)
 
-    def open(self) -> None:
-        """Begin to serve.  Raises `OSError`."""
-        self._front.open(self._config.listen)
+    @property
+    def number(self) -> int:
+        """The last event of the worker list that was taken in."""
+        return self._feed.number
+
+    def open(self) -> int:
+        """Begin to serve; returns the port.  Raises `OSError`."""
+        port = self._front.open(self.config.listen)
         self._stir_soon()
+        return port
 
     def reload(self, config: Config) -> None:
         """A new configuration: the worker list may be told at another address."""
+        self.config = config
         note("configuration", journal=config.journal)
         self._feed.moved(config.journal)
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,345 @@
+"""The platform's door: codecs, and a whole dispatcher on loopback sockets between scripted parties."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import struct
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from test_drill import ENV
+
+from kelptrail.codec import feed, frames, lines
+from kelptrail.platform import config
+from kelptrail.platform.service import Service
+
+ITEM = "7f3a9c21e0b4d655"
+CLASS = ENV["classes"][0]
+SETTINGS = ENV | {
+    "failure_domains": ["a", "b"], "models": ["m"], "customers": [{"name": "acme", "allowance_per_s": 100.0}],
+    "classes": [CLASS | {"give_up_us": 2000000},
+                CLASS | {"name": "k", "effect": "guarded", "window_us": 2000000, "give_up_us": 2000000}],
+    "bounds": ENV["bounds"] | {"connect_timeout_us": 150000, "idle_close_us": 15000000, "multiplex": 100,
+                              "max_attempts": 12},
+    "specifics": ENV["specifics"] | {"answer_within_us": 3000000, "machine_mb": [50000.0]},
+}
+Script = Callable[["Runner", bytes, bytes, asyncio.StreamWriter], None]
+
+
+class Runner:
+    """A worker whose answers are lines of the test; orders are granted unless told otherwise."""
+
+    def __init__(self, script: Script, load: bytes = b"OK units=1 0") -> None:
+        self.script, self.load, self.calls, self.connections = script, load, list[bytes](), 0
+        self.cancelled = list[bytes]()
+
+    async def open(self) -> int:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while line := await reader.readline():
+                word, id_, *rest = line.split()
+                if word == b"LOAD":
+                    writer.write(id_ + b" " + self.load + b"\r\n\r\n")
+                elif word == b"CALL":
+                    body = (await reader.readexactly(int(rest[-1]) + 2))[:-2]
+                    self.calls.append(id_)
+                    self.script(self, id_, body, writer)
+                elif word == b"CANCEL":
+                    self.cancelled.append(id_)
+        writer.close()
+
+
+def echo(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"%b OK tell=up,meter=cpu:0.5;x1:0;x0:0.2 %d\r\n%b\r\n" % (id_, len(body), body))
+
+
+class Place:
+    """One dispatcher, its runners, a feed and raw clients."""
+
+    def __init__(self, *runners: Runner, **limits: Any) -> None:
+        self.runners, self.limits = runners, {"cores": 1, "memory_mb": 64, "sockets": 256} | limits
+        self.asked: list[int] = []
+        self.events: list[bytes] = []
+        self.after = "stay"  # what the feed does after its events
+
+    async def __aenter__(self) -> Place:
+        server = await asyncio.start_server(self._feed, "127.0.0.1", 0)
+        self.journal = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        targets = [{"uid": f"s-{n:08x}", "endpoint": f"127.0.0.1:{await runner.open()}", "az": "a", "model": "m",
+                    "pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0}
+                   for n, runner in enumerate(self.runners)]
+        known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": True, "targets": targets}}]}
+        told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "limits": self.limits, "journal": self.journal,
+                "known": known, "settings": SETTINGS}
+        self.service = Service(asyncio.get_running_loop(), config.parse(json.dumps(told)))
+        self.port = self.service.open()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.service.close()
+
+    async def _feed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            self.asked.append(int.from_bytes(await reader.readexactly(8), "big"))
+            for event in self.events:
+                writer.write(event)
+            if self.after == "break":
+                writer.close()
+            await reader.read()
+        writer.close()
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+
+class Client:
+    """A raw client."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self._read = reader, writer, frames.FrameReader(1 << 20)
+
+    def ask(self, stream: int = 1, body: bytes = b"hello", **other: str | None) -> None:
+        told = {"verb": "t", "txn": f"{stream:016x}", "limit": "1500", "team": "acme", "item": ITEM,
+                "info": "memory_mb:512;lanes:2"} | other
+        fields = frames.fields({name: value for name, value in told.items() if value is not None})
+        self.writer.write(frames.frame(frames.REQUEST, stream, fields + body))
+
+    async def next(self, within: float = 3.0) -> tuple[int, int, bytes] | None:
+        """The next frame; None at the end of the connection."""
+        async with asyncio.timeout(within):
+            while (frame := self._read.next()) is None:
+                try:
+                    data = await self.reader.read(65536)
+                except ConnectionResetError:
+                    return None
+                if not data:
+                    return None
+                self._read.feed(data)
+            return frame
+
+    async def code(self, within: float = 3.0) -> int | None:
+        """The code of the next answer, None at an end without one."""
+        frame = await self.next(within)
+        return None if frame is None else frame[2][0]
+
+
+def run(main: Coroutine[Any, Any, Any]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await main
+
+    uvloop.run(bounded())
+
+
+def test_a_request_goes_through_unchanged_and_comes_back() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            client, body = await place.client(), bytes(range(256)) * 8
+            client.writer.write(frames.frame(frames.ASK_READY, 7, b"\0"))
+            assert await client.next() == (frames.READY, 7, b"\0\0")
+            client.ask(3, body)
+            assert await client.next() == (frames.ANSWER, 3, b"\0\0" + body)
+            client.ask(4, b"", verb="k", unique="a" * 32)
+            assert await client.next() == (frames.ANSWER, 4, b"\0\0")
+            assert place.runners[0].calls == [b"%016x" % 3, b"%016x" % 4]
+
+    run(main())
+
+
+@pytest.mark.parametrize("other", [
+    {"txn": None}, {"txn": "xyz"}, {"verb": "none"}, {"team": "nobody"}, {"limit": "-5"}, {"limit": "1e9"},
+    {"limit": "99999999"}, {"limit": "nan"}, {"item": "a b\r\nCALL"}, {"verb": "k"}, {"verb": "k", "unique": "a,b=c"},
+    {"info": "memory_mb:-1;lanes:2"}, {"info": "lanes:2"}, {"info": None}, {"info": "memory_mb:1e99;lanes:0"}])
+def test_what_cannot_be_used_is_answered_and_reaches_nobody(other: dict[str, str | None]) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            client = await place.client()
+            client.ask(1, **other)
+            assert await client.code() == frames.FAILED
+            client.ask(2)
+            assert await client.code() == frames.SERVED
+            assert len(place.runners[0].calls) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("bad", [
+    struct.pack(">IBI", 4, 65, 1), struct.pack(">IBI", 60_000_000, 65, 1), struct.pack(">IBI", 0xffffffff, 65, 1),
+    struct.pack(">IBI", 5, 66, 1), frames.frame(65, 0, b"\0"), frames.frame(65, 1, b"\5"),
+    frames.frame(65, 1, b"\1\1\xff\0\1a"), frames.frame(65, 1, b"\0" + b"x" * 20_000)])
+def test_what_cannot_be_read_is_told_and_closed(bad: bytes) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            client = await place.client()
+            client.writer.write(bad)
+            assert await client.code() in (frames.FAILED, None)
+            assert await client.next() is None
+            other = await place.client()
+            other.ask()
+            assert await other.code() == frames.SERVED
+
+    run(main())
+
+
+def test_a_number_used_twice_and_an_open_id_are_never_served() -> None:
+    async def main() -> None:
+        async with Place(Runner(lambda *_: None)) as place:
+            first, second = await place.client(), await place.client()
+            first.ask(1)
+            await asyncio.sleep(0.05)
+            second.ask(1, b"other")  # the id of an open request
+            assert await second.code() == frames.FAILED
+            first.ask(1)  # a number that is open
+            assert await first.code() == frames.FAILED and await first.next() is None
+            await asyncio.sleep(0.05)
+            assert place.runners[0].cancelled == [b"%016x" % 1]  # nobody waits for it any more
+
+    run(main())
+
+
+def test_half_a_frame_and_silence_are_closed_in_time() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            half, silent = await place.client(), await place.client()
+            half.writer.write(b"\0\0")
+            assert await half.next(3.0) is None and await silent.next(1.0) is None
+
+    run(main())
+
+
+def test_silent_connections_give_way_to_new_ones() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo), sockets=40) as place:
+            silent = [await place.client() for _ in range(30)]
+            client = await place.client()
+            client.ask()
+            assert await client.code() == frames.SERVED
+            assert await silent[0].next(1.0) is None
+
+    run(main())
+
+
+def test_spoilt_answers_break_their_connection_and_the_rest_goes_on() -> None:
+    spoilt = [b"noise\r\n", b"%b OK - 3000000000\r\n", b"%b OK - 2\r\nabcd\r\n", b"%b OK ahead=x 0\r\n\r\n",
+              b"x" * 5000, b"%b OK - 50\r\nabc", b"%b SURE - 0\r\n\r\n", b"%b OK meter=cpu:nan 0\r\n\r\n"]
+
+    async def main() -> None:
+        left = list(spoilt)
+
+        def script(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            if left:
+                bad = left.pop()
+                writer.write(bad % id_ if b"%b" in bad else bad)
+            else:
+                echo(runner, id_, body, writer)
+
+        async with Place(*(Runner(script) for _ in range(9))) as place:
+            client = await place.client()
+            for n in range(1, len(spoilt) + 3):
+                client.ask(n)
+                assert await client.code() == frames.SERVED  # repeatable: it went out again
+            assert not left
+
+    run(main())
+
+
+def test_what_comes_beside_good_answers_is_passed_over() -> None:
+    def script(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"ffffffffffffffff OK - 3\r\nbad\r\n")
+        echo(runner, id_, body, writer)
+        echo(runner, id_, b"again", writer)
+
+    async def main() -> None:
+        async with Place(Runner(script)) as place:
+            client = await place.client()
+            for n in (1, 2, 3):
+                client.ask(n, b"%d" % n)
+                assert await client.next() == (frames.ANSWER, n, b"\0\0%d" % n)
+            with pytest.raises(TimeoutError):
+                await client.next(0.1)
+
+    run(main())
+
+
+def event(number: int, kind: int, *records: tuple[int, int, int]) -> bytes:
+    told = b"".join(struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), port, state, 0, 0, 0, 1000, 0)
+                    for id_, port, state in records)
+    return struct.pack(">IQB", 9 + len(told), number, kind) + told
+
+
+def test_the_feed_is_followed_through_breaks_repeats_and_a_new_address() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo), Runner(echo)) as place:
+            place.after = "break"
+            place.events = [event(2, 2, (1, 9, 1)), event(2, 2, (1, 9, 1)), event(2, 0), event(3, 2, (1, 9, 2))[:20]]
+            place.service.reload(config.parse(json.dumps({"journal": place.journal}), place.service.config))
+            await asyncio.sleep(0.2)
+            assert set(place.asked) == {1, 2}
+            place.events, place.after = [event(3, 2, (1, 9, 2))], "stay"
+            await asyncio.sleep(0.3)
+            assert place.service.number == 3
+
+    run(main())
+
+
+def test_a_client_that_leaves_frees_its_work_and_an_end_answers_what_is_in_hand() -> None:
+    async def main() -> None:
+        def later(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            asyncio.get_running_loop().call_later(1.0, echo, runner, id_, body, writer)
+
+        async with Place(Runner(later)) as place:
+            gone, stays = await place.client(), await place.client()
+            gone.ask(1)
+            stays.ask(2)
+            await asyncio.sleep(0.05)
+            gone.writer.close()
+            await asyncio.sleep(0.05)
+            assert place.runners[0].cancelled == [b"%016x" % 1]
+            place.service.end()
+            assert await stays.next() == (frames.GO_AWAY, 0, b"")
+            late = await place.client()
+            late.ask(3)  # it was under way when the end began
+            assert await stays.code() == frames.SERVED and await late.code() == frames.SERVED
+            await asyncio.wait_for(place.service.over, 1.0)
+
+    run(main())
+
+
+def test_readers_take_any_cut_and_never_crash() -> None:
+    chance = random.Random(5)
+    good = b"".join(b"%016x OK tell=up,ahead=%d %d\r\n%b\r\n" % (n, n, n, b"z" * n) for n in range(30))
+    reader, found, at = lines.LineReader(1000), [], 0
+    while at < len(good):
+        step = chance.randrange(1, 40)
+        reader.feed(good[at:at + step])
+        at += step
+        while (answer := reader.next()) is not None:
+            found.append(answer)
+    assert [(a.ahead, len(a.body)) for a in found] == [(n, n) for n in range(30)] and not reader.partial
+    for _ in range(2000):
+        spoilt = bytearray(good[:200])
+        for _ in range(chance.randrange(1, 6)):
+            spoilt[chance.randrange(200)] = chance.randrange(256)
+        for made, error in ((lines.LineReader(1000), lines.LineError), (frames.FrameReader(), frames.FrameError),
+                            (feed.FeedReader(2, 1), feed.FeedError)):
+            made.feed(bytes(spoilt))
+            with contextlib.suppress(error):
+                while made.next() is not None:
+                    pass
+
+
+def test_a_configuration_that_cannot_be_used_says_why(tmp_path: Path) -> None:
+    for text in ("{", "{}", '{"name":"n","listen":"x"}'):
+        (tmp_path / "c.json").write_text(text)
+        with pytest.raises(config.ConfigError):
+            config.read(str(tmp_path / "c.json"))
