--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Iterable
+from contextlib import suppress
 from zlib import crc32
 
 from .agenda import Agenda
@@ -97,6 +98,12 @@
             self._orders.append(now)
         return Order(copy, min(count, 16), now) if self._loads else None  # the most that an order may name
 
+    def uncount(self, act: Activation) -> None:
+        """It earns no orders.  Guards against calls that are no work: taken back before anything was sent, or
+        for what no worker can load."""
+        with suppress(ValueError):
+            self.taken.remove(act.taken)
+
     def completed(self, now: float, worker: Worker) -> None:
         if self.warmth(now, worker) >= 1:  # in overload it is sent far more than it can carry
             _shed(worker.recent, now - self._tip_ms).append(now)
@@ -155,7 +162,9 @@
         if not (late := [send for send, ms in usual.items() if now - send.sent > 4 * ms]):
             return late
         silence = now - max(worker.quiet_since, worker.whole.barred_until)
-        if worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
+        # Guards against barring a worker, and all that stands there, for one send that merely takes long.
+        sure = len(late) > 1 or any(now - send.sent > 8 * usual[send] for send in late)
+        if sure and worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
             self.bar(now, worker.whole)
             late = list(usual)
         else:
@@ -381,6 +390,8 @@
 
     def left(self, act: Activation) -> None:
         act.verdict = act.verdict or "left"
+        if not act.sends:
+            self._gate.uncount(act)
         self._revoke(act)
 
     def began(self, now: float, send: Send, deadline: float) -> None:
@@ -445,8 +456,25 @@
         if not standing:
             copy.barred_until = now + copy.function.load_ms
             self.agenda.add(copy.barred_until, copy)
+            if outcome is Outcome.ERROR and not copy.function.stood:
+                self._unloadable(now, copy.function)
+        copy.function.stood = copy.function.stood or standing > 0
         self._stirred[copy.function] = None
 
+    def _unloadable(self, now: float, function: Function) -> None:
+        """It failed to load and never stood: its calls earn no orders, and after a second failure they
+        are given up at once.  Guards against functions that do not exist."""
+        function.refused += 1
+        for act in (queued := [*function.arrivals, *function.waiting, *function.late]):
+            self._gate.uncount(act)
+        if function.refused > 1:
+            for queue in (function.arrivals, function.waiting, function.late):
+                queue.clear()
+            for act in queued:
+                act.queued = False
+                if act.verdict is None and all(send.outcome for send in act.sends):
+                    self._owed.append(self._gate.end(now, act))
+
     def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
         for worker in restarted:
             worker.whole, worker.views = View(), defaultdict(View)
@@ -522,7 +550,7 @@
         """The next: a send (or a revoked one to call off), an order, a final answer or a log line."""
         while (item := self.agenda.pop_due(now)) is not None:
             if isinstance(item, Copy):
-                if self._copies.due(now, item) and (order := self._order(now, item, item.standing, 0.75)):
+                if self._copies.due(now, item) and (order := self._order(now, item, item.standing, 0.5)):
                     return order
             elif isinstance(item, Send):
                 if hedge := self._hedge(now, item):
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -138,6 +138,8 @@
     usual_ms: float = 0.0  # usual time from a send to its answer, and how far it strays
     stray_ms: float = 0.0
     planned: bool = False  # a plan says where its copies are wanted
+    stood: bool = False  # a worker has told of a copy of it
+    refused: int = 0  # loads that failed before one stood
 
     @property
     def lag(self) -> int:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -540,3 +540,53 @@
         attempts.took(spread, slow, 3 * spread.usual_ms)
         attempts.took(spread, one, 0.3 * spread.usual_ms)
     assert attempts.wait(spread, slow) == pytest.approx(2 * (spread.usual_ms + 4 * spread.stray_ms), rel=0.2)
+
+
+def test_what_a_client_takes_back_or_nobody_can_load_earns_no_orders() -> None:
+    dispatcher = make(3, ration=(True, 2.0, 0.5, 5000.0))
+    gate, bogus = dispatcher._gate, model("bogus")
+    for n in range(40):
+        act = activation(model(f"t{n}"), 0.0, n)
+        dispatcher.taken(0.0, act)
+        dispatcher.left(act)
+    assert not gate.taken and not pull(dispatcher, 0.0)
+    calls = [activation(bogus, 1.0, n) for n in range(4)]
+    for act in calls:
+        dispatcher.taken(1.0, act)
+    (first,) = (d for d in pull(dispatcher, 1.0) if isinstance(d, Order))
+    dispatcher.told(2.0, first, Outcome.ERROR, 0)
+    assert not gate.taken
+    (second,) = (d for d in pull(dispatcher, 30.0) if isinstance(d, Order))
+    dispatcher.told(31.0, second, Outcome.ERROR, 0)
+    assert {d for d in pull(dispatcher, 31.0) if isinstance(d, Activation)} == set(calls), "given up at once"
+    assert all(act.verdict == "rejected" for act in calls)
+
+
+def test_a_load_that_fails_of_a_function_that_stood_gives_up_nothing() -> None:
+    dispatcher, function = make(3, ration=PLENTY), model()
+    now = 0.0
+    for outcome, standing in ((Outcome.COMPLETED, 1), (Outcome.ERROR, 0), (Outcome.ERROR, 0), (Outcome.ERROR, 0)):
+        for n in range(4):
+            dispatcher.taken(now, activation(function, now, n))
+        found = [d for d in pull(dispatcher, now) if isinstance(d, Order)]
+        for order in found:
+            dispatcher.told(now + 1, order, outcome, standing)
+        assert not [d for d in pull(dispatcher, now + 1) if isinstance(d, Activation)]
+        now += 30
+
+
+def test_one_send_that_merely_takes_long_bars_no_worker() -> None:
+    dispatcher, function = make(1, ration=PLENTY), model(lanes=4)
+    worker = dispatcher.workers[0]
+    acts = [activation(function, 0.0, n, 9000.0) for n in range(3)]
+    for act in acts:
+        dispatcher.taken(0.0, act)
+    (order,) = (d for d in pull(dispatcher, 0.0) if isinstance(d, Order))
+    dispatcher.told(0.0, order, Outcome.COMPLETED, 1)
+    sends = [d for d in pull(dispatcher, 0.0) if isinstance(d, Send)]
+    for n, send in enumerate(sends[:2]):
+        dispatcher.answered(100.0 + n, send, Outcome.COMPLETED, True, False, True, 0, None)
+    dispatcher.beat(600.0)
+    assert not worker.whole.bar_ms, "one late send, four usual times"
+    dispatcher.beat(1400.0)
+    assert worker.whole.bar_ms, "eight usual times"
