--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -413,7 +413,10 @@
         copy.sends, worker.report = copy.sends - 1, report or worker.report
         cut = outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)  # maybe the link: it voids no copy
         if cut or outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
-            failed = cut or (outcome is Outcome.ERROR and not load_failed)
+            function.stood = function.stood or outcome is Outcome.COMPLETED
+            failed = cut or (outcome is Outcome.ERROR and not load_failed and function.stood)
+            if outcome is Outcome.ERROR and not function.stood:  # guards against calls that nobody can use
+                self._unloadable(now, function)
             if self._health.judge(now, worker, act.type, failed, cut):
                 self._owed.append(f"worker {worker.id} fails often, last {outcome.value}")
         if outcome is Outcome.COMPLETED:
@@ -618,7 +621,8 @@
             return None
         order = self._order(now, copy, copy.standing + 1)
         missed = sum(now < other.barred_until for other in function.copies.values())
-        if order is None and not copy.standing and function.lag and missed < function.spread:
+        if order is None and not copy.standing and function.lag and missed < function.spread and (
+                function.stood or not function.refused):
             # Guards against starving behind a small ration: the copy may stand for others; a miss bars it.
             self._copies.stands(now, copy, 1)
             first = (function.waiting or function.late)[0]
