Orders at barred workers are no lanes under way, and load times are learnt

Ruled out: admission (2), lag bound (23). Lines: Dispatcher._serve counted an order at a worker that had fallen silent as lanes for 1.5 s, of a limit of 1.9 s; load_ms stayed at 1 s where none is told.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -162,8 +162,8 @@
         if not (late := [send for send, ms in usual.items() if now - send.sent > 4 * ms]):
             return late
         silence = now - max(worker.quiet_since, worker.whole.barred_until)
-        # Guards against barring a worker, and all that stands there, for one send that merely takes long.
-        sure = len(late) > 1 or any(now - send.sent > 8 * usual[send] for send in late)
+        # Guards against barring a worker, and all that stands there, for one answer that takes long.
+        sure = len(late) > 1 or now - late[0].sent > 8 * usual[late[0]]
         if sure and worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
             self.bar(now, worker.whole)
             late = list(usual)
@@ -453,6 +453,9 @@
         copy.worker.loading -= 1
         if outcome is Outcome.FULL:  # guards against a storm of orders at workers without room
             copy.worker.crammed_until = now + copy.function.load_ms
+        took = now - order.placed  # less than a part: copies that stood already, for others
+        if outcome is Outcome.COMPLETED and took > 0.25 * copy.function.load_ms:
+            copy.function.load_ms += 0.3 * (took - copy.function.load_ms)
         self._copies.stands(now, copy, standing)
         if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
             self._health.bar(now, copy.worker.whole)
@@ -576,7 +579,7 @@
             usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms)
             room = max(0, int(worker.window) - len(worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
-            if copy.order and now - copy.order.placed < 1.5 * function.load_ms:
+            if usable and copy.order and now - copy.order.placed < 1.5 * function.load_ms:
                 loading += extra * function.lanes
             count += copy.standing * usable + extra
             homes += copy.standing + extra > 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -584,9 +584,21 @@
     (order,) = (d for d in pull(dispatcher, 0.0) if isinstance(d, Order))
     dispatcher.told(0.0, order, Outcome.COMPLETED, 1)
     sends = [d for d in pull(dispatcher, 0.0) if isinstance(d, Send)]
-    for n, send in enumerate(sends[:2]):
-        dispatcher.answered(100.0 + n, send, Outcome.COMPLETED, True, False, True, 0, None)
+    dispatcher.answered(100.0, sends[0], Outcome.COMPLETED, True, False, True, 0, None)
+    dispatcher.answered(101.0, sends[1], Outcome.COMPLETED, True, False, True, 0, None)
     dispatcher.beat(600.0)
-    assert not worker.whole.bar_ms, "one late send, four usual times"
+    assert not worker.whole.bar_ms, "four usual times"
     dispatcher.beat(1400.0)
-    assert worker.whole.bar_ms, "eight usual times"
+    assert worker.whole.bar_ms, "eight usual times, and nothing else came"
+
+
+def test_an_order_at_a_barred_worker_is_no_lane_under_way_and_load_times_are_learnt() -> None:
+    dispatcher, function = make(3, ration=PLENTY), model()
+    dispatcher.taken(0.0, activation(function, 0.0))
+    (order,) = (d for d in pull(dispatcher, 0.0) if isinstance(d, Order))
+    dispatcher._health.bar(100.0, order.copy.worker.whole)
+    dispatcher.beat(200.0)
+    (other,) = (d for d in pull(dispatcher, 200.0) if isinstance(d, Order))
+    assert other.copy.worker is not order.copy.worker
+    dispatcher.told(800.0, other, Outcome.COMPLETED, 1)
+    assert 600.0 < function.load_ms < 1000.0
