--- a/kelptrail/net/link.py
+++ b/kelptrail/net/link.py
@@ -34,7 +34,7 @@
         self.queued = self.written = 0  # bytes given, and taken by the socket
         self.closed = self._closing = self._writing = False
         self._writer: asyncio.Task[None] | None = None
-        self._reader = loop.create_task(self._read())
+        self._reader: asyncio.Task[None] | None = loop.create_task(self._read())
 
     def write(self, data: bytes) -> int:
         """Give bytes; returns what `written` will be once all of them were taken."""
@@ -66,6 +66,7 @@
         for task in (self._reader, self._writer):
             if task is not None and task is not current:
                 task.cancel()
+        self._reader = self._writer = None
         self.wire.close()
 
     def _lost(self) -> None:
@@ -77,12 +78,16 @@
     async def _read(self) -> None:
         buffer = bytearray(BUFFER)
         view, recv_into = memoryview(buffer), self.wire.recv_into
-        with contextlib.suppress(OSError):
+        try:
             while count := await recv_into(buffer):
                 if not self._closing:
                     self._got(view[:count])
                 if self.closed:
                     return
+        except asyncio.CancelledError:  # by `close`; a task that ends cancelled keeps this frame and its buffer
+            return
+        except OSError:
+            pass
         self._lost()
 
     def _flush(self) -> None:
@@ -110,6 +115,8 @@
                 piece = data[at:at + CHUNK]
                 self.written += len(piece)  # from here on the peer may have all of it
                 await self.wire.sendall(piece)
+        except asyncio.CancelledError:
+            return
         except OSError:
             self._lost()
             return
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -82,6 +82,8 @@
     async def _connect(self) -> None:
         try:
             sock = await connect(self._loop, self._owner.address, self._owner.bounds.connect_ms)
+        except asyncio.CancelledError:  # by `close`, which has told what becomes of what waited
+            return
         except OSError:
             self._task = None
             self._over(Outcome.UNREACHABLE)
