Lost connections bar a worker only past a half; a lost order voids nothing

Lines: Health.judge barred the whole worker at the second of two broken connections; Dispatcher.told barred it at once, and voided its copy, for one order whose connection broke. Now connections bar past a half (three or four in a row), and a lost order leaves what stood.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -140,13 +140,15 @@
         worker.gap += 0.05 * (gap - worker.gap) if worker.gap else gap
         view = worker.views[type_]
         whole = failed and (cut or any(v.fails > 0.1 for v in worker.views.values() if v is not view))
-        return self._note(now, view, failed) | self._note(now, worker.whole, whole)
+        return self.note(now, view, failed, cut) | self.note(now, worker.whole, whole, cut)
 
-    def _note(self, now: float, view: View, failed: bool) -> bool:
+    def note(self, now: float, view: View, failed: bool, cut: bool = False) -> bool:
+        """One more good or bad sign; True if it bars.  Guards against links that lose connections, where the
+        worker answers on others: those bar past a half (four in a row), the rest as the second of two."""
         view.fails += 0.2 * (failed - view.fails)
         if not failed and view.fails < 0.3:
             view.bar_ms = 0.0
-        return failed and view.fails > 0.3 and self.bar(now, view)  # the second of two in a row
+        return failed and view.fails > (0.5 if cut else 0.3) and self.bar(now, view)
 
     def bar(self, now: float, view: View) -> bool:
         if now < view.barred_until:
@@ -171,7 +173,7 @@
             late = [send for send in late if now - send.sent > 8 * usual[send]]
         for send in late:
             send.lost = True
-            self._note(now, worker.views[send.act.type], True)
+            self.note(now, worker.views[send.act.type], True)
         return late
 
 
@@ -456,10 +458,11 @@
         took = now - order.placed  # less than a part: copies that stood already, for others
         if outcome is Outcome.COMPLETED and took > 0.25 * copy.function.load_ms:
             copy.function.load_ms += 0.3 * (took - copy.function.load_ms)
-        self._copies.stands(now, copy, standing)
-        if outcome not in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
-            self._health.bar(now, copy.worker.whole)
-        if not standing:
+        if outcome in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
+            self._copies.stands(now, copy, standing)
+        else:  # its connection was lost: it may have arrived, and what stood still stands as far as is known
+            self._health.note(now, copy.worker.whole, True, True)
+        if not standing and outcome not in (Outcome.BROKEN, Outcome.UNSENT):
             copy.barred_until = now + copy.function.load_ms
             self.agenda.add(copy.barred_until, copy)
             if outcome is Outcome.ERROR and not copy.function.stood:
