Two missing answers bar a worker, a lost one only its lanes; connections used last go first

Lines: Health.overdue barred for one send past eight usual times, which on connections that die quietly is one lost answer. Now a second must be missing; until then the worker's copies count as no lanes held, so a queue that waits orders elsewhere (without it a lone send at a hung worker stalled its queue). The door used the oldest free connection, idle up to 12 s; now the last used, and idle ones close after 3 s.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -164,9 +164,9 @@
         if not (late := [send for send, ms in usual.items() if now - send.sent > 4 * ms]):
             return late
         silence = now - max(worker.quiet_since, worker.whole.barred_until)
-        # Guards against barring a worker, and all that stands there, for one answer that takes long.
-        sure = len(late) > 1 or now - late[0].sent > 8 * usual[late[0]]
-        if sure and worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
+        # Guards against barring a worker, and all that stands there, for one answer that is late or lost.
+        lost = sum(send.lost and send.sent >= worker.quiet_since for send in worker.sends)
+        if len(late) + lost > 1 and worker.gap and silence > 50 + worker.gap + 10 * worker.stray:
             self.bar(now, worker.whole)
             late = list(usual)
         else:
@@ -579,7 +579,8 @@
         held = loading = count = homes = 0  # lanes held or loading; copies that stand or load, and where
         for copy in function.copies.values():
             worker, extra = copy.worker, max(0, copy.order.count - copy.standing) if copy.order else 0
-            usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms)
+            usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms or (
+                any(send.lost for send in worker.sends)))
             room = max(0, int(worker.window) - len(worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
             if usable and copy.order and now - copy.order.placed < 1.5 * function.load_ms:
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -48,6 +48,11 @@
         self.link: Link | None = None
         self._task: asyncio.Task[None] | None = loop.create_task(self._connect())
 
+    @property
+    def rank(self) -> tuple[bool, int, float]:
+        """The least is used next: one heard of, with the least open, the last used: long idle ones may be dead."""
+        return self.doubtful, len(self.open), -self.used
+
     def start(self, id_: str, item: Item, data: bytes) -> None:
         """Open something on it."""
         self.used = self._loop.time()
@@ -162,7 +167,7 @@
                 self.note("worker stalled in an answer", worker=self.id)
                 connection.close()
             elif not connection.open and (
-                    connection.doubtful or (now - connection.used) * 1000 > 0.8 * self.bounds.idle_ms):
+                    connection.doubtful or (now - connection.used) * 1000 > 0.2 * self.bounds.idle_ms):
                 connection.close()
 
     def close(self) -> None:
@@ -184,7 +189,7 @@
         for connection in self._connections:
             if id_ in connection.open or len(connection.open) >= self.bounds.streams:
                 continue
-            if best is None or (connection.doubtful, len(connection.open)) < (best.doubtful, len(best.open)):
+            if best is None or connection.rank < best.rank:
                 best = connection
         if best is None or ((best.open or best.doubtful) and len(self._connections) < self.bounds.most):
             best = Connection(self, self._loop)
