No client's connection is closed over a request that waits to be read

Ruled out: the deadline's gate (none past its time), links over their bound. Now both look at the socket first.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -543,6 +543,7 @@
                 self._owed.append(f"worker {worker.id} unusually silent, {len(lost)} out")
                 self._rescue(now, lost)
                 self._stirred.update(dict.fromkeys(worker.copies))
+            worker.doubted = any(send.lost for send in worker.sends)
         parked, self._parked = self._parked, deque()
         self._rescue(now, reversed(parked))
         self._stirred.update(self._lagging)
@@ -579,8 +580,7 @@
         held = loading = count = homes = 0  # lanes held or loading; copies that stand or load, and where
         for copy in function.copies.values():
             worker, extra = copy.worker, max(0, copy.order.count - copy.standing) if copy.order else 0
-            usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms or (
-                any(send.lost for send in worker.sends)))
+            usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms or worker.doubted)
             room = max(0, int(worker.window) - len(worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
             if usable and copy.order and now - copy.order.placed < 1.5 * function.load_ms:
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -102,6 +102,7 @@
     crammed_until: float = 0.0  # told of no room for another copy
     others: float = 0.0  # sends of others met there, on the recent average
     met: float = 0.0
+    doubted: bool = False  # an answer from it is missing
     pace: float = 1.0  # its times beside the usual ones, on the recent average
 
     @property
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -147,6 +147,12 @@
         for client in [*self._fresh, *self._idle, *self._busy]:
             client.link.close()
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing that clients sent waits to be read."""
+        clients = [*self._fresh, *self._idle, *self._busy]
+        return all(client.link.closed or client.link.wire.quiet() is not None for client in clients)
+
     def go_away(self) -> None:
         """Ready no longer: tell all that are connected to ask for nothing new here."""
         self.ready = False
@@ -169,7 +175,8 @@
             for client in list(group):
                 if (now - client.since) * 1000 < within:
                     break
-                self._drop(client)
+                if client.link.wire.quiet() is not None:  # else a request waits to be read
+                    self._drop(client)
         for client in [*self._idle, *self._busy]:
             if client.begun is not None and (now - client.begun) * 1000 > FIRST_MS:
                 self.unreadable(client, FrameError("a frame that does not end"))
@@ -207,7 +214,8 @@
 
     def _came(self, sock: socket.socket, _: str) -> None:
         if len(self) >= self._most:
-            victim = next(iter(self._fresh), None) or next(iter(self._idle), None)
+            victim = next(iter(self._fresh), None) or next(
+                (client for client in self._idle if client.link.wire.quiet() is not None), None)
             if victim is None:
                 sock.close()
                 return
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -95,7 +95,7 @@
             links.close()
 
     def _end_if_idle(self) -> None:
-        if self._requests:
+        if self._requests or not self._front.quiet:
             self._loop.call_later(0.02, self._end_if_idle)
         elif not self.over.done():
             self._loop.call_later(0.05, self.over.set_result, None)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -315,6 +315,23 @@
     run(main())
 
 
+def test_no_connection_is_closed_over_a_request_that_waits_to_be_read() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            client, front = await place.client(), place.service._front
+            client.ask(1)
+            assert await client.code() == frames.SERVED
+            (mine,) = front._idle
+            mine.since -= 100.0
+            client.ask(2)  # written, and not yet read
+            front.sweep()
+            place.service._end_if_idle()
+            assert await client.code() == frames.SERVED and not place.service.over.done()
+            await asyncio.wait_for(place.service.over, 1.0)
+
+    run(main())
+
+
 def test_readers_take_any_cut_and_never_crash() -> None:
     chance = random.Random(5)
     good = b"".join(b"%016x OK tell=up,ahead=%d %d\r\n%b\r\n" % (n, n, n, b"z" * n) for n in range(30))
