The door logs what it believes beside the sockets, bounds its log, outlives what it did not foresee

A state line every 5 s: calls in hand, sends believed out beside what is open on the sockets, workers barred and doubted, ends. At most 50 lines a second. A reader that fails ends its own connection; the timer is armed again whatever happens. The old feed is held until the new one is connected. A property test found that the encoder counted a field name's characters, not its bytes.

--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -457,6 +457,14 @@
     return function
 
 
+@main.command(cls=_Examples, example="LB_CONFIG=/run/balancer/config.json kelptrail platform")
+def platform() -> None:
+    """One dispatcher on the platform's own protocol, as the file that LB_CONFIG names tells it."""
+    from kelptrail.platform.__main__ import main as serve
+
+    raise SystemExit(serve())
+
+
 @main.group()
 def lab() -> None:
     """What we balance, emulated in simulated time around the real cores; experiments on it."""
--- a/kelptrail/codec/frames.py
+++ b/kelptrail/codec/frames.py
@@ -91,8 +91,8 @@
     """Fields as they stand in a payload."""
     out = [bytes((len(named),))]
     for name, value in named.items():
-        text = value.encode()
-        out += [bytes((len(name),)), name.encode(), _SIZE.pack(len(text)), text]
+        key, text = name.encode(), value.encode()
+        out += [bytes((len(key),)), key, _SIZE.pack(len(text)), text]
     return b"".join(out)
 
 
--- a/kelptrail/net/link.py
+++ b/kelptrail/net/link.py
@@ -88,6 +88,8 @@
             return
         except OSError:
             pass
+        except Exception as cause:  # a message that its reader fails on ends its own connection, no more
+            self._loop.call_exception_handler({"message": "a connection's reader failed", "exception": cause})
         self._lost()
 
     def _flush(self) -> None:
--- a/kelptrail/platform/feed.py
+++ b/kelptrail/platform/feed.py
@@ -43,33 +43,35 @@
     async def _follow(self) -> None:
         pause = 0.0
         while True:
-            self._over.clear()
+            over, heard = asyncio.Event(), False
+            self._over = over
             try:
                 sock = await connect(self._loop, self._address, self._connect_ms)
             except OSError as cause:
-                pause = min(LONGEST_PAUSE_MS, max(PAUSE_MS, 2 * pause))
                 self._note("feed unreachable", cause=str(cause))
             else:
-                reader, heard = self._reader(), False
-                self._link = Link(self._loop, sock, partial(self._got, reader), self._over.set,
-                                  1 << 16)
+                old, got = self._link, partial(self._got, self._reader(), over)
+                self._link = Link(self._loop, sock, got, over.set, 1 << 16)
                 self._link.write(ask(self.number))
-                while not self._over.is_set():
+                if old is not None:  # held till now: what it still told was taken
+                    old.close()
+                while not over.is_set():
                     self._heard = False
                     try:
                         async with asyncio.timeout(SILENT_MS / 1000):
-                            await self._over.wait()
+                            await over.wait()
                     except TimeoutError:
                         if not self._heard:
                             self._note("feed silent")
                             break
                     heard = heard or self._heard
-                self._link.close()
-                pause = 0.0 if heard else min(LONGEST_PAUSE_MS, max(PAUSE_MS, 2 * pause))
+            pause = 0.0 if heard else min(LONGEST_PAUSE_MS, max(PAUSE_MS, 2 * pause))
             if pause:
                 await asyncio.sleep(pause / 1000)
 
-    def _got(self, reader: FeedReader, data: memoryview) -> None:
+    def _got(self, reader: FeedReader, over: asyncio.Event, data: memoryview) -> None:
+        if over.is_set():
+            return
         self._heard = True
         reader.feed(data)
         try:
@@ -84,4 +86,4 @@
                 self._told(event)
         except FeedError as cause:
             self._note("feed unreadable", cause=str(cause))
-            self._over.set()
+            over.set()
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -5,6 +5,8 @@
 import asyncio
 import sys
 import time
+import traceback
+from collections import Counter
 from typing import Any
 
 from kelptrail.codec import frames
@@ -20,13 +22,39 @@
 from .workers import Bounds, Item, WorkerLinks
 
 STATES = {READY: State.LIVE, GONE: State.GONE}
+STATE_MS = 5_000.0  # how often the log compares what is believed with what the sockets show
 LAST_MS = 700.0  # after the word to end, requests are still under way to us for so long
 
 
-def note(what: str, **more: Any) -> None:
-    """A line of the log, on standard output."""
-    told = "".join(f" {name}={value}" for name, value in more.items())
-    print(f"{time.strftime('%H:%M:%S')} {what}{told}", file=sys.stdout, flush=True)
+class Log:
+    """Lines on standard output, at most `most` a second: a pipe that nobody reads fast must not hold up the loop."""
+
+    def __init__(self, most: int = 50) -> None:
+        self._most, self._second, self._written, self._dropped = most, 0, 0, 0
+
+    def __call__(self, what: str, **more: Any) -> None:
+        second = int(time.monotonic())
+        if second != self._second:
+            if self._dropped:
+                print(f"{time.strftime('%H:%M:%S')} lines left out: {self._dropped}", file=sys.stdout, flush=True)
+            self._second, self._written, self._dropped = second, 0, 0
+        self._written += 1
+        if self._written > self._most:
+            self._dropped += 1
+            return
+        told = "".join(f" {name}={value}" for name, value in more.items())
+        print(f"{time.strftime('%H:%M:%S')} {what}{told}", file=sys.stdout, flush=True)
+
+
+note = Log()
+
+
+def failed(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """What no part expected ends where it happened, with a line."""
+    cause = context.get("exception")
+    where = traceback.extract_tb(cause.__traceback__)[-1] if cause is not None and cause.__traceback__ else None
+    note("failed", problem=context.get("message"), cause=repr(cause),
+         at=f"{where.filename.rpartition('/')[2]}:{where.lineno}" if where else "-")
 
 
 class Service:
@@ -34,6 +62,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
         self._loop, self.config, settings = loop, config, config.settings
+        loop.set_exception_handler(failed)
         self._host = Host(config.seed, settings)
         bounds, classes = settings["bounds"], settings["classes"]
         self._wall_ms = time.time() * 1000 - self._now()  # from the list's clock to the loop's, once
@@ -54,7 +83,8 @@
         self._armed = float("inf")
         self._beat_due = self._now() + self._host.beat_ms
         self._soon = False
-        self._last_taken = 0.0
+        self._state_due = self._now() + STATE_MS
+        self._counts: Counter[str] = Counter()
         self.over = loop.create_future()
         for event in config.known:
             self._listed(event)
@@ -84,7 +114,6 @@
         if self._front.ready:
             note("ending", in_hand=len(self._requests))
             self._front.go_away()
-            self._last_taken = self._now()
             self._loop.call_later(LAST_MS / 1000, self._end_if_idle)
 
     def close(self) -> None:
@@ -119,6 +148,7 @@
 
     def _ended(self, item: Item, outcome: Outcome, answer: Answer | None) -> None:
         now = self._now()
+        self._counts[outcome.value] += 1
         if isinstance(item, Order):
             units = answer.units if answer is not None else 0
             self._host.told(now, item, outcome, units)
@@ -167,20 +197,22 @@
     def _stir(self) -> None:
         self._soon = False
         now = self._now()
-        while (decision := self._host.decide(now)) is not None:
-            if isinstance(decision, Send):
-                if decision.revoked:
-                    self._give_up(now, decision, Outcome.REVOKED)
+        try:
+            while (decision := self._host.decide(now)) is not None:
+                if isinstance(decision, Send):
+                    if decision.revoked:
+                        self._give_up(now, decision, Outcome.REVOKED)
+                    else:
+                        self._send(now, decision)
+                elif isinstance(decision, Order):
+                    self._links_to(decision.copy.worker).order(decision)
+                    self._due.add(now + self._order_ms, decision)
+                elif isinstance(decision, Activation):
+                    self._final(decision)
                 else:
-                    self._send(now, decision)
-            elif isinstance(decision, Order):
-                self._links_to(decision.copy.worker).order(decision)
-                self._due.add(now + self._order_ms, decision)
-            elif isinstance(decision, Activation):
-                self._final(decision)
-            else:
-                note(decision)
-        self._arm()
+                    note(decision)
+        finally:
+            self._arm()
 
     def _send(self, now: float, send: Send) -> None:
         act, request = send.act, self._requests[send.act]
@@ -211,6 +243,17 @@
                                                       self._bounds, self._ended, note)
         return links
 
+    def _state(self) -> None:
+        """What the module believes of load and health, beside the traffic on the sockets."""
+        workers = self._host.workers.values()
+        note("state", in_hand=len(self._requests), clients=len(self._front),
+             believed_out=sum(len(worker.sends) for worker in workers),
+             open=sum(links.open for links in self._links.values()),
+             connections=sum(len(links) for links in self._links.values()),
+             barred=sum(self._now() < worker.whole.barred_until for worker in workers),
+             doubted=sum(worker.doubted for worker in workers), ends=dict(self._counts))
+        self._counts.clear()
+
     # The one timer.
 
     def _arm(self) -> None:
@@ -223,6 +266,12 @@
 
     def _rung(self) -> None:
         self._timer, now = None, self._now()
+        try:
+            self._periodic(now)
+        finally:
+            self._stir()
+
+    def _periodic(self, now: float) -> None:
         while (item := self._due.pop_due(now)) is not None:
             if isinstance(item, Send):
                 self._give_up(now, item, Outcome.SILENT)
@@ -239,4 +288,6 @@
                 if worker.gone and not links.open:
                     del self._links[worker]
                     links.close()
-        self._stir()
+        if now >= self._state_due:
+            self._state_due = now + STATE_MS
+            self._state()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,14 +5,20 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
+import signal
 import struct
+import subprocess
+import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from test_drill import ENV
 
 from kelptrail.codec import feed, frames, lines
@@ -79,8 +85,8 @@
                     "pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0}
                    for n, runner in enumerate(self.runners)]
         known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": True, "targets": targets}}]}
-        told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "limits": self.limits, "journal": self.journal,
-                "known": known, "settings": SETTINGS}
+        self.told = told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "limits": self.limits,
+                            "journal": self.journal, "known": known, "settings": SETTINGS}
         self.service = Service(asyncio.get_running_loop(), config.parse(json.dumps(told)))
         self.port = self.service.open()
         return self
@@ -332,6 +338,71 @@
     run(main())
 
 
+def test_a_reader_that_fails_ends_its_own_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            bad, good = await place.client(), await place.client()
+            front, frame = place.service._front, place.service._front.frame
+
+            def fail(client: Any, kind: int, stream: int, payload: bytes) -> None:
+                if stream == 99:
+                    raise RuntimeError("not foreseen")
+                frame(client, kind, stream, payload)
+
+            monkeypatch.setattr(front, "frame", fail)
+            bad.ask(99)
+            good.ask(1)
+            assert await bad.next() is None and await good.code() == frames.SERVED
+
+    run(main())
+
+
+def test_a_process_starts_without_heavy_libraries_serves_and_ends_when_told(tmp_path: Path) -> None:
+    heavy = ["numpy", "scipy", "h2", "apsw", "click", "structlog", "cryptography", "google", "matplotlib", "lark",
+             "msgspec", "kelptrail.front", "kelptrail.gateway", "kelptrail.store"]
+    code = f"import sys, kelptrail.platform.__main__; sys.exit(any(m in sys.modules for m in {heavy}))"
+    assert subprocess.run([sys.executable, "-c", code], timeout=30).returncode == 0
+    command = [sys.executable, "-m", "kelptrail.platform"]
+    (tmp_path / "bad.json").write_text("{")
+    bad = subprocess.run(command, env=os.environ | {"LB_CONFIG": str(tmp_path / "bad.json")}, capture_output=True,
+                         text=True, timeout=30)
+    assert bad.returncode == 2 and bad.stderr.count("\n") == 1 and "bad.json" in bad.stderr
+
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            place.told["listen"] = "127.0.0.1:0"
+            (tmp_path / "c.json").write_text(json.dumps(place.told))
+            process = await asyncio.create_subprocess_exec(
+                *command, env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")}, stdout=asyncio.subprocess.PIPE)
+            assert process.stdout is not None and b"list number=1" in await process.stdout.readline()
+            await asyncio.sleep(0.2)
+            process.send_signal(signal.SIGHUP)
+            assert b"configuration" in await process.stdout.readline()
+            (tmp_path / "c.json").write_text("{")
+            process.send_signal(signal.SIGHUP)
+            assert b"configuration kept" in await process.stdout.readline()
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(main())
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(1, 2**32 - 1), st.dictionaries(st.text(max_size=20), st.text(max_size=60),
+                                                                     max_size=5), st.binary(max_size=200))),
+       st.lists(st.integers(1, 60), min_size=1))
+def test_frames_come_back_from_any_split(sent: list[tuple[int, dict[str, str], bytes]], cuts: list[int]) -> None:
+    data = b"".join(frames.frame(65, stream, frames.fields(told) + body) for stream, told, body in sent)
+    reader, found, at, n = frames.FrameReader(), [], 0, 0
+    while at < len(data):
+        reader.feed(data[at:at + cuts[n % len(cuts)]])
+        at, n = at + cuts[n % len(cuts)], n + 1
+        while (frame := reader.next()) is not None:
+            told, end = frames.read_fields(frame[2])
+            found.append((frame[1], told, frame[2][end:]))
+    assert found == sent and not len(reader)
+
+
 def test_readers_take_any_cut_and_never_crash() -> None:
     chance = random.Random(5)
     good = b"".join(b"%016x OK tell=up,ahead=%d %d\r\n%b\r\n" % (n, n, n, b"z" * n) for n in range(30))
