--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -1,6 +1,6 @@
 """All decisions of kelptrail.  Build the parts and a `Dispatcher` from them, tell it what happens (`taken`,
 `answered`, `told`, `left`, `listed`, `beat`), then pull `decide(now)` until it returns None.  Its interface
-is in `terms.py`, due times in `agenda.py`, its host in `kelptrail/drill`, the design in `docs/design.md`.
+is in `terms.py`, due times in `agenda.py`, its host in `kelptrail/host`, the design in `docs/design.md`.
 """
 
 from __future__ import annotations
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import sys
+import contextlib
+import os
 import time
 import traceback
 from collections import Counter
@@ -36,14 +37,20 @@
         second = int(time.monotonic())
         if second != self._second:
             if self._dropped:
-                print(f"{time.strftime('%H:%M:%S')} lines left out: {self._dropped}", file=sys.stdout, flush=True)
+                self._write(f"lines left out: {self._dropped}")
             self._second, self._written, self._dropped = second, 0, 0
         self._written += 1
         if self._written > self._most:
             self._dropped += 1
             return
         told = "".join(f" {name}={value}" for name, value in more.items())
-        print(f"{time.strftime('%H:%M:%S')} {what}{told}", file=sys.stdout, flush=True)
+        self._write(f"{what}{told}")
+
+    @staticmethod
+    def _write(line: str) -> None:
+        """Guards against a reader of the log that has gone: that must stop neither timer nor planned end."""
+        with contextlib.suppress(OSError):
+            os.write(1, f"{time.strftime('%H:%M:%S')} {line}\n".encode())
 
 
 note = Log()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -384,6 +384,18 @@
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
 
+            (tmp_path / "c.json").write_text(json.dumps(place.told))
+            read, write = os.pipe()
+            process = await asyncio.create_subprocess_exec(
+                *command, env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")}, stdout=write)
+            os.close(write)
+            assert b"list" in os.read(read, 100)
+            os.close(read)  # whoever read the log has gone
+            await asyncio.sleep(0.3)
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
     run(main())
 
 
