--- a/kelptrail/codec/feed.py
+++ b/kelptrail/codec/feed.py
@@ -84,12 +84,16 @@
         for entry in known["entries"]:
             records = []
             for at in entry["hosts"]["targets"]:
-                address, _, port = at["endpoint"].rpartition(":")
-                records.append(Record(at["uid"], address, int(port), _STATES[at["state"]], zones.index(at["az"]),
-                                      kinds.index(at["model"]), int(at["pod_group"]), float(at["capacity_hint"]),
-                                      int(at["boot_ms"] or 0)))
+                (address, _, port), size = at["endpoint"].rpartition(":"), float(at["capacity_hint"])
+                state = _STATES[at["state"]]
+                if not (0 < size < 1e9 or state) or not address or not 0 < int(port) < 1 << 16:
+                    raise FeedError(f"known events that cannot be read: {at['uid']} out of range")
+                records.append(Record(str(at["uid"]), address, int(port), state, zones.index(at["az"]),
+                                      kinds.index(at["model"]), int(at["pod_group"]), size, int(at["boot_ms"] or 0)))
             out.append(Event(int(entry["pos"]), bool(entry["hosts"]["all"]), records))
-    except (KeyError, ValueError, TypeError, AttributeError) as cause:
+    except FeedError:
+        raise
+    except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as cause:
         raise FeedError(f"known events that cannot be read: {type(cause).__name__}: {cause}") from None
     return out
 
--- a/kelptrail/drill/__main__.py
+++ b/kelptrail/drill/__main__.py
@@ -9,7 +9,7 @@
 from typing import Any, TextIO
 
 from kelptrail.drill.instance import Fields, Instance
-from kelptrail.host.host import MalformedError
+from kelptrail.host.settings import MalformedError
 
 CALLS: dict[str, Callable[[Instance, float, Fields], None]] = {
     "Req": Instance.taken,
--- a/kelptrail/drill/instance.py
+++ b/kelptrail/drill/instance.py
@@ -8,7 +8,8 @@
 
 from kelptrail.dispatch.rules import Decision
 from kelptrail.dispatch.terms import Activation, Order, Outcome, State
-from kelptrail.host.host import Entry, Host, MalformedError
+from kelptrail.host.host import Entry, Host
+from kelptrail.host.settings import MalformedError
 
 Fields = dict[str, Any]
 
--- a/kelptrail/host/host.py
+++ b/kelptrail/host/host.py
@@ -1,7 +1,7 @@
 """Hosts one dispatcher: builds it from the settings object and turns ids into objects and back.
 
 Both doors use it: the simulator's (`kelptrail/drill`) and the platform's (`kelptrail/platform`).  Nothing is chosen
-here.  Times are milliseconds with fractions on whatever clock the door keeps; the settings object has microseconds.
+here.  Times are milliseconds with fractions on whatever clock the door keeps.
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 from kelptrail.dispatch.terms import (
     Activation,
     Customer,
-    Effect,
     Function,
     NamespaceType,
     Order,
@@ -25,12 +24,7 @@
     Worker,
 )
 
-EFFECTS = {"free": Effect.REPEATABLE, "guarded": Effect.DEDUPLICATED, "single_shot": Effect.ONCE_ONLY}
-REPORTED = {"cpu": "util"}
-
-
-class MalformedError(Exception):
-    """Input that is not of the protocol, or settings that cannot be used."""
+from .settings import read
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,49 +44,15 @@
     """One dispatcher, apart from all others, and the objects behind the ids it is told of."""
 
     def __init__(self, seed: int, settings: Mapping[str, Any]) -> None:
-        rules, bounds, extras = settings["rules"], settings["bounds"], settings["specifics"]
-        self.types = [
-            NamespaceType(
-                c["name"],
-                EFFECTS[c["effect"]],
-                c["aim_us"] / 1000,
-                c["gain"],
-                c["late_worth"],
-                c.get("key_scope") or "all",
-                (c.get("window_us") or 0) / 1000,
-            )
-            for c in settings["classes"]
-        ]
-        self.customers = [Customer(c["name"], c["allowance_per_s"]) for c in settings.get("customers") or []]
-        self.fields = [REPORTED.get(name, name) for name in settings["report"]["fields"]]
-        self.tells_warm = bool(extras["says_warm"])
-        agenda = Agenda()
-        gate = Gate(
-            seed=seed,
-            parallel=bounds["parallel_tries"],
-            most_sends=bounds["max_attempts"],
-            tip=rules["tip_multiple"],
-            tip_ms=rules["fall_us"] / 1000,
-            cold_share=rules["start_capacity"],
-            cold_ms=rules["cold_us"] / 1000,
-            ration=(
-                extras["load_control"],
-                extras["free_loads"],
-                extras["load_share"],
-                extras["load_span_us"] / 1000,
-            ),
-        )
-        health = Health()
+        told = read(settings)
+        self.types, self.customers, self.fields = told.types, told.customers, told.fields
+        self.tells_warm = told.tells_warm
+        agenda, health = Agenda(), Health()
+        gate = Gate(seed, told.parallel, told.most_sends, told.tip, told.tip_ms, told.cold_share, told.cold_ms,
+                    told.ration)
         self._dispatcher = Dispatcher(
-            gate,
-            health,
-            Placement(gate, health, settings["my_zone"], seed),
-            Copies(agenda, extras["idle_life_us"] / 1000),
-            Queues(seed, self.types, self.customers),
-            agenda,
-            bounds["may_cancel"],
-            bounds["max_retry_after_us"] / 1000 if bounds["retry_after"] else 0.0,
-        )
+            gate, health, Placement(gate, health, told.zone, seed), Copies(agenda, told.keep_ms),
+            Queues(seed, self.types, self.customers), agenda, told.cancels, told.longest_return_ms)
         self.beat_ms = self._dispatcher.beat_ms
         self.next_due = agenda.next_due
         self.workers: dict[str, Worker] = {}
--- a/kelptrail/platform/config.py
+++ b/kelptrail/platform/config.py
@@ -7,12 +7,30 @@
 from typing import Any
 
 from kelptrail.codec.feed import Event, FeedError, read_known
+from kelptrail.host.settings import MalformedError, Told
+from kelptrail.host.settings import read as read_settings
+
+PORTS = 65_535
 
 
 class ConfigError(ValueError):
     """A configuration that cannot be used."""
 
 
+@dataclass(frozen=True, slots=True)
+class Sockets:
+    """What the settings say of sockets and of what may be asked for."""
+
+    zones: list[str]
+    kinds: list[str]
+    longest_ms: dict[str, float]  # that a client of each namespace type may wait
+    most_mb: float  # that a function may take
+    order_ms: float  # that an order may be out
+    connect_ms: float
+    idle_ms: float
+    streams: int  # that one connection to a worker carries
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The configuration file, read."""
@@ -20,18 +38,19 @@
     name: str
     listen: tuple[str, int]
     seed: int
-    sockets: int  # descriptors that the process may hold
+    descriptors: int  # that the process may hold
     memory_mb: float
     journal: tuple[str, int]
     known: list[Event]
+    sockets: Sockets
     settings: dict[str, Any]
 
 
-def address(text: str) -> tuple[str, int]:
-    """Host and port of `host:port`.  Raises `ConfigError`."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65_535:
-        raise ConfigError(f"{text!r} is no address")
+def address(told: Told, name: str) -> tuple[str, int]:
+    """Host and port of `host:port`.  Raises `MalformedError`."""
+    host, _, port = (text := told.text(name)).rpartition(":")
+    if not host or not (port.isascii() and port.isdecimal()) or int(port) > PORTS:
+        raise MalformedError(f"{told.at}.{name}: {text!r} is no address")
     return host.strip("[]"), int(port)
 
 
@@ -40,23 +59,45 @@
     try:
         with open(path, encoding="utf-8") as file:
             return parse(file.read(), before)
-    except (OSError, ConfigError) as cause:
+    except (OSError, ValueError) as cause:
         raise ConfigError(f"{path}: {cause}") from None
 
 
 def parse(text: str, before: Config | None = None) -> Config:
-    """A configuration; of one that replaces another only what a running dispatcher can take up is read anew, the
-    address of the worker list.  Raises `ConfigError`."""
+    """A configuration, checked whole; of one that replaces another only what a running dispatcher can take up is
+    used, the address of the worker list.  Raises `ConfigError`."""
+    try:
+        found = json.loads(text)
+    except (ValueError, RecursionError) as cause:
+        raise ConfigError(f"no JSON: {cause}") from None
     try:
-        told = json.loads(text)
-        journal = address(told["journal"])
+        told = Told(found, "configuration")
+        journal = address(told, "journal")
+        settings, limits = told.find("settings"), told.part("limits")
+        read_settings(settings)
+        sockets = _sockets(Told(settings, "settings"))
         if before is not None:
             return replace(before, journal=journal)
-        settings = told["settings"]
-        return Config(told["name"], address(told["listen"]), int(told["seed"], 16), int(told["limits"]["sockets"]),
-                      float(told["limits"]["memory_mb"]), journal,
-                      read_known(told["known"], settings["failure_domains"], settings["models"]), settings)
-    except FeedError as cause:
+        return Config(told.text("name"), address(told, "listen"), _seed(told), limits.whole("sockets", 16),
+                      limits.number("memory_mb", 1), journal,
+                      read_known(told.find("known"), sockets.zones, sockets.kinds), sockets, settings)
+    except (MalformedError, FeedError) as cause:
         raise ConfigError(str(cause)) from None
-    except (KeyError, ValueError, TypeError, AttributeError) as cause:
-        raise ConfigError(f"{type(cause).__name__}: {cause}") from None
+
+
+def _sockets(told: Told) -> Sockets:
+    bounds, extras = told.part("bounds"), told.part("specifics")
+    zones, kinds = told.texts("failure_domains", 1), told.texts("models", 1)
+    told.whole("my_zone", 0, len(zones) - 1)
+    memories = Told({str(n): mb for n, mb in enumerate(extras.items("machine_mb"))}, f"{extras.at}.machine_mb")
+    most_mb = max(memories.number(str(n), 1) for n in range(len(kinds)))
+    return Sockets(zones, kinds, {each.text("name"): each.ms("give_up_us", 1000) for each in told.parts("classes")},
+                   most_mb, extras.ms("answer_within_us", 1), bounds.ms("connect_timeout_us", 1),
+                   bounds.ms("idle_close_us", 1), bounds.whole("multiplex", 1))
+
+
+def _seed(told: Told) -> int:
+    try:
+        return int(text := told.text("seed"), 16)
+    except ValueError:
+        raise MalformedError(f"{told.at}.seed: {text!r} is no number in hex") from None
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -11,7 +11,6 @@
 import re
 import socket
 from collections.abc import Callable, Mapping
-from typing import Any
 
 from kelptrail.codec import frames
 from kelptrail.codec.frames import FrameError, FrameReader
@@ -19,6 +18,8 @@
 from kelptrail.net.door import Door
 from kelptrail.net.link import Link
 
+from .config import Sockets
+
 OPEN = 32  # requests that one connection may have open
 WAITING = 1 << 20  # bytes that a client may leave unread
 FIRST_MS = 2_000.0  # within which a connection's first frame, and every frame begun, has come whole
@@ -112,14 +113,13 @@
     """All clients of one dispatcher.  `take` gets each request that can be used, `left` each that nobody waits for
     any more."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: Mapping[str, Any], types: list[NamespaceType],
+    def __init__(self, loop: asyncio.AbstractEventLoop, sockets: Sockets, types: list[NamespaceType],
                  customers: list[Customer], most: int, most_bytes: int, take: Callable[[Request, Asked], None],
                  left: Callable[[Request], None], known: Callable[[str], bool], note: Callable[..., None]) -> None:
         self.loop, self.time, self._note = loop, loop.time, note
         self._types = {type_.name: type_ for type_ in types}
-        self._longest = {c["name"]: c["give_up_us"] / 1000 for c in settings["classes"]}
         self._customers = {customer.name: customer for customer in customers}
-        self._most_mb = max(settings["specifics"]["machine_mb"])
+        self._longest, self._most_mb = sockets.longest_ms, sockets.most_mb
         self._most, self._most_bytes, self._bytes = most, most_bytes, 0
         self._take, self._left, self._known = take, left, known
         self._fresh: dict[Client, None] = {}  # those that have not yet sent a whole frame, oldest first
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -68,18 +68,14 @@
     """The dispatcher of one configuration."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
-        self._loop, self.config, settings = loop, config, config.settings
+        self._loop, self.config, sockets = loop, config, config.sockets
         loop.set_exception_handler(failed)
-        self._host = Host(config.seed, settings)
-        bounds, classes = settings["bounds"], settings["classes"]
+        self._host = Host(config.seed, config.settings)
         self._wall_ms = time.time() * 1000 - self._now()  # from the list's clock to the loop's, once
-        self._longest_ms = max(c["give_up_us"] for c in classes) / 1000
-        self._order_ms = settings["specifics"]["answer_within_us"] / 1000
-        self._sockets = config.sockets
-        self._bounds = Bounds(bounds["connect_timeout_us"] / 1000, bounds["idle_close_us"] / 1000,
-                              bounds["multiplex"], 1, frames.BODY * 8)
+        self._order_ms, self._descriptors = sockets.order_ms, config.descriptors
+        self._bounds = Bounds(sockets.connect_ms, sockets.idle_ms, sockets.streams, 1, frames.BODY * 8)
         # A third of the descriptors is the usual clients'; some more hold those that come too many.
-        self._front = Front(loop, settings, self._host.types, self._host.customers, config.sockets // 2,
+        self._front = Front(loop, sockets, self._host.types, self._host.customers, config.descriptors // 2,
                             int(config.memory_mb * (1 << 20) / 16), self._take, self._left,
                             lambda id_: id_ in self._host.acts, note)
         self._requests: dict[Activation, Request] = {}
@@ -95,9 +91,9 @@
         self.over = loop.create_future()
         for event in config.known:
             self._listed(event)
-        zones, kinds = len(settings["failure_domains"]), len(settings["models"])
+        zones, kinds = len(sockets.zones), len(sockets.kinds)
         self._feed = Feed(loop, config.journal, config.known[-1].number if config.known else 0,
-                          lambda: FeedReader(zones, kinds), self._listed, note, bounds["connect_timeout_us"] / 1000)
+                          lambda: FeedReader(zones, kinds), self._listed, note, sockets.connect_ms)
 
     @property
     def number(self) -> int:
@@ -189,7 +185,7 @@
             if worker.gone and worker.id not in self._host.workers:
                 self._addresses.pop(worker.id, None)
         live = sum(worker.live for worker in self._host.workers.values())
-        self._bounds.most = max(2, self._sockets // 4 // max(1, len(self._host.workers)))
+        self._bounds.most = max(2, self._descriptors // 4 // max(1, len(self._host.workers)))
         note("list", number=event.number, workers=len(self._host.workers), live=live)
         self._stir_soon()
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -57,7 +57,9 @@
 def test_malformed_input_ends_with_one_plain_line() -> None:
     lost = {"Req": {k: v for k, v in REQ["Req"].items() if k != "grace_us"}}
     unknown = (1, [{"Huh": {"i": "dispatcher_0"}}])
-    for bad in ("{", "[]", '{"now_us":1}', unknown, (1, [REQ]), (1, [*HELLO, lost])):
+    spoilt = (1, [{"Hello": HELLO[0]["Hello"] | {"env": ENV | {"rules": ENV["rules"] | {"fall_us": "soon"}}}}])
+    for bad in ("{", "[]", '{"now_us":1}', unknown, (1, [REQ]), (1, [*HELLO, lost]), spoilt):
         code, replies, errors = drill(bad)
         assert code != 0 and not replies
+        assert bad is not spoilt or "settings.rules.fall_us" in errors
         assert errors.startswith("kelptrail.drill: malformed input") and errors.count("\n") == 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import random
@@ -288,7 +289,7 @@
         async with Place(Runner(echo), Runner(echo)) as place:
             place.after = "break"
             place.events = [event(2, 2, (1, 9, 1)), event(2, 2, (1, 9, 1)), event(2, 0), event(3, 2, (1, 9, 2))[:20]]
-            place.service.reload(config.parse(json.dumps({"journal": place.journal}), place.service.config))
+            place.service.reload(config.parse(json.dumps(place.told), place.service.config))
             await asyncio.sleep(0.2)
             assert set(place.asked) == {1, 2}
             place.events, place.after = [event(3, 2, (1, 9, 2))], "stay"
@@ -438,8 +439,108 @@
                     pass
 
 
-def test_a_configuration_that_cannot_be_used_says_why(tmp_path: Path) -> None:
-    for text in ("{", "{}", '{"name":"n","listen":"x"}'):
-        (tmp_path / "c.json").write_text(text)
-        with pytest.raises(config.ConfigError):
-            config.read(str(tmp_path / "c.json"))
+def configuration() -> dict[str, Any]:
+    target = {"uid": "s-00000000", "endpoint": "127.0.0.1:9", "az": "a", "model": "m", "pod_group": 0,
+              "state": "in_service", "capacity_hint": 1, "boot_ms": 0}
+    known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": True, "targets": [target]}}]}
+    return {"name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "journal": "127.0.0.1:9", "known": known,
+            "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": copy.deepcopy(SETTINGS)}
+
+
+SPOILT: list[tuple[str, list[Any]]] = [  # a place, and what may not stand there
+    ("name", [3]), ("listen", ["127.0.0.1", "127.0.0.1:65536", "127.0.0.1:\u0663"]), ("seed", ["", "xyz", 5]),
+    ("journal", [":9", 9]), ("limits.sockets", [0, 2.5, True]), ("limits.memory_mb", [0, "64", float("nan")]),
+    ("settings.my_zone", [-1, 2, "a"]), ("settings.failure_domains", [[], "a", [1]]), ("settings.models", [[], [""]]),
+    ("settings.report.fields", ["cpu", [None]]), ("settings.classes", [[], {}, [3], [CLASS, CLASS]]),
+    ("settings.classes.0.name", ["", 3]), ("settings.classes.0.aim_us", [0, float("inf"), 10**400]),
+    ("settings.classes.0.gain", [0, -1]), ("settings.classes.0.effect", ["sometimes"]),
+    ("settings.classes.0.give_up_us", [0]), ("settings.classes.0.late_worth", ["0.3"]),
+    ("settings.classes.1.window_us", [-1]), ("settings.customers.0.allowance_per_s", [-1, "5"]),
+    ("settings.customers", [{}, [{"name": "a", "allowance_per_s": 0}]]),
+    ("settings.bounds.max_attempts", [0, 1.5, False]), ("settings.bounds.parallel_tries", [1, "true"]),
+    ("settings.bounds.may_cancel", [0]), ("settings.bounds.retry_after", ["no"]),
+    ("settings.bounds.max_retry_after_us", [-1]), ("settings.bounds.connect_timeout_us", [0]),
+    ("settings.bounds.idle_close_us", [0]), ("settings.bounds.multiplex", [0]),
+    ("settings.rules.tip_multiple", [-3]), ("settings.rules.fall_us", [0]),
+    ("settings.rules.start_capacity", [1.5, -0.1]), ("settings.rules.cold_us", ["9"]),
+    ("settings.specifics.says_warm", [None, 1]), ("settings.specifics.idle_life_us", [-1]),
+    ("settings.specifics.load_control", ["yes"]), ("settings.specifics.free_loads", [-6]),
+    ("settings.specifics.load_share", [[]]), ("settings.specifics.load_span_us", [-1]),
+    ("settings.specifics.answer_within_us", [0]), ("settings.specifics.machine_mb", [[], [0], ["big"], 5]),
+]
+
+
+@pytest.mark.parametrize(("place", "spoilt"), SPOILT, ids=[place for place, _ in SPOILT])
+def test_a_setting_missing_or_unusable_is_named_and_changes_nothing_that_runs(place: str, spoilt: list[Any]) -> None:
+    running = config.parse(json.dumps(configuration()))
+    *way, last = place.split(".")
+    named = "".join(f"[{step}]" if step.isdecimal() else f".{step}" for step in [*way, last]).replace(".", "", 1)
+    for value in ["missing", *spoilt]:
+        told = configuration()
+        at: Any = told
+        for step in way:
+            at = at[int(step) if step.isdecimal() else step]
+        if value == "missing" and last == "customers":
+            continue  # a deployment may have none
+        if value == "missing":
+            del at[last]
+        else:
+            at[last] = value
+        started_only = place.split(".")[0] in ("name", "listen", "seed", "limits")  # not taken up on SIGHUP
+        for before in [None] if started_only else [None, running]:
+            with pytest.raises(config.ConfigError) as told_why:
+                config.parse(json.dumps(told), before)
+            why = str(told_why.value)
+            assert named in why and "\n" not in why, why
+
+
+def test_what_is_merely_unknown_is_passed_over_and_what_may_be_absent_too() -> None:
+    told = configuration()
+    told["settings"]["classes"][0] |= {"colour": "red", "key_scope": None, "window_us": None}
+    for part in ("bounds", "rules", "specifics", "report"):
+        told["settings"][part]["unheard_of"] = {"deep": [1]}
+    told |= {"unheard_of": 1}
+    told["settings"]["customers"] = None
+    assert config.parse(json.dumps(told)).sockets.zones == ["a", "b"]
+
+
+@pytest.mark.parametrize("text", ["{", "[]", "{}", "3", "9" * 5000, "[" * 100_000, "\ud800"])
+def test_what_is_no_configuration_says_so(tmp_path: Path, text: str) -> None:
+    (tmp_path / "c.json").write_bytes(text.encode(errors="surrogatepass"))
+    with pytest.raises(config.ConfigError, match=r"c\.json: .*(JSON|object|missing|decode)"):
+        config.read(str(tmp_path / "c.json"))
+
+
+@pytest.mark.parametrize("spoilt", [{"endpoint": "127.0.0.1"}, {"endpoint": ":5"}, {"az": "c"}, {"capacity_hint": 0},
+                                    {"capacity_hint": float("nan")}, {"state": "odd"}, {"boot_ms": [1]}])
+def test_a_worker_told_of_at_the_start_must_be_one(spoilt: dict[str, Any]) -> None:
+    told = configuration()
+    told["known"]["entries"][0]["hosts"]["targets"][0].update(spoilt)
+    with pytest.raises(config.ConfigError, match="known events"):
+        config.parse(json.dumps(told))
+
+
+def test_a_spoilt_setting_ends_the_start_with_one_line_that_names_it_and_no_running_dispatcher(tmp_path: Path) -> None:
+    command, file = [sys.executable, "-m", "kelptrail.platform"], tmp_path / "c.json"
+    spoilt = configuration()
+    spoilt["settings"]["rules"]["fall_us"] = "soon"
+    file.write_text(json.dumps(spoilt))
+    bad = subprocess.run(command, env=os.environ | {"LB_CONFIG": str(file)}, capture_output=True, text=True, timeout=30)
+    assert bad.returncode == 2 and bad.stderr.count("\n") == 1 and "settings.rules.fall_us" in bad.stderr
+
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            file.write_text(json.dumps(place.told))
+            process = await asyncio.create_subprocess_exec(
+                *command, env=os.environ | {"LB_CONFIG": str(file)}, stdout=asyncio.subprocess.PIPE)
+            assert process.stdout is not None and b"list number=1" in await process.stdout.readline()
+            await asyncio.sleep(0.2)
+            file.write_text(json.dumps(place.told | {"settings": spoilt["settings"], "journal": "127.0.0.1:1"}))
+            process.send_signal(signal.SIGHUP)
+            line = await process.stdout.readline()
+            assert b"configuration kept" in line and b"settings.rules.fall_us" in line
+            assert len(place.asked) == 2, "the list is still followed where it was"
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(main())
