--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -21,10 +21,12 @@
     """The five rules, enforced where every send, order and final answer passes."""
 
     def __init__(self, seed: int, parallel: bool, most_sends: int, tip: float, tip_ms: float,
-                 cold_share: float, cold_ms: float, ration: tuple[bool, float, float, float]) -> None:
+                 cold_share: float, cold_ms: float, ration: tuple[bool, float, float, float],
+                 connect_ms: float = 0.0) -> None:
         self._seed, self._parallel, self._most_sends = seed, parallel, most_sends
         self._tip, self._tip_ms, self._cold_share, self._cold_ms = tip, tip_ms, cold_share, cold_ms
         self._loads, self._free, self._share, self._span = ration  # any orders; free ones, a share, a time
+        self._late = connect_ms  # an order may arrive so much after it was given
         self._orders, self.taken = deque[float](), deque[float]()
         self.listed([])
 
@@ -89,10 +91,11 @@
         return send
 
     def order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
-        """A hold order within the ration; `spare` of the ration is left for others.  Count 0 only asks."""
+        """A hold order within the ration; `spare` of the ration is left for others.  Count 0 only asks.
+        Guards against orders that wait for a connection and arrive among those of the time after."""
         if count and self._loads:
-            ration = self._free + self._share * len(_shed(self.taken, now - self._span + 1))
-            orders = len(_shed(self._orders, now - self._span)) + 1
+            ration = self._free + self._share * len(_shed(self.taken, now - self._span + self._late + 1))
+            orders = len(_shed(self._orders, now - self._span - self._late)) + 1
             if not copy.worker.live or (self._span and orders > ration * (1 - spare)):
                 return None
             self._orders.append(now)
@@ -279,6 +282,10 @@
 
     def __init__(self, agenda: Agenda, keep_ms: float, idle_stop_ms: float = 10_000.0) -> None:
         self._agenda, self._keep_ms, self._idle_stop_ms = agenda, keep_ms, idle_stop_ms
+        self.shared = 0.5  # the recent share of copies that stood already where they were first asked for
+
+    def met(self, stood: bool) -> None:
+        self.shared += 0.1 * (stood - self.shared)
 
     def at(self, function: Function, worker: Worker) -> Copy:
         if worker not in function.copies:
@@ -435,8 +442,13 @@
         elif outcome in (Outcome.FULL, Outcome.MISS):
             worker.window = max(2.0, worker.window * (0.9 if company else 1.0))
             copy.standing *= company > 0  # where none of the function runs no copy stands and none fits
-            if outcome is Outcome.FULL or not copy.ordered:
+            if outcome is Outcome.FULL:
                 copy.barred_until = now + function.load_ms
+            else:
+                copy.missed = now
+        if send is copy.trial and outcome in (Outcome.COMPLETED, Outcome.MISS):
+            self._copies.met(outcome is Outcome.COMPLETED and warm is not False)
+            function.looked = -1e9
         if outcome in (Outcome.COMPLETED, Outcome.FULL):
             if worker.busy < 0.3:  # else own windows see to it
                 self._queues.felt(function, outcome is Outcome.FULL or took > act.type.target_ms)
@@ -456,7 +468,10 @@
         if outcome is Outcome.FULL:  # guards against a storm of orders at workers without room
             copy.worker.crammed_until = now + copy.function.load_ms
         took = now - order.placed  # less than a part: copies that stood already, for others
-        if outcome is Outcome.COMPLETED and took > 0.25 * copy.function.load_ms:
+        loaded = outcome is not Outcome.COMPLETED or took > 0.25 * copy.function.load_ms
+        if not copy.standing and order.placed >= copy.missed + copy.function.load_ms:
+            self._copies.met(not loaded)
+        if loaded and outcome is Outcome.COMPLETED:
             copy.function.load_ms += 0.3 * (took - copy.function.load_ms)
         if outcome in (Outcome.COMPLETED, Outcome.FULL, Outcome.ERROR):
             self._copies.stands(now, copy, standing)
@@ -626,19 +641,31 @@
         if worker is None or count >= self._queues.limit(now, function, room) or (
                 (copy := self._copies.at(function, worker)).order):
             return None
-        order = self._order(now, copy, copy.standing + 1)
-        missed = sum(now < other.barred_until for other in function.copies.values())
-        if order is None and not copy.standing and function.lag and missed < function.spread and (
-                function.stood or not function.refused):
-            # Guards against starving behind a small ration: the copy may stand for others; a miss bars it.
-            self._copies.stands(now, copy, 1)
-            first = (function.waiting or function.late)[0]
-            if self._placement.lane(now, first, not function.waiting) is copy:
-                return self._send(now, first, copy)
-        if order is None and not copy.standing and not copy.sends:
-            self._copies.forget(copy)
+        new = bool(function.lag and not copy.standing and (function.stood or not function.refused))
+        new = new and now >= copy.missed + function.load_ms
+        if new and self._copies.shared > 0.5 and (send := self._unordered(now, copy)):
+            return send
+        if (order := self._order(now, copy, copy.standing + 1)) is None:
+            missed = sum(now < other.barred_until for other in function.copies.values())
+            if now < copy.missed + function.load_ms:
+                copy.barred_until = copy.missed + function.load_ms
+            elif new and missed < function.spread and (send := self._unordered(now, copy)):
+                return send
+            if not copy.standing and not copy.sends and now >= copy.barred_until:
+                self._copies.forget(copy)
         return order
 
+    def _unordered(self, now: float, copy: Copy) -> Send | None:
+        """The first that waits goes to a copy that mostly stands for others; a miss has it ordered.  Guards
+        against spending a small ration on asking for what stands, and starving behind it."""
+        self._copies.stands(now, copy, 1)
+        first = (copy.function.waiting or copy.function.late)[0]
+        if self._placement.lane(now, first, not copy.function.waiting) is copy:
+            copy.trial = self._send(now, first, copy)
+            return copy.trial
+        copy.standing = 0
+        return None
+
     def _planned_host(self, now: float, function: Function) -> tuple[Worker, bool] | None:
         """Lag says that a copy is needed; a plan, while it has places left, where.  Guards against every
         dispatcher's loading copies of its own after a release, where a few serve all."""
@@ -651,7 +678,7 @@
         return None
 
     def _order(self, now: float, copy: Copy, count: int, spare: float = 0.0) -> Order | None:
-        copy.order = copy.ordered = self._gate.order(now, copy, count, spare)
+        copy.order = self._gate.order(now, copy, count, spare)
         copy.worker.loading += copy.order is not None
         return copy.order
 
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -162,11 +162,12 @@
     worker: Worker
     standing: int = 0
     order: Order | None = None  # a hold order that is out
-    ordered: Order | None = None  # the last one, out or answered
+    trial: Send | None = None  # sent without an order: its end tells whether one stands
     sends: int = 0
     used: float = 0.0  # last send or answer
     touched: float = 0.0  # since when it idles at the worker, at the earliest
     barred_until: float = 0.0
+    missed: float = -1e9  # when it was last found not to stand
     wanted: int = 0  # copies that a plan wants there
 
 
--- a/kelptrail/host/host.py
+++ b/kelptrail/host/host.py
@@ -49,7 +49,7 @@
         self.tells_warm = told.tells_warm
         agenda, health = Agenda(), Health()
         gate = Gate(seed, told.parallel, told.most_sends, told.tip, told.tip_ms, told.cold_share, told.cold_ms,
-                    told.ration)
+                    told.ration, told.connect_ms)
         self._dispatcher = Dispatcher(
             gate, health, Placement(gate, health, told.zone, seed), Copies(agenda, told.keep_ms),
             Queues(seed, self.types, self.customers), agenda, told.cancels, told.longest_return_ms)
--- a/kelptrail/host/settings.py
+++ b/kelptrail/host/settings.py
@@ -117,6 +117,7 @@
     cold_ms: float
     keep_ms: float
     ration: tuple[bool, float, float, float]
+    connect_ms: float
 
 
 def read(settings: Any) -> Deployment:
@@ -147,6 +148,7 @@
         keep_ms=extras.ms("idle_life_us"),
         ration=(extras.flag("load_control"), extras.number("free_loads"), extras.number("load_share"),
                 extras.ms("load_span_us")),
+        connect_ms=bounds.ms("connect_timeout_us", 1),
     )
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,12 +24,13 @@
 }
 
 
-def make(workers: int = 3, return_ms: float = 500.0, **gate: Any) -> Dispatcher:
-    """A dispatcher with live, warm workers."""
+def make(workers: int = 3, return_ms: float = 500.0, shared: float = 0.0, **gate: Any) -> Dispatcher:
+    """A dispatcher with live, warm workers; `shared`: what it believes of copies that stand for others."""
     seed = gate.get("seed", 1)
     rules, agenda, health = Gate(**(GATE | gate)), Agenda(), Health()
     placement, queues = Placement(rules, health, 0, seed), Queues(seed, [kind(), kind(utility=8.0)], [])
     copies = Copies(agenda, 8000.0)
+    copies.shared = shared
     dispatcher = Dispatcher(rules, health, placement, copies, queues, agenda, True, return_ms)
     dispatcher.listed(0.0, [Worker(f"w{n}", zone=n % 2, cell=n % 2) for n in range(workers)], [])
     return dispatcher
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -92,7 +92,7 @@
 def play(seed: int, steps: int = 1500, **gate: Any) -> tuple[Dispatcher, Watch]:
     """A random life of one dispatcher; every decision passes the watch."""
     chance, watch = random.Random(seed), Watch(**gate)
-    dispatcher = make(workers=6, **gate)
+    dispatcher = make(workers=6, shared=0.2 * (seed % 6), **gate)
     fleet = watch.fleet = list(dispatcher.workers)
     functions = [model(f"f{n}", chance.choice((1, 2, 4)), KINDS[n % len(KINDS)]) for n in range(8)]
     now, serial, out, orders, open_acts = 0.0, 0, [], [], []
@@ -188,6 +188,7 @@
     """Have one activation ordered for, its copies standing, and its send answered."""
     act = activation(function, now)
     dispatcher.taken(now, act)
+    dispatcher._copies.shared = 0.0
     (order,) = pull(dispatcher, now)
     assert isinstance(order, Order)
     dispatcher.told(now, order, Outcome.COMPLETED, copies)
@@ -358,6 +359,47 @@
     assert second.sent > 1000.0, "not another worker at once: a copy there is no likelier"
 
 
+def test_where_copies_mostly_stand_for_others_a_send_goes_first_and_a_miss_is_ordered_at_once() -> None:
+    dispatcher, stands, missing = make(shared=0.6), model("stands"), model("missing")
+    (send,) = take(dispatcher, stands, 0.0, 1)
+    assert isinstance(send, Send), "no part of the ration is spent on asking"
+    complete(dispatcher, send, 50.0)
+    assert dispatcher._copies.shared > 0.6 and send.copy.standing == 1
+    (send,) = take(dispatcher, missing, 60.0, 1)
+    assert isinstance(send, Send)
+    dispatcher.answered(62.0, send, Outcome.MISS, False, False, None, 0, None)
+    (order,) = pull(dispatcher, 62.0)
+    assert isinstance(order, Order) and order.copy is send.copy and order.count == 1
+    shared = dispatcher._copies.shared
+    dispatcher.told(900.0, order, Outcome.COMPLETED, 1)
+    assert dispatcher._copies.shared == shared, "one find is counted once"
+    assert [d.copy for d in pull(dispatcher, 900.0) if isinstance(d, Send)] == [send.copy]
+
+
+def test_what_is_believed_of_others_copies_follows_orders_and_first_sends() -> None:
+    dispatcher = make(8, shared=0.5, ration=PLENTY)
+    for n, took in enumerate([0.0] * 4 + [900.0] * 12):
+        dispatcher.taken(2000.0 * n, activation(model(f"f{n}"), 2000.0 * n))
+        (first,) = (d for d in pull(dispatcher, 2000.0 * n) if isinstance(d, Send | Order) and (
+            d.copy.function.id == f"f{n}"))
+        if isinstance(first, Send):
+            found = Outcome.MISS if took else Outcome.COMPLETED
+            dispatcher.answered(2000.0 * n + 1, first, found, not took, False, None, 0, None)
+        else:
+            assert isinstance(first, Order)
+            dispatcher.told(2000.0 * n + took, first, Outcome.COMPLETED, 1)
+        pull(dispatcher, 2000.0 * n + took)
+        assert isinstance(first, Send) == (1 <= n <= 6), n
+
+
+def test_orders_that_wait_for_a_connection_keep_the_ration_when_they_arrive() -> None:
+    gate, dispatcher = Gate(**GATE, connect_ms=250.0), make(8)
+    copies = [dispatcher._copies.at(model(f"f{n}"), dispatcher.workers[0]) for n in range(12)]
+    given = [now for now in (0.0, 5100.0) for copy in copies if gate.order(now, copy, 1)]
+    assert given == [0.0] * 5, "those of the start may have arrived 250 ms late"
+    assert gate.order(5251.0, copies[0], 1) is not None
+
+
 def test_an_order_names_sixteen_copies_at_most() -> None:
     dispatcher, function = make(workers=1), model()
     copy = ready(dispatcher, function, copies=16).copies[function]
