--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -55,14 +55,14 @@
             return False
         if len(act.sends) >= self._most_sends or out > self._parallel:
             return False
-        return self.harmless(now, act)
+        return now < self.shuts(act)
 
-    def harmless(self, now: float, act: Activation) -> bool:
-        """Whether another run has no second effect, where the group that drops repeats is kept to."""
+    def shuts(self, act: Activation) -> float:
+        """When another run has a second effect, where the group that drops repeats is kept to."""
         first = next((send for send in act.sends if send.may_have_run), None)
         if first is None or act.type.effect is Effect.REPEATABLE:
-            return True
-        return act.type.effect is Effect.DEDUPLICATED and now < first.sent + act.type.remembered_ms - 20
+            return float("inf")
+        return first.sent + act.type.remembered_ms - 20 if act.type.effect is Effect.DEDUPLICATED else 0.0
 
     def may_send(self, now: float, act: Activation, worker: Worker) -> bool:
         if not worker.live or not self.open(now, act):
@@ -115,7 +115,7 @@
         """The one final answer: rejected where that promises the truth, else aborted.  Guards against clients
         that come again without the mark, or when nobody remembers it, and have a second effect."""
         free = act.type.effect is not Effect.DEDUPLICATED or (act.marked and act.type.scope == "all")
-        again = (free and self.harmless(now, act)) or not any(s.may_have_run for s in act.sends)
+        again = (free and now < self.shuts(act)) or not any(s.may_have_run for s in act.sends)
         again = again and act.bound is None  # its client has seen a part of a streamed answer
         act.verdict = "rejected" if again else "aborted"
         return act
@@ -346,9 +346,9 @@
         allowed = act.customer.allowed_per_s / sum(customer.allowed_per_s for customer in self._customers)
         return len(act.customer.taken) > 1.25 * allowed * seen
 
-    def hopeless(self, now: float, act: Activation) -> bool:
+    def last(self, act: Activation) -> float:
         """Guards against runs that nobody waits for: impatient clients, late hours of a queue."""
-        return act.deadline - now < max(5.0, 0.5 * act.function.usual_ms)
+        return act.deadline - max(5.0, 0.5 * act.function.usual_ms)
 
     def beyond(self, now: float, act: Activation, lanes: int) -> bool:
         """Whether the lag is past its bound, here or at the workers; beyond a share at half of it."""
@@ -489,15 +489,10 @@
         """It failed to load and never stood: its calls earn no orders, and after a second failure they
         are given up at once.  Guards against functions that do not exist."""
         function.refused += 1
-        for act in (queued := [*function.arrivals, *function.waiting, *function.late]):
+        for act in [*function.arrivals, *function.waiting, *function.late]:
             self._gate.uncount(act)
-        if function.refused > 1:
-            for queue in (function.arrivals, function.waiting, function.late):
-                queue.clear()
-            for act in queued:
-                act.queued = False
-                if act.verdict is None and all(send.outcome for send in act.sends):
-                    self._owed.append(self._gate.end(now, act))
+            if function.refused > 1 and act.verdict is None and all(send.outcome for send in act.sends):
+                self._owed.append(self._end(now, act))
 
     def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
         for worker in restarted:
@@ -535,9 +530,8 @@
         for _ in range(min(16, len(self._ahead))):  # CPU: a plan of thousands is looked over in turns
             copy, worker = self._ahead[0], self._ahead[0].worker
             self._ahead.rotate(-1)
-            if copy.standing >= copy.wanted or copy.order or copy.function not in self._known:
-                continue
-            if now < copy.barred_until or now < worker.crammed_until:
+            if copy.standing >= copy.wanted or copy.order or copy.function not in self._known or (
+                    now < max(copy.barred_until, worker.crammed_until)):
                 continue
             if self._gate.warmth(now, worker) < 1 or not self._health.usable(now, worker, copy.function.type):
                 continue
@@ -580,8 +574,8 @@
             elif isinstance(item, Send):
                 if hedge := self._hedge(now, item):
                     return hedge
-            elif item.verdict is None and (item.queued or now >= item.deadline - 5):
-                return self._gate.end(now, item)
+            elif item.verdict is None and (ended := self._watch(now, item)):
+                return ended
         if self._owed:
             return self._owed.popleft()
         while self._stirred:
@@ -605,19 +599,18 @@
         while function.arrivals:
             if (act := function.arrivals.popleft()).verdict:
                 continue
-            if self._queues.beyond(now, act, held + loading) or self._queues.hopeless(now, act):
-                act.return_ms = min(self._longest_return_ms, function.load_ms)
-                return self._gate.end(now, act)
+            if self._queues.beyond(now, act, held + loading) or now >= self._queues.last(act):
+                return self._end(now, act)
             function.waiting.append(act)
             act.queued = True
-            self.agenda.add(act.deadline - 5, act)
+            self._watch(now, act)
         while queue := function.waiting or function.late:
             act = queue[0]
-            if act.verdict or not self._gate.open(now, act) or self._queues.hopeless(now, act):
+            if act.verdict or not self._gate.open(now, act) or now >= self._queues.last(act):
                 queue.popleft()
                 act.queued = False
                 if not act.verdict and all(send.outcome for send in act.sends):
-                    return self._gate.end(now, act)
+                    return self._end(now, act)
                 continue
             if queue is function.waiting and now + 0.5 * function.usual_ms > act.taken + act.type.target_ms:
                 function.late.append(queue.popleft())
@@ -697,7 +690,7 @@
         """A second send beside one that is out unusually long: only to a free lane, so it adds no lag."""
         act = first.act
         if first.outcome or first.lost or act.queued or act.function.lag or not self._gate.open(now, act) or (
-                self._queues.hopeless(now, act) or (copy := self._placement.lane(now, act, True)) is None):
+                now >= self._queues.last(act) or (copy := self._placement.lane(now, act, True)) is None):
             return None
         if not self._attempts.spend():
             return None
@@ -705,15 +698,30 @@
         act.function.waiting.append(act)
         return self._send(now, act, copy)
 
+    def _end(self, now: float, act: Activation) -> Activation:
+        """Given up: at once, and a rejection names when what it lacked may stand."""
+        again = self._gate.end(now, act).verdict == "rejected"
+        act.return_ms = min(self._longest_return_ms, act.function.load_ms) if again else 0.0
+        return act
+
+    def _watch(self, now: float, act: Activation) -> Activation | None:
+        """Looks again when its time is up.  Guards against holding what can be sent no more behind others."""
+        until = min(self._queues.last(act), self._gate.shuts(act)) if act.queued else now
+        if now >= act.deadline - 5 or (act.queued and now >= until and all(s.outcome for s in act.sends)):
+            return self._end(now, act)
+        self.agenda.add(until if until > now else act.deadline - 5, act)
+        return None
+
     def _again(self, now: float, act: Activation) -> None:
         if act.queued:
             return
-        if self._gate.open(now, act):
+        if self._gate.open(now, act) and now < self._queues.last(act):
             act.queued = True
             act.function.waiting.appendleft(act)
+            self._watch(now, act)
             self._stirred[act.function] = None
         elif all(send.outcome for send in act.sends):
-            self._owed.append(self._gate.end(now, act))
+            self._owed.append(self._end(now, act))
 
     def _rescue(self, now: float, sends: Iterable[Send]) -> None:
         for send in reversed(list(sends)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -672,3 +672,134 @@
     assert other.copy.worker is not order.copy.worker
     dispatcher.told(800.0, other, Outcome.COMPLETED, 1)
     assert 600.0 < function.load_ms < 1000.0
+
+
+# Ways in which the module gives up: each final answer comes in the round of decisions in which it falls.
+
+
+def placed(dispatcher: Dispatcher, act: Activation, now: float) -> Send:
+    """Taken, and sent to a copy that its order brought, if none stood."""
+    dispatcher.taken(now, act)
+    found = pull(dispatcher, now)
+    for order in (d for d in found if isinstance(d, Order)):
+        dispatcher.told(now, order, Outcome.COMPLETED, order.count)
+    (send,) = (d for d in [*found, *pull(dispatcher, now)] if isinstance(d, Send))
+    return send
+
+
+def answer(dispatcher: Dispatcher, send: Send, outcome: Outcome, now: float) -> None:
+    dispatcher.answered(now, send, outcome, False, False, None, 0, None)
+
+
+Given = tuple[float, list[Activation], str]  # when, what is given up then, and with which answer
+
+
+def past_the_bound(dispatcher: Dispatcher) -> Given:
+    acts = [activation(model("f", 1), 0.0, n) for n in range(30)]
+    for act in acts:
+        act.function = acts[0].function
+        dispatcher.taken(0.0, act)
+    return 0.0, acts[4:], "rejected"
+
+
+def impatient(dispatcher: Dispatcher) -> Given:
+    function = model()
+    complete(dispatcher, placed(dispatcher, activation(function, 0.0), 0.0), 400.0)
+    act = activation(function, 500.0, 1, 150.0)
+    dispatcher.taken(500.0, act)
+    return 500.0, [act], "rejected"
+
+
+def out_of_sends(dispatcher: Dispatcher) -> Given:
+    dispatcher._gate._most_sends = 1
+    act = activation(model(), 0.0)
+    answer(dispatcher, placed(dispatcher, act, 0.0), Outcome.FULL, 40.0)
+    return 40.0, [act], "rejected"
+
+
+def once_only_broke(dispatcher: Dispatcher) -> Given:
+    act = activation(model(type_=kind(Effect.ONCE_ONLY)), 0.0)
+    answer(dispatcher, placed(dispatcher, act, 0.0), Outcome.BROKEN, 40.0)
+    return 40.0, [act], "aborted"
+
+
+def remembered_no_more(dispatcher: Dispatcher) -> Given:
+    act = activation(model(type_=kind(Effect.DEDUPLICATED)), 0.0, 0, 9000.0)
+    answer(dispatcher, placed(dispatcher, act, 0.0), Outcome.BROKEN, 5100.0)
+    return 5100.0, [act], "aborted"
+
+
+def too_late_to_send_again(dispatcher: Dispatcher) -> Given:
+    function = model()
+    complete(dispatcher, placed(dispatcher, activation(function, 0.0), 0.0), 400.0)
+    act = activation(function, 500.0, 1, 900.0)
+    answer(dispatcher, placed(dispatcher, act, 500.0), Outcome.FULL, 1250.0)
+    return 1250.0, [act], "rejected"
+
+
+def nobody_can_load(dispatcher: Dispatcher) -> Given:
+    acts = [activation(model("bogus"), 0.0, n) for n in range(4)]
+    for act in acts:
+        act.function = acts[0].function
+        dispatcher.taken(0.0, act)
+    for now in (0.0, 30.0):
+        (order,) = (d for d in pull(dispatcher, stir(dispatcher, now)) if isinstance(d, Order))
+        dispatcher.told(now + 1, order, Outcome.ERROR, 0)
+    return 31.0, acts, "rejected"
+
+
+def overload_felt(dispatcher: Dispatcher) -> Given:
+    dispatcher._queues._open = 0.05
+    acts = [activation(model(), 0.0, n) for n in range(2)]
+    for act in acts:
+        dispatcher.taken(0.0, act)
+    return 0.0, acts, "rejected"
+
+
+def time_is_up(dispatcher: Dispatcher) -> Given:
+    act = activation(model(type_=kind(Effect.ONCE_ONLY)), 0.0)
+    placed(dispatcher, act, 0.0)
+    return 2995.0, [act], "aborted"
+
+
+def hopeless_behind_others(dispatcher: Dispatcher) -> Given:
+    function = model(lanes=1)
+    complete(dispatcher, placed(dispatcher, activation(function, 0.0), 0.0), 400.0)
+    placed(dispatcher, activation(function, 500.0, 1), 500.0)
+    for worker in dispatcher.workers:
+        dispatcher._health.bar(500.0, worker.whole)
+    behind = activation(function, 500.0, 3, 800.0)
+    for act in (activation(function, 500.0, 2), behind):
+        dispatcher.taken(500.0, act)
+    pull(dispatcher, 500.0)
+    return 1100.0, [behind], "rejected"  # half of the usual time is left, and the first may still wait
+
+
+def forgotten_behind_others(dispatcher: Dispatcher) -> Given:
+    function = model(lanes=1, type_=kind(Effect.DEDUPLICATED))
+    act = activation(function, 0.0, 0, 9000.0)
+    send = placed(dispatcher, act, 0.0)
+    for worker in dispatcher.workers:
+        worker.whole.barred_until = 8000.0
+    answer(dispatcher, send, Outcome.BROKEN, 100.0)
+    pull(dispatcher, 100.0)
+    function.waiting.appendleft(activation(function, 100.0, 1, 9000.0))
+    return 4980.0, [act], "aborted"
+
+
+WAYS = [past_the_bound, impatient, out_of_sends, once_only_broke, remembered_no_more, too_late_to_send_again,
+        nobody_can_load, overload_felt, time_is_up, hopeless_behind_others, forgotten_behind_others]
+
+
+@pytest.mark.parametrize("longest", [500.0, 0.0])
+@pytest.mark.parametrize("way", WAYS)
+def test_what_is_given_up_gets_its_answer_at_once_and_a_time_to_return_where_allowed(
+    way: Callable[[Dispatcher], Given], longest: float
+) -> None:
+    dispatcher = make(return_ms=longest)
+    now, acts, verdict = way(dispatcher)
+    ended = [d for d in pull(dispatcher, now) if isinstance(d, Activation)]
+    assert sorted(a.id for a in ended) == sorted(a.id for a in acts)
+    for act in ended:
+        assert act.verdict == verdict
+        assert act.return_ms == (longest if verdict == "rejected" else 0.0)
