--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -268,7 +268,7 @@
             load = self.load(now, worker, function.type) if worker.gap else self._mean
             held = bool(copy and (copy.standing or copy.order))
             rank = (seen - first) % spread if seen < spread else seen
-            key = (int(load / (1.4 * self._mean)), held, now < worker.crammed_until, rank)
+            key = (int(load / (3.0 * self._mean)), held, now < worker.crammed_until, rank)
             if best is None or key < best_key:
                 best, best_key, best_load = worker, key, load
             seen += 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -400,6 +400,16 @@
     assert gate.order(5251.0, copies[0], 1) is not None
 
 
+def test_a_copy_goes_to_its_usual_worker_until_that_is_far_over_the_average() -> None:
+    for reported, at_home in ((3.0, True), (12.0, False)):
+        dispatcher, function = make(8), model()
+        home = ready(dispatcher, function)
+        for worker in dispatcher.workers:  # all were heard of, with one load under way each
+            worker.gap, worker.report = 10.0, {"x1": reported if worker is home else 1.0, "util": 0.7}
+        host, _ = dispatcher._placement.host(5000.0, model(), dispatcher.workers)
+        assert (host is home) == at_home
+
+
 def test_an_order_names_sixteen_copies_at_most() -> None:
     dispatcher, function = make(workers=1), model()
     copy = ready(dispatcher, function, copies=16).copies[function]
