--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -51,11 +51,9 @@
     def open(self, now: float, act: Activation) -> bool:
         """Rules 1 and 2, as far as they do not depend on the worker."""
         out = sum(send.outcome is None for send in act.sends)
-        if act.verdict or act.bound or now >= act.deadline:
+        if act.verdict or act.bound or len(act.sends) >= self._most_sends or out > self._parallel:
             return False
-        if len(act.sends) >= self._most_sends or out > self._parallel:
-            return False
-        return now < self.shuts(act)
+        return now < min(act.deadline, self.shuts(act))
 
     def shuts(self, act: Activation) -> float:
         """When another run has a second effect, where the group that drops repeats is kept to."""
@@ -71,15 +69,19 @@
             first = next((s.copy.worker for s in act.sends if s.may_have_run), worker)
             if getattr(first, act.type.scope) != getattr(worker, act.type.scope):
                 return False
+        return self.spare(now, worker)
+
+    def spare(self, now: float, worker: Worker) -> bool:
+        """A cold one may be sent a part of what warm ones of its size carry: so all together stay under."""
         if (warmth := self.warmth(now, worker)) >= 1:
             return True
-        # A part of what warm workers of its size carry from here: so all dispatchers together stay under.
         budget = 0.5 * self._tip * warmth * self.usual(now) * worker.size
-        if budget < 1:  # of many small dispatchers only some may send in each span
-            span = int((now - (worker.started or 0.0)) / self._tip_ms)
-            if crc32(f"{self._seed} {worker.id} {span}".encode()) >= budget * 2**32:
-                return False
-        return len(_shed(worker.recent, now - self._tip_ms)) < max(1.0, budget)
+        sent, began = _shed(worker.recent, now - 2 * self._tip_ms), worker.started or 0.0
+        if budget >= 1:
+            return sum(at > now - self._tip_ms for at in sent) < budget
+        last = int((now - began) / self._tip_ms)  # of many small dispatchers only some may, once in two spans
+        return any(crc32(f"{self._seed} {worker.id} {span}".encode()) < budget * 2**32 and not (
+            sent and sent[-1] >= began + span * self._tip_ms) for span in (max(last - 1, 0), last))
 
     def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         if not self.may_send(now, act, copy.worker):
@@ -262,8 +264,8 @@
         first = crc32(f"{self._seed} {self._draws}".encode()) % spread
         for worker in function.homes:
             copy = function.copies.get(worker)
-            if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2) or (
-                    not self._health.usable(now, worker, function.type)):
+            if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2) or not (
+                    self._health.usable(now, worker, function.type) and self._gate.spare(now, worker)):
                 continue
             load = self.load(now, worker, function.type) if worker.gap else self._mean
             held = bool(copy and (copy.standing or copy.order))
@@ -590,6 +592,7 @@
         for copy in function.copies.values():
             worker, extra = copy.worker, max(0, copy.order.count - copy.standing) if copy.order else 0
             usable = not (worker.whole.bar_ms or worker.views[function.type].bar_ms or worker.doubted)
+            usable = usable and self._gate.spare(now, worker)
             room = max(0, int(worker.window) - len(worker.sends))
             held += min(copy.standing * function.lanes, copy.sends + room) * usable
             if usable and copy.order and now - copy.order.placed < 1.5 * function.load_ms:
@@ -652,20 +655,17 @@
         """The first that waits goes to a copy that mostly stands for others; a miss has it ordered.  Guards
         against spending a small ration on asking for what stands, and starving behind it."""
         self._copies.stands(now, copy, 1)
-        first = (copy.function.waiting or copy.function.late)[0]
-        if self._placement.lane(now, first, not copy.function.waiting) is copy:
-            copy.trial = self._send(now, first, copy)
-            return copy.trial
-        copy.standing = 0
-        return None
+        copy.trial = self._send(now, (copy.function.waiting or copy.function.late)[0], copy)
+        copy.standing = int(copy.trial is not None)
+        return copy.trial
 
     def _planned_host(self, now: float, function: Function) -> tuple[Worker, bool] | None:
         """Lag says that a copy is needed; a plan, while it has places left, where.  Guards against every
         dispatcher's loading copies of its own after a release, where a few serve all."""
         if function.planned:
             for copy in function.copies.values():
-                if copy.standing < copy.wanted and not copy.order and now >= copy.barred_until and (
-                        now >= copy.worker.crammed_until) and (
+                if copy.standing < copy.wanted and not copy.order and now >= max(
+                        copy.barred_until, copy.worker.crammed_until) and (
                         self._health.usable(now, copy.worker, function.type)):
                     return copy.worker, True
         return None
@@ -690,9 +690,8 @@
         """A second send beside one that is out unusually long: only to a free lane, so it adds no lag."""
         act = first.act
         if first.outcome or first.lost or act.queued or act.function.lag or not self._gate.open(now, act) or (
-                now >= self._queues.last(act) or (copy := self._placement.lane(now, act, True)) is None):
-            return None
-        if not self._attempts.spend():
+                now >= self._queues.last(act) or (copy := self._placement.lane(now, act, True)) is None) or (
+                not self._attempts.spend()):
             return None
         act.queued = True
         act.function.waiting.append(act)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,6 +13,7 @@
 from kelptrail.dispatch.terms import (
     NEVER_RAN,
     Activation,
+    Copy,
     Effect,
     Function,
     NamespaceType,
@@ -467,6 +468,33 @@
     assert 0 < sent < 0.5 * 3.0 * 0.2 * 100 / 4 * 3
 
 
+def test_a_draw_at_a_cold_worker_that_was_not_used_holds_a_span_longer_and_once() -> None:
+    first = second = again = 0
+    for seed in range(200):
+        gate, cold = Gate(**GATE | {"seed": seed, "cold_ms": 20_000.0}), Worker("cold", started=0.0)
+        gate._usual, gate._sized = 0.5, 1e9  # what warm ones carry: a part of 0.15 at the start
+        one, two = (activation(model(), 0.0, n) for n in (1, 2))
+        first += gate.may_send(100.0, one, cold)
+        second += gate.may_send(2100.0, one, cold)
+        if gate.may_send(2100.0, one, cold):
+            gate.send(2100.0, one, Copy(one.function, cold, 1))
+            again += gate.may_send(2200.0, two, cold)
+    assert 0.5 * 200 * 0.15 < first < 1.5 * 200 * 0.15
+    assert second > 1.5 * first, "those drawn before, too: most have nothing to send in the one span"
+    assert again < second / 3, "each draw is used once"
+
+
+def test_copies_go_where_this_dispatcher_may_send_and_barred_lanes_are_not_held() -> None:
+    dispatcher, function = make(8, ration=PLENTY), model()
+    home = ready(dispatcher, function)
+    home.started = 2000.0
+    dispatcher.listed(2000.0, dispatcher.workers, [home])
+    home.copies[function].standing = 1  # loaded again, for others
+    dispatcher._gate._usual, dispatcher._gate._sized = 0.0, 1e9  # nothing may be sent to a cold worker
+    (order,) = (d for d in take(dispatcher, function, 2001.0, 1) if isinstance(d, Order))
+    assert order.copy.worker is not home
+
+
 def test_late_answers_close_admission_for_the_least_useful_first_and_timely_ones_open_it() -> None:
     queues = make()._queues
     for n in range(60):
