--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -57,8 +57,8 @@
 
     def shuts(self, act: Activation) -> float:
         """When another run has a second effect, where the group that drops repeats is kept to."""
-        first = next((send for send in act.sends if send.may_have_run), None)
-        if first is None or act.type.effect is Effect.REPEATABLE:
+        if act.type.effect is Effect.REPEATABLE or (
+                first := next((send for send in act.sends if send.may_have_run), None)) is None:
             return float("inf")
         return first.sent + act.type.remembered_ms - 20 if act.type.effect is Effect.DEDUPLICATED else 0.0
 
@@ -104,8 +104,7 @@
         return Order(copy, min(count, 16), now) if self._loads else None  # the most that an order may name
 
     def uncount(self, act: Activation) -> None:
-        """It earns no orders.  Guards against calls that are no work: taken back before anything was sent, or
-        for what no worker can load."""
+        """It earns no orders.  Guards against calls that are no work: taken back unsent, nowhere loadable."""
         with suppress(ValueError):
             self.taken.remove(act.taken)
 
@@ -253,9 +252,9 @@
 
     def host(self, now: float, function: Function, workers: list[Worker]) -> tuple[Worker | None, bool]:
         """The worker for a new copy, and whether it is below average.  Loads within one step are equal."""
-        if function.listed is not workers:  # so dispatchers that cannot talk share copies
-            function.listed = workers
-            function.homes = sorted(workers, key=lambda w: (crc32(f"{function.id} {w.id}".encode()), w.id))
+        if function.listed != workers:  # so dispatchers that cannot talk share copies
+            function.listed, begun = workers, crc32(f"{function.id} ".encode())
+            function.homes = sorted(workers, key=lambda w: (crc32(w.id.encode(), begun), w.id))
         if now >= self._weighed + 200:  # CPU: a large fleet is not weighed for each order
             heard = [self.load(now, w) for w in workers if w.live and w.gap] or [1.0]
             self._mean, self._weighed = sum(heard) / len(heard), now
@@ -588,6 +587,10 @@
         return None
 
     def _serve(self, now: float, function: Function) -> Decision | None:
+        if not (function.arrivals or function.lag) and (
+                function.spread < 2 or now < function.looked + function.load_ms):
+            function.lag_since = None  # CPU: most answers leave nothing to decide
+            return None
         held = loading = count = homes = 0  # lanes held or loading; copies that stand or load, and where
         for copy in function.copies.values():
             worker, extra = copy.worker, max(0, copy.order.count - copy.standing) if copy.order else 0
@@ -660,8 +663,7 @@
         return copy.trial
 
     def _planned_host(self, now: float, function: Function) -> tuple[Worker, bool] | None:
-        """Lag says that a copy is needed; a plan, while it has places left, where.  Guards against every
-        dispatcher's loading copies of its own after a release, where a few serve all."""
+        """Where a plan has places left.  Guards against every dispatcher loading its own after a release."""
         if function.planned:
             for copy in function.copies.values():
                 if copy.standing < copy.wanted and not copy.order and now >= max(
