--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -411,6 +411,25 @@
         assert (host is home) == at_home
 
 
+def test_a_list_of_the_same_workers_costs_no_sorting_and_an_answer_without_lag_no_look_at_copies() -> None:
+    dispatcher, function = make(8), model()
+    ready(dispatcher, function)
+    homes = function.homes
+    dispatcher.listed(100.0, list(dispatcher.workers), [])
+    dispatcher._placement.host(100.0, function, dispatcher.workers)
+    assert function.homes is homes
+    dispatcher.listed(200.0, [*dispatcher.workers, Worker("new")], [])
+    dispatcher._placement.host(200.0, function, dispatcher.workers)
+    assert len(function.homes) == 9 and function.homes is not homes
+    seen = list[float]()
+    dispatcher._gate.spare = lambda now, worker: not seen.append(now)  # type: ignore[method-assign]
+    (send,) = take(dispatcher, function, 300.0, 1)
+    seen.clear()
+    assert isinstance(send, Send)
+    complete(dispatcher, send, 340.0)
+    assert not pull(dispatcher, 340.0) and not seen
+
+
 def test_an_order_names_sixteen_copies_at_most() -> None:
     dispatcher, function = make(workers=1), model()
     copy = ready(dispatcher, function, copies=16).copies[function]
