A room above all joins the rooms to a process; imports only go down

Need: leases, copies and rolling changes add rooms that many others need; the gateway imported planner, front, VRRP and stand-ins, planner and VRRP imported the gateway's clock back, and `lab` and `load` imported each other.

Change: `kelptrail/clock/` is the only place that asks for the time; `kelptrail/service/` joins rooms (serve, standing by, control port, planner's process); tallies belong to the gateway, results to `load`, the harmed disk to `store`; the load tool takes a script by what it needs of one. Tests run on five processes; those that start whole places run one at a time, since they measure time.

The platform's door loads none of the new rooms (tested).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Two commands do all set-up on a fresh machine: `make run` and `make test`.
 PY ?= python3
 BIN := .venv/bin
+# Processes of the tests; fewer than cores, as tests of the group `processes` start more, one test at a time.
+JOBS ?= 5
 
 .PHONY: run demo test lint lock proto
 run: demo
@@ -21,7 +23,7 @@
 	$(BIN)/mypy
 
 test: lint
-	$(BIN)/python -m pytest -q $(ARGS)
+	$(BIN)/python -m pytest -q -n $(JOBS) --dist loadgroup $(ARGS)
 
 # The code of the gRPC messages; a test tells when it is older than its .proto.
 proto: .venv/.locked
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -18,7 +18,7 @@
 import numpy as np
 import uvloop
 
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 from kelptrail.planner.channel import VERSION, Beat, FrameReader, Hello, Report, frame
 from kelptrail.planner.demand import Tally
 from kelptrail.planner.place import Host, Need, greedy, solve, valid
--- a/bench/vrrp_failover.py
+++ b/bench/vrrp_failover.py
@@ -25,7 +25,7 @@
 
 from kelptrail.audit.judge import judge, read
 from kelptrail.badday.report import latencies, world_of
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 from kelptrail.load.plan import steady
 from kelptrail.settings.deployment import Deployment, load
 from kelptrail.standin.capture import Capture
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -12,8 +12,8 @@
 
 import numpy as np
 
+from kelptrail.clock import now_ms
 from kelptrail.codec.http import HttpError
-from kelptrail.gateway.clock import now_ms
 from kelptrail.settings.deployment import Deployment
 from kelptrail.standin.capture import Capture
 from kelptrail.standin.clients import Clients
--- a/kelptrail/cli/logs.py
+++ b/kelptrail/cli/logs.py
@@ -13,7 +13,7 @@
 import msgspec
 import structlog
 
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 
 
 class Bounded:
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -131,8 +131,8 @@
 
 def _dispatch(context: click.Context, file: str, planners: tuple[str, ...], **words: Any) -> None:
     deployment = _settings(file)
-    from kelptrail.gateway.serve import Options
-    from kelptrail.gateway.serve import serve as run
+    from kelptrail.service.serve import Options
+    from kelptrail.service.serve import serve as run
 
     host, port, name = words["host"], words["port"], words["name"]
     log = _log(context, dispatcher=name)
@@ -194,8 +194,8 @@
             control: str | None, control_port: int | None, solver: str, slow_ms: float, with_stdin: bool) -> None:
     """Plan loads and placement ahead for edges, until SIGTERM.  A second one stands by."""
     deployment = _settings(file)
-    from kelptrail.planner.serve import Options
-    from kelptrail.planner.serve import serve as run
+    from kelptrail.planner.program import Options
+    from kelptrail.service.planner import serve as run
 
     log = _log(context, planner=name)
     if control_port is not None:
@@ -482,9 +482,9 @@
 
     from kelptrail.audit.judge import judge
     from kelptrail.badday.report import latencies
-    from kelptrail.lab.results import figures
     from kelptrail.lab.shards import ShardError, play_sharded
     from kelptrail.lab.site import LabSettings, Site, result_of
+    from kelptrail.load.results import figures
 
     day = _script(script)
     deployment, settings = _settings(day.deployment), LabSettings(network_ms=network_ms)
@@ -526,7 +526,7 @@
     from kelptrail.lab.compare import report
     from kelptrail.lab.experiment import load
     from kelptrail.lab.experiment import run as run_all
-    from kelptrail.lab.results import read
+    from kelptrail.load.results import read
 
     count = sum(1 for _ in _read(load, experiment).runs())
     with click.progressbar(length=count, label="runs", file=sys.stderr) as bar:
@@ -545,7 +545,7 @@
     from dataclasses import asdict
 
     from kelptrail.lab.compare import compare
-    from kelptrail.lab.results import read_runs
+    from kelptrail.load.results import read_runs
 
     one = [r for r in read_runs(folder) if r["variant"] == first]
     two = [r for r in read_runs(other_folder or folder) if r["variant"] == second]
@@ -737,7 +737,7 @@
     """One process of a bad day's clients."""
     import gc
 
-    from kelptrail.gateway.clock import now_ms
+    from kelptrail.clock import now_ms
     from kelptrail.standin.capture import Capture
     from kelptrail.standin.clients import Clients
 
--- a/kelptrail/front/inference/api.py
+++ b/kelptrail/front/inference/api.py
@@ -18,11 +18,11 @@
 import msgspec
 from google.protobuf.message import DecodeError
 
+from kelptrail.clock import now_ms, wall_ms
 from kelptrail.codec.grpc import Code, GrpcError
 from kelptrail.codec.infer import Payload
 from kelptrail.codec.tensors import JsonTensor, TensorError, fill, scalars, to_json, write_scalars
 from kelptrail.front.callers import Callers
-from kelptrail.gateway.clock import now_ms, wall_ms
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
 from kelptrail.gateway.limits import WORDS
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -18,11 +18,11 @@
 
 import msgspec
 
+from kelptrail.clock import now_ms, wall_ms
 from kelptrail.codec.events import CONTENT_TYPE as EVENT_STREAM
 from kelptrail.codec.events import encode_event
 from kelptrail.codec.http import Request
 from kelptrail.front.callers import Callers
-from kelptrail.gateway.clock import now_ms, wall_ms
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
 from kelptrail.gateway.limits import WORDS
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -17,7 +17,6 @@
 from kelptrail.codec.infer import Answer
 from kelptrail.dispatch.agenda import Agenda
 from kelptrail.dispatch.terms import Activation, Copy, Effect, Order, Outcome, Send, Worker
-from kelptrail.planner.demand import Tally
 from kelptrail.roster.members import Listing, Members
 from kelptrail.settings.deployment import ActionSettings
 from kelptrail.store.book import Life
@@ -30,6 +29,7 @@
 from .limits import EARLY, RETURN_MS, Holdings
 from .records import Record, Records
 from .storm import Storm, StormSettings
+from .tally import Tally
 
 OUTCOMES = {"completed": Outcome.COMPLETED, "error": Outcome.ERROR, "full": Outcome.FULL, "miss": Outcome.MISS}
 MAY_HAVE_RUN = b'{"error":"The activation was aborted: it may have run, so trying again may repeat its effect."}'
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 from typing import Any
 
+from kelptrail.clock import now_ms
 from kelptrail.codec.events import EventReader, TooLongError
 from kelptrail.codec.http import Response
 from kelptrail.codec.infer import (
@@ -28,7 +29,6 @@
 from kelptrail.roster.members import Listing
 from kelptrail.store.driver import JournalDriver
 
-from .clock import now_ms
 from .core import OUTCOMES, Final, Gateway, GiveUp, Ivk, Note, Part, PlaceOrder, StartSend
 from .sight import LinkSight
 
--- /dev/null
+++ b/kelptrail/gateway/tally.py
@@ -0,0 +1,22 @@
+"""What a dispatcher counts of each function, for whoever plans ahead."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Tally(msgspec.Struct, array_like=True):
+    """One function at one edge since its last report.  `work_ms`: the sum of times from a send to its answer."""
+
+    taken: int = 0
+    completed: int = 0
+    rejected: int = 0
+    missed: int = 0
+    late: int = 0
+    lag: int = 0
+    work_ms: float = 0.0
+
+    def plus(self, later: Tally) -> Tally:
+        """Both together; the lag is the later one's."""
+        return Tally(self.taken + later.taken, self.completed + later.completed, self.rejected + later.rejected,
+                     self.missed + later.missed, self.late + later.late, later.lag, self.work_ms + later.work_ms)
--- a/kelptrail/lab/experiment.py
+++ b/kelptrail/lab/experiment.py
@@ -21,12 +21,12 @@
 
 from kelptrail.badday.script import BadDay
 from kelptrail.badday.script import load as load_script
+from kelptrail.load.results import Rows, figures, rows_of, spread_of, write
 from kelptrail.settings.deployment import Deployment
 from kelptrail.settings.deployment import load as load_deployment
 from kelptrail.settings.reader import Form, Place, read
 from kelptrail.settings.shape import Checker
 
-from .results import Rows, figures, rows_of, spread_of, write
 from .site import LabSettings, play
 
 OF_DEPLOYMENT = ("dispatcher", "rules", "fleet", "store", "front", "pool", "journal", "storm")
@@ -189,7 +189,7 @@
 
 
 def run(path: str, out: Path, workers: int, progress: Callable[[dict[str, Any]], None]) -> Rows:
-    """Play all runs over several processes; write the tables of `kelptrail.lab.results`."""
+    """Play all runs over several processes; write the tables of `kelptrail.load.results`."""
     experiment = load(path)
     tables: tuple[Rows, Rows, Rows] = ([], [], [])
     with ProcessPoolExecutor(workers) as pool:
--- a/kelptrail/lab/shards.py
+++ b/kelptrail/lab/shards.py
@@ -20,11 +20,11 @@
 from typing import TYPE_CHECKING, Any
 
 from kelptrail.badday.script import BadDay
+from kelptrail.load.results import Result, Second
 from kelptrail.roster.members import Entry
 from kelptrail.settings.deployment import Deployment
 
 from .engine import Engine
-from .results import Result, Second
 
 if TYPE_CHECKING:
     from .site import LabSettings
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -25,6 +25,7 @@
 from kelptrail.load.arrivals import Arrivals, popularity
 from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.load.plan import Load
+from kelptrail.load.results import Result, Second
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
 from kelptrail.store.book import Life
@@ -34,7 +35,6 @@
 from .engine import Engine, Timer
 from .fleet import LabStore, LabWorker
 from .planned import LabEdge, LabPlanner
-from .results import Result, Second
 from .shards import RemoteDispatcher, RemoteStore, RemoteWorker, Shard, SharedLedger, answer_remote
 
 POLL_MS, PATIENCE_MS, WALL = 150.0, 3000.0, 1e12
--- a/kelptrail/load/hand.py
+++ b/kelptrail/load/hand.py
@@ -18,16 +18,15 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
-from kelptrail.badday.script import BadDay
+from kelptrail.clock import now_ms
 from kelptrail.codec.http import Response, encode_request
-from kelptrail.gateway.clock import now_ms
-from kelptrail.lab.results import Second
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
 
 from .arrivals import Arrivals, popularity
 from .habits import Habits, Heard, again, habits_of
-from .plan import Load
+from .plan import Load, Script
+from .results import Second
 
 POLL_MS, PATIENCE_MS, POLL_FOR_MS = 150.0, 500.0, 3000.0
 LONGEST_US, DIGITS = 3_600_000_000, 3
@@ -82,7 +81,7 @@
 class Hand:
     """Plays its share of a script's load from `start` (ms of the clock)."""
 
-    def __init__(self, day: BadDay, deployment: Deployment, settings: HandSettings, start: float) -> None:
+    def __init__(self, day: Script, deployment: Deployment, settings: HandSettings, start: float) -> None:
         self._day, self._deployment, self._settings, self._start = day, deployment, settings, start
         self._chance = np.random.default_rng([settings.seed, 29, settings.number])
         self._loop = asyncio.get_running_loop()
--- a/kelptrail/load/plan.py
+++ b/kelptrail/load/plan.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Protocol
 
 from kelptrail.settings.reader import Place
 from kelptrail.settings.shape import Checker, Shape, Value, number, word
@@ -47,6 +48,22 @@
             object.__setattr__(self, name, value)
 
 
+class Script(Protocol):
+    """What a script says of its load.  Times in seconds."""
+
+    @property
+    def seconds(self) -> float:
+        """How long it goes on."""
+
+    @property
+    def ends(self) -> float:
+        """When its last trouble is over."""
+
+    @property
+    def load(self) -> list[Load]:
+        """Who comes."""
+
+
 LOAD = Shape({
     "rate": number(0.01, 100_000),
     "at": number(0, 86_400, default=0.0),
--- a/kelptrail/load/tool.py
+++ b/kelptrail/load/tool.py
@@ -15,12 +15,12 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from kelptrail.badday.script import BadDay
-from kelptrail.gateway.clock import now_ms
-from kelptrail.lab.results import PARTS, Result, Rows, Second, figures, rows_of, write
+from kelptrail.clock import now_ms
 from kelptrail.net.client import Errand
 
 from .hand import DIGITS, LONGEST_US, HandSettings
+from .plan import Script
+from .results import PARTS, Result, Rows, Second, figures, rows_of, write
 
 START_MS = 1500.0  # for the processes to be there
 
@@ -29,7 +29,7 @@
     """A process of the tool ended without its tally."""
 
 
-async def drive(script: str, day: BadDay, settings: HandSettings, controls: list[str]) -> list[dict[str, Any]]:
+async def drive(script: str, day: Script, settings: HandSettings, controls: list[str]) -> list[dict[str, Any]]:
     """Run all processes; their tallies as they were packed, and the dispatchers' states each second as the last."""
     start = now_ms() + START_MS
     words = [sys.executable, "-m", "kelptrail", "load-hand", script, "--start", str(start), "--of", str(settings.of),
@@ -70,7 +70,7 @@
         errand.close()
 
 
-def joined(day: BadDay, found: list[dict[str, Any]]) -> tuple[Result, dict[str, HdrHistogram], HdrHistogram]:
+def joined(day: Script, found: list[dict[str, Any]]) -> tuple[Result, dict[str, HdrHistogram], HdrHistogram]:
     """All tallies as one result, with the latencies and the tool's own lateness."""
     *tallies, last = found
     seconds = [Second() for _ in range(int(day.seconds) + 60)]
@@ -102,7 +102,7 @@
     return result, took, late
 
 
-def keep(out: Path, who: dict[str, Any], day: BadDay, found: list[dict[str, Any]]) -> dict[str, Any]:
+def keep(out: Path, who: dict[str, Any], day: Script, found: list[dict[str, Any]]) -> dict[str, Any]:
     """Write the three tables; the run's row.  Latencies are milliseconds."""
     result, took, late = joined(day, found)
     every = HdrHistogram(1, LONGEST_US, DIGITS)
--- a/kelptrail/planner/channel.py
+++ b/kelptrail/planner/channel.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from .demand import Tally
+from kelptrail.gateway.tally import Tally
+
 from .follow import Follower
 from .plan import FIRST, Order, Plan, PlanError, Wants, pack, unpack
 
--- a/kelptrail/planner/core.py
+++ b/kelptrail/planner/core.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from .demand import Demand, Tally
+from kelptrail.gateway.tally import Tally
+
+from .demand import Demand
 from .place import Host, Need, Placed
 from .plan import FIRST, Order, Plan, Wants, changes, make
 
--- a/kelptrail/planner/edge.py
+++ b/kelptrail/planner/edge.py
@@ -16,7 +16,7 @@
 import msgspec
 import zstandard
 
-from kelptrail.gateway.clock import now_ms, wall_ms
+from kelptrail.clock import now_ms, wall_ms
 from kelptrail.gateway.core import Gateway
 
 from .channel import Beat, ChannelError, EdgeLink, FrameReader, Led, frame
--- a/kelptrail/planner/serve.py
+++ b/kelptrail/planner/program.py
@@ -5,10 +5,8 @@
 import asyncio
 import contextlib
 import os
-import signal
 import socket
 import time
-from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from concurrent.futures.process import BrokenProcessPool
 from dataclasses import dataclass
@@ -21,10 +19,8 @@
 
 from kelptrail.background.core import SchedulerSettings
 from kelptrail.background.driver import Background
-from kelptrail.gateway.clock import now_ms, wall_ms
+from kelptrail.clock import now_ms, wall_ms
 from kelptrail.net.door import Door
-from kelptrail.net.server import Exchange, HttpServer, Limits
-from kelptrail.roster.client import RosterClient
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import Deployment
 
@@ -291,42 +287,3 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*list(self._tasks), return_exceptions=True)
-
-
-async def serve(deployment: Deployment, options: Options, log: Any,
-                ready: Callable[[str, str], None] | None = None, stop: asyncio.Event | None = None) -> None:
-    """Run until SIGTERM, SIGINT or `stop`."""
-    loop, stop = asyncio.get_running_loop(), stop or asyncio.Event()
-    for sign in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sign, stop.set)
-    program = PlannerProgram(deployment, options, log)
-    had = program.restore()
-    program.listen()
-    last = options.state / "last-list.json" if options.state is not None else None
-    if options.state is not None:
-        with contextlib.suppress(OSError):
-            options.state.mkdir(parents=True, exist_ok=True)
-    program.start()
-    roster = RosterClient(options.roster, "", program.listed, last, log)
-    roster.start_from_last()
-    follower = loop.create_task(roster.follow())
-
-    def handle(request: Any, exchange: Exchange) -> None:
-        if request.method == "POST" and request.path == "/fault":  # for trials: plans that take longer
-            body = msgspec.json.decode(request.body)
-            program.slow_ms, program.core.demand.factor = float(body.get("ms", 0.0)), float(body.get("factor", 1.0))
-            loop.call_later(float(body["for_ms"]) / 1000, program.sound)
-        exchange.reply(200, msgspec.json.encode(program.status()))
-
-    control = HttpServer(handle, Limits(connections=64))
-    if options.control is not None:
-        host, _, port = options.control.rpartition(":")
-        control.listen(host, int(port))
-    log.info("planning", address=program.address, from_snapshot=had)
-    if ready is not None:
-        ready(program.address, control.address)
-    await stop.wait()
-    follower.cancel()
-    control.stop_listening()
-    control.abort_all()
-    await program.stop()
--- /dev/null
+++ b/kelptrail/service/build.py
@@ -0,0 +1,41 @@
+"""From settings to what doors and their locks take."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from kelptrail.clock import wall_ms
+from kelptrail.net.grpc_server import GrpcLimits
+from kelptrail.net.guard import GuardSettings
+from kelptrail.net.server import Limits
+from kelptrail.net.tls import TlsFiles, TlsKeeper
+from kelptrail.settings.deployment import Deployment, FrontSettings, InferenceSettings
+
+
+def limits(front: FrontSettings) -> Limits:
+    """The door's limits as the server takes them."""
+    return Limits(front.connections, front.header_bytes, front.body_bytes, front.pipelined, front.read_ms,
+                  front.write_ms, front.idle_ms, front.unread_mb * 1e6)
+
+
+def grpc_limits(front: InferenceSettings) -> GrpcLimits:
+    """The second door's limits as its server takes them."""
+    return GrpcLimits(
+        front.connections, front.streams, front.header_bytes, front.message_bytes, front.partial_mb * 1e6,
+        front.unread_mb * 1e6, front.stream_bytes, front.read_ms, front.write_ms, front.idle_ms, front.handshake_ms,
+        GuardSettings(front.flood_at_once, front.flood_per_s, front.age_ms, front.grace_ms))
+
+
+def tls_keeper(deployment: Deployment, side: str, alpn: list[str], log: Any) -> TlsKeeper | None:
+    """One side's TLS, if the settings have it.  Raises `ValueError` where its files cannot be used."""
+    found = deployment.tls.get(side)
+    if found is None:
+        return None
+
+    def file(name: str) -> Path | None:
+        return deployment.folder / name if name else None
+
+    files = TlsFiles(file(found.certificate), file(found.key), file(found.authority), found.peers, found.least,
+                     found.ciphers, found.warn_days)
+    return TlsKeeper(files, side != "to-workers", alpn, log, wall_ms)
--- a/kelptrail/gateway/control.py
+++ b/kelptrail/service/control.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from kelptrail.codec.http import Request
+from kelptrail.gateway.driver import Driver
 from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, HttpServer
 from kelptrail.net.tls import TlsKeeper
 
-from .driver import Driver
 from .standing import Standing
 
 
--- /dev/null
+++ b/kelptrail/service/planner.py
@@ -0,0 +1,55 @@
+"""One planner as a running program."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from kelptrail.net.server import Exchange, HttpServer, Limits
+from kelptrail.planner.program import Options, PlannerProgram
+from kelptrail.roster.client import RosterClient
+from kelptrail.settings.deployment import Deployment
+
+
+async def serve(deployment: Deployment, options: Options, log: Any,
+                ready: Callable[[str, str], None] | None = None, stop: asyncio.Event | None = None) -> None:
+    """Run until SIGTERM, SIGINT or `stop`."""
+    loop, stop = asyncio.get_running_loop(), stop or asyncio.Event()
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sign, stop.set)
+    program = PlannerProgram(deployment, options, log)
+    had = program.restore()
+    program.listen()
+    last = options.state / "last-list.json" if options.state is not None else None
+    if options.state is not None:
+        with contextlib.suppress(OSError):
+            options.state.mkdir(parents=True, exist_ok=True)
+    program.start()
+    roster = RosterClient(options.roster, "", program.listed, last, log)
+    roster.start_from_last()
+    follower = loop.create_task(roster.follow())
+
+    def handle(request: Any, exchange: Exchange) -> None:
+        if request.method == "POST" and request.path == "/fault":  # for trials: plans that take longer
+            body = msgspec.json.decode(request.body)
+            program.slow_ms, program.core.demand.factor = float(body.get("ms", 0.0)), float(body.get("factor", 1.0))
+            loop.call_later(float(body["for_ms"]) / 1000, program.sound)
+        exchange.reply(200, msgspec.json.encode(program.status()))
+
+    control = HttpServer(handle, Limits(connections=64))
+    if options.control is not None:
+        host, _, port = options.control.rpartition(":")
+        control.listen(host, int(port))
+    log.info("planning", address=program.address, from_snapshot=had)
+    if ready is not None:
+        ready(program.address, control.address)
+    await stop.wait()
+    follower.cancel()
+    control.stop_listening()
+    control.abort_all()
+    await program.stop()
--- a/kelptrail/gateway/serve.py
+++ b/kelptrail/service/serve.py
@@ -16,28 +16,30 @@
 
 from kelptrail.background.core import SchedulerSettings
 from kelptrail.background.driver import Background
+from kelptrail.clock import now_ms, wall_ms
 from kelptrail.front.callers import Callers
 from kelptrail.front.inference.api import InferenceApi
 from kelptrail.front.invoke.api import InvokeApi
+from kelptrail.gateway.build import World
+from kelptrail.gateway.core import Gateway
+from kelptrail.gateway.driver import Driver
 from kelptrail.net.door import ConnectPace, PaceSettings
-from kelptrail.net.grpc_server import GrpcLimits, GrpcServer
-from kelptrail.net.guard import GuardSettings
+from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Handler, HttpServer, Limits
-from kelptrail.net.tls import TlsFiles, TlsKeeper
+from kelptrail.net.tls import TlsKeeper
 from kelptrail.planner.edge import PlanFollower
+from kelptrail.planner.program import Options as PlannerOptions
+from kelptrail.planner.program import PlannerProgram
 from kelptrail.roster.client import RosterClient
 from kelptrail.roster.members import PREFIX, Listing, id_prefix
 from kelptrail.settings.deployment import Deployment, FrontSettings, InferenceSettings
-from kelptrail.standin.disk import HarmedDisk
 from kelptrail.store.book import Book, BookError, open_book
 from kelptrail.store.driver import JournalDriver
+from kelptrail.store.harmed import HarmedDisk
 from kelptrail.store.journal import Journal
 
-from .build import World
-from .clock import now_ms, wall_ms
+from .build import grpc_limits, limits, tls_keeper
 from .control import Control
-from .core import Gateway
-from .driver import Driver
 from .standing import Standing
 
 
@@ -59,34 +61,6 @@
     harmed: Path | None = None  # a file that says what ails the disk under the book, for tests
 
 
-def limits(front: FrontSettings) -> Limits:
-    """The door's limits as the server takes them."""
-    return Limits(front.connections, front.header_bytes, front.body_bytes, front.pipelined, front.read_ms,
-                  front.write_ms, front.idle_ms, front.unread_mb * 1e6)
-
-
-def grpc_limits(front: InferenceSettings) -> GrpcLimits:
-    """The second door's limits as its server takes them."""
-    return GrpcLimits(
-        front.connections, front.streams, front.header_bytes, front.message_bytes, front.partial_mb * 1e6,
-        front.unread_mb * 1e6, front.stream_bytes, front.read_ms, front.write_ms, front.idle_ms, front.handshake_ms,
-        GuardSettings(front.flood_at_once, front.flood_per_s, front.age_ms, front.grace_ms))
-
-
-def tls_keeper(deployment: Deployment, side: str, alpn: list[str], log: Any) -> TlsKeeper | None:
-    """One side's TLS, if the settings have it.  Raises `ValueError` where its files cannot be used."""
-    found = deployment.tls.get(side)
-    if found is None:
-        return None
-
-    def file(name: str) -> Path | None:
-        return deployment.folder / name if name else None
-
-    files = TlsFiles(file(found.certificate), file(found.key), file(found.authority), found.peers, found.least,
-                     found.ciphers, found.warn_days)
-    return TlsKeeper(files, side != "to-workers", alpn, log, wall_ms)
-
-
 def _open(file: Path, most_bytes: float, vfs: str | None, log: Any) -> Book | None:
     """The book, or None where it cannot be used: then deferred calls are refused."""
     try:
@@ -215,9 +189,6 @@
         background.add("certificates", partial(_look, keepers), 5, 1000.0)
     planners = list(options.planners)
     if deployment.planner.within:
-        from kelptrail.planner.serve import Options as PlannerOptions
-        from kelptrail.planner.serve import PlannerProgram
-
         inner = PlannerProgram(deployment, PlannerOptions(
             f"{options.name}-planner", "127.0.0.1", 0, options.roster, options.state), log)
         inner.restore()
--- a/kelptrail/gateway/standing.py
+++ b/kelptrail/service/standing.py
@@ -9,7 +9,9 @@
 from pathlib import Path
 from typing import Any
 
+from kelptrail.clock import now_ms
 from kelptrail.front.invoke.api import InvokeApi
+from kelptrail.gateway.driver import Driver
 from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Handler, HttpServer, Limits
 from kelptrail.settings.deployment import FrontSettings, VrrpSettings
@@ -20,9 +22,6 @@
 from kelptrail.vrrp.seal import Key, Opener, Sealer
 from kelptrail.vrrp.track import Tracking, TrackSettings
 
-from .clock import now_ms
-from .driver import Driver
-
 LOOK_MS = 200.0  # how often what is tracked is told
 LOOKED_AT = 3  # workers that are tried when no send tells whether any can be reached
 
--- a/kelptrail/standin/capture.py
+++ b/kelptrail/standin/capture.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 
 
 class Lag:
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -15,12 +15,12 @@
 import msgspec
 import numpy as np
 
+from kelptrail.clock import now_ms
 from kelptrail.codec.grpc import Code
 from kelptrail.codec.http import Response, encode_request
 from kelptrail.codec.tensors import scalars
 from kelptrail.front.inference import inference_pb2 as pb
 from kelptrail.front.inference.api import SERVICE
-from kelptrail.gateway.clock import now_ms
 from kelptrail.load.arrivals import Arrivals, popularity
 from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.load.plan import Load
--- a/kelptrail/standin/roster.py
+++ b/kelptrail/standin/roster.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
+from kelptrail.clock import now_ms
 from kelptrail.codec.http import Request
-from kelptrail.gateway.clock import now_ms
 from kelptrail.net.server import Exchange, HttpServer
 
 from .capture import Capture
--- a/kelptrail/standin/store.py
+++ b/kelptrail/standin/store.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
+from kelptrail.clock import now_ms
 from kelptrail.codec.http import Request
-from kelptrail.gateway.clock import now_ms
 from kelptrail.net.server import Exchange, HttpServer
 from kelptrail.settings.deployment import StoreSettings
 
--- a/kelptrail/standin/worker.py
+++ b/kelptrail/standin/worker.py
@@ -20,6 +20,7 @@
 import msgspec
 import numpy as np
 
+from kelptrail.clock import now_ms
 from kelptrail.codec.events import CONTENT_TYPE, encode_event
 from kelptrail.codec.http import Request, Response, encode_request, encode_response
 from kelptrail.codec.infer import (
@@ -35,11 +36,10 @@
     tensors_answer,
     write_report,
 )
-from kelptrail.gateway.clock import now_ms
-from kelptrail.gateway.serve import tls_keeper
 from kelptrail.net.client import Errand
 from kelptrail.net.pool import Call, Ending, WorkerPool
 from kelptrail.net.server import Exchange, HttpServer, Limits
+from kelptrail.service.build import tls_keeper
 from kelptrail.settings.deployment import ActionSettings, Deployment, TypeSettings
 
 from .capture import Capture, Lag
--- a/kelptrail/store/driver.py
+++ b/kelptrail/store/driver.py
@@ -7,7 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 
 from .book import Book, BookError
 from .entries import Entry
--- a/kelptrail/vrrp/driver.py
+++ b/kelptrail/vrrp/driver.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from kelptrail.gateway.clock import now_ms, wall_ms
+from kelptrail.clock import now_ms, wall_ms
 
 from .instance import Datagram, Instance
 from .machine import GiveUp, Moved, Take
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -11,7 +11,7 @@
 
 from kelptrail.background.core import Job, Scheduler, SchedulerSettings
 from kelptrail.background.driver import Background
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 
 
 def job(name: str, priority: int = 1, every: float = 100.0, longest: float = 2000.0, share: float = 0.5) -> Job:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -11,12 +11,12 @@
 import pytest
 from program import DEPLOYMENT, Dispatcher, ScriptedWorker, Silent, run
 
-from kelptrail.gateway.clock import now_ms
+from kelptrail.clock import now_ms
 from kelptrail.planner.channel import VERSION, Beat, FrameReader, Hello, Offer, Reply, frame
 from kelptrail.planner.core import Role
 from kelptrail.planner.edge import PlanFollower
 from kelptrail.planner.plan import make, pack
-from kelptrail.planner.serve import Options, PlannerProgram
+from kelptrail.planner.program import Options, PlannerProgram
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import parse
 
@@ -167,6 +167,7 @@
     run(main())
 
 
+@pytest.mark.xdist_group("processes")
 @pytest.mark.parametrize("seed", [1])
 def test_a_bad_day_of_planners_breaks_no_rule_and_calls_go_on(seed: int, tmp_path: Path) -> None:
     """Slow, killed, started with nothing, while workers drain and crash; the audit judges what passed."""
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -23,11 +23,11 @@
 from kelptrail.codec.http import ResponseReader, encode_request
 from kelptrail.front.callers import Callers
 from kelptrail.front.inference import inference_pb2 as pb
-from kelptrail.gateway.serve import grpc_limits, tls_keeper
 from kelptrail.keys.authority import Authority, AuthorityError, api_key
 from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import HttpServer
 from kelptrail.net.tls import Expiry, TlsFiles, TlsKeeper
+from kelptrail.service.build import grpc_limits, tls_keeper
 from kelptrail.settings.deployment import parse
 from kelptrail.settings.reader import SettingsError
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -19,9 +19,9 @@
 from kelptrail.lab.experiment import load as load_experiment
 from kelptrail.lab.experiment import run
 from kelptrail.lab.fleet import LabStore, LabWorker
-from kelptrail.lab.results import Result, Second, read, read_runs, read_seconds, recovery
 from kelptrail.lab.site import LabSettings, Site, play
 from kelptrail.load.plan import steady
+from kelptrail.load.results import Result, Second, read, read_runs, read_seconds, recovery
 from kelptrail.settings.deployment import load
 from kelptrail.settings.reader import SettingsError
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -14,14 +14,14 @@
 
 from kelptrail.badday.script import BadDay
 from kelptrail.badday.script import load as load_script
+from kelptrail.clock import now_ms
 from kelptrail.codec.http import Request
-from kelptrail.gateway.clock import now_ms
-from kelptrail.lab.results import read
 from kelptrail.lab.site import Site
 from kelptrail.load.arrivals import Arrivals, read_trace
 from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.load.hand import Hand, HandSettings, packed
 from kelptrail.load.plan import LOAD, Load, steady
+from kelptrail.load.results import read
 from kelptrail.load.tool import joined, keep
 from kelptrail.net.server import Exchange
 from kelptrail.settings.deployment import load
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -360,7 +360,9 @@
 
 def test_a_process_starts_without_heavy_libraries_serves_and_ends_when_told(tmp_path: Path) -> None:
     heavy = ["numpy", "scipy", "h2", "apsw", "click", "structlog", "cryptography", "google", "matplotlib", "lark",
-             "msgspec", "kelptrail.front", "kelptrail.gateway", "kelptrail.store"]
+             "msgspec", "kelptrail.front", "kelptrail.gateway", "kelptrail.store", "kelptrail.clock", "kelptrail.peers",
+             "kelptrail.lease", "kelptrail.copies", "kelptrail.rollout", "kelptrail.planner", "kelptrail.vrrp",
+             "kelptrail.service", "kelptrail.lab", "kelptrail.badday"]
     code = f"import sys, kelptrail.platform.__main__; sys.exit(any(m in sys.modules for m in {heavy}))"
     assert subprocess.run([sys.executable, "-c", code], timeout=30).returncode == 0
     command = [sys.executable, "-m", "kelptrail.platform"]
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -9,10 +9,10 @@
 from kelptrail.audit.judge import judge
 from kelptrail.badday.script import BadDay, Trouble
 from kelptrail.lab.engine import Engine
-from kelptrail.lab.results import figures
 from kelptrail.lab.shards import RemoteStore, Shard, ShardError, SharedLedger, play_sharded
 from kelptrail.lab.site import LabSettings, Site, result_of
 from kelptrail.load.plan import steady
+from kelptrail.load.results import figures
 from kelptrail.settings.deployment import load
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -9,15 +9,16 @@
 import sys
 from pathlib import Path
 
+import pytest
 from program import Dispatcher, ScriptedWorker, Silent, answer, auth, connect, read_reply, run, silent
 from test_inference import Client, tensor
 
 from kelptrail.codec.http import Request, encode_request
 from kelptrail.dispatch.terms import Outcome
 from kelptrail.gateway.sight import LinkSight
-from kelptrail.gateway.standing import Standing
 from kelptrail.net.grpc_server import GrpcServer
 from kelptrail.net.server import Exchange, Limits
+from kelptrail.service.standing import Standing
 from kelptrail.settings.deployment import parse
 from kelptrail.vrrp.address import FrontAddress
 from kelptrail.vrrp.driver import next_epoch
@@ -197,6 +198,7 @@
     assert sight.well(1300.0) is None
 
 
+@pytest.mark.xdist_group("processes")
 def test_two_failovers_of_real_processes_keep_the_rules(tmp_path: Path) -> None:
     text = (ROOT / "examples" / "shared-address.sexp").read_text()
     for port, kind in (("8112", socket.SOCK_DGRAM), ("8310", socket.SOCK_STREAM), ("8311", socket.SOCK_STREAM)):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -24,10 +24,10 @@
 from kelptrail.roster.members import Entry as Listed
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import parse
-from kelptrail.standin.disk import HarmedDisk
 from kelptrail.store.book import Book, BookError, Life, open_book
 from kelptrail.store.driver import JournalDriver
 from kelptrail.store.entries import Accepted, DamagedError, Ended, MayRun, pack, unpack
+from kelptrail.store.harmed import HarmedDisk
 from kelptrail.store.journal import Journal, OutOfTurnError
 from kelptrail.store.recovery import End, Pace, Resume, Rule, judge
 
@@ -466,6 +466,7 @@
     run(main())
 
 
+@pytest.mark.xdist_group("processes")
 def test_a_dispatcher_killed_at_a_step_keeps_what_it_had_promised() -> None:
     """Two steps of the matrix of bench/crash_points.py, every effect, deferred and keyed, with real processes."""
     done = subprocess.run([sys.executable, "bench/crash_points.py", "--steps", "cleared,ended"], cwd=ROOT,
