Cores of leases: voters, askers, tokens, and a model of them that is looked through

Need: work that one dispatcher of the fleet does at a time has no common way; planners elect by what edges have heard.

`kelptrail/search/` holds what the VRRP explorer and this model have in common: breadth first, and seeded walks that go deeper.

--- /dev/null
+++ b/kelptrail/lease/terms.py
@@ -0,0 +1,140 @@
+"""What voters and askers say to each other, and the figures that both are built with.
+
+The manner is that of leases on majorities (Trencseni, Gazso, Reinhardt: PaxosLease, arXiv:1209.4187) with Chubby's
+sequencers (Burrows, OSDI 2006) as tokens.  Times are milliseconds of the clock of whoever is told of them; no message
+carries a time of day.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+class Token(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Names one lease.  Tokens of a task are in one order: by round, then by `who`, the asker and its run."""
+
+    round: int
+    who: str
+
+    def __str__(self) -> str:
+        return f"{self.round}.{self.who}"
+
+
+NONE = Token(0, "")
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask", array_like=True):
+    """May I hold the task for `length_ms`, or go on holding it?  `seq` tells one question from the next; `number` is
+    the set of voters that the asker believes in."""
+
+    task: str
+    token: Token
+    length_ms: float
+    seq: int
+    number: int
+
+
+class Granted(msgspec.Struct, frozen=True, tag="granted", array_like=True):
+    """Yes, and it is on disk."""
+
+    task: str
+    token: Token
+    seq: int
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused", array_like=True):
+    """No.  `highest`: of the task; `left_ms`: when it is worth asking again; `number` and `voters`: the set in force
+    here."""
+
+    task: str
+    token: Token
+    seq: int
+    reason: str
+    highest: Token
+    left_ms: float
+    number: int
+    voters: tuple[str, ...]
+
+
+class Release(msgspec.Struct, frozen=True, tag="release", array_like=True):
+    """The lease is given back before its end, or the attempt is given up; `to`: who should have it next."""
+
+    task: str
+    token: Token
+    to: str = ""
+
+
+class Handed(msgspec.Struct, frozen=True, tag="handed", array_like=True):
+    """From a holder to whom it names next: ask now."""
+
+    task: str
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """What a voter keeps of a task: the highest token that it granted, for how long, and whether it was given back."""
+
+    task: str
+    token: Token
+    length_ms: float
+    released: bool
+
+
+class Learn(msgspec.Struct, frozen=True, tag="learn", array_like=True):
+    """From a voter that does not vote yet: what do you know?"""
+
+    number: int
+    nonce: int
+
+
+class Learnt(msgspec.Struct, frozen=True, tag="learnt", array_like=True):
+    """What a voter knows.  `stage`: see `voter.Stage`; `was`: it voted in the set before this one until it took up
+    this one."""
+
+    number: int
+    nonce: int
+    stage: str
+    was: bool
+    rows: tuple[Row, ...]
+
+
+Message = Ask | Granted | Refused | Release | Handed | Learn | Learnt
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSettings:
+    """Figures that all of a fleet share.
+
+    `number`: of the set of voters, larger with each change; `before`: the set before it; `clock_bound`: each clock's
+    rate is within 1 - bound to 1 + bound of true time; `longest_ms`: no lease is longer; `ask_ms`: after it a question
+    counts as unanswered; `retry_ms`: least pause after an attempt that failed; `gap_ms`: between places of those who
+    wait at a voter; `reserve_ms`: for so long a task is kept for whom it was handed to; `first_round`: tokens begin
+    above it.
+    """
+
+    voters: tuple[str, ...]
+    number: int = 1
+    before: tuple[str, ...] = ()
+    clock_bound: float = 0.01
+    longest_ms: float = 10_000.0
+    ask_ms: float = 250.0
+    retry_ms: float = 100.0
+    gap_ms: float = 20.0
+    reserve_ms: float = 1000.0
+    first_round: int = 0
+
+    def held_ms(self, length_ms: float) -> float:
+        """How long a holder may count on a lease by its own clock, from before it asked: voters count `length_ms` on
+        clocks that may be as fast as allowed, the holder's may be as slow."""
+        return length_ms * (1 - self.clock_bound) / (1 + self.clock_bound)
+
+    @property
+    def wait_ms(self) -> float:
+        """How long, on the fastest clock, until nothing that was granted before can be believed any more."""
+        return self.longest_ms * (1 + self.clock_bound) / (1 - self.clock_bound)
+
+
+def majority(voters: tuple[str, ...]) -> int:
+    """More than half."""
+    return len(voters) // 2 + 1
--- a/kelptrail/vrrp/explore.py
+++ b/kelptrail/vrrp/explore.py
@@ -9,9 +9,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from functools import partial
+
+from kelptrail import search
+from kelptrail.search import PropertyError, Step
 
 from .machine import GiveUp, Router, State, Take, Transmit
 from .packet import Advertisement
@@ -19,10 +22,6 @@
 MOST_AT_ONCE = 60  # advertisements sent without time passing, in a healed network of three
 
 
-class PropertyError(Exception):
-    """A property does not hold; the message tells which and how it came."""
-
-
 @dataclass(frozen=True, slots=True)
 class Flying:
     """An advertisement on its way; `age` in steps of time it has been held up."""
@@ -71,6 +70,12 @@
         return (tuple(r.snapshot(self.now) for r in self.routers), tuple(flying), tuple(self.alive),
                 tuple(self.paused), self.budget)
 
+    def steps(self) -> Iterator[Step[World]]:
+        """Every step that can follow."""
+        for name, after in steps(self):
+            after.collect()
+            yield Step(name, partial(_made, after))
+
     def collect(self) -> int:
         """Take what the routers put out; returns how many advertisements were sent."""
         sent = 0
@@ -118,6 +123,10 @@
         return True
 
 
+def _made(world: World) -> World:
+    return world
+
+
 Make = Callable[[], list[Router]]
 
 
@@ -224,13 +233,9 @@
 
 
 @dataclass(slots=True)
-class Found:
+class Found(search.Looked):
     """What was explored."""
 
-    states: int = 0
-    edges: int = 0
-    depth: int = 0
-    whole: bool = False  # nothing left within the depth
     most_masters: int = 0
     two_masters: int = 0  # states with more than one
     no_master: int = 0
@@ -238,31 +243,16 @@
 
 def explore(make: Make, budget: Budget, depth: int, most_states: int, heal_ms: float) -> Found:
     """Breadth first to `depth` steps or `most_states` states.  Raises `PropertyError` with the way to it."""
-    found, first = Found(), start(make, budget)
-    seen = {first.key()}
-    line: deque[tuple[int, World]] = deque([(0, first)])
-    while line:
-        at, world = line.popleft()
-        found.states += 1
-        found.depth = at
+    found = Found()
+
+    def look(world: World) -> None:
         masters = sum(a and r.state is State.MASTER for a, r in zip(world.alive, world.routers, strict=True))
         found.most_masters = max(found.most_masters, masters)
         found.two_masters += masters > 1
         found.no_master += masters == 0
-        try:
-            world.check()
-            heal(world, heal_ms)
-        except PropertyError as cause:
-            raise PropertyError(f"{cause}; by: {', '.join(world.trail)}") from None
-        if at >= depth or found.states + len(line) >= most_states:
-            continue
-        for name, after in steps(world):
-            after.collect()
-            found.edges += 1
-            key = after.key()
-            if key not in seen:
-                seen.add(key)
-                after.trail = (*world.trail, name)
-                line.append((at + 1, after))
-    found.whole = len(seen) < most_states
+        world.check()
+        heal(world, heal_ms)
+
+    looked = search.explore(start(make, budget), look, depth, most_states)
+    found.states, found.edges, found.depth, found.whole = looked.states, looked.edges, looked.depth, looked.whole
     return found
