--- a/bench/planner.py
+++ b/bench/planner.py
@@ -19,8 +19,9 @@
 import uvloop
 
 from kelptrail.clock import now_ms
-from kelptrail.planner.channel import VERSION, Beat, FrameReader, Hello, Report, frame
-from kelptrail.planner.demand import Tally
+from kelptrail.gateway.tally import Tally
+from kelptrail.peers.wire import VERSION, Beat, FrameReader, Hello, frame
+from kelptrail.planner.channel import READ, Report
 from kelptrail.planner.place import Host, Need, greedy, solve, valid
 from kelptrail.planner.plan import FIRST
 from kelptrail.settings.deployment import load
@@ -88,7 +89,7 @@
     async def run(self) -> None:
         host, _, port = self._address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        frames = FrameReader()
+        frames = FrameReader(READ)
 
         async def read() -> None:
             from kelptrail.planner.channel import Offer, Reply
--- a/kelptrail/audit/judge.py
+++ b/kelptrail/audit/judge.py
@@ -16,6 +16,7 @@
 
 Event = dict[str, Any]
 STARTS_MS = 250.0  # a process that says it is ready still reads what came while it started: that waited untaken
+AFTER_MS = 10_000.0  # so long after a clock ran wrong beliefs of that time may last
 SLACK_MS = 60.0  # what loopback, a loaded machine and the reader's own loop may add to a time
 
 
@@ -38,6 +39,12 @@
     drain_breaches: int = 0
     cold_breaches: int = 0
     ration_breaches: int = 0
+    holders_two: int = 0
+    old_tokens_taken: int = 0
+    holders_two_by_clocks: int = 0  # while a clock ran beyond what is allowed
+    old_tokens_refused: int = 0
+    acts: int = 0
+    lost_with_disk: int = 0
     lost_with_dispatcher: int = 0
     not_taken: int = 0
     other_answers: int = 0
@@ -47,7 +54,8 @@
     details: list[str] = field(default_factory=list)
 
     BREACHES = ("unanswered", "accepted_lost", "late_finals", "finals_twice", "sends_after_final", "sends_after_part",
-                "effects_twice", "false_rejections", "drain_breaches", "cold_breaches", "ration_breaches")
+                "effects_twice", "false_rejections", "drain_breaches", "cold_breaches", "ration_breaches",
+                "holders_two", "old_tokens_taken")
 
     @property
     def broken(self) -> bool:
@@ -97,6 +105,7 @@
     _drains(verdict, by_kind, world)
     _cold(verdict, by_kind, world)
     _ration(verdict, by_kind, calls, finals, world)
+    _leases(verdict, by_kind, world)
     verdict.sends = len(by_kind["send"])
     verdict.loads = sum(event["copies"] > 0 for event in by_kind["order"])
     verdict.effects = len(by_kind["effect"])
@@ -120,6 +129,7 @@
     verdict.not_taken = len(not_taken)
     # What was acknowledged must be found again, whatever became of its dispatcher, where that keeps a book.
     accepted = {event["call"] for event in by_kind["accepted"]} if by_kind["world"][0].get("kept") else set()
+    gone = {event["dispatcher"] for event in by_kind["disk-lost"]}
     final_of: dict[str, list[Event]] = defaultdict(list)
     ends: dict[str, float] = {event["call"]: event["t"] for event in by_kind["no-answer"]}
     by_activation: dict[str, Event] = {}
@@ -136,7 +146,9 @@
         found = final_of.get(number)
         if not found:
             end = ends.get(number, float("inf"))
-            if number in accepted and any(event["call"] == number for event in by_kind["no-answer"]):
+            if number in accepted and call["dispatcher"] in gone:
+                verdict.lost_with_disk += 1  # kept on that one disk alone
+            elif number in accepted and any(event["call"] == number for event in by_kind["no-answer"]):
                 verdict.breach("accepted_lost", f"{number} {call['action']} was acknowledged and is not known")
             elif was_down(call, end):
                 verdict.lost_with_dispatcher += 1
@@ -293,3 +305,37 @@
             allowed = rules["free_loads"] + rules["load_share"] * came
             if recent > allowed + 1e-9:
                 verdict.breach("ration_breaches", f"{dispatcher}: {recent} orders, {allowed:.1f} allowed")
+
+
+def _leases(verdict: Verdict, by_kind: dict[str, list[Event]], world: Event) -> None:
+    """Of each task one holder at a time, and nothing done under an old token.
+
+    Actors say when they looked at their leases, by the machine's clock.  Whoever still believes at a time when a newer
+    token has been acted under was one of two holders.  What the witness took is judged in the order in which it
+    came."""
+    bound = world.get("clock_bound", 0.0)
+    wrong = [(e["t"], e["t"] + e["seconds"] * 1000) for e in by_kind["trouble"]
+             if e["kind"] == "clock-rate" and abs(e.get("factor", 1.0) - 1) > bound + 1e-9]
+    looks, came = defaultdict[str, list[Event]](list), defaultdict[str, list[Event]](list)
+    for event in sorted([*by_kind["act"], *by_kind["done"]], key=lambda e: e["t"]):
+        looks[event["task"]].append(event)
+        if event["taken"]:
+            came[event["task"]].append(event)
+        else:
+            verdict.old_tokens_refused += 1
+    verdict.acts = len(by_kind["act"])
+    for task, found in looks.items():
+        newest: list[Any] = [0, ""]
+        for event in sorted(found, key=lambda e: e["looked"]):
+            if event["token"] >= newest:
+                newest = event["token"]
+            elif any(since <= event["looked"] <= until + AFTER_MS for since, until in wrong):
+                verdict.holders_two_by_clocks += 1
+            else:
+                verdict.breach("holders_two", f"{task}: {event['by']} under {event['token']} while {newest}")
+    for task, found in came.items():
+        newest = [0, ""]
+        for event in found:
+            if event["token"] < newest:
+                verdict.breach("old_tokens_taken", f"{task}: {event['token']} after {newest}")
+            newest = max(newest, event["token"])
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import gc
+import signal
 import socket
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -20,7 +22,7 @@
 from kelptrail.standin.place import Child, Place, ask, memory_kb
 
 from .report import world_of
-from .script import ON_DISKS, ON_PLANNERS, ON_STORE, ON_WORKERS, BadDay, Trouble
+from .script import ON_DISKS, ON_PEERS, ON_PLANNERS, ON_STORE, ON_WORKERS, BadDay, Trouble
 
 
 class Player:
@@ -43,11 +45,14 @@
         self.memory: list[tuple[float, list[int]]] = []
         self.states: list[dict[str, Any]] = []  # what each dispatcher's control port said at the end
         self.start = 0.0
+        self._cut: Counter[tuple[str, str]] = Counter()  # between dispatchers, by how many troubles
+        self._slow: list[tuple[float, float]] = []
 
     async def play(self) -> bool:
         """Play it whole; True if the dispatchers that ran at the end drained cleanly."""
         day, deployment = self._day, self._deployment
-        await self._place.start(day.workers, day.dispatchers, self._out / "state", day.planners, day.solver)
+        await self._place.start(day.workers, day.dispatchers, self._out / "state", day.planners, day.solver,
+                                day.tasks)
         self._capture.note("world", **world_of(deployment, [d.name for d in self._place.dispatchers], day.workers))
         addresses = [d.said["address"] for d in self._place.dispatchers]
         second = [d.said["grpc"] for d in self._place.dispatchers]
@@ -97,11 +102,12 @@
         names: list[Child] = []
         if trouble.kind in ON_WORKERS:
             names = self._some([w for w in self._place.workers if w.running], trouble.part)
-        elif trouble.kind == "kill-dispatchers" or trouble.kind in ON_DISKS:
+        elif trouble.kind == "kill-dispatchers" or trouble.kind in (*ON_DISKS, *ON_PEERS):
             names = self._some(self._place.dispatchers, trouble.part)
         elif trouble.kind in ON_PLANNERS and self._place.planners:
             names = self._some(self._place.planners, trouble.part)
-        self._capture.note("trouble", kind=trouble.kind, seconds=trouble.last, of=[c.name for c in names])
+        self._capture.note("trouble", kind=trouble.kind, seconds=trouble.last, factor=trouble.factor,
+                           of=[c.name for c in names])
         try:
             await self._befall(trouble, names)
         except (OSError, RuntimeError) as cause:  # a victim that is down already
@@ -125,6 +131,8 @@
             await asyncio.gather(*(self._planner(victim, trouble) for victim in victims))
         elif kind == "kill-dispatchers":
             await asyncio.gather(*(self._kill(victim, trouble.last) for victim in victims))
+        elif kind in ON_PEERS:
+            await self._peers(trouble, victims)
         elif kind in ON_DISKS:
             fault: dict[str, dict[str, Any]] = {
                 "disk-slow": {"sync_ms": trouble.ms}, "disk-fails": {"fails": True}, "disk-full": {"full": True}}
@@ -146,10 +154,72 @@
                 extra["type"] = trouble.type
             await asyncio.gather(*(place.fault(v, kind=kind, for_ms=ms, **extra) for v in victims))
 
-    async def _kill(self, victim: Child, down_s: float) -> None:
+    async def _peers(self, trouble: Trouble, victims: list[Child]) -> None:
+        """What befalls dispatchers and what is between them."""
+        place, kind = self._place, trouble.kind
+        if kind == "cut-peers":
+            await self._cut_off(trouble, victims)
+        elif kind == "slow-peers":
+            self._slow.append((trouble.ms, trouble.share))
+            await self._tell_links()
+            await asyncio.sleep(trouble.last)
+            self._slow.remove((trouble.ms, trouble.share))
+            await self._tell_links()
+        elif kind == "reset-peers":
+            await place.harm_links(reset=trouble.share)
+        elif kind == "pause-dispatchers":
+            await asyncio.gather(*(self._pause(victim, trouble.last) for victim in victims))
+        elif kind == "lose-machines":
+            ends = trouble.at + trouble.last > self._day.seconds
+            await asyncio.gather(*(self._kill(victim, None if ends else trouble.last, True) for victim in victims))
+        else:
+            fault = {"rate": trouble.factor} if kind == "clock-rate" else {"step_ms": trouble.ms}
+            for victim in victims:
+                place.harm_clock(victim, **fault)
+            await asyncio.sleep(trouble.last)
+            for victim in victims:
+                place.harm_clock(victim)
+
+    async def _cut_off(self, trouble: Trouble, victims: list[Child]) -> None:
+        """Between the victims and all others; one way: what they say, or what they are told, drawn for each."""
+        names = {child.name for child in victims}
+        others = [c.name for c in (*self._place.dispatchers, *self._place.planners) if c.name not in names]
+        pairs = []
+        for name in sorted(names):
+            out, back = (True, True) if not trouble.one_way else (False, True) if self._chance.random() < 0.5 else (
+                True, False)
+            pairs += [(name, other) for other in others if out] + [(other, name) for other in others if back]
+        self._cut.update(pairs)
+        await self._tell_links()
+        await asyncio.sleep(trouble.last)
+        self._cut.subtract(pairs)
+        await self._tell_links()
+
+    async def _tell_links(self) -> None:
+        ms, share = max(self._slow, default=(0.0, 0.0))
+        await self._place.harm_links(cut=[pair for pair, count in self._cut.items() if count > 0],
+                                     slow={"ms": ms, "share": share})
+
+    async def _pause(self, victim: Child, for_s: float) -> None:
+        number = self._place.dispatchers.index(victim)
+        self._capture.note("stopped", dispatcher=number)
+        self._place.signal(victim, signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        self._place.signal(victim, signal.SIGCONT)
+        self._capture.note("woken", dispatcher=number)
+
+    async def _kill(self, victim: Child, down_s: float | None, disk: bool = False) -> None:
+        """Killed outright, its disk lost too where told; started again after a time, or never."""
         number = self._place.dispatchers.index(victim)
         self._capture.note("kill", dispatcher=number)
         self._place.kill(victim)
+        if disk:
+            if victim.process is not None:
+                await victim.process.wait()
+            self._place.lose_disk(victim)
+            self._capture.note("disk-lost", dispatcher=number)
+        if down_s is None:
+            return
         await asyncio.sleep(down_s)
         await self._place.launch(victim)
         self._capture.note("restarted", dispatcher=number)
--- a/kelptrail/badday/report.py
+++ b/kelptrail/badday/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,7 @@
         "rules": {"drain_grace_ms": rules.drain_grace_ms, "tip": rules.tip, "tip_ms": rules.tip_ms,
                   "order_wait_ms": deployment.pool.connect_ms, "free_loads": rules.free_loads,
                   "load_share": rules.load_share, "load_span_ms": rules.load_span_ms if rules.orders else 0.0},
+        "clock_bound": deployment.leases.clock_bound if deployment.leases is not None else 0.0,
         "kept": deployment.journal.keep, "names": names, "workers": workers, "dispatchers": len(names)}
 
 
@@ -69,6 +71,34 @@
     return rows, troubles
 
 
+GAP_MS = 300.0  # between two acts on a task: past it nobody is taken to hold it
+
+
+def holders(events: list[Event], seconds: int) -> dict[str, Any]:
+    """Of each task who held it from when to when, in seconds of the load, and the times without a holder: from acts
+    that the witness took, by when their actors had looked at their leases."""
+    (begin,) = [e for e in events if e["what"] == "begin"]
+    acts: dict[str, list[Event]] = defaultdict(list)
+    for event in sorted((e for e in events if e["what"] in ("act", "done") and e["taken"]), key=lambda e: e["looked"]):
+        acts[event["task"]].append(event)
+    out: dict[str, Any] = {}
+    for task, found in sorted(acts.items()):
+        spans: list[dict[str, Any]] = []
+        for event in found:
+            at, who = (event["looked"] - begin["start"]) / 1000, f"{event['token'][0]}.{event['token'][1]}"
+            if spans and spans[-1]["token"] == who and at - spans[-1]["until"] <= GAP_MS / 1000:
+                spans[-1]["until"] = round(at, 3)
+            else:
+                spans.append({"by": event["by"], "token": who, "from": round(at, 3), "until": round(at, 3)})
+        gaps = [round(b["from"] - a["until"], 3) for a, b in pairwise(spans) if b["from"] > 0]
+        last = spans[-1]["until"] if spans else 0.0
+        if seconds - last > GAP_MS / 1000:
+            gaps.append(round(seconds - last, 3))
+        out[task] = {"spans": spans, "without_s": round(sum(g for g in gaps if g > GAP_MS / 1000), 3),
+                     "longest_without_s": max(gaps, default=0.0), "acts": len(found)}
+    return out
+
+
 def write(folder: Path, name: str, seed: int, events: list[Event], verdict: Verdict, clean: bool,
           memory: list[tuple[float, list[int]]], states: list[dict[str, Any]]) -> dict[str, Any]:
     """Write report.json and timeline.png into `folder`; returns the report."""
@@ -84,22 +114,26 @@
                               "second_sends": sum(s["second_sends"] for s in states),  # since their last starts
                               "second_saved": sum(s["second_saved"] for s in states),
                               "journal": [s["journal"] for s in states if s.get("journal")],
+                              "leases": holders(events, int(rows[-1]["second"]) + 1 if rows else 0),
                               "troubles": troubles, "details": verdict.details, "timeline": rows}
     (folder / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report)) + b"\n")
-    draw(folder / "timeline.png", name, rows, troubles)
+    draw(folder / "timeline.png", name, rows, troubles, report["leases"])
     return report
 
 
-def draw(file: Path, name: str, rows: list[dict[str, Any]], troubles: list[dict[str, Any]]) -> None:
-    """A picture: what became of the calls each second, and the troubles below."""
+def draw(file: Path, name: str, rows: list[dict[str, Any]], troubles: list[dict[str, Any]],
+         leases: dict[str, Any]) -> None:
+    """A picture: what became of the calls each second, who held which task, and the troubles below."""
     import matplotlib
 
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
     seconds = [row["second"] for row in rows]
-    figure, (top, middle, low) = pyplot.subplots(
-        3, 1, figsize=(11, 8), sharex=True, height_ratios=[3, 1.5, max(1.0, 0.16 * len(troubles))])
+    figure, (top, middle, held, low) = pyplot.subplots(
+        4, 1, figsize=(11, 8 + 0.5 * len(leases)), sharex=True,
+        height_ratios=[3, 1.5, 0.5 * len(leases) + 0.01, max(1.0, 0.16 * len(troubles))])
+    _draw_leases(held, leases)
     late = [row["completed"] - row["in_time"] for row in rows]
     top.stackplot(seconds, [r["in_time"] for r in rows], late, [r["rejected"] for r in rows],
                   [r["aborted"] for r in rows], labels=["in time", "late", "rejected", "aborted"],
@@ -120,3 +154,19 @@
     figure.tight_layout()
     figure.savefig(file, dpi=110)
     pyplot.close(figure)
+
+
+def _draw_leases(held: Any, leases: dict[str, Any]) -> None:
+    """A line for each task, a colour for each holder."""
+    names = sorted({span["by"] for task in leases.values() for span in task["spans"]})
+    colors = {name: f"C{number}" for number, name in enumerate(names)}
+    for row, task in enumerate(leases.values()):
+        for span in task["spans"]:
+            held.barh(row, span["until"] - span["from"], left=span["from"], color=colors[span["by"]], height=0.7)
+    held.set_yticks(range(len(leases)), list(leases), fontsize=8)
+    if not leases:
+        held.set_axis_off()
+    for name in names:
+        held.barh(0, 0, color=colors[name], label=name)
+    if names:
+        held.legend(loc="upper right", ncols=len(names), fontsize=6)
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from kelptrail.load.plan import LOAD, Load, check_load
 from kelptrail.settings.reader import Form, Place, read
-from kelptrail.settings.shape import Checker, Many, Shape, number, word
+from kelptrail.settings.shape import Checker, Many, Shape, number, some, word, yes_no
 
 ON_WORKERS = ("stall", "cut", "fail-fast", "fail-type", "hang", "silent", "pause", "models-voided", "heavy-work",
               "handshakes-slow", "answers-lost", "answers-twice", "answers-late", "crash", "restart-cold",
@@ -15,8 +15,10 @@
 ON_STORE = ("store-slow", "store-refuse", "store-stopped")
 ON_DISKS = ("disk-slow", "disk-fails", "disk-full")
 ON_PLANNERS = ("kill-planners", "planners-slow", "planners-forget", "planners-wrong")
+ON_PEERS = ("cut-peers", "slow-peers", "reset-peers", "pause-dispatchers", "lose-machines", "clock-rate", "clock-step")
+LEAST_PEERS = 5  # dispatchers, in different halls, of a script with such troubles
 OTHERS = ("kill-dispatchers", "list-late", "list-names-nobody", "idle-connections", "slow-readers")
-KINDS = ON_WORKERS + ON_STORE + ON_DISKS + ON_PLANNERS + OTHERS
+KINDS = ON_WORKERS + ON_STORE + ON_DISKS + ON_PLANNERS + ON_PEERS + OTHERS
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,7 @@
     ms: float
     type: str
     count: int
+    one_way: bool
 
     def __init__(self, kind: str, at: float, **rest: object) -> None:
         for name, value in {"kind": kind, "at": at, "last": rest.pop("for"), **rest}.items():
@@ -50,6 +53,7 @@
     client_processes: int
     planners: int
     solver: str
+    tasks: tuple[str, ...]  # wanted by all dispatchers under leases, acted under at the witness
     load: list[Load]
     trouble: list[Trouble]
 
@@ -65,9 +69,10 @@
     "part": number(0, 1, default=0.2),
     "share": number(0, 1, default=1.0),
     "factor": number(0.1, 1000, default=5.0),
-    "ms": number(0, 600_000, default=500.0),
+    "ms": number(-86_400_000, 86_400_000, default=500.0),
     "type": word(default=""),
     "count": number(1, 100_000, whole=True, default=100),
+    "one-way": yes_no(False),
 }, ("kind",), build=Trouble)
 
 BAD_DAY = Shape({
@@ -78,6 +83,7 @@
     "client-processes": number(1, 64, whole=True, default=1),
     "planners": number(0, 16, whole=True, default=0),
     "solver": word(("program", "greedy"), "program"),
+    "tasks": some(word(), ()),
     "load": Many(LOAD, 1),
     "trouble": Many(TROUBLE),
 }, ("name",), BadDay)
@@ -103,9 +109,17 @@
     made: BadDay = day
     for form, one in zip((i for i in whole.items if isinstance(i, Form) and i.head == "load"), made.load, strict=True):
         check_load(checker, form.place, one, Path(path).parent)
+    for form, trouble in zip((i for i in whole.items if isinstance(i, Form) and i.head == "trouble"), made.trouble,
+                             strict=True):
+        if trouble.ms < 0 and trouble.kind != "clock-step":
+            checker.fault(form.place, f"{trouble.ms:g} ms", "0 or more; only clock-step goes back")
+    if made.dispatchers < LEAST_PEERS:
+        for form in (i for i in whole.items if isinstance(i, Form) and i.head == "trouble"):
+            if str(form.items[1]) in ON_PEERS:
+                checker.fault(form.place, f"{form.items[1]} among {made.dispatchers} dispatchers",
+                              f"{LEAST_PEERS} dispatchers at least, in different halls")
     checker.done()
     file = Path(made.deployment)
     if not file.is_absolute():
         file = Path(path).parent / file
-    return BadDay(made.name, str(file), made.seconds, made.workers, made.dispatchers, made.client_processes,
-                  made.planners, made.solver, made.load, made.trouble)
+    return replace(made, deployment=str(file))
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -124,11 +124,26 @@
             click.option("--grpc-port", type=int, help="Port of the second front; default: the settings'."),
             click.option("--harmed-disk", type=click.Path(path_type=Path), hidden=True),
             click.option("--control", help="Address and port for operators' questions, such as 127.0.0.1:0."),
+            click.option("--peers", help="Address and port of its channel to others; default: the settings'."),
+            click.option("--peer", "at", multiple=True, help="NAME=ADDRESS of another's channel; may be given again."),
+            click.option("--peers-port", type=int, hidden=True),
+            click.option("--harmed-clock", type=click.Path(path_type=Path), hidden=True),
+            click.option("--witness", default="", hidden=True),
+            click.option("--task", "tasks", multiple=True, hidden=True),
+            click.option("--stop-at", default="", hidden=True),
             click.option("--with-stdin", is_flag=True, hidden=True)]):
         function = option(function)
     return click.pass_context(function)
 
 
+def _addresses(given: tuple[str, ...]) -> dict[str, str]:
+    """NAME=ADDRESS, any number of them."""
+    for one in given:
+        if not all(one.partition("=")):
+            raise click.BadParameter(f"{one}: NAME=ADDRESS", param_hint="--peer")
+    return {name: address for name, _, address in (one.partition("=") for one in given)}
+
+
 def _dispatch(context: click.Context, file: str, planners: tuple[str, ...], **words: Any) -> None:
     deployment = _settings(file)
     from kelptrail.service.serve import Options
@@ -137,15 +152,19 @@
     host, port, name = words["host"], words["port"], words["name"]
     log = _log(context, dispatcher=name)
     options = Options(name, words["hall"], host, port, words["roster"], words["state"], words["shared_port"],
-                      words["crash_at"], words["control"], words["grpc_port"], planners, words["harmed_disk"])
+                      words["crash_at"], words["control"], words["grpc_port"], planners, words["harmed_disk"],
+                      words["peers"] if words["peers_port"] is None else f"127.0.0.1:{words['peers_port']}",
+                      _addresses(words["at"]), words["harmed_clock"], words["witness"], words["tasks"],
+                      words["stop_at"])
 
     async def go() -> bool:
         stop = asyncio.Event()
         if words["with_stdin"]:
             _ends_with_stdin(stop.set)
         return bool(await run(deployment, options, log, context.obj["level"] == "debug",
-                              lambda bound, at, grpc: _say(ready=True, address=f"{host}:{bound}", asked_at=at,
-                                                           invoke=f"http://{host}:{bound}", grpc=grpc, name=name),
+                              lambda bound, at, grpc, peers: _say(
+                                  ready=True, address=f"{host}:{bound}", asked_at=at,
+                                  invoke=f"http://{host}:{bound}", grpc=grpc, name=name, peers=peers),
                               stop))
 
     try:
@@ -250,6 +269,42 @@
                    f"{m['cause']}")
 
 
+@main.command(cls=_Examples, example="kelptrail leases 127.0.0.1:9001")
+@click.argument("control")
+@click.option("--json", "as_json", is_flag=True, help="All of it as JSON.")
+def leases(control: str, as_json: bool) -> None:
+    """Tasks, holders, tokens, time left and voters, as the dispatcher at CONTROL sees them."""
+    from kelptrail.codec.http import HttpError
+    from kelptrail.standin.place import ask
+
+    try:
+        status = _run(ask(control, "GET", "/leases"))
+    except (OSError, HttpError) as cause:
+        click.echo(f"{control}: {cause or type(cause).__name__}", err=True)
+        sys.exit(FAILED)
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
+        return
+    vote, heard = status["vote"], status["voters"]
+    reached = sum(ms is not None for ms in heard.values())
+    click.echo(f"{status['name']}, set of voters {status['number']}: " + ", ".join(
+        f"{name} {'not heard' if ms is None else f'{ms:g} ms ago'}" for name, ms in heard.items())
+        + ("" if 2 * reached > len(heard) else "; no majority is heard: nothing can be won or renewed from here"))
+    if vote is not None:
+        click.echo(f"votes here: {vote['stage']}, disk {vote['disk']}")
+    known = vote["tasks"] if vote is not None else {}
+    for task in sorted({*status["wants"], *known}):
+        mine, seen = status["holds"].get(task), known.get(task)
+        if mine is not None:
+            words = f"held here under {mine['token']}, {mine['left_ms'] / 1000:.1f} s left"
+        elif seen is not None and seen["left_ms"]:
+            words = f"granted here to {seen['token'].partition('.')[2]} under {seen['token']}, " \
+                    f"{seen['left_ms'] / 1000:.1f} s left"
+        else:
+            words = f"not held, last token {seen['token']}" if seen is not None else "wanted, not held here"
+        click.echo(f"{task}: {words}")
+
+
 @main.command(cls=_Examples, example="kelptrail demo --workers 6 --quiet-logs")
 @click.argument("file", default="examples/nursery.sexp")
 @click.option("--workers", type=click.IntRange(1, 200), help="Stand-in workers; default: the settings'.")
@@ -777,6 +832,42 @@
     _run(go())
 
 
+@standin.command(cls=_Examples, example="kelptrail standin witness")
+@_standin
+def witness(host: str, port: int, capture: Path | None, with_stdin: bool) -> None:
+    """What is acted on under leases: notes who acts when, refuses old tokens."""
+    from kelptrail.standin.capture import Capture
+    from kelptrail.standin.witness import Witness
+
+    async def go() -> None:
+        made = Witness(Capture(capture, "witness"))
+        made.server.listen(host, port)
+        _say(ready=True, address=made.server.address)
+        await _until_stopped(with_stdin)
+
+    _run(go())
+
+
+@standin.command(cls=_Examples, example="kelptrail standin links --name dispatcher-0 --name dispatcher-1")
+@click.option("--name", "names", multiple=True, help="One that is connected to.")
+@click.option("--asker", "askers", multiple=True, help="One that only connects.")
+@click.option("--seed", default=1)
+@_standin
+def links(names: tuple[str, ...], askers: tuple[str, ...], seed: int, host: str, port: int, capture: Path | None,
+          with_stdin: bool) -> None:
+    """A relay for the channel between dispatchers that cuts, slows and resets as told."""
+    from kelptrail.standin.capture import Capture
+    from kelptrail.standin.links import Links
+
+    async def go() -> None:
+        made = Links(list(names), list(askers), Capture(capture, "links"), seed)
+        made.server.listen(host, port)
+        _say(ready=True, address=made.server.address, routes=made.routes)
+        await _until_stopped(with_stdin)
+
+    _run(go())
+
+
 @standin.command(cls=_Examples, example="kelptrail standin relay examples/shared-address.sexp")
 @click.argument("file")
 @click.option("--seed", default=1)
--- a/kelptrail/lease/asker.py
+++ b/kelptrail/lease/asker.py
@@ -102,8 +102,6 @@
         self._give_back(wish, self.voters if wish.state is State.HOLDING else tuple(sorted(wish.asked)), to)
         if wish.state is State.HOLDING:
             self.events.append(Lost(task, wish.token, "released"))
-            if to:
-                self.out.append((to, Handed(task)))
 
     def holds(self, now: float, task: str) -> Token | None:
         """The token under which an act on a task may begin at this instant; None: it may not."""
--- /dev/null
+++ b/kelptrail/lease/driver.py
@@ -0,0 +1,192 @@
+"""Carries out what voter and asker put out: messages on the channel, writes in the ledger, one timer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from kelptrail.clock import now_ms
+from kelptrail.peers.driver import Peers
+from kelptrail.store.book import BookError
+from kelptrail.store.driver import JournalDriver
+from kelptrail.store.journal import Journal
+
+from .asker import Asker, Lost, Won
+from .ledger import open_ledger
+from .terms import Ask, Granted, Handed, Learn, Learnt, LeaseSettings, Message, Refused, Release, Token
+from .voter import Voter, Write
+
+SPEAKS = "lease"
+KINDS = (Ask, Granted, Refused, Release, Handed, Learn, Learnt)
+TO_VOTERS = (Ask, Release, Learn, Learnt)
+LONGEST_MS = 1000.0  # between two looks at what is due: a clock may be set to another rate
+OnWon = Callable[[Token], None]
+OnLost = Callable[[Token, str], None]
+
+
+class Leases:
+    """One process's leases, and its vote where it is a voter.  `run`: never the same for two runs of a name."""
+
+    def __init__(self, name: str, run: str, settings: LeaseSettings, peers: Peers, log: Any) -> None:
+        self.name, self.settings, self._peers, self._log = name, settings, peers, log
+        self._loop = asyncio.get_running_loop()
+        self.asker = Asker(name, f"{name}/{run}", settings)
+        self.voter: Voter | None = None
+        self._journal: JournalDriver | None = None
+        self._told: dict[str, tuple[OnWon, OnLost]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._carrying = False
+        self._voters = settings.voters
+        self.messages = 0
+        peers.speak(SPEAKS, self._came, *KINDS)
+
+    def vote(self, file: Path, vfs: str | None = None) -> bool:
+        """Be a voter, with the ledger in `file`.  False where it cannot be used: then it does not vote."""
+        try:
+            ledger, memory, rows, reason = open_ledger(file, vfs)
+        except BookError as cause:
+            self._log.error("ledger-unusable", file=str(file), reason=str(cause))
+            return False
+        if reason:
+            self._log.error("ledger-set-aside", file=str(file), reason=reason)
+        self.voter = Voter(self.name, self.settings, now_ms(), memory, rows)
+        self._log.info("voter", stage=self.voter.stage.value, number=self.voter.number, tasks=len(rows))
+        self._journal = JournalDriver(Journal(), ledger, self.carry, self._log)
+        return True
+
+    def start(self) -> None:
+        """Begin."""
+        self._need()
+        self.carry()
+
+    async def stop(self) -> None:
+        """Give back what is held, and end."""
+        for task in list(self.asker.wishes):
+            self.release(task)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._journal is not None:
+            await self._journal.close(500.0)
+
+    # For whoever acts under a lease.
+
+    def want(self, task: str, length_ms: float, won: OnWon, lost: OnLost) -> None:
+        """Hold a task from when it can be had until it is released.  Raises `ValueError` for a length beyond what
+        voters grant."""
+        self._told[task] = won, lost
+        self.asker.want(now_ms(), task, length_ms)
+        self.carry()
+
+    def release(self, task: str, to: str = "") -> None:
+        """Give it back, to whoever is named next if anybody.  What was begun under it must be over."""
+        self.asker.release(now_ms(), task, to)
+        self.carry()
+
+    def holds(self, task: str) -> Token | None:
+        """The token to act under, looked at anew: to be asked right before each act.  None: do not act."""
+        return self.asker.holds(now_ms(), task)
+
+    # Carrying out.
+
+    def _came(self, sender: str, message: Message) -> None:
+        self.messages += 1
+        self._hand(sender, message)
+        self.carry()
+
+    def _hand(self, sender: str, message: Message) -> None:
+        if not isinstance(message, TO_VOTERS):
+            self.asker.received(now_ms(), sender, message)
+        elif self.voter is not None:
+            self.voter.received(now_ms(), sender, message)
+
+    def carry(self) -> None:
+        """Everything that is due or waits, then the timer."""
+        if self._carrying:
+            return
+        self._carrying = True
+        try:
+            now, own = now_ms(), deque[Message]()
+            self.asker.tick(now)
+            if self.voter is not None:
+                self.voter.tick(now)
+            while self._step(own):
+                while own:
+                    self._hand(self.name, own.popleft())
+        finally:
+            self._carrying = False
+        if self.asker.voters != self._voters:
+            self._need()
+        self._arm()
+
+    def _step(self, own: deque[Message]) -> bool:
+        """Pull from both cores once; whether there was anything."""
+        any_, voter, asker = bool(own), self.voter, self.asker
+        for core in (voter, asker):
+            while core is not None and core.out:
+                any_ = True
+                to, message = core.out.popleft()
+                if to == self.name:
+                    own.append(message)
+                else:
+                    self._peers.send(to, message)
+        while voter is not None and voter.writes and self._journal is not None:
+            any_ = True
+            write = voter.writes.popleft()
+            # A stage is tried again until it is safe; a grant that is not safe is simply not said.
+            self._journal.journal.write(write, partial(self._written, write), write.memory is not None)
+        if self._journal is not None:
+            self._journal.pump()
+        while asker.events:
+            any_ = True
+            self._tell(asker.events.popleft())
+        return any_
+
+    def _written(self, write: Write, safe: bool) -> None:
+        if self.voter is not None:
+            before = self.voter.stage
+            self.voter.written(write, safe)
+            if write.memory is not None:
+                self._log.info("voter", stage=before.value, number=self.voter.number)
+
+    def _tell(self, event: Won | Lost) -> None:
+        won, lost = self._told[event.task]
+        if isinstance(event, Won):
+            self._log.info("lease-won", task=event.task, token=str(event.token))
+            won(event.token)
+        else:
+            self._log.info("lease-lost", task=event.task, token=str(event.token), reason=event.reason)
+            lost(event.token, event.reason)
+
+    def _need(self) -> None:
+        self._voters = self.asker.voters
+        every = {*self._voters, *(self.settings.before if self.voter is not None else ())}
+        self._peers.need(every)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        dues = [d for d in (self.asker.due(), self.voter.due() if self.voter is not None else None) if d is not None]
+        wait = min([LONGEST_MS, *(d - now_ms() for d in dues)])
+        self._timer = self._loop.call_later(max(0.0, wait) / 1000 + 0.0005, self.carry)
+
+    def status(self) -> dict[str, Any]:
+        """What operators are shown."""
+        now, heard, voter = now_ms(), self._peers.heard(), self.voter
+        return {
+            "name": self.name, "number": self.asker.number,
+            "voters": {name: None if name != self.name and name not in heard else round(heard.get(name, 0.0))
+                       for name in self.asker.voters},
+            "holds": {task: {"token": str(token), "left_ms": round(self.asker.left_ms(now, task))}
+                      for task in sorted(self.asker.wishes) if (token := self.asker.holds(now, task)) is not None},
+            "wants": sorted(self.asker.wishes),
+            "vote": None if voter is None else {
+                "stage": voter.stage.value, "number": voter.number,
+                "disk": "failing" if self._journal is not None and self._journal.journal.failing else "well",
+                "tasks": {task: {"token": str(seat.highest), "left_ms": max(0, round(seat.until - now)) if
+                                 not seat.released and seat.until > now else 0}
+                          for task, seat in sorted(voter.seats.items())}},
+            "messages": self.messages}
--- /dev/null
+++ b/kelptrail/lease/ledger.py
@@ -0,0 +1,117 @@
+"""A voter's memory on disk: an SQLite database in WAL mode, each commit synced before it counts.
+
+One row that is not what its checksum says makes the whole of it worthless: what a voter has forgotten it cannot know.
+Such a file is set aside, and the voter begins without memory.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterable
+from pathlib import Path
+from zlib import crc32
+
+import apsw
+import msgspec
+
+from kelptrail.store.book import BookError
+
+from .terms import Row
+from .voter import Memory, Stage, Write
+
+FORMAT = 1
+TABLE = "CREATE TABLE kept (name TEXT PRIMARY KEY, crc INTEGER NOT NULL, body BLOB NOT NULL) WITHOUT ROWID"
+DAMAGED = ("NotADB", "Corrupt", "malformed", "not a database", "DecodeError", "ValidationError")
+MEMORY = ""  # the name of the row that is no task's
+
+_row = msgspec.msgpack.Decoder(Row).decode
+_memory = msgspec.msgpack.Decoder(tuple[int, str, bool]).decode
+
+
+class Ledger:
+    """One file; one thread at a time uses it."""
+
+    def __init__(self, file: Path, vfs: str | None = None) -> None:
+        try:
+            self._db = apsw.Connection(str(file), vfs=vfs)
+            self._db.set_busy_timeout(0)
+            self._run("PRAGMA journal_mode=WAL")
+            self._run("PRAGMA synchronous=FULL")
+            version = self._run("PRAGMA user_version")[0][0]
+            if version > FORMAT:
+                raise BookError(f"format {version} is newer than {FORMAT}, which is known here")
+            if not version:
+                self._run(TABLE)
+                self._run(f"PRAGMA user_version={FORMAT}")
+        except apsw.Error as cause:
+            raise BookError(f"{type(cause).__name__}: {cause}") from None
+
+    def _run(self, text: str, values: tuple[object, ...] = ()) -> list[tuple]:
+        return list(self._db.execute(text, values))
+
+    def read(self) -> tuple[Memory | None, tuple[Row, ...]]:
+        """All of it.  Raises `BookError` where any of it cannot be read."""
+        memory, rows = None, []
+        try:
+            for name, crc, body in self._db.execute("SELECT name, crc, body FROM kept ORDER BY name"):
+                if crc32(body) != crc:
+                    raise BookError(f"Corrupt: the row {name!r}")
+                if name == MEMORY:
+                    number, stage, was = _memory(body)
+                    memory = Memory(number, Stage(stage), was)
+                else:
+                    rows.append(_row(body))
+        except (apsw.Error, msgspec.MsgspecError, ValueError) as cause:
+            raise BookError(f"{type(cause).__name__}: {cause}") from None
+        return memory, tuple(rows)
+
+    def commit(self, writes: Iterable[Write]) -> None:
+        """Make writes safe, all or none.  Raises `BookError`."""
+        kept: dict[str, bytes] = {}
+        for write in writes:
+            kept |= {row.task: msgspec.msgpack.encode(row) for row in write.rows}
+            if write.memory is not None:
+                memory = write.memory
+                kept[MEMORY] = msgspec.msgpack.encode((memory.number, memory.stage.value, memory.was))
+        try:
+            self._run("BEGIN IMMEDIATE")
+            self._db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?, ?)",
+                                 [(name, crc32(body), body) for name, body in kept.items()])
+            self._run("COMMIT")
+        except apsw.Error as cause:
+            if self._db.in_transaction:
+                with contextlib.suppress(apsw.Error):
+                    self._run("ROLLBACK")
+            raise BookError(f"{type(cause).__name__}: {cause}") from None
+
+    def forget(self, ids: Iterable[str]) -> None:
+        """Nothing is ever forgotten: a token that was is what the next must be above."""
+
+    def close(self) -> None:
+        """Close it; what was committed stays."""
+        with contextlib.suppress(apsw.Error):
+            self._db.close()
+
+
+def open_ledger(file: Path, vfs: str | None = None) -> tuple[Ledger, Memory | None, tuple[Row, ...], str]:
+    """Open a ledger and read it; a damaged one is set aside, with the reason.  Raises `BookError` where none can be
+    made, and where the disk fails: what it holds may still be there."""
+    try:
+        ledger = Ledger(file, vfs)
+        try:
+            return (ledger, *ledger.read(), "")
+        except BookError:
+            ledger.close()
+            raise
+    except BookError as cause:
+        reason = str(cause)
+        if not any(word in reason for word in DAMAGED):
+            raise
+    number = 1
+    while (aside := file.with_name(f"{file.name}.damaged-{number}")).exists():
+        number += 1
+    for end in ("", "-wal", "-shm"):
+        part = file.with_name(file.name + end)
+        with contextlib.suppress(OSError):
+            part.rename(aside.with_name(aside.name + end))
+    return Ledger(file, vfs), None, (), reason
--- a/kelptrail/lease/model.py
+++ b/kelptrail/lease/model.py
@@ -94,8 +94,22 @@
 class World:
     """One state."""
 
-    __slots__ = ("askers", "budget", "disks", "fault", "fence", "flying", "make", "now", "paused", "runs", "trail",
-                 "taken", "voters", "won")
+    __slots__ = (
+        "askers",
+        "budget",
+        "disks",
+        "fault",
+        "fence",
+        "flying",
+        "make",
+        "now",
+        "paused",
+        "runs",
+        "taken",
+        "trail",
+        "voters",
+        "won",
+    )
 
     def __init__(self, make: Make) -> None:
         self.make, self.budget, self.now = make, make.budget, 0.0
--- a/kelptrail/lease/voter.py
+++ b/kelptrail/lease/voter.py
@@ -16,7 +16,21 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from .terms import NONE, Ask, Granted, Learn, Learnt, LeaseSettings, Message, Refused, Release, Row, Token, majority
+from .terms import (
+    NONE,
+    Ask,
+    Granted,
+    Handed,
+    Learn,
+    Learnt,
+    LeaseSettings,
+    Message,
+    Refused,
+    Release,
+    Row,
+    Token,
+    majority,
+)
 
 MOST_WAITING = 1000  # askers whose turn a voter remembers, for a task
 
@@ -207,6 +221,7 @@
         seat.highest, seat.released, seat.until = message.token, True, now
         if message.to:
             seat.next, seat.next_until = message.to, now + self.settings.reserve_ms
+            self.out.append((message.to, Handed(message.task)))
         self._write((self._row(message.task),))
 
     def _row(self, task: str) -> Row:
@@ -246,7 +261,7 @@
         if self.since is None:
             self.since = now
         elif now - self.since >= self.settings.wait_ms and self._asked_after(now):
-            self._vote()
+            self._vote(now)
 
     def _filled(self, now: float) -> None:
         """Without memory: nothing that was granted here can be believed any more, and a majority that votes has told
@@ -258,9 +273,9 @@
         if self.stage is Stage.FOUNDING:
             if Stage.VOTING.value in stages or (
                     len(stages) == len(others) and set(stages) <= {Stage.FOUNDING.value}):
-                self._vote()
+                self._vote(now)
         elif stages.count(Stage.VOTING.value) >= majority(self.settings.voters):
-            self._vote()
+            self._vote(now)
         elif (len(stages) == len(others) and not self.settings.before
               and set(stages) <= {Stage.EMPTY.value, Stage.FOUNDING.value}):
             self._to(Stage.FOUNDING, False)
@@ -276,12 +291,15 @@
         asked = self._next_learn - self.settings.ask_ms
         return self.since is not None and asked - self.since >= self.settings.wait_ms
 
-    def _vote(self) -> None:
+    def _vote(self, now: float) -> None:
         for answer in self._answers.values():
             for row in answer.rows:
                 seat = self.seats.setdefault(row.task, Seat())
                 if row.token > seat.highest:
                     seat.highest, seat.length_ms, seat.released = row.token, row.length_ms, row.released
+                    # What the others grant counts as granted here, too: else the next who asks gets a larger token from
+                    # this voter, which from then on refuses the holder's renewals.
+                    seat.until = now + row.length_ms if not row.released else now
         self._to(Stage.VOTING, self.was)
 
     # For the explorer.
--- /dev/null
+++ b/kelptrail/peers/wire.py
@@ -0,0 +1,107 @@
+"""The channel's bytes: framed MessagePack over a byte stream; free of I/O.
+
+A frame is four bytes of length, most significant first, and one message: an array that begins with the kind.  The first
+message each way is `Hello` with the version and what its sender can read.  One version back is read and spoken; of a
+later one the kinds that are not known here are passed over, as are fields that were added at a message's end.  What is
+too large, or no message, ends the connection with a named error.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+VERSION, OLDEST = 2, 1  # 1: edges and planners only; 2: `can`, any peers
+MOST_FRAME = 1 << 26
+
+
+class ChannelError(ValueError):
+    """What came is not of this protocol."""
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
+    """Who speaks.  `order`: of an edge the latest plan that it has seen; `can`: what else it reads (version 2)."""
+
+    version: int
+    who: str
+    lineage: str
+    order: tuple[int, str, int] = (0, "", 0)
+    can: tuple[str, ...] = ()
+
+
+class Beat(msgspec.Struct, frozen=True, tag="beat", array_like=True):
+    """Alive.  Of a planner: whether it acts, and its epoch."""
+
+    acting: bool = False
+    epoch: int = 0
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_any = msgspec.msgpack.Decoder(list[Any]).decode
+Decode = Callable[[bytes], Any]
+
+
+def frame(message: msgspec.Struct) -> bytes:
+    """One message as bytes."""
+    data = _encode(message)
+    return len(data).to_bytes(4, "big") + data
+
+
+def decoder(*kinds: type[msgspec.Struct]) -> tuple[Decode, frozenset[str]]:
+    """A reader of these kinds beside `Hello` and `Beat`, and their names."""
+    every: tuple[type[msgspec.Struct], ...] = (Hello, Beat, *kinds)
+    union: Any = every[0]
+    for kind in every[1:]:
+        union = union | kind
+    return msgspec.msgpack.Decoder(union).decode, frozenset(str(k.__struct_config__.tag) for k in every)
+
+
+class FrameReader:
+    """Bytes as they come to messages.  Raises `ChannelError`; after that nothing more may be fed."""
+
+    def __init__(self, read: tuple[Decode, frozenset[str]], most: int = MOST_FRAME) -> None:
+        self._decode, self._known = read
+        self._most, self._buffer, self._hello = most, bytearray(), False
+        self.passed_over = 0  # messages of kinds that are not known here
+
+    def feed(self, data: bytes | memoryview) -> list[Any]:
+        """Whole messages."""
+        self._buffer += data
+        out: list[Any] = []
+        while len(self._buffer) >= 4:
+            size = int.from_bytes(self._buffer[:4], "big")
+            if size > self._most:
+                raise ChannelError(f"a frame of {size} bytes, at most {self._most}")
+            if len(self._buffer) < 4 + size:
+                break
+            body = bytes(self._buffer[4:4 + size])
+            del self._buffer[:4 + size]
+            message = self._read(body)
+            if message is None:
+                continue
+            if self._hello is isinstance(message, Hello):
+                raise ChannelError("one hello, and first" if self._hello else "a hello must come first")
+            if isinstance(message, Hello) and message.version < OLDEST:
+                raise ChannelError(f"version {message.version}, not {OLDEST} to {VERSION}")
+            self._hello = True
+            out.append(message)
+        return out
+
+    def _read(self, body: bytes) -> Any:
+        try:
+            return self._decode(body)
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as cause:
+            if self._hello and self._of_a_later(body):
+                self.passed_over += 1
+                return None
+            raise ChannelError(f"no message: {cause}") from None
+
+    def _of_a_later(self, body: bytes) -> bool:
+        """Whether a body is a message of a kind that is not known here."""
+        try:
+            parts = _any(body)
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+            return False
+        return bool(parts) and isinstance(parts[0], str) and parts[0] not in self._known
--- a/kelptrail/planner/channel.py
+++ b/kelptrail/planner/channel.py
@@ -1,10 +1,8 @@
-"""What edges and planners say to each other: framed MessagePack over a byte stream; free of I/O.
+"""What edges and planners say to each other on the channel between peers; free of I/O.
 
-A frame is four bytes of length, most significant first, and one message.  The first message each way is `Hello` with
-the version; what is of another version, too large, or no message ends the connection with a named error.  An edge
-reports at a bounded rate; what could not be sent adds up and goes with the next report.  A planner has one plan out at
-an edge at a time: what is newer waits and takes the place of what waited, so a slow edge costs one plan of memory.
-Heartbeats both ways tell a dead connection, and the edge which planner acts.
+An edge reports at a bounded rate; what could not be sent adds up and goes with the next report.  A planner has one plan
+out at an edge at a time: what is newer waits and takes the place of what waited, so a slow edge costs one plan of
+memory.  Heartbeats both ways tell a dead connection, and the edge which planner acts.
 """
 
 from __future__ import annotations
@@ -14,31 +12,10 @@
 import msgspec
 
 from kelptrail.gateway.tally import Tally
+from kelptrail.peers.wire import VERSION, Beat, ChannelError, Hello, decoder, frame
 
 from .follow import Follower
-from .plan import FIRST, Order, Plan, PlanError, Wants, pack, unpack
-
-VERSION, MOST_FRAME = 1, 1 << 26
-
-
-class ChannelError(ValueError):
-    """What came is not of this protocol."""
-
-
-class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
-    """Who speaks.  `order`: of an edge the latest plan that it has seen."""
-
-    version: int
-    who: str
-    lineage: str
-    order: Order = FIRST
-
-
-class Beat(msgspec.Struct, frozen=True, tag="beat", array_like=True):
-    """Alive.  Of a planner: whether it acts, and its epoch."""
-
-    acting: bool = False
-    epoch: int = 0
+from .plan import Order, Plan, PlanError, Wants, pack, unpack
 
 
 class Report(msgspec.Struct, frozen=True, tag="report", array_like=True):
@@ -66,45 +43,7 @@
 
 
 Message = Hello | Beat | Report | Offer | Reply
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
-
-
-def frame(message: Message) -> bytes:
-    """One message as bytes."""
-    data = _encode(message)
-    return len(data).to_bytes(4, "big") + data
-
-
-class FrameReader:
-    """Bytes as they come to messages.  Raises `ChannelError`; after that nothing more may be fed."""
-
-    def __init__(self, most: int = MOST_FRAME) -> None:
-        self._most, self._buffer, self._hello = most, bytearray(), False
-
-    def feed(self, data: bytes | memoryview) -> list[Message]:
-        """Whole messages."""
-        self._buffer += data
-        out: list[Message] = []
-        while len(self._buffer) >= 4:
-            size = int.from_bytes(self._buffer[:4], "big")
-            if size > self._most:
-                raise ChannelError(f"a frame of {size} bytes, at most {self._most}")
-            if len(self._buffer) < 4 + size:
-                break
-            body = bytes(self._buffer[4:4 + size])
-            del self._buffer[:4 + size]
-            try:
-                message = _decode(body)
-            except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as cause:
-                raise ChannelError(f"no message: {cause}") from None
-            if self._hello is isinstance(message, Hello):
-                raise ChannelError("one hello, and first" if self._hello else "a hello must come first")
-            if isinstance(message, Hello) and message.version != VERSION:
-                raise ChannelError(f"version {message.version}, not {VERSION}")
-            self._hello = True
-            out.append(message)
-        return out
+READ = decoder(Report, Offer, Reply)
 
 
 class EdgeLink:
--- a/kelptrail/planner/edge.py
+++ b/kelptrail/planner/edge.py
@@ -18,8 +18,9 @@
 
 from kelptrail.clock import now_ms, wall_ms
 from kelptrail.gateway.core import Gateway
+from kelptrail.peers.wire import Beat, ChannelError, FrameReader, frame
 
-from .channel import Beat, ChannelError, EdgeLink, FrameReader, Led, frame
+from .channel import READ, EdgeLink, Led
 from .follow import Follower
 from .plan import FIRST, Order, Plan
 
@@ -173,7 +174,7 @@
             self._links[link] = sock
             self._write(link)
             beats = self._loop.create_task(self._beat(link))
-            reader, buffer = FrameReader(), bytearray(65_536)
+            reader, buffer = FrameReader(READ), bytearray(65_536)
             while True:
                 async with asyncio.timeout(SILENT_MS / 1000):
                     count = await self._loop.sock_recv_into(sock, buffer)
--- a/kelptrail/planner/program.py
+++ b/kelptrail/planner/program.py
@@ -21,11 +21,12 @@
 from kelptrail.background.driver import Background
 from kelptrail.clock import now_ms, wall_ms
 from kelptrail.net.door import Door
+from kelptrail.peers.wire import Beat, ChannelError, FrameReader, Hello, frame
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import Deployment
 
 from .build import hosts_of, models_of, settings_of
-from .channel import Beat, ChannelError, FrameReader, Hello, PlannerLink, Reply, Report, frame
+from .channel import READ, PlannerLink, Reply, Report
 from .core import Planner, Role
 from .place import Host, Placed, greedy, solve
 from .plan import Wants
@@ -111,7 +112,7 @@
     async def _talk(self, sock: socket.socket, peer: str) -> None:
         link = PlannerLink(self._options.name, self._deployment.name)
         self._links[link] = sock, [False]
-        reader, buffer = FrameReader(), bytearray(65_536)
+        reader, buffer = FrameReader(READ), bytearray(65_536)
         try:
             self._write(link)
             while True:
--- a/kelptrail/roster/client.py
+++ b/kelptrail/roster/client.py
@@ -30,6 +30,7 @@
         self._address, self._who, self._changed, self._last, self._log = address, who, changed, last, log
         self._wait_ms, self._pause_ms = wait_ms, pause_ms
         self.own = ""  # where this dispatcher can be asked for what it took
+        self.channel = ""  # where its channel to other dispatchers listens
         self.listing: Listing | None = None
         self.saved = True  # whether the last list could be kept
 
@@ -52,8 +53,8 @@
         while True:
             known = f"{self.listing.lineage}:{self.listing.version}" if self.listing else ""
             try:
-                response = await errand.ask("GET", f"/workers?who={self._who}&at={self.own}&known={known}"
-                                            f"&wait={self._wait_ms:g}", timeout_ms=self._wait_ms + 3000)
+                response = await errand.ask("GET", f"/workers?who={self._who}&at={self.own}&channel={self.channel}"
+                                            f"&known={known}&wait={self._wait_ms:g}", timeout_ms=self._wait_ms + 3000)
                 if response.status == 304:
                     continue
                 if response.status != 200:
--- a/kelptrail/roster/members.py
+++ b/kelptrail/roster/members.py
@@ -32,10 +32,11 @@
 
 
 class Peer(msgspec.Struct, frozen=True):
-    """A dispatcher that follows the list, and where it can be asked for what it took."""
+    """A dispatcher that follows the list, where it can be asked for what it took, and where its channel listens."""
 
     name: str
     address: str
+    channel: str = ""
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/kelptrail/service/control.py
+++ b/kelptrail/service/control.py
@@ -17,7 +17,7 @@
 
 
 class Control:
-    """`GET /state` and `GET /vrrp`."""
+    """`GET /state`, `GET /vrrp` and `GET /leases`."""
 
     def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None,
                  keepers: dict[str, TlsKeeper] | None = None,
@@ -33,6 +33,10 @@
             exchange.reply(200, msgspec.json.encode(self._state()))
         elif request.path == "/vrrp" and self._standing is not None:
             exchange.reply(200, msgspec.json.encode(self._standing.vrrp.status()))
+        elif request.path == "/leases" and "leases" in self._more:
+            exchange.reply(200, msgspec.json.encode(self._more["leases"]() | {"peers": self._more["peers"]()}))
+        elif request.path == "/leases":
+            exchange.reply(404, b'{"error":"no leases section in the settings"}')
         elif request.path == "/vrrp":
             exchange.reply(404, b'{"error":"no vrrp section in the settings"}')
         else:
--- /dev/null
+++ b/kelptrail/service/fleet.py
@@ -0,0 +1,93 @@
+"""What a process has of the fleet: the channel to its peers, and leases on fleet-wide tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from kelptrail.lease.driver import Leases
+from kelptrail.lease.terms import LeaseSettings
+from kelptrail.peers.driver import Peers
+from kelptrail.peers.link import LinkSettings
+from kelptrail.roster.members import Listing
+from kelptrail.settings.deployment import Deployment, LeasesPlan, PeersPlan
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """What differs from one process to the next.  `listen`: host and port of its channel, None: it only connects;
+    `at`: addresses that go before those of settings and list, by name."""
+
+    name: str
+    run: str
+    listen: str | None = None
+    at: dict[str, str] = field(default_factory=dict)
+    state: Path | None = None
+    vfs: str | None = None
+
+
+def link_settings(plan: PeersPlan) -> LinkSettings:
+    """The channel's figures as links take them."""
+    return LinkSettings(plan.beat_ms, plan.silent_ms, plan.connect_ms, int(plan.most_kb * 1024), plan.per_s,
+                        int(plan.most_kb * 1024))
+
+
+def lease_settings(plan: LeasesPlan) -> LeaseSettings:
+    """The leases' figures as voters and askers take them."""
+    return LeaseSettings(plan.voters, plan.number, plan.before, plan.clock_bound, plan.longest_ms, plan.ask_ms,
+                         plan.retry_ms, plan.gap_ms, plan.reserve_ms, plan.first_round)
+
+
+class Fleet:
+    """One process's part.  Raises `ValueError` where it is a voter and has nowhere to keep what it promises."""
+
+    def __init__(self, deployment: Deployment, options: FleetOptions, log: Any) -> None:
+        plan, leases = deployment.peers, deployment.leases
+        assert plan is not None
+        self._options, self._listed = options, dict[str, str]()
+        self._stated = {peer.name: peer.at for peer in plan.peer if peer.at}
+        self.length_ms = leases.length_ms if leases is not None else 0.0
+        self.peers = Peers(options.name, deployment.name, link_settings(plan), self.where, log)
+        self.leases: Leases | None = None
+        if leases is None:
+            return
+        self.leases = Leases(options.name, options.run, lease_settings(leases), self.peers, log)
+        if options.name in (*leases.voters, *leases.before):
+            if options.state is None:
+                raise ValueError(f"{options.name} is a voter and needs --state: its promises are kept there")
+            self.leases.vote(options.state / "leases.sqlite", options.vfs)
+
+    def where(self, name: str) -> str:
+        """A peer's address; empty while it is not known."""
+        for known in (self._options.at, self._stated, self._listed):
+            if known.get(name):
+                return known[name]
+        return ""
+
+    def listed(self, listing: Listing) -> None:
+        """The worker list names dispatchers, too."""
+        self._listed = {peer.name: peer.channel for peer in listing.dispatchers if peer.channel}
+
+    def start(self) -> None:
+        """Take part.  Raises `OSError` where the channel's address cannot be had."""
+        if self._options.listen is not None:
+            host, _, port = self._options.listen.rpartition(":")
+            self.peers.listen(host.strip("[]"), int(port))
+        self.peers.start()
+        if self.leases is not None:
+            self.leases.start()
+
+    async def stop(self) -> None:
+        """Give back leases and close links."""
+        if self.leases is not None:
+            await self.leases.stop()
+        await self.peers.stop()
+
+    def status(self) -> dict[str, Callable[[], Any]]:
+        """What operators are shown, by name."""
+        shown: dict[str, Callable[[], Any]] = {"peers": self.peers.status}
+        if self.leases is not None:
+            shown["leases"] = self.leases.status
+        return shown
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -9,7 +9,7 @@
 import signal
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -40,7 +40,9 @@
 
 from .build import grpc_limits, limits, tls_keeper
 from .control import Control
+from .fleet import Fleet, FleetOptions
 from .standing import Standing
+from .trial import HarmedClock, Trial
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,12 @@
     grpc_port: int | None = None  # of the second front; None: the settings'
     planners: tuple[str, ...] = ()  # addresses of planners to follow
     harmed: Path | None = None  # a file that says what ails the disk under the book, for tests
+    peers: str | None = None  # where its channel listens; None: as the settings say, or a free port
+    at: dict[str, str] = field(default_factory=dict)  # where peers are, by name, before settings and list
+    harmed_clock: Path | None = None  # a file that says what ails the clock, for trials
+    witness: str = ""  # of acts under leases on `tasks`, for trials
+    tasks: tuple[str, ...] = ()
+    stop_at: str = ""  # a step at which the process stops itself (SIGSTOP), for trials
 
 
 def _open(file: Path, most_bytes: float, vfs: str | None, log: Any) -> Book | None:
@@ -93,7 +101,7 @@
 
 
 async def serve(deployment: Deployment, options: Options, log: Any, debug: bool = False,
-                ready: Callable[[int, str, str], None] | None = None, stop: asyncio.Event | None = None) -> bool:
+                ready: Callable[[int, str, str, str], None] | None = None, stop: asyncio.Event | None = None) -> bool:
     """Run until SIGTERM, SIGINT or `stop`, then drain; True if all taken got its final answer."""
     loop = asyncio.get_running_loop()
     stop = stop or asyncio.Event()
@@ -104,11 +112,12 @@
     world = World(deployment, options.hall or deployment.dispatcher.hall or deployment.halls[0],
                   zlib.crc32(boot.encode()))
     settings, book = deployment.journal, None
+    disk = HarmedDisk(options.harmed) if options.harmed is not None else None
+    harmed_clock = HarmedClock(options.harmed_clock, log) if options.harmed_clock is not None else None
     if options.state is not None:
         with contextlib.suppress(OSError):  # what cannot be kept there is told by whoever needs it
             options.state.mkdir(parents=True, exist_ok=True)
         if settings.keep:
-            disk = HarmedDisk(options.harmed) if options.harmed is not None else None
             book = _open(options.state / "book.sqlite", settings.most_mb * 1e6, disk.vfs_name if disk else None, log)
     journal = Journal(settings.most_waiting) if options.state is not None and settings.keep else None
     if journal is not None and book is None:  # blocking calls go on; nothing new is promised
@@ -160,11 +169,19 @@
                                 settings.resume_at_once)
         log.info("recovered", ms=round(now_ms() - began), damaged=book.damaged, **found)
     listed = asyncio.Event()
+    fleet: Fleet | None = None
+    if deployment.peers is not None:
+        stated = {peer.name: peer.at for peer in deployment.peers.peer}.get(options.name)
+        fleet = Fleet(deployment, FleetOptions(
+            options.name, os.urandom(4).hex(), options.peers or stated or f"{options.host}:0", options.at,
+            options.state, disk.vfs_name if disk else None), log)
     plans: PlanFollower | None = None
     inner: Any = None
 
     def changed(listing: Listing) -> None:
         driver.listed(listing)
+        if fleet is not None:
+            fleet.listed(listing)
         if plans is not None:
             plans.listed()
         if inner is not None:
@@ -173,6 +190,13 @@
 
     roster = RosterClient(options.roster, driver.name, changed, last, log)
     had = roster.start_from_last()
+    trial: Trial | None = None
+    if fleet is not None:
+        fleet.start()
+        roster.channel = fleet.peers.address
+        if fleet.leases is not None and options.witness:
+            trial = Trial(fleet.leases, options.witness, options.tasks, fleet.length_ms, options.stop_at, log)
+            trial.start()
     # What stands now stands for good; the rest goes without a collector, but for rare cycles.  Guards against full
     # collections of 100 ms in the middle of calls: they come while nothing is in hand, else every ten minutes.
     gc.collect()
@@ -219,6 +243,8 @@
                             first_door, second_door)
         standing.start()
     more: dict[str, Callable[[], Any]] = {"background": background.scheduler.status}
+    if fleet is not None:
+        more |= fleet.status()
     if plans is not None:
         more["plan"] = plans.status
     if inner is not None:
@@ -228,13 +254,17 @@
         host, _, control_port = options.control.rpartition(":")
         control.listen(host, int(control_port))
     if ready is not None:
-        ready(port, control.address, second.address)
+        ready(port, control.address, second.address, fleet.peers.address if fleet is not None else "")
     await stop.wait()
     log.info("draining", in_hand=gateway.in_hand, connections=server.connections)
     api.leaving = inference.leaving = True
     second.leave()
     within = deployment.front.drain_ms
     end = now_ms() + within
+    if trial is not None:
+        trial.stop()
+    if fleet is not None and fleet.leases is not None:
+        await fleet.leases.stop()
     if standing is not None:
         await standing.stop()
     answered = await driver.drain(end - now_ms())
@@ -250,6 +280,10 @@
         await plans.stop()
     if inner is not None:
         await inner.stop()
+    if fleet is not None:
+        await fleet.peers.stop()
+    if harmed_clock is not None:
+        harmed_clock.stop()
     control.stop_listening()
     control.abort_all()
     follower.cancel()
--- /dev/null
+++ b/kelptrail/service/trial.py
@@ -0,0 +1,107 @@
+"""For trials: tasks that many dispatchers want, and acts under them at a witness that sees who acts when.
+
+An act looks at the lease, says so to the witness with its token, works a little, looks again and says that it is done.
+The witness is whoever is acted on: it takes no act under a token older than one that it has seen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from kelptrail.clock import harm, now_ms, true_ms
+from kelptrail.codec.http import HttpError
+from kelptrail.lease.driver import Leases
+from kelptrail.lease.terms import Token
+from kelptrail.net.client import Errand
+
+EVERY_MS, WORK_MS, LOOK_MS = 50.0, 15.0, 50.0
+
+
+class Trial:
+    """One dispatcher's acts on some tasks.  `stop_at`: "looked" stops the process (SIGSTOP) once between a look at a
+    lease and the act; whoever plays the trial wakes it."""
+
+    def __init__(self, leases: Leases, witness: str, tasks: tuple[str, ...], length_ms: float, stop_at: str,
+                 log: Any) -> None:
+        self._leases, self._witness, self._tasks, self._length_ms = leases, witness, tasks, length_ms
+        self._stop_at, self._log = stop_at, log
+        self._loop = asyncio.get_running_loop()
+        self._acting: dict[str, asyncio.Task[None]] = {}
+        self.acts = self.refused = 0
+
+    def start(self) -> None:
+        """Want all tasks."""
+        for task in self._tasks:
+            self._leases.want(task, self._length_ms, self._won(task), self._lost(task))
+
+    def stop(self) -> None:
+        """Act no more."""
+        for task in self._acting.values():
+            task.cancel()
+
+    def _won(self, task: str) -> Callable[[Token], None]:
+        def won(token: Token) -> None:
+            self._acting[task] = self._loop.create_task(self._act(task, token))
+
+        return won
+
+    def _lost(self, task: str) -> Callable[[Token, str], None]:
+        def lost(token: Token, reason: str) -> None:
+            self._acting.pop(task).cancel()
+
+        return lost
+
+    async def _act(self, task: str, token: Token) -> None:
+        errand = Errand(self._witness)
+        try:
+            while True:
+                with contextlib.suppress(OSError, HttpError, TimeoutError):
+                    if self._leases.holds(task) == token and not await self._once(errand, task, token):
+                        self.refused += 1
+                await asyncio.sleep(EVERY_MS / 1000)
+        finally:
+            errand.close()
+
+    async def _once(self, errand: Errand, task: str, token: Token) -> bool:
+        looked, said = true_ms(), {"task": task, "token": [token.round, token.who], "who": self._leases.name}
+        if self._stop_at == "looked":
+            self._stop_at = ""
+            os.kill(os.getpid(), signal.SIGSTOP)
+        self.acts += 1
+        if not (await errand.json("POST", "/act", said | {"looked": looked}))["taken"]:
+            return False
+        await asyncio.sleep(WORK_MS / 1000)
+        if self._leases.holds(task) != token:
+            return True
+        return bool((await errand.json("POST", "/done", said | {"looked": true_ms()}))["taken"])
+
+
+class HarmedClock:
+    """Looks at a file that says what ails this process's clock: `{"rate": 1.01, "step_ms": 0}`; none: it is sound."""
+
+    def __init__(self, file: Any, log: Any) -> None:
+        self._file, self._log, self._said = file, log, (1.0, 0.0)
+        self._task = asyncio.get_running_loop().create_task(self._watch())
+
+    async def _watch(self) -> None:
+        while True:
+            fault: dict[str, float] = {}
+            with contextlib.suppress(OSError, msgspec.DecodeError):
+                fault = msgspec.json.decode(self._file.read_bytes())
+            said = float(fault.get("rate", 1.0)), float(fault.get("step_ms", 0.0))
+            if said != self._said:
+                self._said = said
+                harm(*said)
+                self._log.info("clock-harmed", rate=said[0], step_ms=said[1], now=now_ms())
+            await asyncio.sleep(LOOK_MS / 1000)
+
+    def stop(self) -> None:
+        """Look no more."""
+        self._task.cancel()
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -301,6 +301,43 @@
     moves_least: int
 
 
+@dataclass(frozen=True, slots=True)
+class PeerPlan:
+    """A dispatcher that is known by name; `at`: where its channel listens, if the worker list does not tell."""
+
+    name: str
+    at: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeersPlan:
+    """The channel between dispatchers."""
+
+    peer: list[PeerPlan]
+    beat_ms: float
+    silent_ms: float
+    connect_ms: float
+    most_kb: float
+    per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeasesPlan:
+    """Leases on fleet-wide tasks; see `kelptrail/lease/terms.py`."""
+
+    voters: tuple[str, ...]
+    number: int
+    before: tuple[str, ...]
+    clock_bound: float
+    length_ms: float
+    longest_ms: float
+    ask_ms: float
+    retry_ms: float
+    gap_ms: float
+    reserve_ms: float
+    first_round: int
+
+
 @dataclass(frozen=True, slots=True)
 class JournalSettings:
     """What outlives a dispatcher's process; needs a state folder."""
@@ -332,6 +369,8 @@
     tls: dict[str, TlsSettings] = field(default_factory=dict)
     storm: StormPlan = StormPlan(True, 12_000.0, 200_000)
     planner: PlannerPlan = PlannerPlan(False, 5000.0, 60_000.0, 4000.0, 60_000.0, 0.05, 8)
+    peers: PeersPlan | None = None
+    leases: LeasesPlan | None = None
     folder: Path = Path()  # of the settings file
 
 
@@ -500,6 +539,29 @@
     "moves-least": number(0, 100_000, whole=True, default=8),
 }, build=PlannerPlan)
 
+PEERS = Shape({
+    "peer": Many(Shape({"at": word(default="")}, ("name",), PeerPlan)),
+    "beat-ms": _ms(50, 60_000, 500.0),
+    "silent-ms": _ms(100, 600_000, 3000.0),
+    "connect-ms": _ms(10, 60_000, 1000.0),
+    "most-kb": number(1, 1e6, default=1024.0),
+    "per-s": number(1, 1e6, default=2000.0),
+}, build=PeersPlan)
+
+LEASES = Shape({
+    "voters": some(word()),
+    "number": number(1, 1_000_000_000, whole=True, default=1),
+    "before": some(word(), ()),
+    "clock-bound": number(0, 0.2, default=0.01),
+    "length-ms": _ms(100, 600_000, 4000.0),
+    "longest-ms": _ms(100, 600_000, 4000.0),
+    "ask-ms": _ms(5, 60_000, 250.0),
+    "retry-ms": _ms(5, 60_000, 100.0),
+    "gap-ms": _ms(0, 60_000, 20.0),
+    "reserve-ms": _ms(0, 60_000, 1000.0),
+    "first-round": number(0, 1e15, whole=True, default=0),
+}, build=LeasesPlan)
+
 STORM = Shape({
     "damp": yes_no(True),
     "longest-return-ms": _ms(100, 600_000, 12_000.0),
@@ -535,6 +597,8 @@
     "storm": Group(STORM),
     "planner": Group(PLANNER),
     "vrrp": Group(VRRP, optional=True),
+    "peers": Group(PEERS, optional=True),
+    "leases": Group(LEASES, optional=True),
     "journal": Group(JOURNAL),
 }, ("name",))
 
@@ -569,7 +633,7 @@
         {n.name: n for n in fields["namespace"]}, actions, fields["rules"], fields["dispatcher"],
         fields["front"], fields["inference"], fields["pool"], fields["fleet"], fields["store"], fields["vrrp"],
         fields["journal"], {t.side: t for t in fields["tls"]}, fields["storm"], fields["planner"],
-        Path(file).parent)
+        fields["peers"], fields["leases"], Path(file).parent)
 
 
 def _spread(action: ActionSettings) -> list[ActionSettings]:
@@ -623,6 +687,8 @@
             _across_tls(checker, form, name, named)
         if form.head == "vrrp":
             _across_vrrp(checker, form)
+        if form.head == "leases":
+            _across_leases(checker, form, next((f for f in parts if f.head == "peers"), None))
         if form.head == "namespace":
             hashes = [h for h in form.items if isinstance(h, Form) and h.head == "key-hash"]
             if not hashes and not _value(form, "key") and not any(
@@ -693,6 +759,49 @@
             checker.fault(form.place, name, "one of " + ", ".join(TRACKED))
 
 
+def _across_leases(checker: Checker, form: Form, peers: Form | None) -> None:
+    """Voters that are known, as many as can have a majority, a set that may follow the one before, and lengths that
+    leave something to hold."""
+    known = {_first(f) for f in peers.items if isinstance(f, Form) and f.head == "peer"} if peers else set()
+    sets: dict[str, list[str]] = {"voters": [], "before": []}
+    for item in (i for i in form.items if isinstance(i, Form) and i.head in sets):
+        names = [str(a) for a in item.items[1:]]
+        sets[str(item.head)] = names
+        for atom, name in zip(item.items[1:], names, strict=True):
+            if item.head == "voters" and name not in known:
+                checker.fault(atom.place, name, "a peer of this file, as (peers (peer NAME)): "
+                              + (", ".join(sorted(known)) or "there is none"))
+        if len(names) not in (3, 5) or len(set(names)) < len(names):
+            checker.fault(item.place, f"{len(names)} {item.head}: {' '.join(names)}", "three or five different names")
+    voters, before = sets["voters"], sets["before"]
+    stay, most = len(set(voters) & set(before)), max(len(voters), len(before))
+    if before and stay < (most - 1 if len(voters) == len(before) else min(len(voters), len(before))):
+        checker.fault(form.place, f"from {' '.join(before)} to {' '.join(voters)}",
+                      "one voter replaced, or two more, or two fewer, at a time")
+
+    def figure(key: str) -> float:
+        field = LEASES.fields[key]
+        assert isinstance(field, Value)
+        found = _value(form, key)
+        return _number(found[0]) if found else float(field.default)
+
+    number, bound = _value(form, "number"), figure("clock-bound")
+    if before and figure("number") < 2:
+        checker.fault(number[1] if number else form.place, "number 1", "2 at least, where there is a set before")
+    if not before and figure("number") > 1:
+        checker.fault(number[1] if number else form.place, f"number {figure('number'):g}",
+                      "(before NAME ...) beside it: the set before")
+    if figure("longest-ms") < figure("length-ms"):
+        place = _value(form, "longest-ms") or _value(form, "length-ms") or ("", form.place)
+        checker.fault(place[1], f"{figure('longest-ms'):g}", f"at least the length-ms, {figure('length-ms'):g}")
+    held, least = figure("length-ms") * (1 - bound) / (1 + bound), 4 * figure("ask-ms")
+    if held < least:
+        length = _value(form, "length-ms")
+        checker.fault(length[1] if length else form.place, f"{figure('length-ms'):g}",
+                      f"a length of which at least four times the ask-ms is left, {least:g}: clocks take "
+                      f"{figure('length-ms') - held:.0f}")
+
+
 def _across_tls(checker: Checker, form: Form, side: str, named: dict[tuple[str, str], Place]) -> None:
     """Sides that there are, once each, with what they cannot do without."""
     if side not in SIDES:
--- /dev/null
+++ b/kelptrail/standin/links.py
@@ -0,0 +1,126 @@
+"""A relay for the channel between dispatchers: cuts, slows and resets connections between real processes.
+
+It listens once for each ordered pair, so it knows who connects to whom without reading a byte, and learns where each
+one's channel listens from whoever starts them.  What is cut is held, not lost: the connections stay open and silent,
+new ones never come up, and what was on its way arrives late, as it does on a real network.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import Any
+
+import msgspec
+import numpy as np
+
+from kelptrail.codec.http import Request
+from kelptrail.net.server import Exchange, HttpServer
+
+from .capture import Capture
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closed with a reset
+
+
+class Links:
+    """All pairs among `names`, and from `askers` to each of `names`.  Knobs at its control port: `at` (addresses),
+    `cut` (ordered pairs whose bytes are held), `slow` (ms and share of pieces), `reset` (share of connections, now)."""
+
+    def __init__(self, names: list[str], askers: list[str], capture: Capture, seed: int) -> None:
+        self._capture, self._chance = capture, np.random.default_rng([seed, 5])
+        self._loop = asyncio.get_running_loop()
+        self._at: dict[str, str] = {}
+        self._cut: set[tuple[str, str]] = set()
+        self._healed = asyncio.Event()
+        self._slow = (0.0, 0.0)
+        self._pairs: dict[asyncio.Task[None], tuple[socket.socket, socket.socket | None]] = {}
+        self.routes: dict[str, str] = {}
+        for source in (*names, *askers):
+            for to in names:
+                if source != to:
+                    self.routes[f"{source}>{to}"] = self._listen(source, to)
+        self.server = HttpServer(self._handle)
+
+    def _listen(self, source: str, to: str) -> str:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(64)
+        sock.setblocking(False)
+        self._loop.add_reader(sock, self._accept, sock, source, to)
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+    def _accept(self, listening: socket.socket, source: str, to: str) -> None:
+        try:
+            sock, _ = listening.accept()
+        except BlockingIOError:
+            return
+        sock.setblocking(False)
+        task = self._loop.create_task(self._relay(sock, source, to))
+        self._pairs[task] = sock, None
+        task.add_done_callback(lambda done: self._pairs.pop(done, None))
+
+    def _cut_between(self, one: str, other: str) -> bool:
+        return (one, other) in self._cut or (other, one) in self._cut
+
+    async def _relay(self, near: socket.socket, source: str, to: str) -> None:
+        far = socket.socket()
+        far.setblocking(False)
+        task = asyncio.current_task()
+        assert task is not None
+        self._pairs[task] = near, far
+        ways: list[asyncio.Task[None]] = []
+        try:
+            while self._cut_between(source, to):  # a handshake needs both ways
+                self._healed.clear()
+                await self._healed.wait()
+            host, _, port = self._at[to].rpartition(":")
+            await self._loop.sock_connect(far, (host, int(port)))
+            for sock in (near, far):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            ways = [self._loop.create_task(self._carry(near, far, source, to)),
+                    self._loop.create_task(self._carry(far, near, to, source))]
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        except (OSError, KeyError):
+            pass  # nobody there: the one who connects sees a closed connection
+        finally:
+            for way in ways:
+                way.cancel()
+            await asyncio.gather(*ways, return_exceptions=True)
+            near.close()
+            far.close()
+
+    async def _carry(self, read: socket.socket, write: socket.socket, source: str, to: str) -> None:
+        while True:
+            data = await self._loop.sock_recv(read, 65_536)
+            while (source, to) in self._cut:
+                self._healed.clear()
+                await self._healed.wait()
+            if not data:
+                return
+            if self._slow[1] and self._chance.random() < self._slow[1]:
+                await asyncio.sleep(self._slow[0] / 1000)
+            await self._loop.sock_sendall(write, data)
+
+    def _handle(self, request: Request, exchange: Exchange) -> None:
+        body: dict[str, Any] = msgspec.json.decode(request.body) if request.body else {}
+        self._at |= body.get("at", {})
+        if "cut" in body:
+            self._cut = {(a, b) for a, b in body["cut"]}
+            self._healed.set()
+        if "slow" in body:
+            self._slow = float(body["slow"]["ms"]), float(body["slow"]["share"])
+        resets = 0
+        if body.get("reset"):
+            for socks in list(self._pairs.values()):
+                if self._chance.random() < body["reset"]:
+                    resets += 1
+                    for sock in socks:
+                        if sock is not None:
+                            with contextlib.suppress(OSError):
+                                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                                sock.shutdown(socket.SHUT_RDWR)
+        if "at" not in body:
+            self._capture.note("links", cut=sorted(self._cut), slow=self._slow, resets=resets)
+        exchange.reply(200, msgspec.json.encode({"connections": len(self._pairs)}))
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -49,11 +50,14 @@
         self.workers: list[Child] = []
         self.dispatchers: list[Child] = []
         self.planners: list[Child] = []
+        self.links: Child | None = None
+        self.witness: Child | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, workers: int, dispatchers: int, state: Path | None, planners: int = 0,
-                    solver: str = "program") -> None:
-        """Start everything, in the order of need.  With planners the dispatchers are edges that follow them."""
+                    solver: str = "program", tasks: tuple[str, ...] = ()) -> None:
+        """Start everything, in the order of need.  With planners the dispatchers are edges that follow them; where the
+        settings have peers, their channels go through a relay; `tasks` are wanted by all dispatchers."""
         self.store = await self._child("store", ["standin", "store", self._file])
         self.roster = await self._child("roster", ["standin", "roster"])
         halls = self.deployment.halls
@@ -66,22 +70,43 @@
                 "--cell", str(n // 2), "--store", self.store.said["address"],
                 "--roster", self.roster.said["address"], "--seed", str(self._seed), "--warm"])
             for n in range(workers))))
+        names = [f"dispatcher-{n}" for n in range(dispatchers)]
+        if self.deployment.peers is not None:
+            askers = [f"planner-{n}" for n in range(planners)]
+            self.links = await self._child("links", [
+                "standin", "links", "--seed", str(self._seed), *(w for name in names for w in ("--name", name)),
+                *(w for name in askers for w in ("--asker", name))])
+        if tasks:
+            self.witness = await self._child("witness", ["standin", "witness"])
         logs = ["--log-level", self._level, "--log-form", "json" if self._logs else "auto"]
         self.planners = list(await asyncio.gather(*(
             self._child(f"planner-{n}", [
                 *logs, "planner", self._file, "--name", f"planner-{n}", "--roster", self.roster.said["address"],
                 "--control", "127.0.0.1:0", "--solver", solver,
+                *self._ways(f"planner-{n}"),
                 *(["--state", str(state / f"planner-{n}")] if state else [])])
             for n in range(planners))))
         follow = [word for p in self.planners for word in ("--planner", p.said["address"])]
         self.dispatchers = list(await asyncio.gather(*(
-            self._child(f"dispatcher-{n}", [
+            self._child(name, [
                 *logs, *(["edge", self._file, *follow] if follow else ["serve", self._file]),
-                "--name", f"dispatcher-{n}", "--hall", halls[n % len(halls)],
+                "--name", name, "--hall", halls[n % len(halls)],
                 "--roster", self.roster.said["address"], "--control", "127.0.0.1:0",
-                *(["--state", str(state / f"dispatcher-{n}"), "--harmed-disk", str(state / f"disk-{n}.json")]
-                  if state else [])])
-            for n in range(dispatchers))))
+                *self._ways(name), *self._acts(tasks),
+                *(["--state", str(state / name), "--harmed-disk", str(state / f"disk-{n}.json"),
+                   "--harmed-clock", str(state / f"clock-{n}.json")] if state else [])])
+            for n, name in enumerate(names))))
+
+    def _ways(self, name: str) -> list[str]:
+        """How a process reaches others: through the relay."""
+        routes = self.links.said["routes"] if self.links is not None else {}
+        return [word for pair, at in routes.items() if pair.startswith(f"{name}>")
+                for word in ("--peer", f"{pair.partition('>')[2]}={at}")]
+
+    def _acts(self, tasks: tuple[str, ...]) -> list[str]:
+        if self.witness is None:
+            return []
+        return ["--witness", self.witness.said["address"], *(w for task in tasks for w in ("--task", task))]
 
     async def _child(self, name: str, words: list[str]) -> Child:
         if self._out is not None and words[0] == "standin":
@@ -97,6 +122,8 @@
             words += ["--port", child.said["address"].rpartition(":")[2]]
             if child.said.get("grpc"):
                 words += ["--grpc-port", child.said["grpc"].rpartition(":")[2]]
+            if child.said.get("peers"):
+                words += ["--peers-port", child.said["peers"].rpartition(":")[2]]
             if "control" in child.said:
                 words += ["--control-port", child.said["control"].rpartition(":")[2]]
             words = [w for w in words if w != "--warm"]
@@ -117,6 +144,8 @@
             child.said = msgspec.json.decode(line)
         except (TimeoutError, msgspec.DecodeError):
             raise RuntimeError(f"{child.name} did not start") from None
+        if child.said.get("peers") and self.links is not None:
+            await ask(self.links.said["address"], "POST", "/", {"at": {child.name: child.said["peers"]}})
         task = asyncio.get_running_loop().create_task(self._mind(child, child.process))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -160,11 +189,28 @@
 
     def harm_disk(self, child: Child, **fault: Any) -> None:
         """Say what ails a dispatcher's disk; nothing: it is sound again."""
-        file = Path(child.words[child.words.index("--harmed-disk") + 1])
+        self._say_harm(child, "--harmed-disk", fault)
+
+    def harm_clock(self, child: Child, **fault: Any) -> None:
+        """Say what ails a dispatcher's clock; nothing: it is sound again."""
+        self._say_harm(child, "--harmed-clock", fault)
+
+    @staticmethod
+    def _say_harm(child: Child, option: str, fault: dict[str, Any]) -> None:
+        file = Path(child.words[child.words.index(option) + 1])
         draft = file.with_suffix(".new")
         draft.write_bytes(msgspec.json.encode(fault))
         draft.replace(file)
 
+    def lose_disk(self, child: Child) -> None:
+        """A dispatcher's machine is gone with its disk."""
+        shutil.rmtree(child.words[child.words.index("--state") + 1], ignore_errors=True)
+
+    async def harm_links(self, **body: Any) -> None:
+        """Turn a knob of the relay between dispatchers."""
+        assert self.links is not None
+        await ask(self.links.said["address"], "POST", "/", body)
+
     def signal(self, child: Child, number: signal.Signals) -> None:
         """Send a signal, to children started here only."""
         if child.running and child.process is not None:
@@ -183,6 +229,7 @@
             return None
         if child.running:
             with contextlib.suppress(ProcessLookupError):
+                child.process.send_signal(signal.SIGCONT)  # one that is stopped hears nothing else
                 child.process.send_signal(signal.SIGTERM)
             try:
                 await asyncio.wait_for(child.process.wait(), within_s)
@@ -194,7 +241,8 @@
     async def stop(self) -> bool:
         """End everything, dispatchers first so that what was taken is answered; True if all drained."""
         codes = await asyncio.gather(*(self.end(d) for d in self.dispatchers))
-        rest = [*self.planners, *self.workers, self.roster, self.store, *([self.relay] if self.relay else [])]
+        rest = [*self.planners, *self.workers, self.roster, self.store, *(
+            c for c in (self.relay, self.links, self.witness) if c is not None)]
         await asyncio.gather(*(self.end(c, 3) for c in rest))
         if self._tasks:
             await asyncio.gather(*list(self._tasks), return_exceptions=True)
--- a/kelptrail/standin/roster.py
+++ b/kelptrail/standin/roster.py
@@ -42,7 +42,7 @@
         self._loop = asyncio.get_running_loop()
         self._lineage, self._version = os.urandom(4).hex(), 0
         self._workers: dict[str, _Seen] = {}
-        self._dispatchers: dict[str, str] = {}  # name and where it can be asked; kept, as they come again
+        self._dispatchers: dict[str, tuple[str, str]] = {}  # where it and its channel are; kept, as they come again
         self._polls: dict[_Poll, None] = {}
         self.late_ms = 0.0
         self.server = HttpServer(self._handle)
@@ -51,7 +51,8 @@
         parts, query = request.segments, request.query
         if parts == ["workers"]:
             known, name = query.get("known", ""), query.get("who", "").partition("/")[0]
-            if (at := query.get("at", "")) and self._dispatchers.get(name) != at:
+            at = query.get("at", ""), query.get("channel", "")
+            if at[0] and self._dispatchers.get(name) != at:
                 self._dispatchers[name] = at
                 self._changed()
             if known != f"{self._lineage}:{self._version}":
@@ -114,8 +115,9 @@
                            workers={w["id"]: [w["state"], w["incarnation"]] for w in workers})
         exchange.reply(200, msgspec.json.encode({"version": self._version, "lineage": self._lineage,
                                                  "workers": workers,
-                                                 "dispatchers": [{"name": name, "address": at} for name, at
-                                                                 in self._dispatchers.items()]}))
+                                                 "dispatchers": [
+                                                     {"name": name, "address": at, "channel": channel}
+                                                     for name, (at, channel) in self._dispatchers.items()]}))
 
     def _nothing(self, poll: _Poll) -> None:
         self._drop(poll)
--- /dev/null
+++ b/kelptrail/standin/witness.py
@@ -0,0 +1,37 @@
+"""A stand-in for what is acted on under leases: notes each act by its own clock, refuses tokens older than one seen.
+
+`POST /act` and `POST /done` with task, token, who, and `looked`: when the actor last looked at its lease, by the
+machine's clock.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from kelptrail.codec.http import Request
+from kelptrail.net.server import Exchange, HttpServer
+
+from .capture import Capture
+
+
+class Witness:
+    """One witness of all tasks."""
+
+    def __init__(self, capture: Capture) -> None:
+        self._capture = capture
+        self._seen: dict[str, list[Any]] = {}  # the highest token, by task
+        self.server = HttpServer(self._handle)
+
+    def _handle(self, request: Request, exchange: Exchange) -> None:
+        if request.segments not in (["act"], ["done"]):
+            exchange.reply(404, b'{"error":"no such thing"}')
+            return
+        body: dict[str, Any] = msgspec.json.decode(request.body)
+        taken = body["token"] >= self._seen.get(body["task"], [0, ""])
+        if taken:
+            self._seen[body["task"]] = body["token"]
+        self._capture.note(request.segments[0], task=body["task"], token=body["token"], by=body["who"],
+                           looked=body["looked"], taken=taken)
+        exchange.reply(200, msgspec.json.encode({"taken": taken}))
--- a/kelptrail/store/driver.py
+++ b/kelptrail/store/driver.py
@@ -3,24 +3,36 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import Any, Protocol
 
 from kelptrail.clock import now_ms
 
-from .book import Book, BookError
-from .entries import Entry
+from .book import BookError
 from .journal import Batch, Journal
 
 FORGET_AT_ONCE = 500  # a commit that comes meanwhile waits for so much
 FORGET_AT_LAST = 20_000  # so many stale ones are dropped whether or not there is time
 
 
+class Keeper(Protocol):
+    """What keeps entries; one thread at a time uses it."""
+
+    def commit(self, entries: Iterable[Any], /) -> None:
+        """Make entries safe, all or none.  Raises `BookError`."""
+
+    def forget(self, ids: Iterable[str], /) -> None:
+        """Drop what is no longer wanted.  Raises `BookError`."""
+
+    def close(self) -> None:
+        """Close it."""
+
+
 class JournalDriver:
     """Makes batches safe as they become ready; `progress` is called after each."""
 
-    def __init__(self, journal: Journal, book: Book, progress: Callable[[], None], log: Any) -> None:
+    def __init__(self, journal: Journal, book: Keeper, progress: Callable[[], None], log: Any) -> None:
         self.journal, self._book, self._progress, self._log = journal, book, progress, log
         self._loop = asyncio.get_running_loop()
         self._thread = ThreadPoolExecutor(1, "book")
@@ -75,7 +87,7 @@
         self._progress()
 
     def _commit(self, batch: Batch) -> Callable[[], None]:
-        entries: list[Entry] = batch.entries
+        entries = batch.entries
         try:
             self._book.commit(entries)
         except BookError as cause:
--- a/kelptrail/store/journal.py
+++ b/kelptrail/store/journal.py
@@ -10,9 +10,9 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
-from .entries import Entry
-
+Entry = Any  # what the book under it keeps: it is only passed on
 Waiter = Callable[[bool], None]
 
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,7 +12,8 @@
 from program import DEPLOYMENT, Dispatcher, ScriptedWorker, Silent, run
 
 from kelptrail.clock import now_ms
-from kelptrail.planner.channel import VERSION, Beat, FrameReader, Hello, Offer, Reply, frame
+from kelptrail.peers.wire import VERSION, Beat, FrameReader, Hello, frame
+from kelptrail.planner.channel import READ, Offer, Reply
 from kelptrail.planner.core import Role
 from kelptrail.planner.edge import PlanFollower
 from kelptrail.planner.plan import make, pack
@@ -130,7 +131,7 @@
 
         async def forger(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.write(frame(Hello(VERSION, "forger", pair.dispatcher.deployment.name)))
-            frames = FrameReader()
+            frames = FrameReader(READ)
             while data := await reader.read(65536):
                 said.extend(frames.feed(data))
                 writer.write(frame(Beat()))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,22 +14,11 @@
 from kelptrail.dispatch.rules import Dispatcher
 from kelptrail.dispatch.terms import Order as HoldOrder
 from kelptrail.dispatch.terms import Outcome, State, Worker
-from kelptrail.planner.channel import (
-    VERSION,
-    Beat,
-    ChannelError,
-    EdgeLink,
-    FrameReader,
-    Hello,
-    Led,
-    Offer,
-    PlannerLink,
-    Reply,
-    Report,
-    frame,
-)
+from kelptrail.gateway.tally import Tally
+from kelptrail.peers.wire import VERSION, Beat, ChannelError, FrameReader, Hello, frame
+from kelptrail.planner.channel import READ, EdgeLink, Led, Offer, PlannerLink, Reply, Report
 from kelptrail.planner.core import Model, Planner, PlannerSettings, Role
-from kelptrail.planner.demand import Demand, Tally
+from kelptrail.planner.demand import Demand
 from kelptrail.planner.follow import Follower, Refusal
 from kelptrail.planner.place import Host, Need, greedy, price, solve, valid
 from kelptrail.planner.plan import FIRST, Plan, PlanError, Wants, changed, changes, pack, unpack
@@ -286,16 +275,16 @@
                 Report(FIRST, 5.0, {"m": Tally(1)}, {"m": {"w": 1}}, True)]
     data = b"".join(frame(m) for m in messages)
     for size in (1, 3, 7, len(data)):
-        reader = FrameReader()
+        reader = FrameReader(READ)
         assert [m for n in range(0, len(data), size) for m in reader.feed(data[n:n + size])] == messages
     for bad, word in ((frame(Beat()), "hello must come first"), (frame(messages[0]) * 2, "one hello"),
-                      (frame(Hello(9, "e", "here")), "version 9"), (b"\xff\xff\xff\xff", "a frame of"),
+                      (frame(Hello(0, "e", "here")), "version 0"), (b"\xff\xff\xff\xff", "a frame of"),
                       (frame(messages[0]) + b"\0\0\0\3abc", "no message")):
         with pytest.raises(ChannelError, match=word):
-            FrameReader().feed(bad)
+            FrameReader(READ).feed(bad)
     chance = np.random.default_rng(1)
     for _ in range(500):
-        reader = FrameReader(1 << 16)
+        reader = FrameReader(READ, 1 << 16)
         try:
             reader.feed(frame(messages[0]) + chance.bytes(int(chance.integers(1, 80))))
         except ChannelError:
@@ -304,8 +293,8 @@
 
 def test_a_slow_edge_gets_the_latest_plan_not_all_and_reports_go_as_changes() -> None:
     link, follower, told = PlannerLink("p", "here"), Follower("here"), Led(0.0)
-    edge, reader = EdgeLink("e", "here", follower, told, 0.0), FrameReader()
-    back = FrameReader()
+    edge, reader = EdgeLink("e", "here", follower, told, 0.0), FrameReader(READ)
+    back = FrameReader(READ)
     for message in back.feed(b"".join(edge.out)):
         link.received(message)
     edge.out.clear()
@@ -462,7 +451,7 @@
     follower, led = Follower("here"), Led(0.0)
     links = [EdgeLink("e", "here", follower, led, start, 1000.0) for start in (0.0, 500.0)]
     heard = [0, 0]
-    readers = [FrameReader(), FrameReader()]
+    readers = [FrameReader(READ), FrameReader(READ)]
     for step in range(41):
         for number, (link, reader) in enumerate(zip(links, readers, strict=True)):
             link.counted({"m": Tally(1)})
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -25,7 +25,8 @@
 
 
 def trouble(kind: str, at: float, seconds: float, part: float) -> Trouble:
-    return Trouble(kind, at, **{"for": seconds}, part=part, share=1.0, factor=4.0, ms=100.0, type="", count=1)
+    return Trouble(kind, at, **{"for": seconds}, part=part, share=1.0, factor=4.0, ms=100.0, type="", count=1,
+                   one_way=False)
 
 
 def test_a_run_over_processes_is_the_same_each_time_and_close_to_one_in_a_single_process() -> None:
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -10,8 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kelptrail.vrrp import machine
 from kelptrail.search import PropertyError
+from kelptrail.vrrp import machine
 from kelptrail.vrrp.explore import Budget, explore
 from kelptrail.vrrp.instance import Datagram, Instance
 from kelptrail.vrrp.machine import GiveUp, Moved, Router, RouterSettings, State, Take, Transmit
