--- a/examples/bad-days/planned.sexp
+++ b/examples/bad-days/planned.sexp
@@ -1,7 +1,7 @@
 ; Edges that follow two planners, which are slow, killed, and started again with nothing; workers drain and crash.
 (bad-day planned
-  (deployment "../nursery.sexp")
-  (seconds 40) (workers 8) (dispatchers 3) (planners 2)
+  (deployment "../fleet.sexp")
+  (seconds 40) (workers 8) (dispatchers 5) (planners 2)
   (load (rate 120) (deferred 0.2) (heed 0.8))
   (trouble models-voided  (at 8) (for 0) (part 1) (share 0.6))
   (trouble planners-slow  (at 10) (for 8) (part 1) (ms 4000))
--- a/examples/season.sexp
+++ b/examples/season.sexp
@@ -1,6 +1,8 @@
 ; Half a thousand models on sixty workers, planned ahead; for the lab.
 (deployment season
   (planner (every-ms 3000) (down-ms 20000))
+  (peers (peer dispatcher-0) (peer dispatcher-1) (peer dispatcher-2) (peer dispatcher-3) (peer dispatcher-4))
+  (leases (voters dispatcher-0 dispatcher-1 dispatcher-2 dispatcher-3 dispatcher-4))
   (type read  (effect repeatable)   (target-ms 500) (timeout-ms 5000) (utility 1) (late-share 0.3))
   (type write (effect deduplicated) (target-ms 500) (timeout-ms 5000) (utility 3) (late-share 0.3)
               (scope all) (remembered-ms 8000))
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -230,6 +230,14 @@
             fault = {"ms": trouble.ms} if trouble.kind == "planners-slow" else {"factor": trouble.factor}
             await ask(victim.said["control"], "POST", "/fault", fault | {"for_ms": trouble.last * 1000})
             return
+        if trouble.kind == "pause-planners":
+            self._place.signal(victim, signal.SIGSTOP)
+            await asyncio.sleep(trouble.last)
+            self._place.signal(victim, signal.SIGCONT)
+            return
+        if trouble.kind == "cut-planners":
+            await self._cut_off(trouble, [victim])
+            return
         self._place.kill(victim)
         if trouble.kind == "planners-forget":
             (self._out / "state" / victim.name / "planner.bin").unlink(missing_ok=True)
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 
 from kelptrail.load.plan import LOAD, Load, check_load
@@ -14,7 +14,8 @@
               "rolling-deploy", "drain")
 ON_STORE = ("store-slow", "store-refuse", "store-stopped")
 ON_DISKS = ("disk-slow", "disk-fails", "disk-full")
-ON_PLANNERS = ("kill-planners", "planners-slow", "planners-forget", "planners-wrong")
+ON_PLANNERS = ("kill-planners", "planners-slow", "planners-forget", "planners-wrong", "pause-planners",
+               "cut-planners")
 ON_PEERS = ("cut-peers", "slow-peers", "reset-peers", "pause-dispatchers", "lose-machines", "clock-rate", "clock-step")
 LEAST_PEERS = 5  # dispatchers, in different halls, of a script with such troubles
 OTHERS = ("kill-dispatchers", "list-late", "list-names-nobody", "idle-connections", "slow-readers")
@@ -40,6 +41,12 @@
         for name, value in {"kind": kind, "at": at, "last": rest.pop("for"), **rest}.items():
             object.__setattr__(self, name, value)
 
+    def as_kind(self, kind: str) -> Trouble:
+        """The same of another kind."""
+        rest: dict[str, object] = {f.name: getattr(self, f.name) for f in fields(self)
+                                   if f.name not in ("kind", "last")}
+        return Trouble(kind, **rest | {"for": self.last})  # type: ignore[arg-type]
+
 
 @dataclass(frozen=True, slots=True)
 class BadDay:
@@ -53,9 +60,9 @@
     client_processes: int
     planners: int
     solver: str
-    tasks: tuple[str, ...]  # wanted by all dispatchers under leases, acted under at the witness
     load: list[Load]
     trouble: list[Trouble]
+    tasks: tuple[str, ...] = ()  # wanted by all dispatchers under leases, acted under at the witness
 
     @property
     def ends(self) -> float:
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -205,13 +205,15 @@
 @click.option("--state", type=click.Path(path_type=Path), help="Folder for its snapshot and the last list.")
 @click.option("--control", help="Address and port for operators' questions.")
 @click.option("--control-port", type=int, hidden=True)
+@click.option("--peer", "at", multiple=True, help="NAME=ADDRESS of a voter's channel; may be given again.")
 @click.option("--solver", type=click.Choice(["program", "greedy"]), default="program", show_default=True)
 @click.option("--slow-ms", default=0.0, hidden=True)
 @click.option("--with-stdin", is_flag=True, hidden=True)
 @click.pass_context
 def planner(context: click.Context, file: str, roster: str, name: str, host: str, port: int, state: Path | None,
-            control: str | None, control_port: int | None, solver: str, slow_ms: float, with_stdin: bool) -> None:
-    """Plan loads and placement ahead for edges, until SIGTERM.  A second one stands by."""
+            control: str | None, control_port: int | None, at: tuple[str, ...], solver: str, slow_ms: float,
+            with_stdin: bool) -> None:
+    """Plan loads and placement ahead for edges, until SIGTERM, while it holds the lease; others stand by."""
     deployment = _settings(file)
     from kelptrail.planner.program import Options
     from kelptrail.service.planner import serve as run
@@ -219,7 +221,7 @@
     log = _log(context, planner=name)
     if control_port is not None:
         control = f"127.0.0.1:{control_port}"
-    options = Options(name, host, port, roster, state, control, solver, slow_ms)
+    options = Options(name, host, port, roster, state, control, solver, slow_ms, at=_addresses(at))
 
     async def go() -> None:
         stop = asyncio.Event()
@@ -233,6 +235,9 @@
     except OSError as cause:
         click.echo(f"{host}:{port}: {cause.strerror or cause}", err=True)
         sys.exit(FAILED)
+    except ValueError as cause:
+        click.echo(f"{file}: {cause}", err=True)
+        sys.exit(UNUSABLE)
 
 
 @main.group()
@@ -848,19 +853,19 @@
     _run(go())
 
 
-@standin.command(cls=_Examples, example="kelptrail standin links --name dispatcher-0 --name dispatcher-1")
-@click.option("--name", "names", multiple=True, help="One that is connected to.")
-@click.option("--asker", "askers", multiple=True, help="One that only connects.")
+@standin.command(cls=_Examples, example="kelptrail standin links --from dispatcher-0 --to dispatcher-1")
+@click.option("--from", "sources", multiple=True, help="One that connects.")
+@click.option("--to", "targets", multiple=True, help="One that is connected to.")
 @click.option("--seed", default=1)
 @_standin
-def links(names: tuple[str, ...], askers: tuple[str, ...], seed: int, host: str, port: int, capture: Path | None,
+def links(sources: tuple[str, ...], targets: tuple[str, ...], seed: int, host: str, port: int, capture: Path | None,
           with_stdin: bool) -> None:
     """A relay for the channel between dispatchers that cuts, slows and resets as told."""
     from kelptrail.standin.capture import Capture
     from kelptrail.standin.links import Links
 
     async def go() -> None:
-        made = Links(list(names), list(askers), Capture(capture, "links"), seed)
+        made = Links(list(sources), list(targets), Capture(capture, "links"), seed)
         made.server.listen(host, port)
         _say(ready=True, address=made.server.address, routes=made.routes)
         await _until_stopped(with_stdin)
--- a/kelptrail/lab/planned.py
+++ b/kelptrail/lab/planned.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from kelptrail.lease.terms import Token
 from kelptrail.planner.build import hosts_of, models_of, settings_of
 from kelptrail.planner.channel import Led
 from kelptrail.planner.core import Planner, Problem, Role
 from kelptrail.planner.follow import Follower
 from kelptrail.planner.place import greedy, solve
-from kelptrail.planner.plan import FORMAT, Order, Packet, Plan
+from kelptrail.planner.plan import FORMAT, Order, Packet, Plan, Wants
+from kelptrail.planner.program import TASK
 from kelptrail.roster.members import Listing
 
 if TYPE_CHECKING:
@@ -27,23 +29,36 @@
         self._settings = settings_of(site.deployment)
         self._models = models_of(site.deployment)
         self.up, self.slow_ms, self._starts = False, 0.0, 0
-        self._kept: tuple[int, Any] = (0, {})
+        self._kept: Wants = {}
         self.plans = self.moves = 0
         self.begin(True)
 
     def begin(self, forget: bool = False) -> None:
         """Start, with the snapshot or with nothing."""
         self.up, self._starts = True, self._starts + 1
+        leases = self._site.leases
+        if leases is not None and self._starts > 1:
+            leases.begin(leases.nodes[self.name])
         self.core = Planner(self.name, self._settings, self._models, self._site.engine.now)
         if not forget:
-            self.core.restored(*self._kept)
+            self.core.restored(self._kept)
         if self._site.listing is not None:
             self.listed(self._site.listing)
         self._site.engine.after(TICK_MS, self._tick, self._starts)
 
+    def led(self, token: Token) -> None:
+        """It holds the lease."""
+        self.core.lead(self._site.engine.now, token.round, token.who)
+
+    def stood_down(self) -> None:
+        """It holds it no more."""
+        self.core.stand_down()
+
     def kill(self) -> None:
         """Gone."""
         self.up = False
+        if self._site.leases is not None:
+            self._site.leases.kill(self.name)
 
     def listed(self, listing: Listing) -> None:
         """A new list."""
@@ -57,7 +72,7 @@
         self.core.tick(now, HOUR)
         if (problem := self.core.problem(now, HOUR)) is not None:
             engine.after(SOLVE_MS + self.slow_ms, self._solved, start, problem)
-        self._kept = self.core.epoch, self.core.wants
+        self._kept = self.core.wants
         self._send()
         engine.after(TICK_MS, self._tick, start)
 
@@ -71,7 +86,9 @@
     def _send(self) -> None:
         now, net = self._site.engine.now, self._site.settings.network_ms
         by_name = {d.name: d for d in self._site.own}
-        for edge, plan in self.core.plans(now):
+        leases = self._site.leases
+        may = leases is not None and leases.holds(self.name, TASK) is not None
+        for edge, plan in self.core.plans(now) if may else ():
             if (side := by_name[edge].edge) is not None:
                 self._site.engine.after(net, side.offered, self, plan, self.core.age_ms(now))
 
@@ -140,10 +157,9 @@
         tallies, standing = gateway.tallies(), gateway.standing()
         for planner in self._site.planners:
             if planner.up:
-                if planner.acting and (planner.core.epoch, planner.name) >= self.follower.fence[:2]:
+                if planner.acting and (planner.core.epoch, planner.core.owner) >= self.follower.fence[:2]:
                     self._led.at = now
-                planner.core.reported(now, self._dispatcher.name, self.follower.fence, self._led.quiet_ms(now), tallies,
-                                      standing)
+                planner.core.reported(now, self._dispatcher.name, self.follower.fence, tallies, standing)
         if self.follower.wants(now) is None and self._applied is not None:
             self.apply()  # it has run out
         self._site.engine.after(REPORT_MS, self._report, start)
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -15,7 +15,7 @@
 import numpy as np
 
 from kelptrail.badday.report import world_of
-from kelptrail.badday.script import ON_DISKS, ON_PLANNERS, ON_STORE, ON_WORKERS, BadDay, Trouble
+from kelptrail.badday.script import ON_DISKS, ON_PEERS, ON_PLANNERS, ON_STORE, ON_WORKERS, BadDay, Trouble
 from kelptrail.codec.infer import Answer
 from kelptrail.dispatch.terms import Order, Outcome, Send
 from kelptrail.gateway.build import World
@@ -26,7 +26,9 @@
 from kelptrail.load.habits import Habits, Heard, again, habits_of
 from kelptrail.load.plan import Load
 from kelptrail.load.results import Result, Second
+from kelptrail.planner.program import TASK
 from kelptrail.roster.members import Listing
+from kelptrail.service.fleet import lease_settings
 from kelptrail.settings.deployment import ActionSettings, Deployment, NamespaceSettings
 from kelptrail.store.book import Life
 from kelptrail.store.entries import Accepted, Ended, MayRun
@@ -34,6 +36,7 @@
 
 from .engine import Engine, Timer
 from .fleet import LabStore, LabWorker
+from .leased import LabLeases
 from .planned import LabEdge, LabPlanner
 from .shards import RemoteDispatcher, RemoteStore, RemoteWorker, Shard, SharedLedger, answer_remote
 
@@ -114,6 +117,14 @@
         """The process is gone; its book stays."""
         self.up = False
 
+    def lose_disk(self) -> None:
+        """Its book is gone."""
+        self._book = {}
+
+    def pause(self, for_ms: float) -> None:
+        """It does nothing for a while; what comes waits for its turn."""
+        self._busy = max(self._busy, self._engine.now) + for_ms
+
     def listed(self, listing: Listing) -> None:
         """A new list."""
         self.listing = listing
@@ -318,8 +329,19 @@
             for n in range(day.dispatchers)]
         self.listing: Listing | None = None
         self.planners: list[LabPlanner] = []
+        self.leases: LabLeases | None = None
         self.own = [d for d in self.dispatchers if isinstance(d, LabDispatcher)]
+        if day.planners and deployment.leases is None:
+            raise ValueError(f"{day.name}: planners act under a lease: {day.deployment} needs (leases ...)")
         self.planners = [LabPlanner(self, n, day.solver) for n in range(day.planners)]
+        if deployment.leases is not None and shard is None:
+            names = [d.name for d in self.own]
+            self.leases = LabLeases(self.engine, lease_settings(deployment.leases), deployment.leases.length_ms,
+                                    names + [p.name for p in self.planners], seed, self.settings.sync_ms,
+                                    self.settings.network_ms, self.note)
+            self.leases.contend(day.tasks, names)
+            for planner in self.planners:
+                self.leases.want(self.leases.nodes[planner.name], TASK, planner.led, planner.stood_down)
         self._tell_lists()
         self.by_space: dict[str, list[int]] = {n: [0, 0] for n in deployment.namespaces}  # wanted, served in time
         self._tickets = self._calls = 0
@@ -637,7 +659,7 @@
             self._on_planners(trouble)
             return
         victims_d = self.dispatchers
-        if kind == "kill-dispatchers" or kind in ON_DISKS:
+        if kind == "kill-dispatchers" or kind in (*ON_DISKS, *ON_PEERS):
             count = max(1, round(trouble.part * len(self.dispatchers)))
             victims_d = [self.dispatchers[int(n)] for n in
                          self._chance.choice(len(self.dispatchers), count, replace=False)]
@@ -650,12 +672,28 @@
         elif kind == "kill-dispatchers":
             for dispatcher in victims_d:
                 self._kill(dispatcher, trouble.last * 1000)
+        elif kind == "lose-machines":
+            gone = trouble.at + trouble.last > self.day.seconds
+            for dispatcher in victims_d:
+                self._kill(dispatcher, None if gone else trouble.last * 1000, True)
+        elif kind in ON_PEERS:
+            if kind == "pause-dispatchers":
+                for dispatcher in self.own:
+                    if dispatcher in victims_d:
+                        dispatcher.pause(trouble.last * 1000)
+                        if self.note is not None:
+                            self.note("stopped", dispatcher=dispatcher.number)
+                            self.engine.after(trouble.last * 1000, self._woken, dispatcher)
+            if self.leases is not None:
+                self.leases.befall(trouble, [d.name for d in victims_d], lambda: bool(self._chance.random() < 0.5))
         elif kind in ON_DISKS:
             for dispatcher in victims_d:
                 if kind == "disk-slow":
                     dispatcher.sync_ms = trouble.ms
                 else:
                     dispatcher.disk_fails = True
+                if self.leases is not None:
+                    self.leases.disk(dispatcher.name, dispatcher.sync_ms, dispatcher.disk_fails)
                 self.engine.after(trouble.last * 1000, self._heal_disk, dispatcher)
 
     def _on_planners(self, trouble: Trouble) -> None:
@@ -669,6 +707,11 @@
             elif trouble.kind == "planners-wrong":
                 planner.core.demand.factor = trouble.factor
                 self.engine.after(trouble.last * 1000, setattr, planner.core.demand, "factor", 1.0)
+            elif trouble.kind in ("pause-planners", "cut-planners"):
+                assert self.leases is not None
+                self.leases.befall(trouble.as_kind({"pause-planners": "pause-dispatchers",
+                                                    "cut-planners": "cut-peers"}[trouble.kind]), [planner.name],
+                                   lambda: bool(self._chance.random() < 0.5))
             else:
                 planner.kill()
                 self.engine.after(trouble.last * 1000 + self.settings.start_ms, planner.begin,
@@ -676,26 +719,41 @@
 
     def _trouble(self, kind: str, trouble: Trouble, of: list[str]) -> None:
         if self.note is not None and self._part[0] == 0:
-            self.note("trouble", kind=kind, seconds=trouble.last, of=of)
+            self.note("trouble", kind=kind, seconds=trouble.last, factor=trouble.factor, of=of)
 
     def _heal_disk(self, dispatcher: LabDispatcher | RemoteDispatcher) -> None:
         dispatcher.sync_ms, dispatcher.disk_fails = self.settings.sync_ms, False
+        if self.leases is not None:
+            self.leases.disk(dispatcher.name, dispatcher.sync_ms, False)
 
-    def _kill(self, dispatcher: LabDispatcher | RemoteDispatcher, down_ms: float) -> None:
+    def _kill(self, dispatcher: LabDispatcher | RemoteDispatcher, down_ms: float | None, disk: bool = False) -> None:
         if not dispatcher.up:
             return
         if self.note is not None and dispatcher in self.own:
             self.note("kill", dispatcher=dispatcher.number)
+            if disk:
+                self.note("disk-lost", dispatcher=dispatcher.number)
         dispatcher.kill()
-        self.engine.after(down_ms + self.settings.start_ms, self._up_again, dispatcher)
+        if disk and isinstance(dispatcher, LabDispatcher):
+            dispatcher.lose_disk()
+        if self.leases is not None:
+            self.leases.kill(dispatcher.name, disk)
+        if down_ms is not None:
+            self.engine.after(down_ms + self.settings.start_ms, self._up_again, dispatcher)
 
     def _up_again(self, dispatcher: LabDispatcher | RemoteDispatcher) -> None:
         dispatcher.begin()
+        if self.leases is not None:
+            self.leases.begin(self.leases.nodes[dispatcher.name])
         if isinstance(dispatcher, LabDispatcher) and dispatcher.edge is not None:
             dispatcher.edge.begin()
         if self.note is not None and dispatcher in self.own:
             self.note("restarted", dispatcher=dispatcher.number)
 
+    def _woken(self, dispatcher: LabDispatcher) -> None:
+        if self.note is not None:
+            self.note("woken", dispatcher=dispatcher.number)
+
     def _crash(self, worker: _Worker | RemoteWorker, down_ms: float) -> None:
         worker.up = False
         worker.break_all()
--- a/kelptrail/lease/driver.py
+++ b/kelptrail/lease/driver.py
@@ -39,7 +39,7 @@
         self._journal: JournalDriver | None = None
         self._told: dict[str, tuple[OnWon, OnLost]] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._carrying = False
+        self._carrying = self._stopped = False
         self._voters = settings.voters
         self.messages = 0
         peers.speak(SPEAKS, self._came, *KINDS)
@@ -67,6 +67,7 @@
         """Give back what is held, and end."""
         for task in list(self.asker.wishes):
             self.release(task)
+        self._stopped, self.voter = True, None
         if self._timer is not None:
             self._timer.cancel()
         if self._journal is not None:
@@ -105,7 +106,7 @@
 
     def carry(self) -> None:
         """Everything that is due or waits, then the timer."""
-        if self._carrying:
+        if self._carrying or self._stopped:
             return
         self._carrying = True
         try:
--- a/kelptrail/lease/model.py
+++ b/kelptrail/lease/model.py
@@ -288,17 +288,14 @@
         return twin._run(name)
 
     def _next(self) -> float | None:
-        """When something is due next: a timer, or the end of a grant."""
-        dues = [due / self.make.rate(name) for name, asker in self.askers.items()
-                if name not in self.paused and (due := asker.due()) is not None]
-        for name, voter in self.voters.items():
-            dues += [t / self.make.rate(name) for t in (voter.due(), *(s.until for s in voter.seats.values()))
-                     if t is not None and t > self.local(name)]
-        for name, asker in self.askers.items():  # a paused one's belief ends all the same
-            wish = asker.wishes.get(TASK)
-            if wish is not None and wish.until > self.local(name):
-                dues.append(wish.until / self.make.rate(name))
-        return min((d for d in dues if d > self.now), default=None)
+        """When something is due next: a timer, or the end of a grant or of a belief."""
+        cores: list[tuple[str, Voter | Asker]] = [*self.askers.items(), *self.voters.items()]
+        dues = [max(self.now, due / self.make.rate(name)) for name, core in cores
+                if name not in self.paused and (due := core.due()) is not None]
+        ends = [(name, seat.until) for name, voter in self.voters.items() for seat in voter.seats.values()]
+        ends += [(name, wish.until) for name, asker in self.askers.items() for wish in asker.wishes.values()]
+        dues += [end / self.make.rate(name) for name, end in ends if end / self.make.rate(name) > self.now]
+        return min(dues, default=None)
 
     def _pass(self, busy: bool) -> World:
         twin = self._spend(delays=1) if busy else self.copy()
--- a/kelptrail/planner/build.py
+++ b/kelptrail/planner/build.py
@@ -12,7 +12,7 @@
 def settings_of(deployment: Deployment) -> PlannerSettings:
     """A deployment's planner settings."""
     plan = deployment.planner
-    return PlannerSettings(deployment.name, plan.every_ms, plan.valid_ms, plan.lease_ms, plan.down_ms, plan.moves_share,
+    return PlannerSettings(deployment.name, plan.every_ms, plan.valid_ms, plan.down_ms, plan.moves_share,
                            plan.moves_least)
 
 
--- a/kelptrail/planner/core.py
+++ b/kelptrail/planner/core.py
@@ -1,10 +1,9 @@
 """The planner: from what edges report to plans, free of I/O, clocks and chance.
 
 Told of the list, of reports, of edges that come and go; pulled for problems to solve (by whoever has a process for it)
-and for plans to send.  One planner acts, another stands by: it hears the edges as well, and acts when the edges have
-had nothing from any planner for the lease.  Whoever begins to act takes an epoch above all that edges have seen, so the
-one before is fenced at the edges; it stands down once an edge tells it of a later epoch.  Both acting for a moment is
-harmless: the edges follow the later epoch alone.
+and for plans to send.  Who acts is not decided here: a planner leads from when it is told a lease's token until it is
+told that it holds it no more, and hears the edges all the while.  Every plan carries the token, and edges take none
+under an older one than they have seen; a planner that learns of a later one from an edge stands down at once.
 """
 
 from __future__ import annotations
@@ -35,7 +34,6 @@
     lineage: str
     every_ms: float = 5000.0
     valid_ms: float = 60_000.0
-    lease_ms: float = 4000.0
     down_ms: float = 60_000.0
     moves_share: float = 0.05
     moves_least: int = 8
@@ -72,7 +70,6 @@
     name: str
     heard: float
     order: Order = FIRST  # the latest plan that it has seen
-    quiet_ms: float = 0.0  # how long it has heard no planner that acts
 
 
 @dataclass(slots=True)
@@ -91,7 +88,7 @@
 
     def __init__(self, name: str, settings: PlannerSettings, models: dict[str, Model], now: float) -> None:
         self.name, self._settings, self._models = name, settings, models
-        self.role, self.epoch, self._number = Role.STANDBY, 0, 0
+        self.role, self.epoch, self.owner, self._number = Role.STANDBY, 0, name, 0
         self.demand = Demand()
         self.hosts: list[Host] = []
         self.roster: tuple[str, int] = ("", -1)
@@ -99,7 +96,6 @@
         self.wants: Wants = {}
         self._standing: dict[str, dict[str, tuple[int, float]]] = {}  # model: worker: copies, and when it was told
         self._next = now
-        self._since = now  # of the present role
         self._out: int | None = None  # the problem that is being solved
         self._made = now
         self._dirty: set[str] = set()  # edges that are to be sent a plan
@@ -117,22 +113,30 @@
         if any(worker not in live for at in self.wants.values() for worker in at):
             self._next = min(self._next, now)
 
-    def reported(self, now: float, edge: str, order: Order, quiet_ms: float, tallies: dict[str, Tally],
-                 standing: Wants) -> None:
-        """An edge's report.  `order`: the latest plan it has seen; `quiet_ms`: since when it has heard from no planner
-        that acts; `standing`: copies as it believes in them."""
+    def lead(self, now: float, epoch: int, owner: str) -> None:
+        """A lease is held: plans are made under its token, the two."""
+        self.role, self.epoch, self.owner = Role.ACTING, epoch, owner
+        self._number, self._next, self._out = 0, now, None
+
+    def stand_down(self) -> None:
+        """It is not held any more."""
+        self.role = Role.STANDBY
+        self._dirty.clear()
+
+    def reported(self, now: float, edge: str, order: Order, tallies: dict[str, Tally], standing: Wants) -> None:
+        """An edge's report.  `order`: the latest plan it has seen; `standing`: copies as it believes in them."""
         mine = self.edges.get(edge)
         if mine is None:
             mine = self.edges[edge] = Edge(edge, now)
             self._dirty.add(edge)
-        mine.heard, mine.order, mine.quiet_ms = now, order, quiet_ms
+        mine.heard, mine.order = now, order
         before = self.demand.asks(now, edge, self._settings.asks_ms)
         self.demand.report(now, edge, tallies)
         for model, at in standing.items():
             known = self._standing.setdefault(model, {})
             for worker, count in at.items():
                 known[worker] = count, now
-        self._fenced(now, order)
+        self._fenced(order)
         if self.role is Role.ACTING and any(m in self.wants for m in self.demand.asks(
                 now, edge, self._settings.asks_ms) - before):
             self._dirty.add(edge)
@@ -144,7 +148,7 @@
         if mine is None:
             return
         mine.order = max(mine.order, order)
-        self._fenced(now, order)
+        self._fenced(order)
         if reason == "workers":
             self._next = min(self._next, now + 500)
         elif reason == "base":
@@ -156,9 +160,9 @@
         self.demand.gone(edge)
         self._dirty.discard(edge)
 
-    def restored(self, epoch: int, wants: Wants) -> None:
-        """What a snapshot of an earlier run kept: its plan is gone on from, its epoch is not taken again."""
-        self.epoch, self.wants = max(self.epoch, epoch), wants
+    def restored(self, wants: Wants) -> None:
+        """What a snapshot of an earlier run kept: its plan is gone on from."""
+        self.wants = wants
 
     def solved(self, now: float, number: int, placed: Placed | None) -> None:
         """A problem's answer; None: it could not be solved, the plan before stands."""
@@ -182,15 +186,11 @@
     # What is to be done.
 
     def tick(self, now: float, hour: int) -> None:
-        """Windows pass; leases run out; edges that are silent have gone.  To be called each second or so."""
+        """Windows pass; edges that are silent have gone.  To be called each second or so."""
         settings = self._settings
         self.demand.close(now, hour)
         for edge in [e.name for e in self.edges.values() if now - e.heard > settings.quiet_ms]:
             self.gone(edge)
-        if self.role is Role.STANDBY and self.edges and now - self._since >= settings.lease_ms:
-            unled = sum(e.quiet_ms + (now - e.heard) >= settings.lease_ms for e in self.edges.values())
-            if 2 * unled > len(self.edges):
-                self._to(now, Role.ACTING)
 
     def problem(self, now: float, hour: int) -> Problem | None:
         """What is to be solved now, if anything; one at a time."""
@@ -216,7 +216,7 @@
             asks = self.demand.asks(now, name, self._settings.asks_ms)
             wants = {m: at for m, at in self.wants.items() if m in asks}
             self._number += 1
-            plan = make(self._settings.lineage, (self.epoch, self.name, self._number), self._settings.valid_ms,
+            plan = make(self._settings.lineage, (self.epoch, self.owner, self._number), self._settings.valid_ms,
                         self.roster, wants)
             out.append((name, plan))
         return out
@@ -227,19 +227,10 @@
 
     # Within.
 
-    def _fenced(self, now: float, order: Order) -> None:
-        """An edge has seen a plan: another planner's later one, or one of the same epoch whose owner goes first, fences
-        this one."""
-        if self.role is Role.ACTING and order[:2] > (self.epoch, self.name):
-            self._to(now, Role.STANDBY)
-
-    def _to(self, now: float, role: Role) -> None:
-        self.role, self._since = role, now
-        if role is Role.ACTING:
-            self.epoch = 1 + max([self.epoch, *(e.order[0] for e in self.edges.values())])
-            self._number, self._next, self._out = 0, now, None
-        else:
-            self._dirty.clear()
+    def _fenced(self, order: Order) -> None:
+        """An edge has seen a plan under a later token: this one's lease is over, whatever its own clock says."""
+        if self.role is Role.ACTING and order[:2] > (self.epoch, self.owner):
+            self.stand_down()
 
     def _needs(self, now: float, hour: int) -> list[Need]:
         settings, out = self._settings, list[Need]()
--- a/kelptrail/planner/program.py
+++ b/kelptrail/planner/program.py
@@ -9,7 +9,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 from concurrent.futures.process import BrokenProcessPool
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from multiprocessing import get_context
 from pathlib import Path
 from typing import Any
@@ -20,6 +20,8 @@
 from kelptrail.background.core import SchedulerSettings
 from kelptrail.background.driver import Background
 from kelptrail.clock import now_ms, wall_ms
+from kelptrail.lease.driver import Leases
+from kelptrail.lease.terms import Token
 from kelptrail.net.door import Door
 from kelptrail.peers.wire import Beat, ChannelError, FrameReader, Hello, frame
 from kelptrail.roster.members import Listing
@@ -32,6 +34,7 @@
 from .plan import Wants
 
 BEAT_MS, SILENT_MS = 500.0, 5000.0
+TASK = "planner"  # the lease that planners act under
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +51,11 @@
     solver: str = "program"
     slow_ms: float = 0.0
     solve_s: float = 30.0
-    standby: bool = False  # waits for the lease before it acts the first time
+    at: dict[str, str] = field(default_factory=dict)  # where voters are, by name, before the settings
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """What outlives a planner: its epoch, its plan, and what was usual by hour."""
+    """What outlives a planner: its plan, and what was usual by hour.  `epoch`: the last one, for who reads the file."""
 
     epoch: int
     wants: Wants
@@ -70,9 +73,10 @@
 
 
 class PlannerProgram:
-    """One planner on the loop."""
+    """One planner on the loop.  `leases`: of this process."""
 
-    def __init__(self, deployment: Deployment, options: Options, log: Any) -> None:
+    def __init__(self, deployment: Deployment, options: Options, leases: Leases, length_ms: float, log: Any) -> None:
+        self._leases, self._length_ms = leases, length_ms
         self._deployment, self._options, self._log = deployment, options, log
         self._loop = asyncio.get_running_loop()
         settings = settings_of(deployment)
@@ -137,10 +141,10 @@
     def _heard(self, link: PlannerLink, message: Any) -> None:
         now, core = now_ms(), self.core
         if isinstance(message, Hello):
-            core.reported(now, link.edge, message.order, 0.0, {}, {})
+            core.reported(now, link.edge, message.order, {}, {})
             link.out.append(frame(Beat(core.role is Role.ACTING, core.epoch)))
         elif isinstance(message, Report):
-            core.reported(now, link.edge, message.order, message.quiet_ms, message.tallies, link.standing)
+            core.reported(now, link.edge, message.order, message.tallies, link.standing)
         elif isinstance(message, Reply) and message.reason:
             self._log.info("plan-refused", edge=link.edge, reason=message.reason, text=message.text)
             core.refused(now, link.edge, message.reason, message.order)
@@ -149,7 +153,8 @@
         """Plans to links, links' output to sockets, problems to the solver."""
         now = now_ms()
         by_name = {link.edge: link for link in self._links}
-        for edge, plan in self.core.plans(now):
+        # Looked at right before the plans go: what was solved while the lease ran out stays here.
+        for edge, plan in self.core.plans(now) if self._leases.holds(TASK) is not None else ():
             if (link := by_name.get(edge)) is not None:
                 link.offer(plan, now - self.core.age_ms(now))
         for link in self._links:
@@ -177,10 +182,7 @@
     def tick(self) -> None:
         """Background work: windows, leases, problems."""
         now, hour = now_ms(), time.localtime(wall_ms() / 1000).tm_hour
-        role = self.core.role
         self.core.tick(now, hour)
-        if self.core.role is not role:
-            self._log.info("role", role=self.core.role.value, epoch=self.core.epoch)
         problem = self.core.problem(now, hour)
         if problem is not None:
             self._begin(self._solve(problem))
@@ -234,7 +236,7 @@
         except (OSError, zstandard.ZstdError, msgspec.MsgspecError) as cause:
             self._log.warning("snapshot-unusable", file=str(self._file), reason=str(cause))
             return False
-        self.core.restored(kept.epoch, kept.wants)
+        self.core.restored(kept.wants)
         self.core.demand.restore(kept.hours)
         return True
 
@@ -272,15 +274,27 @@
                 "solve_ms": round(self.solve_ms, 1), "bytes_out": self.bytes_out, "bytes_in": self.bytes_in,
                 "background": self.background.scheduler.status()}
 
+    def _led(self, token: Token) -> None:
+        self.core.lead(now_ms(), token.round, token.who)
+        self._log.info("role", role=self.core.role.value, epoch=token.round)
+        self.beat()
+
+    def _stood_down(self, token: Token, reason: str) -> None:
+        self.core.stand_down()
+        self._log.info("role", role=self.core.role.value, epoch=token.round, reason=reason)
+        self.beat()
+
     def start(self) -> None:
-        """Begin its background work."""
+        """Begin its background work, and want the lease."""
+        self._leases.want(TASK, self._length_ms, self._led, self._stood_down)
         self.background.add("tick", self.tick, 1, 250.0, 1000.0, 0.5)
         self.background.add("beat", self.beat, 0, BEAT_MS, 700.0, 0.2)
         self.background.add("save", self.save, 5, 2000.0, 10_000.0, 0.05)
         self.background.start()
 
     async def stop(self) -> None:
-        """End."""
+        """End; another may lead at once."""
+        self._leases.release(TASK)
         self.background.stop()
         self.save()
         self._door.close()
--- a/kelptrail/service/planner.py
+++ b/kelptrail/service/planner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -13,8 +14,11 @@
 from kelptrail.net.server import Exchange, HttpServer, Limits
 from kelptrail.planner.program import Options, PlannerProgram
 from kelptrail.roster.client import RosterClient
+from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import Deployment
 
+from .fleet import Fleet, FleetOptions
+
 
 async def serve(deployment: Deployment, options: Options, log: Any,
                 ready: Callable[[str, str], None] | None = None, stop: asyncio.Event | None = None) -> None:
@@ -22,19 +26,32 @@
     loop, stop = asyncio.get_running_loop(), stop or asyncio.Event()
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, stop.set)
-    program = PlannerProgram(deployment, options, log)
+    if deployment.peers is None or deployment.leases is None:
+        raise ValueError("planners act under a lease: (peers ...) and (leases ...) are needed")
+    fleet = Fleet(deployment, FleetOptions(options.name, os.urandom(4).hex(), None, options.at), log)
+    assert fleet.leases is not None
+    program = PlannerProgram(deployment, options, fleet.leases, fleet.length_ms, log)
     had = program.restore()
     program.listen()
     last = options.state / "last-list.json" if options.state is not None else None
     if options.state is not None:
         with contextlib.suppress(OSError):
             options.state.mkdir(parents=True, exist_ok=True)
+    fleet.start()
     program.start()
-    roster = RosterClient(options.roster, "", program.listed, last, log)
+
+    def changed(listing: Listing) -> None:
+        fleet.listed(listing)
+        program.listed(listing)
+
+    roster = RosterClient(options.roster, "", changed, last, log)
     roster.start_from_last()
     follower = loop.create_task(roster.follow())
 
     def handle(request: Any, exchange: Exchange) -> None:
+        if request.path == "/leases" and fleet.leases is not None:
+            exchange.reply(200, msgspec.json.encode(fleet.leases.status() | {"peers": fleet.peers.status()}))
+            return
         if request.method == "POST" and request.path == "/fault":  # for trials: plans that take longer
             body = msgspec.json.decode(request.body)
             program.slow_ms, program.core.demand.factor = float(body.get("ms", 0.0)), float(body.get("factor", 1.0))
@@ -53,3 +70,4 @@
     control.stop_listening()
     control.abort_all()
     await program.stop()
+    await fleet.stop()
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -176,7 +176,7 @@
             options.name, os.urandom(4).hex(), options.peers or stated or f"{options.host}:0", options.at,
             options.state, disk.vfs_name if disk else None), log)
     plans: PlanFollower | None = None
-    inner: Any = None
+    inner: PlannerProgram | None = None
 
     def changed(listing: Listing) -> None:
         driver.listed(listing)
@@ -212,9 +212,10 @@
     if keepers:
         background.add("certificates", partial(_look, keepers), 5, 1000.0)
     planners = list(options.planners)
-    if deployment.planner.within:
+    if deployment.planner.within and fleet is not None and fleet.leases is not None:
         inner = PlannerProgram(deployment, PlannerOptions(
-            f"{options.name}-planner", "127.0.0.1", 0, options.roster, options.state), log)
+            f"{options.name}-planner", "127.0.0.1", 0, options.roster, options.state), fleet.leases, fleet.length_ms,
+            log)
         inner.restore()
         inner.listen()
         inner.start()
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -295,7 +295,6 @@
     within: bool
     every_ms: float
     valid_ms: float
-    lease_ms: float
     down_ms: float
     moves_share: float
     moves_least: int
@@ -368,7 +367,7 @@
     journal: JournalSettings = JournalSettings(True, 1024.0, 64, 100_000)
     tls: dict[str, TlsSettings] = field(default_factory=dict)
     storm: StormPlan = StormPlan(True, 12_000.0, 200_000)
-    planner: PlannerPlan = PlannerPlan(False, 5000.0, 60_000.0, 4000.0, 60_000.0, 0.05, 8)
+    planner: PlannerPlan = PlannerPlan(False, 5000.0, 60_000.0, 60_000.0, 0.05, 8)
     peers: PeersPlan | None = None
     leases: LeasesPlan | None = None
     folder: Path = Path()  # of the settings file
@@ -533,7 +532,6 @@
     "within": yes_no(False),
     "every-ms": _ms(100, 600_000, 5000.0),
     "valid-ms": _ms(1000, 8.64e7, 60_000.0),
-    "lease-ms": _ms(500, 600_000, 4000.0),
     "down-ms": _ms(0, 8.64e7, 60_000.0),
     "moves-share": number(0, 10, default=0.05),
     "moves-least": number(0, 100_000, whole=True, default=8),
@@ -687,6 +685,9 @@
             _across_tls(checker, form, name, named)
         if form.head == "vrrp":
             _across_vrrp(checker, form)
+        if form.head == "planner" and (within := _value(form, "within")) and within[0] == "yes" and not any(
+                f.head == "leases" for f in parts):
+            checker.fault(within[1], "within yes", "(leases ...) beside it: planners act under a lease")
         if form.head == "leases":
             _across_leases(checker, form, next((f for f in parts if f.head == "peers"), None))
         if form.head == "namespace":
--- a/kelptrail/standin/links.py
+++ b/kelptrail/standin/links.py
@@ -25,10 +25,10 @@
 
 
 class Links:
-    """All pairs among `names`, and from `askers` to each of `names`.  Knobs at its control port: `at` (addresses),
+    """From each of `sources` to each of `targets`.  Knobs at its control port: `at` (addresses),
     `cut` (ordered pairs whose bytes are held), `slow` (ms and share of pieces), `reset` (share of connections, now)."""
 
-    def __init__(self, names: list[str], askers: list[str], capture: Capture, seed: int) -> None:
+    def __init__(self, sources: list[str], targets: list[str], capture: Capture, seed: int) -> None:
         self._capture, self._chance = capture, np.random.default_rng([seed, 5])
         self._loop = asyncio.get_running_loop()
         self._at: dict[str, str] = {}
@@ -37,8 +37,8 @@
         self._slow = (0.0, 0.0)
         self._pairs: dict[asyncio.Task[None], tuple[socket.socket, socket.socket | None]] = {}
         self.routes: dict[str, str] = {}
-        for source in (*names, *askers):
-            for to in names:
+        for source in sources:
+            for to in targets:
                 if source != to:
                     self.routes[f"{source}>{to}"] = self._listen(source, to)
         self.server = HttpServer(self._handle)
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -72,10 +72,11 @@
             for n in range(workers))))
         names = [f"dispatcher-{n}" for n in range(dispatchers)]
         if self.deployment.peers is not None:
-            askers = [f"planner-{n}" for n in range(planners)]
+            plans, leases = [f"planner-{n}" for n in range(planners)], self.deployment.leases
+            to = dict.fromkeys((*leases.voters, *leases.before, *plans)) if leases is not None else names
             self.links = await self._child("links", [
-                "standin", "links", "--seed", str(self._seed), *(w for name in names for w in ("--name", name)),
-                *(w for name in askers for w in ("--asker", name))])
+                "standin", "links", "--seed", str(self._seed), *(w for n in (*names, *plans) for w in ("--from", n)),
+                *(w for name in to for w in ("--to", name))])
         if tasks:
             self.witness = await self._child("witness", ["standin", "witness"])
         logs = ["--log-level", self._level, "--log-form", "json" if self._logs else "auto"]
@@ -86,10 +87,11 @@
                 *self._ways(f"planner-{n}"),
                 *(["--state", str(state / f"planner-{n}")] if state else [])])
             for n in range(planners))))
-        follow = [word for p in self.planners for word in ("--planner", p.said["address"])]
+        for planner in self.planners:
+            await self._at(planner, planner.said["address"])
         self.dispatchers = list(await asyncio.gather(*(
             self._child(name, [
-                *logs, *(["edge", self._file, *follow] if follow else ["serve", self._file]),
+                *logs, *(["edge", self._file, *self._follows(name)] if self.planners else ["serve", self._file]),
                 "--name", name, "--hall", halls[n % len(halls)],
                 "--roster", self.roster.said["address"], "--control", "127.0.0.1:0",
                 *self._ways(name), *self._acts(tasks),
@@ -100,9 +102,20 @@
     def _ways(self, name: str) -> list[str]:
         """How a process reaches others: through the relay."""
         routes = self.links.said["routes"] if self.links is not None else {}
-        return [word for pair, at in routes.items() if pair.startswith(f"{name}>")
+        return [word for pair, at in routes.items() if pair.startswith(f"{name}>") and ">planner" not in pair
                 for word in ("--peer", f"{pair.partition('>')[2]}={at}")]
 
+    def _follows(self, name: str) -> list[str]:
+        """How an edge reaches the planners: through the relay, where there is one."""
+        routes = self.links.said["routes"] if self.links is not None else {}
+        return [word for p in self.planners
+                for word in ("--planner", routes.get(f"{name}>{p.name}", p.said["address"]))]
+
+    async def _at(self, child: Child, address: str) -> None:
+        """Tell the relay where a process listens."""
+        if self.links is not None:
+            await ask(self.links.said["address"], "POST", "/", {"at": {child.name: address}})
+
     def _acts(self, tasks: tuple[str, ...]) -> list[str]:
         if self.witness is None:
             return []
@@ -144,8 +157,8 @@
             child.said = msgspec.json.decode(line)
         except (TimeoutError, msgspec.DecodeError):
             raise RuntimeError(f"{child.name} did not start") from None
-        if child.said.get("peers") and self.links is not None:
-            await ask(self.links.said["address"], "POST", "/", {"at": {child.name: child.said["peers"]}})
+        if child.said.get("peers"):
+            await self._at(child, child.said["peers"])
         task = asyncio.get_running_loop().create_task(self._mind(child, child.process))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/program.py
+++ b/tests/program.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -26,6 +27,7 @@
 from kelptrail.net.server import Exchange, HttpServer, Limits
 from kelptrail.roster.members import Entry, Listing
 from kelptrail.service.build import grpc_limits
+from kelptrail.service.fleet import Fleet, FleetOptions
 from kelptrail.settings.deployment import Deployment, parse
 
 DEPLOYMENT = """
@@ -265,3 +267,33 @@
         await dispatcher.driver.drain(0)
         for worker in workers:
             await worker.server.drain(0)
+
+
+PEERS = """  (peers (peer v0) (peer v1) (peer v2) (beat-ms 50) (silent-ms 400) (connect-ms 200))
+  (leases (voters v0 v1 v2) (length-ms 600) (longest-ms 600) (ask-ms 50) (retry-ms 20))"""
+
+
+class Voters:
+    """Three voters in this process, and whoever else is to take part, on real connections."""
+
+    def __init__(self, deployment: Deployment, state: Path) -> None:
+        self.deployment, self.state, self.log, self.at = deployment, state, Silent(), dict[str, str]()
+        self.fleets: list[Fleet] = []
+        for name in ("v0", "v1", "v2"):
+            self.join(name, "127.0.0.1:0", self.at.get(name))
+
+    def join(self, name: str, listen: str | None = None, at: str | None = None) -> Fleet:
+        """One more, started."""
+        (self.state / name).mkdir(parents=True, exist_ok=True)
+        made = Fleet(self.deployment, FleetOptions(name, str(len(self.fleets)), at or listen, self.at,
+                                                   self.state / name), self.log)
+        made.start()
+        if made.peers.address:
+            self.at[name] = made.peers.address
+        self.fleets.append(made)
+        return made
+
+    async def stop(self) -> None:
+        """End all."""
+        for fleet in self.fleets:
+            await fleet.stop()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from program import DEPLOYMENT, Dispatcher, ScriptedWorker, Silent, run
+from program import DEPLOYMENT, PEERS, Dispatcher, ScriptedWorker, Silent, Voters, run
 
 from kelptrail.clock import now_ms
 from kelptrail.peers.wire import VERSION, Beat, FrameReader, Hello, frame
@@ -23,7 +23,7 @@
 
 ROOT = Path(__file__).parent.parent
 FAST = DEPLOYMENT.replace("(pool (connect-ms 150))", "(pool (connect-ms 150))\n"
-                          "  (planner (every-ms 300) (lease-ms 600) (valid-ms 1500) (down-ms 500))")
+                          f"  (planner (every-ms 300) (valid-ms 1500) (down-ms 500))\n{PEERS}")
 
 
 async def until(what: object, within: float = 8.0) -> None:
@@ -40,12 +40,16 @@
         self.workers = [ScriptedWorker(f"w{n}") for n in range(3)]
         self.dispatcher = Dispatcher(self.workers, parse(FAST, "fast"))
         self.state, self.log = state, Silent()
+        self.voters = Voters(self.dispatcher.deployment, state)
         self.planners = [self.planner(n) for n in range(planners)]
         self.edge = self.follower()
 
     def planner(self, number: int, state: Path | None = None, port: int = 0) -> PlannerProgram:
+        fleet = self.voters.join(f"planner-{number}")
+        assert fleet.leases is not None
         made = PlannerProgram(self.dispatcher.deployment, Options(
-            f"planner-{number}", "127.0.0.1", port, "", state or self.state / f"p{number}", None, "greedy"), self.log)
+            f"planner-{number}", "127.0.0.1", port, "", state or self.state / f"p{number}", None, "greedy"),
+            fleet.leases, fleet.length_ms, self.log)
         made.restore()
         made.listen()
         made.start()
@@ -75,6 +79,7 @@
         await self.edge.stop()
         for planner in self.planners:
             await planner.stop()
+        await self.voters.stop()
         await self.dispatcher.server.drain(500)
         await self.dispatcher.driver.drain(500)
         for worker in self.workers:
@@ -117,7 +122,7 @@
         pair.planners.remove(first)
         began = now_ms()
         await asyncio.gather(until(lambda: pair.planners[0].core.role is Role.ACTING), pair.calls(2.0))
-        assert pair.edge.follower.fence[:2] == (pair.planners[0].core.epoch, pair.planners[0].core.name)
+        assert pair.edge.follower.fence[:2] == (pair.planners[0].core.epoch, pair.planners[0].core.owner)
         assert now_ms() - began < 6000
         await pair.stop()
     run(main())
@@ -177,7 +182,7 @@
                      ("(at 12) (for 4)", "(at 6) (for 3)"), ("(at 20) (for 3)", "(at 7) (for 1)"),
                      ("(at 22) (for 2)", "(at 8) (for 1)"), ("(at 26) (for 2)", "(at 10) (for 1)"),
                      ("(at 27)", "(at 11)"), ("(workers 8)", "(workers 5)"), ("(rate 120)", "(rate 80)"),
-                     ("../nursery.sexp", str(ROOT / "examples" / "nursery.sexp"))):
+                     ("../fleet.sexp", str(ROOT / "examples" / "fleet.sexp"))):
         assert old in script
         script = script.replace(old, new)
     file = tmp_path / "planned.sexp"
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,370 @@
+"""Leases: the cores looked through, rules broken on purpose, the ledger, settings, and what the audit sees."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+from typing import Any
+
+import apsw
+import pytest
+
+from kelptrail.audit.judge import judge
+from kelptrail.lease.asker import Asker, Lost, State, Won
+from kelptrail.lease.ledger import open_ledger
+from kelptrail.lease.model import TASK, Budget, Make, World
+from kelptrail.lease.terms import NONE, Ask, Granted, Handed, Learnt, LeaseSettings, Message, Refused, Row, Token
+from kelptrail.lease.voter import Memory, Seat, Stage, Voter, Write
+from kelptrail.search import PropertyError, explore, wander
+from kelptrail.settings.deployment import load, parse
+from kelptrail.settings.reader import SettingsError
+
+ROOT = Path(__file__).parent.parent
+FIGURES = {"longest_ms": 100.0, "ask_ms": 8.0, "retry_ms": 5.0, "gap_ms": 0.0, "reserve_ms": 20.0, "clock_bound": 0.02}
+SET = LeaseSettings(("a", "b", "c"), **FIGURES)  # type: ignore[arg-type]
+NEXT = LeaseSettings(("a", "b", "d"), 2, ("a", "b", "c"), **FIGURES)  # type: ignore[arg-type]
+RATES = (("a", 1.02), ("b", 1.02), ("c", 1.02), ("x", 0.98), ("y", 0.98), ("z", 0.98))
+FULL = Budget(drops=9, copies=9, delays=60, starts=3, wipes=1, failures=3, runs=3, pauses=3, releases=3, acts=9)
+LATE = Budget(drops=30, copies=9, delays=200, pauses=9, acts=20)
+LOST = Budget(drops=10, copies=2, delays=200, wipes=1, runs=1)
+CHANGE = Budget(drops=5, copies=3, delays=100, starts=3, runs=2)
+
+
+def world(seed: int, budget: Budget, **how: Any) -> World:
+    askers = ("x", "y") if seed % 2 else ("x", "y", "z")
+    return World(Make(how.pop("settings", SET), askers, budget, rates=RATES, **how))
+
+
+def walk(seed: int, budget: Budget, faults: float, length: int, **how: Any) -> None:
+    last = [world(seed, budget, **how)]
+
+    def look(state: World) -> None:
+        state.check()
+        last[0] = state
+
+    wander(last[0], look, seed, length, faults)
+    last[0].heal(3000.0)
+
+
+@pytest.mark.parametrize(("budget", "faults", "length", "how"), [
+    (FULL, 0.12, 400, {}), (LATE, 0.3, 800, {}), (LOST, 0.3, 600, {}), (CHANGE, 0.1, 500, {"later": NEXT}),
+    (Budget(drops=5, delays=60, starts=3, runs=1), 0.1, 300, {"founded": False}),
+], ids=["all", "late", "disk-lost", "set-changed", "founding"])
+def test_walks_break_nothing_and_it_heals(budget: Budget, faults: float, length: int, how: dict[str, Any]) -> None:
+    for seed in range(25):
+        walk(seed, budget, faults, length, **how)
+
+
+def test_near_states_break_nothing() -> None:
+    found = explore(world(1, Budget(drops=1, delays=1, starts=1, acts=1)), World.check, 7, 5000)
+    assert found.states > 3000 and found.depth >= 6
+
+
+class GrantsWhatIsHeld(Voter):
+    def _reason(self, now: float, sender: str, ask: Ask) -> str:
+        return "" if (reason := super()._reason(now, sender, ask)) == "held" else reason
+
+
+class SaysBeforeDisk(Voter):
+    def _write(self, rows: tuple[Row, ...], memory: Memory | None = None, to: str = "",
+               reply: Message | None = None) -> None:
+        super()._write(rows, memory, to)
+        if reply is not None:
+            self.out.append((to, reply))
+
+
+class ForgetsGrants(Voter):
+    def __init__(self, *words: Any) -> None:
+        super().__init__(*words)
+        for seat in self.seats.values():
+            seat.until = float("-inf")
+
+
+class VotesWithoutMemory(Voter):
+    def __init__(self, name: str, settings: LeaseSettings, now: float, memory: Memory | None,
+                 rows: tuple[Row, ...] = ()) -> None:
+        super().__init__(name, settings, now, memory or Memory(settings.number, Stage.VOTING, False), rows)
+
+
+class GrantsOlder(Voter):
+    def _reason(self, now: float, sender: str, ask: Ask) -> str:
+        seat, reason = self.seats.get(ask.task, Seat()), super()._reason(now, sender, ask)
+        return "" if reason == "older" and (now >= seat.until or seat.released) else reason
+
+
+class ChangesAtOnce(Voter):
+    def _changed(self, now: float) -> None:
+        self._vote(now)
+        for seat in self.seats.values():
+            seat.until = now
+
+
+class CountsFromTheAnswer(Asker):
+    def _granted(self, now: float, sender: str, wish: Any, answer: Granted) -> None:
+        if (question := wish.questions.get(answer.seq)) is not None:
+            question.sent = now
+        super()._granted(now, sender, wish, answer)
+
+
+class BelievesItsState(Asker):
+    def holds(self, now: float, task: str) -> Token | None:
+        wish = self.wishes.get(task)
+        return wish.token if wish is not None and wish.state is State.HOLDING else None
+
+
+class CountsOneVoterTwice(Asker):
+    def _granted(self, now: float, sender: str, wish: Any, answer: Granted) -> None:
+        if (question := wish.questions.get(answer.seq)) is not None:
+            question.granted.add("c")
+        super()._granted(now, sender, wish, answer)
+
+
+@dataclasses.dataclass(frozen=True)
+class ClocksAgree(LeaseSettings):
+    def held_ms(self, length_ms: float) -> float:
+        return length_ms
+
+
+AGREE = ClocksAgree(("a", "b", "c"), **FIGURES)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(("budget", "faults", "length", "how"), [
+    (FULL, 0.12, 400, {"voter": GrantsWhatIsHeld}), (FULL, 0.12, 400, {"voter": SaysBeforeDisk}),
+    (FULL, 0.12, 400, {"voter": ForgetsGrants}), (LOST, 0.3, 600, {"voter": VotesWithoutMemory}),
+    (FULL, 0.12, 400, {"voter": GrantsOlder}),
+    (Budget(drops=20, delays=100), 0.2, 500, {"voter": ChangesAtOnce, "later": NEXT}),
+    (LATE, 0.3, 800, {"asker": CountsFromTheAnswer}), (LATE, 0.3, 800, {"asker": BelievesItsState}),
+    (FULL, 0.12, 400, {"asker": CountsOneVoterTwice}), (LATE, 0.3, 800, {"settings": AGREE}),
+    (Budget(releases=9, acts=40, delays=60), 0.1, 300, {"fenced": False}),
+], ids=["held", "before-disk", "forgets", "no-memory", "older", "change", "from-answer", "state", "twice", "clocks",
+        "fence"])
+def test_rules_broken_on_purpose_are_found(budget: Budget, faults: float, length: int, how: dict[str, Any]) -> None:
+    with pytest.raises(PropertyError, match=r"believe that they hold it|won under|was taken after"):
+        for seed in range(2000):
+            walk(seed, budget, faults, length, **how)
+
+
+def test_an_old_token_is_never_acted_under_whatever_the_clocks() -> None:
+    """Ten times the bound: two may believe, but what is acted on takes no older token."""
+    rates = (("a", 1.2), ("b", 1.2), ("c", 1.2), ("x", 0.8), ("y", 0.8))
+    both = 0
+    for seed in range(150):
+        state = World(Make(SET, ("x", "y"), LATE, rates=rates, believed=False))
+
+        def look(one: World) -> None:
+            nonlocal both
+            one.check()
+            both += sum(a.holds(one.local(n), TASK) is not None for n, a in one.askers.items()) > 1
+
+        wander(state, look, seed, 400, 0.3)
+    assert both > 0, "the clocks were wrong enough to matter"
+
+
+# Askers.
+
+
+def asked(asker: Asker) -> list[tuple[str, Ask]]:
+    found = [(to, m) for to, m in asker.out if isinstance(m, Ask)]
+    asker.out.clear()
+    return found
+
+
+def held(asker: Asker, now: float = 0.0) -> Token:
+    asker.want(now, "t", 100.0)
+    asker.tick(now)
+    while (questions := asked(asker)):
+        for to, ask in questions:
+            asker.received(now, to, Granted("t", ask.token, ask.seq))
+    won = asker.events.popleft()
+    assert isinstance(won, Won)
+    return won.token
+
+
+def test_renewals_count_only_answers_to_one_question_and_from_when_it_was_asked() -> None:
+    asker = Asker("x", "x/1", SET)
+    token = held(asker)
+    until = SET.held_ms(100.0)
+    assert asker.holds(until - 0.01, "t") == token and asker.holds(until, "t") is None
+    asker.tick(40.0)
+    first = asked(asker)
+    asker.tick(75.0)
+    second = asked(asker)
+    asker.received(76.0, "a", Granted("t", token, first[0][1].seq))
+    asker.received(76.0, "b", Granted("t", token, second[0][1].seq))
+    assert asker.left_ms(76.0, "t") == pytest.approx(until - 76.0), "two halves are no majority"
+    asker.received(77.0, "c", Granted("t", token, first[0][1].seq))
+    assert asker.left_ms(77.0, "t") == pytest.approx(40.0 + until - 77.0)
+    asker.received(78.0, "c", Granted("t", token, first[0][1].seq))
+    asker.received(78.0, "stranger", Granted("t", token, second[0][1].seq))
+    assert asker.left_ms(78.0, "t") == pytest.approx(40.0 + until - 78.0)
+    asker.tick(200.0)
+    assert asker.events.popleft() == Lost("t", token, "expired") and asker.holds(200.0, "t") is None
+
+
+def test_answers_of_the_set_before_do_not_count_for_the_next() -> None:
+    asker = Asker("x", "x/1", SET)
+    asker.want(0.0, "t", 100.0)
+    asker.tick(0.0)
+    [(first, ask)] = asked(asker)
+    asker.received(1.0, first, Granted("t", ask.token, ask.seq))
+    rest = asked(asker)
+    asker.received(2.0, rest[0][0], Refused("t", ask.token, ask.seq, "set", NONE, 0.0, 2, ("a", "b", "d")))
+    asker.received(3.0, rest[1][0], Granted("t", ask.token, ask.seq))
+    assert asker.number == 2 and not asker.events and asker.wishes["t"].state is State.WAITING
+    with pytest.raises(ValueError, match="at most"):
+        asker.want(0.0, "u", 101.0)
+
+
+def test_what_is_handed_over_is_had_at_once_by_whom_it_was_meant_for() -> None:
+    voters = {name: Voter(name, SET, 0.0, Memory(1, Stage.VOTING, False)) for name in SET.voters}
+    askers = {name: Asker(name, f"{name}/1", SET) for name in ("x", "y", "z")}
+    told: list[str] = []
+
+    def pump(now: float) -> None:
+        busy = True
+        while busy:
+            busy = False
+            for name, core in [*voters.items(), *askers.items()]:
+                while isinstance(core, Voter) and core.writes:
+                    core.written(core.writes.popleft(), True)
+                while core.out:
+                    to, message = core.out.popleft()
+                    busy = True
+                    told.append(to) if isinstance(message, Handed) else None
+                    (voters.get(to) or askers[to]).received(now, name, message)
+
+    held_by = askers["x"]
+    for name in ("x", "y", "z"):
+        askers[name].want(0.0, "t", 100.0)
+        askers[name].tick(0.0)
+        pump(0.0)
+    first = held_by.holds(1.0, "t")
+    assert first is not None
+    held_by.release(10.0, "t", "z")
+    pump(10.0)
+    askers["z"].tick(10.0)
+    pump(10.0)
+    second = askers["z"].holds(10.0, "t")
+    assert second is not None and second > first and told.count("z") == 3
+    assert askers["y"].holds(10.0, "t") is None and held_by.events.pop() == Lost("t", first, "released")
+
+
+def test_a_fleet_that_waits_is_given_places_one_after_another() -> None:
+    settings = dataclasses.replace(SET, gap_ms=20.0)
+    voter = Voter("a", settings, 0.0, Memory(1, Stage.VOTING, False))
+    voter.received(0.0, "x", Ask("t", Token(1, "x/1"), 100.0, 1, 1))
+    voter.written(voter.writes.popleft(), True)
+    voter.out.clear()
+    for number in range(200):
+        voter.received(1.0, f"y{number}", Ask("t", Token(2, f"y{number}/1"), 100.0, 1, 1))
+    left = [message.left_ms for _, message in voter.out if isinstance(message, Refused)]
+    assert left == pytest.approx([99.0 + 20.0 * n for n in range(200)])
+
+
+# A voter's memory.
+
+
+def test_a_voter_goes_on_from_its_ledger_and_without_one_does_not_vote(tmp_path: Path) -> None:
+    file = tmp_path / "leases.sqlite"
+    ledger, memory, rows, reason = open_ledger(file)
+    assert memory is None and not rows and not reason
+    kept = Row("t", Token(7, "x/1"), 100.0, False)
+    ledger.commit([Write(1, (kept,), Memory(1, Stage.VOTING, False)), Write(2, (Row("u", NONE, 0.0, True),))])
+    ledger.close()
+    ledger, memory, rows, _ = open_ledger(file)
+    assert memory == Memory(1, Stage.VOTING, False) and rows == (kept, Row("u", NONE, 0.0, True))
+    ledger.close()
+    voter = Voter("a", SET, 50.0, memory, rows)
+    voter.received(60.0, "y", Ask("t", Token(8, "y/1"), 100.0, 1, 1))
+    assert isinstance(refused := voter.out.popleft()[1], Refused) and refused.left_ms == pytest.approx(90.0)
+    voter.received(151.0, "y", Ask("t", Token(8, "y/1"), 100.0, 2, 1))
+    assert not voter.out, "not before it is on disk"
+    voter.written(voter.writes.popleft(), False)
+    assert not voter.out, "nor where it cannot be"
+    database = apsw.Connection(str(file))
+    database.execute("UPDATE kept SET body = zeroblob(length(body)) WHERE name = 't'")
+    database.close()
+    ledger, memory, rows, reason = open_ledger(file)
+    assert memory is None and not rows and "Corrupt" in reason and (tmp_path / "leases.sqlite.damaged-1").exists()
+    ledger.close()
+    empty = Voter("a", SET, 0.0, memory, rows)
+    empty.received(1.0, "y", Ask("t", Token(9, "y/1"), 100.0, 1, 1))
+    assert isinstance(refused := empty.out.popleft()[1], Refused) and refused.reason == "empty"
+
+
+def test_a_voter_without_memory_learns_after_the_longest_lease_from_a_majority_that_votes() -> None:
+    voter = Voter("a", SET, 0.0, None)
+
+    def answered(now: float, stages: dict[str, str]) -> Stage:
+        voter.tick(now)
+        nonce = voter.out[-1][1].nonce  # type: ignore[union-attr]
+        voter.out.clear()
+        for name, stage in stages.items():
+            voter.received(now, name, Learnt(1, nonce, stage, False, (Row("t", Token(5, "x/1"), 100.0, False),)))
+        while voter.writes:
+            voter.written(voter.writes.popleft(), True)
+        return voter.stage
+
+    assert answered(1.0, {"b": "voting", "c": "voting"}) is Stage.EMPTY
+    assert answered(SET.wait_ms + 1, {"b": "voting", "c": "empty"}) is Stage.EMPTY, "one is no majority"
+    assert answered(SET.wait_ms + 20, {"b": "voting", "c": "voting"}) is Stage.VOTING
+    voter.received(130.0, "y", Ask("t", Token(5, "a/1"), 100.0, 1, 1))
+    voter.received(130.0, "x", Ask("t", Token(5, "x/1"), 100.0, 1, 1))
+    (_, old), (_, renewed) = voter.out
+    assert isinstance(old, Refused) and old.reason == "older" and isinstance(renewed, Granted)
+
+
+# Settings and the audit.
+
+FLEET = (ROOT / "examples" / "fleet.sexp").read_text()
+
+
+LAST = "dispatcher-3 dispatcher-4)\n"
+
+
+@pytest.mark.parametrize(("old", "new", "word"), [
+    (LAST, "dispatcher-3)\n", "three or five"),
+    (LAST, "dispatcher-3 dispatcher-9)\n", "a peer of this"),
+    (LAST, "dispatcher-3 dispatcher-3)\n", "different names"),
+    ("(longest-ms 2000)", "(longest-ms 1500)", "at least the length-ms"),
+    ("(length-ms 2000) (longest-ms 2000)", "(length-ms 500)", "four times the ask-ms"),
+    ("(ask-ms 150)", "(ask-ms 150) (number 2)", "(before NAME ...)"),
+    ("(ask-ms 150)", "(ask-ms 150) (number 2) (before dispatcher-0 dispatcher-1 dispatcher-2 other-3 other-4)",
+     "one voter replaced"),
+    ("(clock-bound 0.01)", "(clock-bound 0.5)", "from 0 to 0.2"),
+])
+def test_settings_that_cannot_be_are_refused_with_their_line(old: str, new: str, word: str) -> None:
+    assert old in FLEET
+    with pytest.raises(SettingsError) as caught:
+        parse(FLEET.replace(old, new), "fleet.sexp")
+    assert any(word in str(f) and str(f).startswith("fleet.sexp:") for f in caught.value.faults)
+
+
+def test_one_voter_may_be_replaced_and_two_may_come_or_go() -> None:
+    for before in ("dispatcher-0 dispatcher-1 dispatcher-2 dispatcher-3 dispatcher-9",
+                   "dispatcher-0 dispatcher-1 dispatcher-2"):
+        made = parse(FLEET.replace("(ask-ms 150)", f"(ask-ms 150) (number 2) (before {before})"), "fleet.sexp")
+        assert made.leases is not None and made.leases.number == 2
+    assert load(ROOT / "examples" / "season.sexp").leases is not None
+
+
+def act(t: float, token: int, looked: float, by: str = "d", taken: bool = True, what: str = "act") -> dict[str, Any]:
+    return {"t": t, "who": "witness", "what": what, "task": "t", "token": [token, by], "by": by, "looked": looked,
+            "taken": taken}
+
+
+def test_the_audit_sees_two_holders_and_old_tokens_in_captures_alone() -> None:
+    world = {"t": 0.0, "who": "player", "what": "world", "types": [], "kept": True, "names": [], "clock_bound": 0.01,
+             "rules": {"drain_grace_ms": 1, "tip": 1, "tip_ms": 1, "load_span_ms": 0}}
+    good = [act(10, 1, 9), act(20, 1, 19, what="done"), act(30, 2, 29, "e"), act(40, 1, 19, taken=False)]
+    verdict = judge([world, *good])
+    assert not verdict.broken and verdict.old_tokens_refused == 1 and verdict.acts == 3
+    two = judge([world, *good, act(50, 1, 45, taken=False)])
+    assert two.holders_two == 1 and two.broken and not two.old_tokens_taken
+    taken = judge([world, *good, act(50, 1, 19)])
+    assert taken.old_tokens_taken == 1 and not taken.holders_two
+    clock = {"t": 25.0, "who": "player", "what": "trouble", "kind": "clock-rate", "seconds": 1.0, "factor": 1.1}
+    beyond = judge([world, clock, *good, act(50, 1, 45, taken=False)])
+    assert beyond.holders_two_by_clocks == 1 and not beyond.broken
+    within = judge([world, clock | {"factor": 1.01}, *good, act(50, 1, 45, taken=False)])
+    assert within.holders_two == 1
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -175,16 +175,16 @@
 
 
 MODELS = {f"m{n}": Model(500.0, 4, 1000.0, 2.0) for n in range(20)}
-SETTINGS = PlannerSettings("here", every_ms=2000.0, lease_ms=1500.0, down_ms=20_000.0, quiet_ms=1e9)
+SETTINGS = PlannerSettings("here", every_ms=2000.0, down_ms=20_000.0, quiet_ms=1e9)
 HOSTS = [Host(f"w{n}", 8000.0, 8) for n in range(6)]
 
 
-def led(planner: Planner, now: float, rate: int, edge: str = "e", quiet: float = 9e9,
-        order: tuple[int, str, int] = FIRST, steps: int = 30) -> float:
+def led(planner: Planner, now: float, rate: int, edge: str = "e", order: tuple[int, str, int] = FIRST,
+        steps: int = 30) -> float:
     """Reports of one function, a second each, with all that the planner wants done."""
     for _ in range(steps):
         now += 1000
-        planner.reported(now, edge, order, quiet, {"m1": Tally(rate, rate, 0, 0, 0, 0, rate * 100.0)}, {})
+        planner.reported(now, edge, order, {"m1": Tally(rate, rate, 0, 0, 0, 0, rate * 100.0)}, {})
         planner.tick(now, 8)
         if (problem := planner.problem(now, 8)) is not None:
             planner.solved(now, problem.number, greedy(problem.hosts, problem.needs, problem.budget))
@@ -194,7 +194,10 @@
 def test_copies_go_up_at_once_and_down_after_a_while_and_plans_do_not_thrash() -> None:
     planner = Planner("p", SETTINGS, MODELS, 0.0)
     planner.listed(0.0, HOSTS, ROSTER)
-    now = led(planner, 0.0, 90)
+    led(planner, 0.0, 90)
+    assert not planner.counts.plans, "not before it holds the lease"
+    planner.lead(30_000.0, 1, "p/1")
+    now = led(planner, 30_000.0, 90)
     assert planner.role is Role.ACTING and planner.epoch == 1
     high = sum(planner.wants["m1"].values())
     assert high == replace(planner._needs(now, 8)[0]).copies == 4
@@ -211,46 +214,41 @@
     assert planner.counts.plans == before + 1 and all("w0" not in at for at in planner.wants.values())
 
 
-def test_of_two_planners_one_acts_and_the_edges_fence_the_other() -> None:
-    """Both stand by at first and see the same edges; seeded losses, delays and restarts; what an edge follows only ever
-    grows in order, and at the end one acts."""
+def test_edges_fence_a_planner_that_still_believes() -> None:
+    """A lease passes from one planner to the other, which hears of it late or only from the edges; plans are lost, late
+    and copied; what an edge follows only ever grows in order, and at the end it is the holder's."""
     for seed in range(15):
         chance = random.Random(seed)
         planners = {name: Planner(name, SETTINGS, MODELS, 0.0) for name in ("p", "q")}
         edges = {f"e{n}": Follower("here") for n in range(4)}
-        heard = dict.fromkeys(edges, 0.0)
         mail: list[tuple[float, str, Plan]] = []
-        down: dict[str, float] = {}
-        now, taken = 0.0, 0
+        lead: list[tuple[float, str, int]] = []  # when a planner hears that it holds, or (0) that it does not
+        now, taken, epoch, holder = 0.0, 0, 0, ""
         for planner in planners.values():
             planner.listed(0.0, HOSTS, ROSTER)
         while now < 60_000:
             now += 250
-            for name, planner in list(planners.items()):
-                if chance.random() < 0.01 and now < 40_000:  # killed; half the time with nothing kept
-                    down[name] = now + chance.uniform(500, 5000)
-                    planners[name] = Planner(name, SETTINGS, MODELS, now)
-                    planners[name].listed(now, HOSTS, ROSTER)
-                    if chance.random() < 0.5:
-                        planners[name].restored(planner.epoch, planner.wants)
-                if now < down.get(name, 0.0):
-                    continue
-                planner = planners[name]
+            if not holder or (chance.random() < 0.02 and now < 40_000):
+                if holder:
+                    lead.append((now + chance.choice([0, 500, 20_000]), holder, 0))
+                holder, epoch = chance.choice(["p", "q"]), epoch + 1
+                lead.append((now, holder, epoch))
+            for _, name, number in [one for one in lead if one[0] <= now]:
+                if number:
+                    planners[name].lead(now, number, name)
+                elif planners[name].epoch < epoch and planners[name].role is Role.ACTING and name != holder:
+                    planners[name].stand_down()
+            lead = [one for one in lead if one[0] > now]
+            for planner in planners.values():
                 for edge, follower in edges.items():
-                    if now < 40_000 and chance.random() < 0.2:
-                        continue  # the report is lost
-                    planner.reported(now, edge, follower.fence, now - heard[edge],
-                                     {"m1": Tally(5, 5, 0, 0, 0, 0, 9.0)}, {})
+                    if now >= 40_000 or chance.random() < 0.8:
+                        planner.reported(now, edge, follower.fence, {"m1": Tally(5, 5, 0, 0, 0, 0, 9.0)}, {})
                 planner.tick(now, 8)
                 if (problem := planner.problem(now, 8)) is not None:
                     planner.solved(now, problem.number, greedy(problem.hosts, problem.needs, problem.budget))
                 for edge, plan in planner.plans(now):
                     for _ in range(1 + (chance.random() < 0.1)):
                         mail.append((now + chance.choice([0, 100, 100, 3000]), edge, plan))
-                if planner.role is Role.ACTING:
-                    for edge in edges:
-                        if (planner.epoch, name) >= edges[edge].fence[:2]:
-                            heard[edge] = now
             due = [letter for letter in mail if letter[0] <= now]
             mail = [letter for letter in mail if letter[0] > now]
             for _, edge, plan in due:
@@ -258,13 +256,10 @@
                 report = follower.offer(now, unpack(pack(plan, 0.0)), LIVE, ROSTER)
                 taken += report is None
                 assert follower.fence >= before and (report is None) == (follower.fence > before)
-                if report is not None:
-                    for planner in planners.values():
-                        if planner.name == plan.head.owner and now >= down.get(planner.name, 0.0):
-                            planner.refused(now, edge, report.reason.value, follower.fence)
-        acting = [p for p in planners.values() if p.role is Role.ACTING]
-        assert len(acting) == 1 and taken > 20, (seed, [p.role for p in planners.values()])
-        assert {f.fence[:2] for f in edges.values()} == {(acting[0].epoch, acting[0].name)}
+                if report is not None and plan.head.owner in planners:
+                    planners[plan.head.owner].refused(now, edge, report.reason.value, follower.fence)
+        assert [p.name for p in planners.values() if p.role is Role.ACTING] == [holder] and taken > 20, seed
+        assert {f.fence[:2] for f in edges.values()} == {(epoch, holder)}
 
 
 # The channel.
