--- a/examples/bad-days/leases.sexp
+++ b/examples/bad-days/leases.sexp
@@ -14,7 +14,7 @@
   (trouble clock-rate        (at 25) (for 12) (part 0.28) (factor 0.99))
   (trouble clock-step        (at 28) (for 8)  (part 0.28) (ms 3600000))
   (trouble clock-step        (at 30) (for 8)  (part 0.28) (ms -3600000))
-  (trouble pause-dispatchers (at 31) (for 4)  (part 0.28))
+  (trouble pause-dispatchers (at 31) (for 4)  (type looked))
   (trouble disk-fails        (at 37) (for 3)  (part 0.28))
   (trouble disk-slow         (at 38) (for 4)  (part 0.28) (ms 300))
   (trouble cut-peers         (at 43) (for 5)  (part 0.57))
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -168,7 +168,9 @@
         elif kind == "reset-peers":
             await place.harm_links(reset=trouble.share)
         elif kind == "pause-dispatchers":
-            await asyncio.gather(*(self._pause(victim, trouble.last) for victim in victims))
+            if trouble.type == "looked":
+                victims = await self._holders() or victims
+            await asyncio.gather(*(self._pause(victim, trouble.last, trouble.type == "looked") for victim in victims))
         elif kind == "lose-machines":
             ends = trouble.at + trouble.last > self._day.seconds
             await asyncio.gather(*(self._kill(victim, None if ends else trouble.last, True) for victim in victims))
@@ -200,11 +202,24 @@
         await self._place.harm_links(cut=[pair for pair, count in self._cut.items() if count > 0],
                                      slow={"ms": ms, "share": share})
 
-    async def _pause(self, victim: Child, for_s: float) -> None:
+    async def _holders(self) -> list[Child]:
+        """Dispatchers that hold a task."""
+        found = []
+        for dispatcher in self._place.dispatchers:
+            with contextlib.suppress(OSError, HttpError, TimeoutError):
+                async with asyncio.timeout(0.3):  # one that is stopped says nothing
+                    if dispatcher.running and (await ask(dispatcher.said["asked_at"], "GET", "/leases"))["holds"]:
+                        found.append(dispatcher)
+        return found
+
+    async def _pause(self, victim: Child, for_s: float, looked: bool) -> None:
+        """Stopped and continued: at any instant, or (`looked`) between its next look at a lease and the act."""
         number = self._place.dispatchers.index(victim)
         self._capture.note("stopped", dispatcher=number)
-        self._place.signal(victim, signal.SIGSTOP)
+        self._place.signal(victim, signal.SIGUSR1 if looked else signal.SIGSTOP)
         await asyncio.sleep(for_s)
+        if looked:
+            self._place.signal(victim, signal.SIGUSR2)
         self._place.signal(victim, signal.SIGCONT)
         self._capture.note("woken", dispatcher=number)
 
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -130,7 +130,6 @@
             click.option("--harmed-clock", type=click.Path(path_type=Path), hidden=True),
             click.option("--witness", default="", hidden=True),
             click.option("--task", "tasks", multiple=True, hidden=True),
-            click.option("--stop-at", default="", hidden=True),
             click.option("--with-stdin", is_flag=True, hidden=True)]):
         function = option(function)
     return click.pass_context(function)
@@ -154,8 +153,7 @@
     options = Options(name, words["hall"], host, port, words["roster"], words["state"], words["shared_port"],
                       words["crash_at"], words["control"], words["grpc_port"], planners, words["harmed_disk"],
                       words["peers"] if words["peers_port"] is None else f"127.0.0.1:{words['peers_port']}",
-                      _addresses(words["at"]), words["harmed_clock"], words["witness"], words["tasks"],
-                      words["stop_at"])
+                      _addresses(words["at"]), words["harmed_clock"], words["witness"], words["tasks"])
 
     async def go() -> bool:
         stop = asyncio.Event()
@@ -274,6 +272,21 @@
                    f"{m['cause']}")
 
 
+@main.command(cls=_Examples, example="kelptrail usage 127.0.0.1:9001")
+@click.argument("control")
+def usage(control: str) -> None:
+    """Calls a second by namespace over the whole fleet, as the dispatcher at CONTROL was told last."""
+    from kelptrail.codec.http import HttpError
+    from kelptrail.standin.place import ask
+
+    try:
+        status = _run(ask(control, "GET", "/usage"))
+    except (OSError, HttpError) as cause:
+        click.echo(f"{control}: {cause or type(cause).__name__}", err=True)
+        sys.exit(FAILED)
+    click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
+
+
 @main.command(cls=_Examples, example="kelptrail leases 127.0.0.1:9001")
 @click.argument("control")
 @click.option("--json", "as_json", is_flag=True, help="All of it as JSON.")
@@ -459,6 +472,27 @@
     sys.exit(BROKEN_RULE if report["broken"] else 0)
 
 
+@main.command(cls=_Examples, example="kelptrail campaign examples/fleet.sexp --seeds 100 --out out/campaign")
+@click.argument("settings", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--seeds", default=20, show_default=True, type=click.IntRange(1, 10_000), help="How many.")
+@click.option("--first", default=1, show_default=True, help="The first of them.")
+@click.option("--at-once", default=3, show_default=True, type=click.IntRange(1, 64))
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for days, reports and captures.")
+def campaign(settings: Path, seeds: int, first: int, at_once: int, out: Path) -> None:
+    """Play drawn bad days of leases between real processes.  Exit 6 where any of them broke a rule."""
+    from kelptrail.badday.campaign import play, total
+
+    _settings(str(settings))
+    with click.progressbar(length=seeds, label="days", file=sys.stderr) as bar:
+        rows = _run(play(list(range(first, first + seeds)), settings, out, at_once, lambda _row: bar.update(1)))
+    found = total(rows)
+    click.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
+    for row in rows:
+        for line in [row["failed"]] if "failed" in row else row["details"]:
+            click.echo(f"{row['seed']}: {line}", err=True)
+    sys.exit(FAILED if found["failed"] else BROKEN_RULE if found["broken"] else 0)
+
+
 @main.command(cls=_Examples, example="kelptrail audit out/first/captures")
 @click.argument("folder", type=click.Path(path_type=Path, exists=True))
 def audit(folder: Path) -> None:
--- a/kelptrail/gateway/records.py
+++ b/kelptrail/gateway/records.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from itertools import takewhile
 
+ANSWERS = {"completed": 0, "rejected": 1, "aborted": 2}
 STATUS = ("success", "application error", "action developer error", "whisk internal error")
 
 
@@ -77,6 +78,7 @@
         self._ended: deque[tuple[float, Record]] = deque()  # when, by the caller's clock, and which
         self._bytes = 0
         self.dropped = 0
+        self.used: dict[str, list[int]] = {}  # by namespace: completed, rejected, aborted, since the start
         self.on_drop: Callable[[Record], None] | None = None
 
     def __len__(self) -> int:
@@ -99,6 +101,7 @@
             raise AlreadyFinalError(f"activation {record.id} was {record.answer} and would be {answer}")
         record.answer, record.code, record.result = answer, code, result
         record.end = record.start + (now - record.taken)
+        self.used.setdefault(record.namespace, [0, 0, 0])[ANSWERS[answer]] += 1
         self._ended.append((now, record))
         self._bytes += record.size
         self.trim(now)
--- a/kelptrail/lease/driver.py
+++ b/kelptrail/lease/driver.py
@@ -41,6 +41,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._carrying = self._stopped = False
         self._voters = settings.voters
+        self._reached: set[str] = set()
         self.messages = 0
         peers.speak(SPEAKS, self._came, *KINDS)
 
@@ -91,6 +92,11 @@
         """The token to act under, looked at anew: to be asked right before each act.  None: do not act."""
         return self.asker.holds(now_ms(), task)
 
+    def reach(self, names: set[str]) -> None:
+        """Keep links up to these, too: whoever is acted on under a lease."""
+        self._reached = names
+        self._need()
+
     # Carrying out.
 
     def _came(self, sender: str, message: Message) -> None:
@@ -164,7 +170,7 @@
 
     def _need(self) -> None:
         self._voters = self.asker.voters
-        every = {*self._voters, *(self.settings.before if self.voter is not None else ())}
+        every = {*self._voters, *self._reached, *(self.settings.before if self.voter is not None else ())}
         self._peers.need(every)
 
     def _arm(self) -> None:
--- a/kelptrail/service/control.py
+++ b/kelptrail/service/control.py
@@ -17,7 +17,7 @@
 
 
 class Control:
-    """`GET /state`, `GET /vrrp` and `GET /leases`."""
+    """`GET /state`, `GET /vrrp`, `GET /leases` and `GET /usage`."""
 
     def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None,
                  keepers: dict[str, TlsKeeper] | None = None,
@@ -37,6 +37,8 @@
             exchange.reply(200, msgspec.json.encode(self._more["leases"]() | {"peers": self._more["peers"]()}))
         elif request.path == "/leases":
             exchange.reply(404, b'{"error":"no leases section in the settings"}')
+        elif request.path == "/usage" and "usage" in self._more:
+            exchange.reply(200, msgspec.json.encode(self._more["usage"]()))
         elif request.path == "/vrrp":
             exchange.reply(404, b'{"error":"no vrrp section in the settings"}')
         else:
--- a/kelptrail/service/fleet.py
+++ b/kelptrail/service/fleet.py
@@ -66,6 +66,10 @@
                 return known[name]
         return ""
 
+    def names(self) -> set[str]:
+        """Dispatchers that are known."""
+        return {*self._listed, *self._stated, *self._options.at, *(self.leases.settings.voters if self.leases else ())}
+
     def listed(self, listing: Listing) -> None:
         """The worker list names dispatchers, too."""
         self._listed = {peer.name: peer.channel for peer in listing.dispatchers if peer.channel}
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -43,6 +43,7 @@
 from .fleet import Fleet, FleetOptions
 from .standing import Standing
 from .trial import HarmedClock, Trial
+from .usage import Usage
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,6 @@
     harmed_clock: Path | None = None  # a file that says what ails the clock, for trials
     witness: str = ""  # of acts under leases on `tasks`, for trials
     tasks: tuple[str, ...] = ()
-    stop_at: str = ""  # a step at which the process stops itself (SIGSTOP), for trials
 
 
 def _open(file: Path, most_bytes: float, vfs: str | None, log: Any) -> Book | None:
@@ -191,11 +191,18 @@
     roster = RosterClient(options.roster, driver.name, changed, last, log)
     had = roster.start_from_last()
     trial: Trial | None = None
+    usage: Usage | None = None
     if fleet is not None:
+        if fleet.leases is not None and deployment.leases is not None and deployment.leases.usage_ms:
+            usage = Usage(fleet.leases, fleet.peers, boot, deployment.leases.usage_ms, fleet.length_ms,
+                          lambda: {space: (n[0], n[1], n[2]) for space, n in gateway.records.used.items()},
+                          fleet.names, log)
         fleet.start()
+        if usage is not None:
+            usage.start()
         roster.channel = fleet.peers.address
         if fleet.leases is not None and options.witness:
-            trial = Trial(fleet.leases, options.witness, options.tasks, fleet.length_ms, options.stop_at, log)
+            trial = Trial(fleet.leases, options.witness, options.tasks, fleet.length_ms)
             trial.start()
     # What stands now stands for good; the rest goes without a collector, but for rare cycles.  Guards against full
     # collections of 100 ms in the middle of calls: they come while nothing is in hand, else every ten minutes.
@@ -246,6 +253,8 @@
     more: dict[str, Callable[[], Any]] = {"background": background.scheduler.status}
     if fleet is not None:
         more |= fleet.status()
+    if usage is not None:
+        more["usage"] = usage.status
     if plans is not None:
         more["plan"] = plans.status
     if inner is not None:
@@ -264,6 +273,8 @@
     end = now_ms() + within
     if trial is not None:
         trial.stop()
+    if usage is not None:
+        usage.stop()
     if fleet is not None and fleet.leases is not None:
         await fleet.leases.stop()
     if standing is not None:
--- a/kelptrail/service/trial.py
+++ b/kelptrail/service/trial.py
@@ -25,19 +25,20 @@
 
 
 class Trial:
-    """One dispatcher's acts on some tasks.  `stop_at`: "looked" stops the process (SIGSTOP) once between a look at a
-    lease and the act; whoever plays the trial wakes it."""
+    """One dispatcher's acts on some tasks.  After SIGUSR1 the process stops itself (SIGSTOP) once, between the next
+    look at a lease and the act; SIGUSR2 calls that off.  Whoever plays the trial wakes it."""
 
-    def __init__(self, leases: Leases, witness: str, tasks: tuple[str, ...], length_ms: float, stop_at: str,
-                 log: Any) -> None:
+    def __init__(self, leases: Leases, witness: str, tasks: tuple[str, ...], length_ms: float) -> None:
         self._leases, self._witness, self._tasks, self._length_ms = leases, witness, tasks, length_ms
-        self._stop_at, self._log = stop_at, log
+        self._stops = False
         self._loop = asyncio.get_running_loop()
         self._acting: dict[str, asyncio.Task[None]] = {}
         self.acts = self.refused = 0
 
     def start(self) -> None:
         """Want all tasks."""
+        self._loop.add_signal_handler(signal.SIGUSR1, setattr, self, "_stops", True)
+        self._loop.add_signal_handler(signal.SIGUSR2, setattr, self, "_stops", False)
         for task in self._tasks:
             self._leases.want(task, self._length_ms, self._won(task), self._lost(task))
 
@@ -71,8 +72,8 @@
 
     async def _once(self, errand: Errand, task: str, token: Token) -> bool:
         looked, said = true_ms(), {"task": task, "token": [token.round, token.who], "who": self._leases.name}
-        if self._stop_at == "looked":
-            self._stop_at = ""
+        if self._stops:
+            self._stops = False
             os.kill(os.getpid(), signal.SIGSTOP)
         self.acts += 1
         if not (await errand.json("POST", "/act", said | {"looked": looked}))["taken"]:
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -335,6 +335,7 @@
     gap_ms: float
     reserve_ms: float
     first_round: int
+    usage_ms: float  # how often usage is collected over the fleet; 0: never
 
 
 @dataclass(frozen=True, slots=True)
@@ -558,6 +559,7 @@
     "gap-ms": _ms(0, 60_000, 20.0),
     "reserve-ms": _ms(0, 60_000, 1000.0),
     "first-round": number(0, 1e15, whole=True, default=0),
+    "usage-ms": _ms(0, 3.6e6, 5000.0),
 }, build=LeasesPlan)
 
 STORM = Shape({
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -21,6 +21,8 @@
 from kelptrail.net.client import Errand
 from kelptrail.settings.deployment import Deployment
 
+EVERY_PAIR = 12  # dispatchers up to which all pairs go through the relay; beyond, those to voters and planners
+
 
 @dataclass(slots=True, eq=False)
 class Child:
@@ -73,10 +75,11 @@
         names = [f"dispatcher-{n}" for n in range(dispatchers)]
         if self.deployment.peers is not None:
             plans, leases = [f"planner-{n}" for n in range(planners)], self.deployment.leases
-            to = dict.fromkeys((*leases.voters, *leases.before, *plans)) if leases is not None else names
+            every = leases is None or len(names) <= EVERY_PAIR
+            to = names if every or leases is None else list(dict.fromkeys((*leases.voters, *leases.before)))
             self.links = await self._child("links", [
                 "standin", "links", "--seed", str(self._seed), *(w for n in (*names, *plans) for w in ("--from", n)),
-                *(w for name in to for w in ("--to", name))])
+                *(w for name in (*to, *plans) for w in ("--to", name))])
         if tasks:
             self.witness = await self._child("witness", ["standin", "witness"])
         logs = ["--log-level", self._level, "--log-form", "json" if self._logs else "auto"]
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,205 @@
+"""What dispatchers have together, on real connections and real processes: channel, leases, usage, a short campaign."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from program import DEPLOYMENT, PEERS, Voters, run
+
+from kelptrail.badday.script import load
+from kelptrail.codec.http import Request
+from kelptrail.lease.driver import Leases
+from kelptrail.lease.terms import Ask, Token
+from kelptrail.net.server import Exchange, HttpServer
+from kelptrail.peers.link import Link, LinkSettings
+from kelptrail.peers.wire import VERSION, Beat, ChannelError, FrameReader, Hello, decoder, frame
+from kelptrail.service.usage import Collector, Told, Total, Usage, Used
+from kelptrail.settings.deployment import parse
+from kelptrail.settings.reader import SettingsError
+
+ROOT = Path(__file__).parent.parent
+READ = decoder(Ask)
+SOME = Ask("t", Token(1, "x"), 1.0, 1, 1)
+FLEET = parse(DEPLOYMENT.replace("(pool (connect-ms 150))", f"(pool (connect-ms 150))\n{PEERS}"), "fleet")
+
+
+class Later(msgspec.Struct, frozen=True, tag="later", array_like=True):
+    """A kind of a version to come."""
+
+    what: int = 1
+
+
+def link(**figures: Any) -> Link:
+    return Link(Hello(VERSION, "me", "here", can=("lease",)), LinkSettings(**figures), READ, 0.0)
+
+
+def test_a_link_speaks_to_the_version_before_passes_over_a_later_one_and_ends_at_rubbish() -> None:
+    before, now = link(), link()
+    assert before.feed(1.0, frame(Hello(1, "old", "here"))) == [] and before.version == 1
+    assert not before.send(2.0, SOME, "lease") and not before.waiting > 100, "it could not read it"
+    later = b"".join([frame(Hello(VERSION + 3, "new", "here", can=("lease", "more"))), frame(Later()), frame(SOME)])
+    assert now.feed(1.0, later) == [SOME] and now.version == VERSION and now.passed_over == 1
+    assert now.send(2.0, SOME, "lease")
+    for rubbish, word in ((b"\0\0\0\2{}", "no message"), (frame(Hello(2, "x", "there")), "lineage"),
+                          (frame(Later()), "no message"), (frame(Hello(2, "", "here")), "says who"),
+                          (b"\x7f\0\0\0", "a frame of"), (frame(Beat()), "hello must come first")):
+        with pytest.raises(ChannelError, match=word):
+            link().feed(1.0, rubbish)
+    seen = FrameReader(READ)
+    assert seen.feed(frame(Hello(2, "x", "here"))[:5]) == []
+
+
+def test_what_waits_and_what_comes_is_bounded_and_silence_is_noticed() -> None:
+    one = link(most_bytes=300, per_s=10.0, beat_ms=100.0, silent_ms=400.0)
+    assert len(one.feed(0.0, frame(Hello(2, "x", "here", can=("lease",))) + frame(SOME) * 50)) == 10
+    assert one.flooded == 40 and len(one.feed(500.0, frame(SOME) * 50)) == 5
+    while one.send(500.0, SOME, "lease"):
+        pass
+    assert one.waiting <= 300 and one.dropped == 1 and one.take() and not one.waiting
+    assert one.tick(700.0) and one.waiting, "a heartbeat"
+    assert not one.tick(901.0), "nothing was heard for too long"
+
+
+async def until(what: Any, within: float = 10.0) -> None:
+    end = time.monotonic() + within
+    while not what():
+        assert time.monotonic() < end, "it did not come to that"
+        await asyncio.sleep(0.01)
+
+
+def hold(leases: Leases, held: list[tuple[str, str]]) -> None:
+    leases.want("t", 600.0, lambda token: held.append((leases.name, str(token))),
+                lambda token, reason: held.append((leases.name, reason)))
+
+
+def test_on_sockets_one_holds_hands_over_and_believes_nothing_after_a_blocked_loop(tmp_path: Path) -> None:
+    async def main() -> None:
+        voters = Voters(FLEET, tmp_path)
+        held: list[tuple[str, str]] = []
+        askers = [voters.join(f"x{n}").leases for n in range(3)]
+        for leases in askers:
+            assert leases is not None
+            hold(leases, held)
+        await until(lambda: held)
+        first = next(a for a in askers if a is not None and a.name == held[0][0])
+        second = next(a for a in askers if a is not None and a is not first)
+        assert first.holds("t") is not None and second.holds("t") is None
+        first.release("t", second.name)
+        await until(lambda: second.holds("t"))
+        assert held[-1][0] == second.name and Token(int(held[-1][1].partition(".")[0]), "") > Token(1, "")
+        time.sleep(0.65)  # the whole loop: its lease runs out meanwhile
+        assert second.holds("t") is None, "by the clock, before any timer has rung"
+        await until(lambda: (second.name, "expired") in held)
+        status = second.status()
+        assert status["voters"].keys() == {"v0", "v1", "v2"} and "t" in status["wants"]
+        await voters.fleets[0].stop()
+        await voters.fleets[1].stop()
+        await until(lambda: not any(a is not None and a.holds("t") for a in askers), 3.0)
+        here = len(held)
+        await asyncio.sleep(0.4)
+        assert not [h for h in held[here:] if h[1] != "expired"], "one voter of three is no majority"
+        again = Voters.__new__(Voters)
+        again.__dict__.update(voters.__dict__)
+        voters.fleets = voters.fleets[2:]
+        for name in ("v0", "v1"):
+            again.join(name, voters.at[name])
+        await until(lambda: any(a is not None and a.holds("t") for a in askers if a is not first))
+        rounds = [int(token.partition(".")[0]) for _, token in held if "." in token]
+        assert rounds == sorted(set(rounds)), "tokens only grow, through restarts"
+        await again.stop()
+    run(main())
+
+
+def test_leases_are_told_by_a_command(tmp_path: Path) -> None:
+    async def main() -> None:
+        voters = Voters(FLEET, tmp_path)
+        holder = voters.fleets[0].leases
+        assert holder is not None
+        hold(holder, [])
+        await until(lambda: holder.holds("t"))
+
+        def answer(request: Request, exchange: Exchange) -> None:
+            exchange.reply(200, msgspec.json.encode(holder.status() | {"peers": voters.fleets[0].peers.status()}))
+
+        server = HttpServer(answer)
+        server.listen("127.0.0.1", 0)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "kelptrail", "leases", server.address, stdout=asyncio.subprocess.PIPE, cwd=ROOT)
+        out = (await process.communicate())[0].decode()
+        assert process.returncode == 0 and "t: held here under" in out and "votes here: voting, disk well" in out, out
+        await server.drain(0)
+        await voters.stop()
+    run(main())
+
+
+def test_usage_is_summed_over_the_fleet_and_old_collectors_are_not_heard(tmp_path: Path) -> None:
+    told, first, second = Told(), Collector(Token(1, "a")), Collector(Token(2, "b"))
+    counts = {"one": (10, 1, 0)}
+    for now, completed in ((0.0, 10), (2000.0, 30)):
+        question = first.begin(now)
+        assert told.takes(question.token)
+        first.heard("x", Used(question.turn, "r1", {"one": (completed, 1, 0)}))
+        first.heard("y", Used(question.turn - 1, "r1", counts))
+    assert first.total() == Total(Token(1, "a"), 2, 1, {"one": (10.0, 0.0, 0.0)}) and told.told(first.total())
+    first.begin(4000.0)
+    first.heard("x", Used(3, "r2", {"one": (4, 0, 2)}))
+    assert first.total().rates == {"one": (2.0, 0.0, 1.0)}, "a new run counts from nothing"
+    assert told.takes(second.begin(0.0).token) and not told.takes(first.token) and not told.told(first.total())
+    assert told.refused == 2
+
+    async def main() -> None:
+        voters = Voters.__new__(Voters)
+        voters.deployment, voters.state, voters.at, voters.fleets = FLEET, tmp_path, {}, []
+        from program import Silent
+        voters.log = Silent()
+        parts = []
+        calls = [0, 0, 0]
+        for n in range(3):
+            fleet = voters.join(f"v{n}", "127.0.0.1:0")
+            assert fleet.leases is not None
+            parts.append(Usage(fleet.leases, fleet.peers, f"r{n}", 100.0, 600.0,
+                               lambda n=n: {"one": (calls[n], 0, 0)}, fleet.names, voters.log))
+            parts[-1].start()
+        end = time.monotonic() + 10
+        while time.monotonic() < end and not all(p.told.total.dispatchers == 3 and
+                                                 p.told.total.rates["one"][0] > 0 for p in parts):
+            calls[:] = [c + 2 for c in calls]
+            await asyncio.sleep(0.02)
+        assert len({p.status()["collected_by"] for p in parts}) == 1 and parts[0].status()["dispatchers"] == 3
+        await voters.stop()
+    run(main())
+
+
+def test_scripts_with_troubles_between_dispatchers_state_five_and_sound_figures(tmp_path: Path) -> None:
+    text = (ROOT / "examples" / "bad-days" / "leases.sexp").read_text()
+    day = load(ROOT / "examples" / "bad-days" / "leases.sexp")
+    assert day.dispatchers == 7 and day.tasks == ("sweep", "tally", "ledger") and any(t.one_way for t in day.trouble)
+    for old, new, word in (("(dispatchers 7)", "(dispatchers 4)", "5 dispatchers at least"),
+                           ("(part 0.28) (ms 300)", "(part 0.28) (ms -300)", "only clock-step goes back"),
+                           ("(one-way yes)", "(one-way perhaps)", "yes, no")):
+        assert old in text
+        file = tmp_path / "day.sexp"
+        file.write_text(text.replace(old, new))
+        with pytest.raises(SettingsError) as caught:
+            load(file)
+        assert any(word in str(f) for f in caught.value.faults)
+
+
+@pytest.mark.xdist_group("processes")
+def test_a_short_campaign_between_real_processes_breaks_nothing(tmp_path: Path) -> None:
+    done = subprocess.run([sys.executable, "-m", "kelptrail", "campaign", str(ROOT / "examples" / "fleet.sexp"),
+                           "--seeds", "3", "--at-once", "3", "--out", str(tmp_path)], cwd=ROOT, capture_output=True,
+                          text=True, timeout=150, check=False)
+    found = json.loads(done.stdout)
+    assert done.returncode == 0, (found, done.stderr[-2000:])
+    assert found["seeds"] == 3 and found["acts"] > 300 and found["holders"] > 6
+    row = json.loads((tmp_path / "campaign.json").read_text())[0]
+    assert len(row["troubles"]) >= 5 and (tmp_path / "001" / "out" / "timeline.png").exists()
