Bench of leases; in the lab a link whose silence was noticed carries nothing

Need: figures for depth, failover and many askers. Cause: the lab kept all that was sent over a cut for as long as it lasted, and gave it out at once; a real link is closed once its silence is noticed.

Change: `bench/leases.py explore | failover | askers`; the lab drops what is sent over a link that has been cut for longer than `silent-ms`.

--- /dev/null
+++ b/bench/leases.py
@@ -0,0 +1,235 @@
+"""Leases measured: `python bench/leases.py explore | failover | askers | blocked`; one JSON line a figure.
+
+explore: products of voters and askers, breadth first, and seeded walks, on all given processes.  failover: seven real
+dispatchers, the holder killed, paused, cut off or told to hand over, time and again.  askers: messages and CPU at
+voters and askers in the lab, by the number of askers, in peace and after an outage.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import statistics
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import uvloop
+
+from kelptrail.audit.judge import judge, read
+from kelptrail.badday.report import world_of
+from kelptrail.lab.engine import Engine
+from kelptrail.lab.leased import LabLeases
+from kelptrail.lease.model import Budget, Make, World
+from kelptrail.lease.terms import LeaseSettings
+from kelptrail.search import explore, wander
+from kelptrail.settings.deployment import load
+from kelptrail.standin.capture import Capture
+from kelptrail.standin.place import Child, Place, ask
+
+ROOT = Path(__file__).parent.parent
+FIGURES: dict[str, Any] = {"longest_ms": 100.0, "ask_ms": 8.0, "retry_ms": 5.0, "gap_ms": 0.0, "reserve_ms": 20.0,
+                           "clock_bound": 0.02}
+SET = LeaseSettings(("a", "b", "c"), **FIGURES)
+NEXT = LeaseSettings(("a", "b", "d"), 2, ("a", "b", "c"), **FIGURES)
+RATES = (("a", 1.02), ("b", 1.02), ("c", 1.02), ("x", 0.98), ("y", 0.98), ("z", 0.98))
+PRODUCTS: dict[str, tuple[tuple[str, ...], Budget, int, dict[str, Any]]] = {
+    "2 askers, loss, copies, late": (("x", "y"), Budget(drops=1, copies=1, delays=2, acts=1), 14, {}),
+    "2 askers, voter starts anew": (("x", "y"), Budget(delays=2, starts=1, failures=1), 14, {}),
+    "2 askers, disk lost": (("x", "y"), Budget(drops=1, delays=3, wipes=1), 16, {}),
+    "2 askers, pauses, runs": (("x", "y"), Budget(delays=2, pauses=2, runs=1, acts=1), 14, {}),
+    "2 askers, released": (("x", "y"), Budget(drops=1, delays=2, releases=2, acts=2), 16, {}),
+    "2 askers, set changed": (("x", "y"), Budget(delays=2), 16, {"later": NEXT}),
+    "3 askers, loss, late": (("x", "y", "z"), Budget(drops=1, delays=1), 12, {}),
+    "2 askers, founding": (("x", "y"), Budget(delays=2, starts=1), 18, {"founded": False}),
+}
+WALKS = {
+    "all": (Budget(drops=9, copies=9, delays=60, starts=3, wipes=1, failures=3, runs=3, pauses=3, releases=3, acts=9),
+            0.12, 400, {}),
+    "late": (Budget(drops=30, copies=9, delays=200, pauses=9, acts=20), 0.3, 800, {}),
+    "disk lost": (Budget(drops=10, copies=2, delays=200, wipes=1, runs=1), 0.3, 600, {}),
+    "set changed": (Budget(drops=5, copies=3, delays=100, starts=3, runs=2), 0.1, 500, {"later": NEXT}),
+}
+
+
+def product(name: str, most_states: int) -> dict[str, Any]:
+    askers, budget, depth, how = PRODUCTS[name]
+    began, looks = time.monotonic(), Counter[str]()
+
+    def look(world: World) -> None:
+        world.check()
+        looks["states"] += 1
+        if looks["states"] % 20 == 0:  # healing is a whole run of its own
+            world.heal(3000.0)
+
+    found = explore(World(Make(SET, askers, budget, rates=RATES, **how)), look, depth, most_states)
+    return {"product": name, **asdict(found), "seconds": round(time.monotonic() - began, 1)}
+
+
+def walks(name: str, first: int, count: int) -> int:
+    budget, faults, length, how = WALKS[name]
+    states = 0
+    for seed in range(first, first + count):
+        last = [World(Make(SET, ("x", "y") if seed % 2 else ("x", "y", "z"), budget, rates=RATES, **how))]
+
+        def look(world: World, last: list[World] = last) -> None:
+            world.check()
+            last[0] = world
+
+        states += wander(last[0], look, seed, length, faults).states
+        last[0].heal(3000.0)
+    return states
+
+
+def look_through(processes: int, most_states: int, count: int) -> None:
+    with ProcessPoolExecutor(processes) as pool:
+        for found in pool.map(product, PRODUCTS, [most_states] * len(PRODUCTS)):
+            print(json.dumps(found), flush=True)
+        for name in WALKS:
+            began, parts = time.monotonic(), range(0, count, 50)
+            states = sum(pool.map(walks, [name] * len(parts), parts, [50] * len(parts)))
+            print(json.dumps({"walks": name, "seeds": count, "states": states,
+                              "seconds": round(time.monotonic() - began, 1)}), flush=True)
+
+
+# Time without a holder.
+
+
+class Rig:
+    """Seven dispatchers that want one task, without load."""
+
+    def __init__(self, folder: Path) -> None:
+        self.deployment, self.folder = load(ROOT / "examples" / "fleet.sexp"), folder
+        (folder / "captures").mkdir(parents=True)
+        self.capture = Capture(folder / "captures" / "player.jsonl", "player")
+        self.place = Place(self.deployment, str(ROOT / "examples" / "fleet.sexp"), folder / "captures", 1, "info",
+                           folder)
+        self.chance = np.random.default_rng(7)
+
+    async def holder(self) -> Child:
+        while True:
+            for child in self.place.dispatchers:
+                try:
+                    async with asyncio.timeout(0.5):
+                        if child.running and "sweep" in (await ask(child.said["asked_at"], "GET", "/leases"))["holds"]:
+                            return child
+                except (OSError, TimeoutError):
+                    continue
+            await asyncio.sleep(0.05)
+
+    async def befall(self, kind: str, child: Child) -> None:
+        place, others = self.place, [c.name for c in self.place.dispatchers]
+        others.remove(child.name)
+        if kind == "kill":
+            place.kill(child)
+        elif kind == "pause":
+            place.signal(child, signal.SIGSTOP)
+        elif kind == "cut":
+            await place.harm_links(cut=[p for o in others for p in ((child.name, o), (o, child.name))])
+        elif kind == "cut-one-way":
+            await place.harm_links(cut=[(o, child.name) for o in others])
+        else:
+            place.signal(child, signal.SIGTERM)  # it gives back what it holds
+        await asyncio.sleep(5.0)
+        if kind == "pause":
+            place.signal(child, signal.SIGCONT)
+        elif kind.startswith("cut"):
+            await place.harm_links(cut=[])
+        else:
+            if child.process is not None:
+                await child.process.wait()
+            await place.launch(child)
+        await asyncio.sleep(float(self.chance.uniform(2.5, 3.5)))
+
+
+async def failover(times: int) -> None:
+    with tempfile.TemporaryDirectory() as name:
+        rig = Rig(Path(name))
+        await rig.place.start(2, 7, Path(name) / "state", tasks=("sweep",))
+        rig.capture.note("world", **world_of(rig.deployment, [d.name for d in rig.place.dispatchers], 2))
+        began: dict[str, list[float]] = {}
+        for kind in ("kill", "pause", "cut", "cut-one-way", "ended"):
+            for _ in range(times):
+                child = await rig.holder()
+                began.setdefault(kind, []).append(time.monotonic() * 1000)
+                await rig.befall(kind, child)
+        await rig.place.stop()
+        events = read(Path(name) / "captures")
+        acts = sorted((e for e in events if e["what"] in ("act", "done") and e["taken"]), key=lambda e: e["looked"])
+        for kind, moments in began.items():
+            gaps = []
+            for at in moments:
+                before = [e for e in acts if e["looked"] <= at][-1]
+                old = [e for e in acts if e["token"] == before["token"]][-1]
+                new = next(e for e in acts if e["looked"] > old["looked"] and e["token"] > old["token"])
+                gaps.append(new["looked"] - old["looked"])
+            print(json.dumps({"without_a_holder_ms": kind, "times": len(gaps), "median": round(statistics.median(gaps)),
+                              "worst": round(max(gaps)), "all": [round(g) for g in sorted(gaps)]}), flush=True)
+        verdict = judge([e for e in events if e["what"] in ("act", "done", "world", "trouble")])
+        print(json.dumps({"acts": verdict.acts, "holders_two": verdict.holders_two,
+                          "old_tokens_taken": verdict.old_tokens_taken}))
+
+
+# Many askers.
+
+
+def lab_askers(count: int, seconds: float, outage: bool) -> dict[str, Any]:
+    """`count` dispatchers want one task, five of them vote; with `outage` all links are cut for a while first."""
+    engine, names = Engine(), [f"dispatcher-{n:03d}" for n in range(count)]
+    settings = LeaseSettings(tuple(names[:5]), longest_ms=4000.0)
+    acts: list[float] = []
+    leases = LabLeases(engine, settings, 4000.0, names, 1, 2.0, 0.2, 3000.0,
+                       lambda what, **f: acts.append(engine.now))
+    leases.contend(("sweep",), names)
+    engine.run(20_000.0)
+    if outage:
+        pairs = [(a, b) for a in names for b in names if a != b]
+        leases.cut(pairs)
+        engine.run(35_000.0)
+        healed = engine.now
+        leases.heal(pairs)
+    start, before = engine.now, {name: node.told for name, node in leases.nodes.items()}
+    peak, cpu, step = 0.0, time.process_time(), 100.0
+    while engine.now < start + seconds * 1000:
+        at = {name: node.told for name, node in leases.nodes.items()}
+        engine.run(engine.now + step)
+        peak = max(peak, max(leases.nodes[n].told - at[n] for n in names[:5]) * 1000 / step)
+    cpu = time.process_time() - cpu
+    told = {name: (node.told - before[name]) / seconds for name, node in leases.nodes.items()}
+    row = {"askers": count, "outage": outage, "voter_messages_per_s": round(max(told[n] for n in names[:5]), 1),
+           "voter_peak_per_s_in_100_ms": round(peak), "asker_messages_per_s": round(
+               statistics.median(told[n] for n in names[5:]), 2), "all_messages_per_s": round(sum(told.values())),
+           "cpu_us_a_message": round(cpu * 1e6 / max(1, sum(node.told for node in leases.nodes.values())
+                                                     - sum(before.values())), 1)}
+    if outage:
+        row["held_again_after_ms"] = round(min(a for a in acts if a > healed) - healed)
+    return row
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=["explore", "failover", "askers"])
+    parser.add_argument("--processes", type=int, default=8)
+    parser.add_argument("--most-states", type=int, default=150_000)
+    parser.add_argument("--walks", type=int, default=4000)
+    parser.add_argument("--times", type=int, default=10)
+    options = parser.parse_args()
+    if options.what == "explore":
+        look_through(options.processes, options.most_states, options.walks)
+    elif options.what == "failover":
+        uvloop.run(failover(options.times))
+    else:
+        for count in (7, 30, 200):
+            for outage in (False, True):
+                print(json.dumps(lab_askers(count, 30.0, outage)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/kelptrail/lab/leased.py
+++ b/kelptrail/lab/leased.py
@@ -1,7 +1,7 @@
 """Leases in the lab: the real voters and askers on emulated disks, links and clocks, and what troubles do to them.
 
-A link that is cut holds what is sent until it is whole again, a paused node reads what came once it wakes, a lost disk
-is an empty one: as between real processes.
+A link that is cut holds what is sent until it is whole again, or, once its silence was noticed, carries nothing; a
+paused node reads what came once it wakes; a lost disk is an empty one: as between real processes.
 """
 
 from __future__ import annotations
@@ -58,11 +58,13 @@
     """All nodes of a site.  `note` takes what a witness would see; `delay` tells how long a message takes."""
 
     def __init__(self, engine: Engine, settings: LeaseSettings, length_ms: float, names: list[str], seed: int,
-                 sync_ms: float, network_ms: float, note: Callable[..., None] | None) -> None:
+                 sync_ms: float, network_ms: float, silent_ms: float, note: Callable[..., None] | None) -> None:
         self._engine, self.settings, self._length_ms, self._seed = engine, settings, length_ms, seed
         self._network_ms, self._note = network_ms, note
         self._cut: Counter[tuple[str, str]] = Counter()
         self._held: dict[tuple[str, str], list[Message]] = {}
+        self._since: dict[tuple[str, str], float] = {}  # when a link was cut
+        self._silent_ms = silent_ms
         self._slow: list[tuple[float, float]] = []
         self._draws = 0
         self._fence: dict[str, Token] = {}
@@ -173,7 +175,8 @@
 
     def _send(self, sender: str, to: str, message: Message) -> None:
         if self._cut[sender, to] > 0:
-            self._held.setdefault((sender, to), []).append(message)
+            if self._engine.now - self._since[sender, to] < self._silent_ms:
+                self._held.setdefault((sender, to), []).append(message)
             return
         wait = self._network_ms
         for ms, share in self._slow:
@@ -213,8 +216,8 @@
                 for other in self.nodes.keys() - set(victims):
                     pairs += [(node.name, other)] if out else []
                     pairs += [(other, node.name)] if not trouble.one_way or not out else []
-            self._cut.update(pairs)
-            engine.after(last, self._heal, pairs)
+            self.cut(pairs)
+            engine.after(last, self.heal, pairs)
         elif kind == "slow-peers":
             self._slow.append((trouble.ms, trouble.share))
             engine.after(last, self._slow.remove, (trouble.ms, trouble.share))
@@ -238,11 +241,19 @@
             self._hand(node, sender, message)
         self._carry(node)
 
-    def _heal(self, pairs: list[tuple[str, str]]) -> None:
+    def cut(self, pairs: list[tuple[str, str]]) -> None:
+        """These links, one way each, carry nothing."""
+        for pair in pairs:
+            self._since.setdefault(pair, self._engine.now)
+        self._cut.update(pairs)
+
+    def heal(self, pairs: list[tuple[str, str]]) -> None:
+        """They are whole again; one whose silence was noticed is a new one."""
         self._cut.subtract(pairs)
         for pair in pairs:
             if self._cut[pair] <= 0:
-                for message in self._held.pop(pair, []):
+                held, since = self._held.pop(pair, []), self._since.pop(pair, 0.0)
+                for message in held if self._engine.now - since < self._silent_ms else []:
                     self._send(*pair, message)
 
     def disk(self, name: str, sync_ms: float, fails: bool) -> None:
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -338,7 +338,8 @@
             names = [d.name for d in self.own]
             self.leases = LabLeases(self.engine, lease_settings(deployment.leases), deployment.leases.length_ms,
                                     names + [p.name for p in self.planners], seed, self.settings.sync_ms,
-                                    self.settings.network_ms, self.note)
+                                    self.settings.network_ms,
+                                    deployment.peers.silent_ms if deployment.peers is not None else 3000.0, self.note)
             self.leases.contend(day.tasks, names)
             for planner in self.planners:
                 self.leases.want(self.leases.nodes[planner.name], TASK, planner.led, planner.stood_down)
