--- a/kelptrail/lease/terms.py
+++ b/kelptrail/lease/terms.py
@@ -89,8 +89,8 @@
 
 
 class Learnt(msgspec.Struct, frozen=True, tag="learnt", array_like=True):
-    """What a voter knows.  `stage`: see `voter.Stage`; `was`: it voted in the set before this one until it took up
-    this one."""
+    """What a voter knows.  `stage`: see `voter.Stage`; `was`: it remembers all that it granted in the set before
+    this one, and grants nothing in that any more."""
 
     number: int
     nonce: int
--- a/kelptrail/lease/voter.py
+++ b/kelptrail/lease/voter.py
@@ -40,7 +40,7 @@
 
     EMPTY = "empty"  # no memory
     FOUNDING = "founding"  # no memory, and nobody had any
-    CHANGING = "changing"  # voted in the set before; has taken up this one
+    CHANGING = "changing"  # remembers all of the set before; has taken up this one
     VOTING = "voting"
     BEHIND = "behind"  # its settings name an older set than its disk
 
@@ -104,7 +104,8 @@
         if memory.number > settings.number:
             self.number, self.stage = memory.number, Stage.BEHIND
         elif memory.number < settings.number:
-            follows = memory.number == settings.number - 1 and memory.stage is Stage.VOTING
+            # One that was founding has granted nothing, so nothing of it is missing.
+            follows = memory.number == settings.number - 1 and memory.stage in (Stage.VOTING, Stage.FOUNDING)
             self.since = None
             self._to(Stage.CHANGING if follows else Stage.EMPTY, was=follows)
         elif self.stage is Stage.CHANGING:
