A set whose voters are all without memory is founded, also where a set came before

Cause: walks that change the set before the first one was founded never healed: nobody remembered anything, and only a first set could be founded. Change: founding asks all voters of both sets; any that remembers something forbids it.

--- a/kelptrail/lease/voter.py
+++ b/kelptrail/lease/voter.py
@@ -277,8 +277,8 @@
                 self._vote(now)
         elif stages.count(Stage.VOTING.value) >= majority(self.settings.voters):
             self._vote(now)
-        elif (len(stages) == len(others) and not self.settings.before
-              and set(stages) <= {Stage.EMPTY.value, Stage.FOUNDING.value}):
+        elif all(name in self._answers and self._answers[name].stage in (Stage.EMPTY.value, Stage.FOUNDING.value)
+                 for name in {*others, *self.settings.before} - {self.name}):
             self._to(Stage.FOUNDING, False)
 
     def _passed(self, now: float) -> bool:
