A voter killed between disk and answer; holders told to who only asks; what both relays share

Need: the hard case of a voter that dies between its disk and its answer was shown in the model only; `kelptrail leases` at a dispatcher that does not vote could not tell who holds a task; both relays kept cuts and chance of their own.

Change: `--crash-at voted`, with a test in which a real process dies there, its ledger has what it did not say, and counts when it is back; an asker remembers whom a voter named as holder; `kelptrail/standin/weather.py`.

--- a/bench/leases.py
+++ b/bench/leases.py
@@ -1,8 +1,9 @@
-"""Leases measured: `python bench/leases.py explore | failover | askers | blocked`; one JSON line a figure.
+"""Leases measured: `python bench/leases.py explore | failover | askers | cost`; one JSON line a figure.
 
 explore: products of voters and askers, breadth first, and seeded walks, on all given processes.  failover: seven real
 dispatchers, the holder killed, paused, cut off or told to hand over, time and again.  askers: messages and CPU at
-voters and askers in the lab, by the number of askers, in peace and after an outage.
+voters and askers in the lab, by the number of askers, in peace and after an outage.  cost: what a call costs in another
+checkout (`--before`), here without leases, and here at a voter that holds the fleet's tasks, in turns on one core.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import json
 import signal
 import statistics
+import sys
 import tempfile
 import time
 from collections import Counter
@@ -149,7 +151,7 @@
         await asyncio.sleep(float(self.chance.uniform(2.5, 3.5)))
 
 
-async def failover(times: int) -> None:
+async def failover(times: int, plot: Path | None) -> None:
     with tempfile.TemporaryDirectory() as name:
         rig = Rig(Path(name))
         await rig.place.start(2, 7, Path(name) / "state", tasks=("sweep",))
@@ -163,6 +165,7 @@
         await rig.place.stop()
         events = read(Path(name) / "captures")
         acts = sorted((e for e in events if e["what"] in ("act", "done") and e["taken"]), key=lambda e: e["looked"])
+        every: dict[str, list[float]] = {}
         for kind, moments in began.items():
             gaps = []
             for at in moments:
@@ -170,13 +173,40 @@
                 old = [e for e in acts if e["token"] == before["token"]][-1]
                 new = next(e for e in acts if e["looked"] > old["looked"] and e["token"] > old["token"])
                 gaps.append(new["looked"] - old["looked"])
+            every[kind] = gaps
             print(json.dumps({"without_a_holder_ms": kind, "times": len(gaps), "median": round(statistics.median(gaps)),
                               "worst": round(max(gaps)), "all": [round(g) for g in sorted(gaps)]}), flush=True)
+        leases = rig.deployment.leases
+        assert leases is not None
+        # A grant just before the end, on the slowest voter; the pause; the places; one silent first voter; two round
+        # trips of questions with their syncs.
+        bound = (leases.length_ms / (1 - leases.clock_bound) + 1.5 * leases.retry_ms + 7 * leases.gap_ms
+                 + leases.ask_ms + 100)
+        print(json.dumps({"bound_ms": round(bound)}))
+        if plot is not None:
+            draw(plot, every, bound)
         verdict = judge([e for e in events if e["what"] in ("act", "done", "world", "trouble")])
         print(json.dumps({"acts": verdict.acts, "holders_two": verdict.holders_two,
                           "old_tokens_taken": verdict.old_tokens_taken}))
 
 
+def draw(file: Path, every: dict[str, list[float]], bound: float) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4))
+    for number, gaps in enumerate(every.values()):
+        axes.scatter([number] * len(gaps), gaps, alpha=0.6)
+    axes.axhline(bound, color="black", linewidth=0.8, label=f"bound from the settings, {bound:.0f} ms")
+    axes.set_xticks(range(len(every)), list(every))
+    axes.set_ylabel("ms without a holder")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(file, dpi=110)
+
+
 # Many askers.
 
 
@@ -213,18 +243,67 @@
     return row
 
 
+def cost(before: Path, runs: int, seconds: float) -> None:
+    from overhead import DEPLOYMENT, HERE, STARTED, List, Process, load
+
+    names = ["v0", "v1", "v2"]
+    own = DEPLOYMENT.format(functions=10)
+    leased = own.rstrip()[:-1] + f"""
+  (peers {" ".join(f"(peer {n})" for n in names)}) (leases (voters {" ".join(names)}) (usage-ms 1000)))"""
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            plain, with_leases = Path(folder) / "plain.sexp", Path(folder) / "leased.sexp"
+            plain.write_text(own)
+            with_leases.write_text(leased)
+            workers = [Process(n % 2, sys.executable, str(HERE / "echo_worker.py")) for n in range(2)]
+            roster = List([w.address for w in workers], 2)
+
+            def serve(core: int, name: str, file: Path, cwd: Path) -> Process:
+                return Process(core, sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file),
+                               "--name", name, "--roster", roster.process.address, "--state", f"{folder}/{name}",
+                               cwd=cwd)
+
+            served = {"before": serve(3, "before", plain, before), "now": serve(3, "now", plain, ROOT),
+                      "now, voter and holder": serve(3, "v0", with_leases, ROOT)}
+            for core, name in ((6, "v1"), (7, "v2")):
+                time.sleep(6)  # the first alone holds nothing; with the second it has all tasks
+                serve(core, name, with_leases, ROOT)
+            time.sleep(8)
+            target = "/api/v1/namespaces/_/actions/f-0?blocking=true&result=true"
+            rows: dict[str, list[tuple[float, float, float]]] = {name: [] for name in served}
+            for number in range(runs + 1):
+                for name, process in served.items():
+                    began = process.cpu_s()
+                    run = load(5, process.address, target, 32, seconds)
+                    if number:
+                        rows[name].append((run["per_s"], (process.cpu_s() - began) / run["calls"] * 1e6, run["p99_us"]))
+            for name, found in rows.items():
+                per_s, cpu, p99 = zip(*found, strict=True)
+                print(json.dumps({"cost": name, "runs": runs, "calls_per_s": round(statistics.median(per_s)),
+                                  "cpu_us_a_call": round(statistics.median(cpu), 1),
+                                  "cpu_us_least_most": [round(min(cpu), 1), round(max(cpu), 1)],
+                                  "p99_us": round(statistics.median(p99))}), flush=True)
+    finally:
+        for child in STARTED:
+            child.end()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=["explore", "failover", "askers"])
+    parser.add_argument("what", choices=["explore", "failover", "askers", "cost"])
     parser.add_argument("--processes", type=int, default=8)
     parser.add_argument("--most-states", type=int, default=150_000)
     parser.add_argument("--walks", type=int, default=4000)
     parser.add_argument("--times", type=int, default=10)
+    parser.add_argument("--plot", type=Path, help="A picture of the times without a holder.")
+    parser.add_argument("--before", type=Path, default=ROOT, help="A checkout of another build.")
     options = parser.parse_args()
     if options.what == "explore":
         look_through(options.processes, options.most_states, options.walks)
     elif options.what == "failover":
-        uvloop.run(failover(options.times))
+        uvloop.run(failover(options.times, options.plot))
+    elif options.what == "cost":
+        cost(options.before.resolve(), options.times, 3.0)
     else:
         for count in (7, 30, 200):
             for outage in (False, True):
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -35,8 +35,8 @@
 class Process:
     """A child whose first line tells where it listens; pinned to a core."""
 
-    def __init__(self, core: int, *words: str) -> None:
-        self.process = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True,
+    def __init__(self, core: int, *words: str, cwd: Path | None = None) -> None:
+        self.process = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True, cwd=cwd,
                                         preexec_fn=lambda: os.sched_setaffinity(0, {core}))
         assert self.process.stdout is not None
         line = self.process.stdout.readline().strip()
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -310,14 +310,14 @@
         + ("" if 2 * reached > len(heard) else "; no majority is heard: nothing can be won or renewed from here"))
     if vote is not None:
         click.echo(f"votes here: {vote['stage']}, disk {vote['disk']}")
-    known = vote["tasks"] if vote is not None else {}
+    known = status["seen"] | (vote["tasks"] if vote is not None else {})
     for task in sorted({*status["wants"], *known}):
         mine, seen = status["holds"].get(task), known.get(task)
         if mine is not None:
             words = f"held here under {mine['token']}, {mine['left_ms'] / 1000:.1f} s left"
         elif seen is not None and seen["left_ms"]:
-            words = f"granted here to {seen['token'].partition('.')[2]} under {seen['token']}, " \
-                    f"{seen['left_ms'] / 1000:.1f} s left"
+            words = f"held by {seen['token'].partition('.')[2].partition('/')[0]} under {seen['token']}, " \
+                    f"{seen['left_ms'] / 1000:.1f} s left at most"
         else:
             words = f"not held, last token {seen['token']}" if seen is not None else "wanted, not held here"
         click.echo(f"{task}: {words}")
--- a/kelptrail/lease/asker.py
+++ b/kelptrail/lease/asker.py
@@ -80,6 +80,7 @@
         self.voters, self.number = settings.voters, settings.number
         self.wishes: dict[str, Wish] = {}
         self.rounds: dict[str, int] = {}  # the highest round seen, by task
+        self.seen: dict[str, tuple[Token, float]] = {}  # who was told to hold a task last, and until about when
         self.out: deque[tuple[str, Message]] = deque()
         self.events: deque[Won | Lost] = deque()
         self._seq = self._draws = 0
@@ -207,6 +208,8 @@
 
     def _refused(self, now: float, sender: str, wish: Wish, answer: Refused) -> None:
         self.rounds[wish.task] = max(self.rounds.get(wish.task, 0), answer.highest.round)
+        if answer.reason == "held":
+            self.seen[wish.task] = answer.highest, now + answer.left_ms
         if answer.number > self.number and answer.voters:
             self._changed(now, answer.number, answer.voters)
         if wish.state is not State.ASKING or answer.token != wish.token or answer.seq not in wish.questions:
@@ -267,6 +270,6 @@
         twin.wishes = {task: replace(
             wish, questions={seq: Question(q.sent, set(q.granted)) for seq, q in wish.questions.items()},
             asked=set(wish.asked), refused=dict(wish.refused)) for task, wish in self.wishes.items()}
-        twin.rounds = dict(self.rounds)
+        twin.rounds, twin.seen = dict(self.rounds), dict(self.seen)
         twin.out, twin.events = self.out.copy(), self.events.copy()
         return twin
--- a/kelptrail/lease/driver.py
+++ b/kelptrail/lease/driver.py
@@ -43,6 +43,7 @@
         self._voters = settings.voters
         self._reached: set[str] = set()
         self.messages = 0
+        self.passes: Callable[[str], None] = lambda step: None  # for crash tests: a step that a voter has come to
         peers.speak(SPEAKS, self._came, *KINDS)
 
     def vote(self, file: Path, vfs: str | None = None) -> bool:
@@ -154,6 +155,8 @@
 
     def _written(self, write: Write, safe: bool) -> None:
         if self.voter is not None:
+            if safe and write.reply is not None:
+                self.passes("voted")  # on disk, and not said yet
             before = self.voter.stage
             self.voter.written(write, safe)
             if write.memory is not None:
@@ -190,6 +193,8 @@
             "holds": {task: {"token": str(token), "left_ms": round(self.asker.left_ms(now, task))}
                       for task in sorted(self.asker.wishes) if (token := self.asker.holds(now, task)) is not None},
             "wants": sorted(self.asker.wishes),
+            "seen": {task: {"token": str(token), "left_ms": max(0, round(until - now))}
+                     for task, (token, until) in sorted(self.asker.seen.items())},
             "vote": None if voter is None else {
                 "stage": voter.stage.value, "number": voter.number,
                 "disk": "failing" if self._journal is not None and self._journal.journal.failing else "well",
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -193,6 +193,8 @@
     trial: Trial | None = None
     usage: Usage | None = None
     if fleet is not None:
+        if fleet.leases is not None and options.crash_at:
+            fleet.leases.passes = gateway.passes
         if fleet.leases is not None and deployment.leases is not None and deployment.leases.usage_ms:
             usage = Usage(fleet.leases, fleet.peers, boot, deployment.leases.usage_ms, fleet.length_ms,
                           lambda: {space: (n[0], n[1], n[2]) for space, n in gateway.records.used.items()},
--- a/kelptrail/standin/links.py
+++ b/kelptrail/standin/links.py
@@ -14,12 +14,12 @@
 from typing import Any
 
 import msgspec
-import numpy as np
 
 from kelptrail.codec.http import Request
 from kelptrail.net.server import Exchange, HttpServer
 
 from .capture import Capture
+from .weather import Weather
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closed with a reset
 
@@ -29,11 +29,9 @@
     `cut` (ordered pairs whose bytes are held), `slow` (ms and share of pieces), `reset` (share of connections, now)."""
 
     def __init__(self, sources: list[str], targets: list[str], capture: Capture, seed: int) -> None:
-        self._capture, self._chance = capture, np.random.default_rng([seed, 5])
+        self._capture, self._weather = capture, Weather(seed, 5)
         self._loop = asyncio.get_running_loop()
         self._at: dict[str, str] = {}
-        self._cut: set[tuple[str, str]] = set()
-        self._healed = asyncio.Event()
         self._slow = (0.0, 0.0)
         self._pairs: dict[asyncio.Task[None], tuple[socket.socket, socket.socket | None]] = {}
         self.routes: dict[str, str] = {}
@@ -61,9 +59,6 @@
         self._pairs[task] = sock, None
         task.add_done_callback(lambda done: self._pairs.pop(done, None))
 
-    def _cut_between(self, one: str, other: str) -> bool:
-        return (one, other) in self._cut or (other, one) in self._cut
-
     async def _relay(self, near: socket.socket, source: str, to: str) -> None:
         far = socket.socket()
         far.setblocking(False)
@@ -72,9 +67,7 @@
         self._pairs[task] = near, far
         ways: list[asyncio.Task[None]] = []
         try:
-            while self._cut_between(source, to):  # a handshake needs both ways
-                self._healed.clear()
-                await self._healed.wait()
+            await self._weather.whole((source, to), (to, source))  # a handshake needs both ways
             host, _, port = self._at[to].rpartition(":")
             await self._loop.sock_connect(far, (host, int(port)))
             for sock in (near, far):
@@ -94,27 +87,23 @@
     async def _carry(self, read: socket.socket, write: socket.socket, source: str, to: str) -> None:
         while True:
             data = await self._loop.sock_recv(read, 65_536)
-            while (source, to) in self._cut:
-                self._healed.clear()
-                await self._healed.wait()
+            await self._weather.whole((source, to))
             if not data:
                 return
-            if self._slow[1] and self._chance.random() < self._slow[1]:
+            if self._weather.draw(self._slow[1]):
                 await asyncio.sleep(self._slow[0] / 1000)
             await self._loop.sock_sendall(write, data)
 
     def _handle(self, request: Request, exchange: Exchange) -> None:
         body: dict[str, Any] = msgspec.json.decode(request.body) if request.body else {}
         self._at |= body.get("at", {})
-        if "cut" in body:
-            self._cut = {(a, b) for a, b in body["cut"]}
-            self._healed.set()
+        self._weather.told(body)
         if "slow" in body:
             self._slow = float(body["slow"]["ms"]), float(body["slow"]["share"])
         resets = 0
         if body.get("reset"):
             for socks in list(self._pairs.values()):
-                if self._chance.random() < body["reset"]:
+                if self._weather.draw(body["reset"]):
                     resets += 1
                     for sock in socks:
                         if sock is not None:
@@ -122,5 +111,5 @@
                                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                                 sock.shutdown(socket.SHUT_RDWR)
         if "at" not in body:
-            self._capture.note("links", cut=sorted(self._cut), slow=self._slow, resets=resets)
+            self._capture.note("links", cut=sorted(self._weather.cut), slow=self._slow, resets=resets)
         exchange.reply(200, msgspec.json.encode({"connections": len(self._pairs)}))
--- a/kelptrail/standin/relay.py
+++ b/kelptrail/standin/relay.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import msgspec
-import numpy as np
 
 from kelptrail.codec.http import Request
 from kelptrail.net.server import Exchange, HttpServer
@@ -19,18 +18,18 @@
 from kelptrail.vrrp.driver import HOPS, Where, split
 
 from .capture import Capture
+from .weather import Weather
 
 
 class Relay:
     """All instances' datagrams; knobs at its control port: loss, copy (shares), delay_ms (a pair), cut (pairs)."""
 
     def __init__(self, settings: VrrpSettings, capture: Capture, seed: int) -> None:
-        self._capture, self._chance = capture, np.random.default_rng([seed, 3])
+        self._capture, self._weather = capture, Weather(seed, 3)
         self._loop = asyncio.get_running_loop()
         self._names = {split(i.udp)[0]: i.name for i in settings.instance}
         self._loss = self._copy = 0.0
         self._delay = (0.0, 0.0)
-        self._cut: set[tuple[str, str]] = set()
         self._out: dict[str, socket.socket] = {}
         for instance in settings.instance:
             out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -56,15 +55,15 @@
                 continue
             # version and type, VRID and priority are the first three bytes of every advertisement
             fate = "sent"
-            if (sender, to) in self._cut:
+            if (sender, to) in self._weather.cut:
                 fate = "cut"
-            elif self._chance.random() < self._loss:
+            elif self._weather.draw(self._loss):
                 fate = "lost"
             self._capture.note("advert", sender=sender, to=to, vrid=data[1], priority=data[2], fate=fate)
             if fate != "sent":
                 continue
-            for _ in range(2 if self._chance.random() < self._copy else 1):
-                wait = float(self._chance.uniform(*self._delay))
+            for _ in range(2 if self._weather.draw(self._copy) else 1):
+                wait = float(self._weather.chance.uniform(*self._delay))
                 self._loop.call_later(wait / 1000, self._send, sender, data, where)
 
     def _send(self, sender: str, data: bytes, where: Where) -> None:
@@ -79,7 +78,7 @@
         self._copy = float(body.get("copy", self._copy))
         if "delay_ms" in body:
             self._delay = (float(body["delay_ms"][0]), float(body["delay_ms"][1]))
-        if "cut" in body:
-            self._cut = {(a, b) for a, b in body["cut"]}
-        self._capture.note("relay", loss=self._loss, copy=self._copy, delay_ms=self._delay, cut=sorted(self._cut))
+        self._weather.told(body)
+        self._capture.note("relay", loss=self._loss, copy=self._copy, delay_ms=self._delay,
+                           cut=sorted(self._weather.cut))
         exchange.reply(200, b"{}")
--- /dev/null
+++ b/kelptrail/standin/weather.py
@@ -0,0 +1,33 @@
+"""What relays between processes do to what passes, whatever it is: pairs that are cut, shares drawn from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import numpy as np
+
+
+class Weather:
+    """`cut`: ordered pairs of names, from and to."""
+
+    def __init__(self, seed: int, salt: int) -> None:
+        self.chance = np.random.default_rng([seed, salt])
+        self.cut: set[tuple[str, str]] = set()
+        self._changed = asyncio.Event()
+
+    def told(self, body: dict[str, Any]) -> None:
+        """A knob was turned."""
+        if "cut" in body:
+            self.cut = {(a, b) for a, b in body["cut"]}
+            self._changed.set()
+
+    def draw(self, share: float) -> bool:
+        """Whether it befalls this one."""
+        return bool(share) and bool(self.chance.random() < share)
+
+    async def whole(self, *pairs: tuple[str, str]) -> None:
+        """Wait until none of these is cut."""
+        while any(pair in self.cut for pair in pairs):
+            self._changed.clear()
+            await self._changed.wait()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,6 +17,7 @@
 from kelptrail.badday.script import load
 from kelptrail.codec.http import Request
 from kelptrail.lease.driver import Leases
+from kelptrail.lease.ledger import open_ledger
 from kelptrail.lease.terms import Ask, Token
 from kelptrail.net.server import Exchange, HttpServer
 from kelptrail.peers.link import Link, LinkSettings
@@ -144,6 +145,40 @@
     run(main())
 
 
+@pytest.mark.xdist_group("processes")
+def test_a_voter_killed_between_disk_and_answer_has_what_it_did_not_say(tmp_path: Path) -> None:
+    file = tmp_path / "fleet.sexp"
+    file.write_text(DEPLOYMENT.replace("(pool (connect-ms 150))", f"(pool (connect-ms 150))\n{PEERS}"))
+
+    async def main() -> None:
+        voters = Voters(FLEET, tmp_path)
+        await voters.fleets.pop().stop()  # the third is a process of its own, which dies at its first grant
+        (tmp_path / "v2" / "leases.sqlite").unlink()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file), "--name", "v2", "--roster",
+            "127.0.0.1:1", "--state", str(tmp_path / "v2"), "--peers", voters.at["v2"], "--crash-at", "voted",
+            *(word for name in ("v0", "v1") for word in ("--peer", f"{name}={voters.at[name]}")), cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE)
+        asker = voters.join("x").leases
+        assert asker is not None
+        held: list[tuple[str, str]] = []
+        hold(asker, held)
+        assert await process.wait() == -9
+        await until(lambda: asker.holds("t"))
+        token = asker.holds("t")
+        _, memory, rows, reason = open_ledger(tmp_path / "v2" / "leases.sqlite")
+        kept = {row.task: row.token for row in rows}
+        assert memory is not None and not reason and kept and token is not None
+        assert kept.get("t", token) <= token
+        voters.join("v2", voters.at["v2"])
+        again = voters.fleets[-1].leases
+        assert again is not None and again.voter is not None
+        for task, written in kept.items():
+            assert again.voter.seats[task].highest == written, "what was on disk counts, though nobody heard of it"
+        await voters.stop()
+    run(main())
+
+
 def test_leases_are_told_by_a_command(tmp_path: Path) -> None:
     async def main() -> None:
         voters = Voters(FLEET, tmp_path)
