Copies begun: which dispatchers hold whose book

Need: what a dispatcher holds for others has to survive its machine; first everybody must know who holds what.

--- /dev/null
+++ b/kelptrail/copies/place.py
@@ -0,0 +1,63 @@
+"""Which dispatchers hold copies of whose book: the same answer for all who know the same members; free of I/O.
+
+Each owner ranks all others by a hash of both names (rendezvous hashing, Thaler and Ravishankar 1998), so a member that
+comes or goes moves only what it held or now wins.  Other halls go first.  What one holds for others is bounded (Mirrokni,
+Thorup and Zadimoghaddam 2016): an owner whose first choice is full takes its next, so no member carries many books
+because its name happens to hash well.
+
+Weighed: a ring with virtual nodes (a table, and neighbours that fail together), jump hashing (only the last member may
+go), ranges of ids instead of whole books (evener still, but each batch of an owner goes to all members instead of to
+`count` of them).
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+from math import ceil
+
+SLACK = 1.25  # what a member may hold, of its even share
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A dispatcher and the hall that it stands in."""
+
+    name: str
+    hall: str = ""
+
+
+def _rank(owner: str, name: str) -> bytes:
+    return blake2b(f"{owner}\0{name}".encode(), digest_size=8).digest()
+
+
+def spread(members: Iterable[Member], count: int) -> dict[str, tuple[str, ...]]:
+    """Of each member the `count` others that hold its book, fewer only where there are fewer others.
+
+    Halls: first those that have none of this book yet, the owner's own last.
+    """
+    by_name = {m.name: m for m in members}
+    everyone = [by_name[name] for name in sorted(by_name)]
+    most = max(count, ceil(count * SLACK))
+    held: Counter[str] = Counter()
+    out: dict[str, tuple[str, ...]] = {}
+    # Whoever chooses first has free choice: the order is drawn by hash, not by name.
+    for owner in sorted(everyone, key=lambda m: _rank("", m.name)):
+        ranked = sorted((m for m in everyone if m is not owner), key=lambda m: _rank(owner.name, m.name), reverse=True)
+        chosen: list[Member] = []
+        while len(chosen) < min(count, len(ranked)):
+            halls = Counter(m.hall for m in chosen)
+            left = [m for m in ranked if m not in chosen]
+            room = [m for m in left if held[m.name] < most] or left
+            best = min(room, key=lambda m: (m.hall == owner.hall, halls[m.hall]))
+            chosen.append(best)
+            held[best.name] += 1
+        out[owner.name] = tuple(m.name for m in chosen)
+    return out
+
+
+def moves(before: dict[str, tuple[str, ...]], after: dict[str, tuple[str, ...]]) -> int:
+    """Books that are to be copied anew: holders after that were none before."""
+    return sum(len(set(names) - set(before.get(owner, ()))) for owner, names in after.items())
