--- a/kelptrail/copies/place.py
+++ b/kelptrail/copies/place.py
@@ -1,9 +1,9 @@
 """Which dispatchers hold copies of whose book: the same answer for all who know the same members; free of I/O.
 
 Each owner ranks all others by a hash of both names (rendezvous hashing, Thaler and Ravishankar 1998), so a member that
-comes or goes moves only what it held or now wins.  Other halls go first.  What one holds for others is bounded (Mirrokni,
-Thorup and Zadimoghaddam 2016): an owner whose first choice is full takes its next, so no member carries many books
-because its name happens to hash well.
+comes or goes moves only what it held or now wins.  Other halls go first.  What one holds for others is bounded
+(Mirrokni, Thorup and Zadimoghaddam 2016): an owner whose first choice is full takes its next, so no member carries many
+books because its name happens to hash well.
 
 Weighed: a ring with virtual nodes (a table, and neighbours that fail together), jump hashing (only the last member may
 go), ranges of ids instead of whole books (evener still, but each batch of an owner goes to all members instead of to
