--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -47,6 +47,7 @@
         self.start = 0.0
         self._cut: Counter[tuple[str, str]] = Counter()  # between dispatchers, by how many troubles
         self._slow: list[tuple[float, float]] = []
+        self._down: set[Child] = set()  # dispatchers that a trouble has killed and will start again
 
     async def play(self) -> bool:
         """Play it whole; True if the dispatchers that ran at the end drained cleanly."""
@@ -224,7 +225,17 @@
         self._capture.note("woken", dispatcher=number)
 
     async def _kill(self, victim: Child, down_s: float | None, disk: bool = False) -> None:
-        """Killed outright, its disk lost too where told; started again after a time, or never."""
+        """Killed outright, its disk lost too where told; started again after a time, or never.  One that is down for
+        another trouble stays that one's: guards against two processes of one name, the first of which nobody minds."""
+        if victim in self._down:
+            return
+        self._down.add(victim)
+        try:
+            await self._killed(victim, down_s, disk)
+        finally:
+            self._down.discard(victim)
+
+    async def _killed(self, victim: Child, down_s: float | None, disk: bool) -> None:
         number = self._place.dispatchers.index(victim)
         self._capture.note("kill", dispatcher=number)
         self._place.kill(victim)
