--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Two commands do all set-up on a fresh machine: `make run` and `make test`.
 PY ?= python3
 BIN := .venv/bin
-# Processes of the tests; fewer than cores, as tests of the group `processes` start more, one test at a time.
-JOBS ?= 4
+# Processes of the tests.  Those marked `processes` start whole places and measure time: they run alone, afterwards.
+JOBS ?= 6
 
 .PHONY: run demo test lint lock proto
 run: demo
@@ -23,7 +23,8 @@
 	$(BIN)/mypy
 
 test: lint
-	$(BIN)/python -m pytest -q -n $(JOBS) --dist loadgroup $(ARGS)
+	$(BIN)/python -m pytest -q -n $(JOBS) -m "not processes" $(ARGS)
+	$(BIN)/python -m pytest -q -m processes $(ARGS) || [ $$? -eq 5 ]
 
 # The code of the gRPC messages; a test tells when it is older than its .proto.
 proto: .venv/.locked
--- a/kelptrail/badday/report.py
+++ b/kelptrail/badday/report.py
@@ -169,4 +169,4 @@
     for name in names:
         held.barh(0, 0, color=colors[name], label=name)
     if names:
-        held.legend(loc="upper right", ncols=len(names), fontsize=6)
+        held.legend(loc="lower right", bbox_to_anchor=(1, 1), ncols=len(names), fontsize=6)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -173,7 +173,7 @@
     run(main())
 
 
-@pytest.mark.xdist_group("processes")
+@pytest.mark.processes
 @pytest.mark.parametrize("seed", [1])
 def test_a_bad_day_of_planners_breaks_no_rule_and_calls_go_on(seed: int, tmp_path: Path) -> None:
     """Slow, killed, started with nothing, while workers drain and crash; the audit judges what passed."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -145,7 +145,7 @@
     run(main())
 
 
-@pytest.mark.xdist_group("processes")
+@pytest.mark.processes
 def test_a_voter_killed_between_disk_and_answer_has_what_it_did_not_say(tmp_path: Path) -> None:
     file = tmp_path / "fleet.sexp"
     file.write_text(DEPLOYMENT.replace("(pool (connect-ms 150))", f"(pool (connect-ms 150))\n{PEERS}"))
@@ -254,7 +254,7 @@
         assert any(word in str(f) for f in caught.value.faults)
 
 
-@pytest.mark.xdist_group("processes")
+@pytest.mark.processes
 def test_a_short_campaign_between_real_processes_breaks_nothing(tmp_path: Path) -> None:
     done = subprocess.run([sys.executable, "-m", "kelptrail", "campaign", str(ROOT / "examples" / "fleet.sexp"),
                            "--seeds", "3", "--at-once", "1", "--out", str(tmp_path)], cwd=ROOT, capture_output=True,
--- a/tests/test_inference.py
+++ b/tests/test_inference.py
@@ -485,7 +485,7 @@
     run(main())
 
 
-@pytest.mark.xdist_group("processes")
+@pytest.mark.processes
 def test_a_thousand_streams_at_once() -> None:
     settings = parse(DEPLOYMENT.replace("(lanes 4)", "(lanes 2000)").replace("(timeout-ms 900)", "(timeout-ms 25000)")
                      .replace("(pool (connect-ms 150))", "(pool (connect-ms 9000) (connections 1200))"), "t")
@@ -786,7 +786,7 @@
     run(main())
 
 
-@pytest.mark.xdist_group("processes")
+@pytest.mark.processes
 def test_a_client_library_against_the_real_program_with_faults(tmp_path: Path) -> None:
     """Processes of their own: a place, one dispatcher; a worker's faults are set while calls run."""
     from kelptrail.settings.deployment import load
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -19,7 +19,7 @@
 from kelptrail.badday.turn import look, troubles, turn
 from kelptrail.settings.deployment import parse
 
-pytestmark = pytest.mark.xdist_group("processes")  # one at a time: they measure time
+pytestmark = pytest.mark.processes  # one at a time: they measure time
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_platform_load.py
+++ b/tests/test_platform_load.py
@@ -21,7 +21,7 @@
 
 from kelptrail.codec import frames
 
-pytestmark = pytest.mark.xdist_group("processes")  # one at a time: they measure time
+pytestmark = pytest.mark.processes  # one at a time: they measure time
 
 TYPES = [CLASS | {"give_up_us": 2000000, "aim_us": 300000},
          CLASS | {"name": "k", "effect": "guarded", "window_us": 700000, "give_up_us": 2000000},
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -198,7 +198,7 @@
     assert sight.well(1300.0) is None
 
 
-@pytest.mark.xdist_group("processes")
+@pytest.mark.processes
 def test_two_failovers_of_real_processes_keep_the_rules(tmp_path: Path) -> None:
     text = (ROOT / "examples" / "shared-address.sexp").read_text()
     for port, kind in (("8112", socket.SOCK_DGRAM), ("8310", socket.SOCK_STREAM), ("8311", socket.SOCK_STREAM)):
