Real askers in the bench of leases; troubles between dispatchers need two halls

Need: messages and CPU at 7 and 30 real dispatchers, beside the lab's 200; a script of such troubles has to state dispatchers in different halls, which was not checked.

--- a/bench/leases.py
+++ b/bench/leases.py
@@ -190,6 +190,34 @@
                           "old_tokens_taken": verdict.old_tokens_taken}))
 
 
+async def real_askers(count: int, seconds: float) -> dict[str, Any]:
+    """`count` real dispatchers that all want one task, without load: messages and CPU at voters and at others."""
+    with tempfile.TemporaryDirectory() as name:
+        rig = Rig(Path(name))
+        await rig.place.start(2, count, Path(name) / "state", tasks=("sweep",))
+        await asyncio.sleep(8.0)
+
+        async def look() -> list[tuple[float, float]]:
+            found = []
+            for child in rig.place.dispatchers:
+                said = await ask(child.said["asked_at"], "GET", "/leases")
+                assert child.process is not None
+                words = Path(f"/proc/{child.process.pid}/stat").read_text().rpartition(")")[2].split()
+                found.append((said["messages"], (int(words[11]) + int(words[12])) * 10.0))
+            return found
+
+        before, began = await look(), time.monotonic()
+        await asyncio.sleep(seconds)
+        after, took = await look(), time.monotonic() - began
+        await rig.place.stop()
+    rows = [((m2 - m1) / took, (c2 - c1) / took) for (m1, c1), (m2, c2) in zip(before, after, strict=True)]
+    voters, others = rows[:5], rows[5:]
+    return {"real_askers": count, "voter_messages_per_s": round(max(m for m, _ in voters), 1),
+            "voter_cpu_ms_per_s": round(max(c for _, c in voters), 1),
+            "other_messages_per_s": round(statistics.median(m for m, _ in others), 2),
+            "other_cpu_ms_per_s": round(statistics.median(c for _, c in others), 1)}
+
+
 def draw(file: Path, every: dict[str, list[float]], bound: float) -> None:
     import matplotlib
 
@@ -309,6 +337,8 @@
         for count in (7, 30, 200):
             for outage in (False, True):
                 print(json.dumps(lab_askers(count, 30.0, outage)), flush=True)
+        for count in (7, 30):
+            print(json.dumps(uvloop.run(real_askers(count, 20.0))), flush=True)
 
 
 if __name__ == "__main__":
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -26,10 +26,14 @@
 
 
 class Player:
-    """One run.  The seed settles arrivals, victims and the stand-ins' chance."""
+    """One run.  The seed settles arrivals, victims and the stand-ins' chance.  Raises `ValueError` for troubles that
+    the deployment has no place for."""
 
     def __init__(self, day: BadDay, deployment: Deployment, seed: int, out: Path,
                  log_level: str = "info", script: str = "") -> None:
+        if len(deployment.halls) < 2 and any(t.kind in ON_PEERS for t in day.trouble):
+            raise ValueError(f"{day.name}: troubles between dispatchers need dispatchers in different halls, "
+                             f"{deployment.name} has one")
         self._script = script
         self._day, self._deployment, self._out = day, deployment, out
         self._chance = np.random.default_rng([seed, 11])
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -461,7 +461,11 @@
     from kelptrail.badday.report import write
 
     day = _script(script)
-    player = Player(day, _settings(day.deployment), seed, out, context.obj["level"], script)
+    try:
+        player = Player(day, _settings(day.deployment), seed, out, context.obj["level"], script)
+    except ValueError as cause:
+        click.echo(f"{script}: {cause}", err=True)
+        sys.exit(UNUSABLE)
     clean = bool(_run(player.play()))
     events = read(out / "captures")
     report = write(out, day.name, seed, events, judge(events), clean, player.memory, player.states)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,6 +14,7 @@
 import pytest
 from program import DEPLOYMENT, PEERS, Voters, run
 
+from kelptrail.badday.player import Player
 from kelptrail.badday.script import load
 from kelptrail.codec.http import Request
 from kelptrail.lease.driver import Leases
@@ -243,6 +244,8 @@
     text = (ROOT / "examples" / "bad-days" / "leases.sexp").read_text()
     day = load(ROOT / "examples" / "bad-days" / "leases.sexp")
     assert day.dispatchers == 7 and day.tasks == ("sweep", "tally", "ledger") and any(t.one_way for t in day.trouble)
+    with pytest.raises(ValueError, match="different halls"):
+        Player(day, parse(DEPLOYMENT.replace("(halls a b)", "(halls a)"), "one"), 1, tmp_path)
     for old, new, word in (("(dispatchers 7)", "(dispatchers 4)", "5 dispatchers at least"),
                            ("(part 0.28) (ms 300)", "(part 0.28) (ms -300)", "only clock-step goes back"),
                            ("(one-way yes)", "(one-way perhaps)", "yes, no")):
@@ -257,7 +260,7 @@
 @pytest.mark.processes
 def test_a_short_campaign_between_real_processes_breaks_nothing(tmp_path: Path) -> None:
     done = subprocess.run([sys.executable, "-m", "kelptrail", "campaign", str(ROOT / "examples" / "fleet.sexp"),
-                           "--seeds", "3", "--at-once", "1", "--out", str(tmp_path)], cwd=ROOT, capture_output=True,
+                           "--seeds", "3", "--at-once", "3", "--out", str(tmp_path)], cwd=ROOT, capture_output=True,
                           text=True, timeout=150, check=False)
     found = json.loads(done.stdout)
     assert done.returncode == 0, (found, done.stderr[-2000:])
