The set of voters changes while the holder is cut off: tested on real connections

Change: the holder hears nothing while all voters take up the next set, another wins under a larger token, and the holder learns of the set once it hears again; the two tests that live by leases of a second run alone.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -82,6 +82,7 @@
                 lambda token, reason: held.append((leases.name, reason)))
 
 
+@pytest.mark.processes
 def test_on_sockets_one_holds_hands_over_and_believes_nothing_after_a_blocked_loop(tmp_path: Path) -> None:
     async def main() -> None:
         voters = Voters(FLEET, tmp_path)
@@ -120,6 +121,7 @@
     run(main())
 
 
+@pytest.mark.processes
 def test_the_next_set_of_voters_takes_over_and_askers_of_the_old_file_learn_of_it(tmp_path: Path) -> None:
     later = parse(DEPLOYMENT.replace("(pool (connect-ms 150))", "(pool (connect-ms 150))\n" + PEERS.replace(
         "(peer v2)", "(peer v2) (peer v3)").replace("(voters v0 v1 v2)",
@@ -129,19 +131,29 @@
     async def main() -> None:
         voters = Voters(FLEET, tmp_path)
         held: list[tuple[str, str]] = []
-        asker = voters.join("x").leases
+        cut_off = voters.join("x")
+        asker = cut_off.leases
         assert asker is not None
         hold(asker, held)
         await until(lambda: asker.holds("t"))
         before = asker.holds("t")
+        cut_off.peers.need(set())  # the holder hears nothing of the change
         voters.deployment = later
         for name in ("v0", "v1", "v2", "v3"):
             if name != "v3":
                 await voters.fleets.pop(0).stop()
             voters.join(name, voters.at.get(name, "127.0.0.1:0"))
-        await until(lambda: asker.asker.number == 2 and asker.holds("t") not in (None, before))
+        other = voters.join("y").leases
+        assert other is not None
+        hold(other, held)
+        await until(lambda: other.holds("t"))
+        between = other.holds("t")
+        assert before is not None and between is not None and between > before and asker.holds("t") is None
+        cut_off.peers.need({"v0", "v1", "v2"})
+        other.release("t")
+        await until(lambda: asker.asker.number == 2 and asker.holds("t"))
         after = asker.holds("t")
-        assert before is not None and after is not None and after > before and asker.asker.voters == ("v0", "v1", "v3")
+        assert after is not None and after > between and asker.asker.voters == ("v0", "v1", "v3")
         await voters.stop()
     run(main())
 
