--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -108,7 +108,9 @@
         if trouble.kind in ON_WORKERS:
             names = self._some([w for w in self._place.workers if w.running], trouble.part)
         elif trouble.kind == "kill-dispatchers" or trouble.kind in (*ON_DISKS, *ON_PEERS):
-            names = self._some(self._place.dispatchers, trouble.part)
+            names = self._some(self._place.dispatchers, trouble.part) if not trouble.hall else [
+                d for n, d in enumerate(self._place.dispatchers)
+                if self._deployment.halls[n % len(self._deployment.halls)] == trouble.hall]
         elif trouble.kind in ON_PLANNERS and self._place.planners:
             names = self._some(self._place.planners, trouble.part)
         self._capture.note("trouble", kind=trouble.kind, seconds=trouble.last, factor=trouble.factor,
--- a/kelptrail/badday/report.py
+++ b/kelptrail/badday/report.py
@@ -35,6 +35,7 @@
                   "order_wait_ms": deployment.pool.connect_ms, "free_loads": rules.free_loads,
                   "load_share": rules.load_share, "load_span_ms": rules.load_span_ms if rules.orders else 0.0},
         "clock_bound": deployment.leases.clock_bound if deployment.leases is not None else 0.0,
+        "copies": deployment.peers.copies if deployment.peers is not None else 0,
         "kept": deployment.journal.keep, "names": names, "workers": workers, "dispatchers": len(names)}
 
 
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -36,6 +36,7 @@
     type: str
     count: int
     one_way: bool
+    hall: str  # whose dispatchers it befalls, in place of a part
 
     def __init__(self, kind: str, at: float, **rest: object) -> None:
         for name, value in {"kind": kind, "at": at, "last": rest.pop("for"), **rest}.items():
@@ -80,6 +81,7 @@
     "type": word(default=""),
     "count": number(1, 100_000, whole=True, default=100),
     "one-way": yes_no(False),
+    "hall": word(default=""),
 }, ("kind",), build=Trouble)
 
 BAD_DAY = Shape({
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -323,6 +323,34 @@
         click.echo(f"{task}: {words}")
 
 
+@main.command(cls=_Examples, example="kelptrail copies 127.0.0.1:9001")
+@click.argument("control")
+@click.option("--json", "as_json", is_flag=True, help="All of it as JSON.")
+def copies(control: str, as_json: bool) -> None:
+    """What the dispatcher at CONTROL owns and holds for others, who has copies, how far behind, at risk since when."""
+    from kelptrail.codec.http import HttpError
+    from kelptrail.standin.place import ask
+
+    try:
+        status = _run(ask(control, "GET", "/copies"))
+    except (OSError, HttpError) as cause:
+        click.echo(f"{control}: {cause or type(cause).__name__}", err=True)
+        sys.exit(FAILED)
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
+        return
+    click.echo(f"{status['name']}, {status['copies']} copies: " + (
+        "new deferred calls are promised" if status["promising"] else "new deferred calls are refused"))
+    for book, own in status["owned"].items():
+        words = "all copies stand" if own["full"] else f"at risk for {own['at_risk_ms'] / 1000:.1f} s"
+        click.echo(f"owned {book}{' (current)' if own['current'] else ''}, under {own['token']}: {words}; whole at "
+                   + ", ".join(own["members"]) + f"; {own['waiting']} entries wait")
+        for name, way in own["holders"].items():
+            click.echo(f"  {name}: {way['stage']}, {way['behind']} batches and {way['bytes']} bytes behind")
+    for book, held in status["held"].items():
+        click.echo(f"held {book} for {held['owner']}, heard {held['heard_ms'] / 1000:.1f} s ago")
+
+
 @main.command(cls=_Examples, example="kelptrail demo --workers 6 --quiet-logs")
 @click.argument("file", default="examples/nursery.sexp")
 @click.option("--workers", type=click.IntRange(1, 200), help="Stand-in workers; default: the settings'.")
--- /dev/null
+++ b/kelptrail/copies/driver.py
@@ -0,0 +1,502 @@
+"""Carries out what owners and holder put out: messages on the channel, works on the disk, leases and their notes.
+
+Nothing is chosen here: whom a book goes to is `place`'s, which books to want is `Watch`'s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from kelptrail.clock import now_ms, wall_ms
+from kelptrail.lease.driver import Leases
+from kelptrail.lease.terms import Token
+from kelptrail.peers.driver import Peers
+from kelptrail.store.book import KINDS, Life
+from kelptrail.store.driver import JournalDriver
+from kelptrail.store.entries import Accepted, Entry, pack
+from kelptrail.store.journal import Journal
+
+from .holder import Holder, Work
+from .owner import Owner
+from .place import Member, ranked
+from .shelves import Reading, Shelves
+from .terms import (
+    PREFIX,
+    CopySettings,
+    Fenced,
+    Find,
+    Found,
+    Item,
+    Kept,
+    Members,
+    Message,
+    Open,
+    Put,
+    Shut,
+    Told,
+    note,
+    read_note,
+)
+from .watch import Watch
+
+SPEAKS = "copies"
+KINDS_OF = (Open, Put, Told, Kept, Fenced, Shut, Find, Found)
+TICK_MS = 25.0
+AT_ONCE = 200  # lives that are taken up in one go: a large book must not stop the loop
+FIND_MS = 300.0
+FEW = 32  # dispatchers that all keep links to each other
+
+
+class Held:
+    """A book that this process owns, as the gateway writes to it."""
+
+    def __init__(self, copies: Copies, core: Owner) -> None:
+        self._copies, self.core, self.book = copies, core, core.book
+        self.live = False  # what was in it has been taken up
+        self.note = 0  # number of the last one
+        self.lost_at = 0.0  # when its lease was lost last
+
+    def takes(self) -> bool:
+        """Whether a new call can be promised."""
+        return self.live and self.core.takes() and self.acting(now_ms())
+
+    def acting(self, now: float) -> bool:
+        """Whether what is in it may be acted on at this instant: the lease is looked at."""
+        return self.core.ready and not self.core.fenced and self._copies.leases.holds(
+            PREFIX + self.book) == self.core.token
+
+    def write(self, entry: Entry, waiter: Callable[[bool], None] | None = None, keep: bool = False) -> None:
+        """Write an entry; `keep` is what an owner does anyway."""
+        data, _ = pack(entry)
+        accepted = isinstance(entry, Accepted)
+        age = max(0.0, wall_ms() - entry.start) if isinstance(entry, Accepted) else 0.0
+        from_core = waiter if accepted or waiter is None else (lambda _full: waiter(True))
+        self.core.write([Item(entry.id, KINDS[type(entry)], age, data)], from_core)
+
+    def forget(self, id_: str) -> None:
+        """An activation whose record is no longer kept."""
+        self.core.write((), None, (id_,))
+
+
+class Copies:
+    """One process's books: those it owns, and those it holds for others.  `own`: where the books of its own runs are,
+    `others`: all others; one and the same where copies are on disk.  `members`: dispatchers that are known."""
+
+    def __init__(self, name: str, settings: CopySettings, take_ms: float, length_ms: float, peers: Peers,
+                 leases: Leases, own: Shelves, others: Shelves, members: Callable[[], list[Member]],
+                 log: Any) -> None:
+        self.name, self.settings, self._take_ms, self._length_ms = name, settings, take_ms, length_ms
+        self.leases, self._peers, self._members, self._log = leases, peers, members, log
+        self._loop = asyncio.get_running_loop()
+        self._own_shelves, self._other_shelves = own, others
+        self._disks = {id(shelves): JournalDriver(Journal(1_000_000), shelves, self.carry, log)
+                       for shelves in (own, others)}
+        self.holder = Holder(own.books() | others.books(), lambda book: self._at(book).disk)
+        self.books: dict[str, Held] = {}
+        self.current: Held | None = None  # the book that new calls go to
+        self.watch = Watch(name, take_ms, now_ms())
+        self._carrying = self._stopped = False
+        self._told = 0  # batches that were safe when that was last said
+        self._timer: asyncio.TimerHandle | None = None
+        self._ranked: tuple[tuple[Member, ...], tuple[str, ...]] = ((), ())
+        self._finding: dict[str, list[Callable[[str | None], None]]] = {}
+        self._pending: set[str] = set()  # those that somebody may come to have
+        self._taking: set[asyncio.Task[None]] = set()
+        self.own = ""  # where this dispatcher can be asked
+        self.taken_up = self.let_go = 0
+        # Set by who joins this to a gateway.
+        self.on_taken: Callable[[Held, list[Life]], None] = lambda held, lives: None
+        self.on_acts: Callable[[Held], None] = lambda held: None
+        self.on_lost: Callable[[Held], int] = lambda held: 0
+        self.has: Callable[[str], bool] = lambda id_: False
+        self.born: Callable[[str, str], bool] = lambda name, id_: False  # whether that dispatcher gave that id
+        self.progress: Callable[[], None] = lambda: None  # something may have become safe
+        peers.speak(SPEAKS, self._came, *KINDS_OF)
+
+    # Begin and end.
+
+    def start(self) -> None:
+        """Take up the own book of a run before, or begin one."""
+        own = [book for book, shelf in self.holder.shelves.items() if self._born_here(book)]
+        for book in own:
+            self._want(book)
+        if not own:
+            self._begin()
+        self._tick()
+
+    async def stop(self, within_ms: float) -> bool:
+        """Have what waits made safe, give the leases back and close; True if nothing was left."""
+        end = now_ms() + within_ms
+        while any(held.core.waiting for held in self.books.values()) and now_ms() < end:
+            await asyncio.sleep(0.01)
+        clean = not any(held.core.waiting for held in self.books.values())
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._taking:
+            task.cancel()
+        for book in list(self.watch.wanted):
+            self.leases.release(PREFIX + book)
+        for disk in self._disks.values():
+            await disk.close(500.0)
+        return clean
+
+    def ids(self) -> set[str]:
+        """Activations in any book here; before `start` only."""
+        return self._own_shelves.ids() | self._other_shelves.ids()
+
+    def promising(self) -> Held | None:
+        """The book that new calls go to."""
+        return self.current
+
+    def _at(self, book: str) -> Shelves:
+        return self._own_shelves if self._born_here(book) else self._other_shelves
+
+    def _write(self, work: Work | Reading, told: Callable[[bool], None] | None = None) -> None:
+        self._disks[id(self._at(work.book))].journal.write(work, told)
+
+    def _born_here(self, book: str) -> bool:
+        return book.rpartition(".")[0] == self.name
+
+    def _begin(self) -> None:
+        """A book of this run's own."""
+        book = f"{self.name}.{os.urandom(6).hex()}"
+        self._log.info("book-new", book=book)
+        self._want(book)
+
+    def _want(self, book: str) -> None:
+        self.watch.wants(book)
+        self.leases.want(PREFIX + book, self._length_ms, partial(self._won, book), partial(self._lost, book),
+                         partial(self._noted, book))
+
+    def _leave(self, book: str, to: str = "") -> None:
+        """Want it no more."""
+        self.watch.leaves(book)
+        self.leases.release(PREFIX + book, to)
+
+    # Leases.
+
+    def _won(self, book: str, token: Token) -> None:
+        try:
+            members = read_note(self.leases.noted(PREFIX + book))
+        except msgspec.MsgspecError as cause:
+            self._log.error("book-note-unreadable", book=book, reason=str(cause))
+            self._refuse(book, Members("", {}))
+            return
+        first = not members.owner and book not in self._at(book).digests
+        if not first and members.disks.get(self.name) != self._at(book).disk:
+            self._refuse(book, members)
+            return
+        held = self.books.get(book)
+        goes_on = held is not None and held.core.token.round > 0 and members.owner == self.name and (
+            self.holder.stands(book, held.core.token))
+        work = self.holder.own(book, token, self.name)
+        if work is None:
+            self._refuse(book, members)
+            return
+        if held is not None and not goes_on:
+            self._drop(held)
+        if not goes_on or held is None:
+            held = self.books[book] = Held(self, Owner(book, self.name, self._at(book).disk, self.settings,
+                                                       partial(self._digests, book)))
+        gone = {members.owner} - {self.name}
+        rest = {name: disk for name, disk in members.disks.items() if name not in gone}
+        work.wall_ms = wall_ms()
+        self._write(work, partial(self._owned, held, token, rest, members.owner))
+        self.carry()
+
+    def _digests(self, book: str) -> list[int]:
+        return self._at(book).digests_of(book)
+
+    def _refuse(self, book: str, members: Members) -> None:
+        """Not the whole of it is here: to one that has it, if any is heard; else it is asked for again later."""
+        heard = self._peers.heard()
+        to = next((name for name in sorted(members.disks) if name in heard), "")
+        self._log.warning("book-not-whole-here", book=book, members=sorted(members.disks), to=to)
+        self._leave(book, to)
+        self.watch.shuns(now_ms(), book)
+        if members.owner and not members.disks:  # it was closed: nobody needs what is here
+            self.holder.shelves.pop(book, None)
+            self._write(Work(book, shut=True))
+        self._begin_anew()
+
+    def _owned(self, held: Held, token: Token, members: Mapping[str, str], before: str, safe: bool) -> None:
+        if self.books.get(held.book) is not held or self.leases.holds(PREFIX + held.book) != token:
+            return
+        if not safe:
+            self._hand_over(held, "its disk fails")
+            return
+        held.core.won(now_ms(), token, members)
+        held.core.write((), partial(self._settled, held, token, before))
+        self.carry()
+
+    def _settled(self, held: Held, token: Token, before: str, _full: bool) -> None:
+        """All that the own disk has is safe: what is there may be acted on."""
+        if held.live:
+            self._log.info("book-goes-on", book=held.book, token=str(token))
+            self.on_acts(held)
+            return
+        reading = Reading(held.book, wall_ms=wall_ms())
+        self._write(reading, partial(self._read_lives, held, token, before, reading))
+
+    def _read_lives(self, held: Held, token: Token, before: str, reading: Reading, safe: bool) -> None:
+        if not safe:
+            self._hand_over(held, "its disk fails")
+            return
+        task = self._loop.create_task(self._take_up(held, token, before, reading))
+        self._taking.add(task)
+        task.add_done_callback(self._taking.discard)
+
+    async def _take_up(self, held: Held, token: Token, before: str, reading: Reading) -> None:
+        """The lives of a book go to the gateway, some at a time."""
+        began = now_ms()
+        # What can still be answered in time comes first; what has ended may wait.
+        lives = sorted(reading.lives, key=lambda life: (life.ended is not None, life.accepted.start))
+        for first in range(0, len(lives), AT_ONCE):
+            if self.books.get(held.book) is not held:
+                return
+            self.on_taken(held, lives[first:first + AT_ONCE])
+            await asyncio.sleep(0.001)
+        held.live = True
+        self.taken_up += len(lives)
+        if self._born_here(held.book) and (self.current is None or self.books.get(self.current.book) is None):
+            self.current = held
+        self._log.info("book-taken-up", book=held.book, token=str(token), calls=len(lives), before=before,
+                       damaged=reading.damaged, ms=round(now_ms() - began))
+        self.on_acts(held)
+        self.carry()
+
+    def _lost(self, book: str, token: Token, reason: str) -> None:
+        if (held := self.books.get(book)) is not None:
+            held.core.ready, held.lost_at = False, now_ms()
+
+    def _noted(self, book: str, token: Token, number: int) -> None:
+        held = self.books.get(book)
+        if held is not None and held.core.token == token and held.note == number:
+            held.core.noted(now_ms())
+            self.carry()
+
+    def _hand_over(self, held: Held, reason: str) -> None:
+        """To another member, if there is one: what is here may not be acted on any more."""
+        others = [name for name in sorted(held.core.members) if name != self.name and name in self._peers.heard()]
+        self._log.error("book-handed-over", book=held.book, reason=reason, to=others[0] if others else "")
+        self._end(held, others[0] if others else "")
+
+    def _end(self, held: Held, to: str = "") -> None:
+        self._drop(held)
+        self._leave(held.book, to)
+        self.watch.shuns(now_ms(), held.book)
+        self._begin_anew()
+
+    def _begin_anew(self) -> None:
+        if self.current is None and not any(self._born_here(book) for book in self.watch.wanted):
+            self._begin()
+
+    def _drop(self, held: Held) -> None:
+        """Nothing of it is acted on here any more."""
+        self.books.pop(held.book, None)
+        if self.current is held:
+            self.current = None
+        calls = self.on_lost(held)
+        self.let_go += calls
+        self._log.warning("book-let-go", book=held.book, token=str(held.core.token), calls=calls)
+
+    # Messages.
+
+    def _came(self, sender: str, message: Message) -> None:
+        now = now_ms()
+        self.watch.heard(sender, now)
+        if isinstance(message, Open | Put | Shut):
+            self.watch.put(message.book, now)
+            self.holder.received(sender, message)
+            for work in self.holder.work:
+                work.wall_ms = work.wall_ms or wall_ms()
+        elif isinstance(message, Told | Kept | Fenced):
+            if (held := self.books.get(message.book)) is not None:
+                held.core.received(now, sender, message)
+        elif isinstance(message, Find):
+            if self.has(message.id):
+                self._peers.send(sender, Found(message.id, self.own))
+            elif self.pending(message.id):
+                self._peers.send(sender, Found(message.id, ""))
+        elif message.at:
+            waiting, self._finding[message.id] = self._finding.get(message.id, []), []
+            for done in waiting:
+                done(message.at)
+        elif message.id in self._finding:
+            self._pending.add(message.id)
+        self.carry()
+
+    def pending(self, id_: str) -> bool:
+        """Whether a book of the dispatcher that gave the id is held here, and what is in it is not known yet."""
+        return any(self.born(book.rpartition(".")[0], id_) and (
+            (held := self.books.get(book)) is None or not held.live) for book in self.holder.shelves)
+
+    def find(self, id_: str, done: Callable[[str | None], None]) -> None:
+        """Ask who has an activation; `done` is told where; "" where somebody may come to have it, or cannot be heard;
+        None where nobody knows it."""
+        if id_ in self._finding:
+            self._finding[id_].append(done)
+            return
+        self._finding[id_] = [done]
+        for name in self._peers.heard():
+            self._peers.send(name, Find(id_))
+        self._loop.call_later(FIND_MS / 1000, self._not_found, id_)
+
+    def _not_found(self, id_: str) -> None:
+        missing = {member.name for member in self._members()} - self._peers.heard().keys() - {self.name}
+        pending = id_ in self._pending or bool(missing) or self.pending(id_)
+        self._pending.discard(id_)
+        for done in self._finding.pop(id_, []):
+            done("" if pending else None)
+
+    # Carrying out.
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        now, heard = now_ms(), self._peers.heard()
+        for name in heard:
+            self.watch.heard(name, now - heard[name])
+        ranking = self._ranking(heard)
+        for held in list(self.books.values()):
+            core = held.core
+            if core.token.round and self.leases.holds(PREFIX + held.book) == core.token:
+                for name in heard:
+                    core.heard(now, name)
+                core.seek(now, heard, ranking)
+                core.tick(now)
+            self._judge(held)
+        for book, shelf in list(self.holder.shelves.items()):
+            if book in self.books:
+                continue
+            if not self.watch.has(book):
+                if self.watch.is_due(now, book, shelf.owner):
+                    self._log.info("book-wanted", book=book, owner=shelf.owner)
+                    self._want(book)
+            elif self._others(book) and self._born_here(book):  # it was taken over: this run begins its own
+                self._leave(book)
+                self.watch.shuns(now, book)
+                self._begin_anew()
+            elif self.watch.is_back(now, book, shelf.owner):
+                self._leave(book)
+        self._reach(heard, ranking)
+        self.carry()
+        self._timer = self._loop.call_later(TICK_MS / 1000, self._tick)
+
+    def _judge(self, held: Held) -> None:
+        """What has become of a book that this process believes to own."""
+        core, now = held.core, now_ms()
+        if core.failed:
+            self._hand_over(held, "its disk fails")
+        elif core.fenced or (not core.ready and core.token.round and now - held.lost_at >= self._take_ms
+                             and self._others(held.book)):
+            self._end(held)
+        elif held is not self.current and held.live and core.ready and not core.waiting and not any(
+                self._digests(held.book)):
+            self._close(held)
+
+    def _others(self, book: str) -> bool:
+        """Whether another was last said to hold a book's lease."""
+        seen = self.leases.asker.seen.get(PREFIX + book)
+        return seen is not None and not seen[0].who.startswith(f"{self.name}/") and (
+            (held := self.books.get(book)) is None or seen[0] > held.core.token)
+
+    def _reach(self, heard: Iterable[str], ranking: tuple[str, ...]) -> None:
+        """Keep links up: to all in a small fleet, else to whom the books go."""
+        names = {m.name for m in self._members()}
+        if len(names) > FEW:
+            names = {*ranking[:self.settings.count + 2], *(n for h in self.books.values() for n in h.core.members)}
+        self.leases.reach(names, SPEAKS)
+
+    def _close(self, held: Held) -> None:
+        """All of a book that was taken over is forgotten: nobody needs to hold it any more."""
+        if not held.core.closing:
+            held.core.close()
+            return
+        if held.core.closed:
+            self._log.info("book-closed", book=held.book)
+            self.books.pop(held.book)
+            self._leave(held.book)
+            self.holder.shelves.pop(held.book, None)
+            self._write(Work(held.book, shut=True))
+
+    def _ranking(self, heard: Iterable[str]) -> tuple[str, ...]:
+        """Whom this dispatcher's books go to, the best first, of those that are heard."""
+        here = {*heard, self.name}
+        members = tuple(sorted((m for m in self._members() if m.name in here), key=lambda m: m.name))
+        if members != self._ranked[0]:
+            self._ranked = members, ranked(members, self.name, self.settings.count)
+        return self._ranked[1]
+
+    def carry(self) -> None:
+        """Everything that waits."""
+        if self._carrying or self._stopped:
+            return
+        self._carrying = True
+        try:
+            while self._step():
+                pass
+        finally:
+            self._carrying = False
+        for disk in self._disks.values():
+            disk.pump()
+        told = sum(held.core.batches_safe for held in self.books.values())
+        if told != self._told:
+            self._told = told
+            self.progress()
+
+    def _step(self) -> bool:
+        any_, now = False, now_ms()
+        while self.holder.work:
+            any_, work = True, self.holder.work.popleft()
+            self._write(work, partial(self.holder.written, work))
+        while self.holder.out:
+            any_ = True
+            to, answer = self.holder.out.popleft()
+            self._peers.send(to, answer)
+        for held in list(self.books.values()):
+            core = held.core
+            core.pump(now)
+            while core.locals:
+                any_, batch = True, core.locals.popleft()
+                self._write(Work(held.book, tuple(batch.items), tuple(batch.drops), wall_ms=wall_ms()),
+                            partial(core.written, batch))
+            while core.reads:
+                any_ = True
+                name, stream, bucket = core.reads.popleft()
+                reading = Reading(held.book, bucket, wall_ms())
+                self._write(reading, partial(self._bucket, core, name, stream, reading))
+            while core.out:
+                any_ = True
+                self._peers.send(*core.out.popleft())
+            while core.notes:
+                any_, members = True, core.notes.popleft()
+                held.note = self.leases.note(PREFIX + held.book, note(Members(self.name, members))) or 0
+        return any_
+
+    @staticmethod
+    def _bucket(core: Owner, name: str, stream: int, reading: Reading, safe: bool) -> None:
+        core.read(now_ms(), name, stream, reading.bucket, reading.items if safe else None)
+
+    # For operators.
+
+    def status(self) -> dict[str, Any]:
+        """What operators are shown."""
+        now = now_ms()
+        return {
+            "name": self.name, "copies": self.settings.count, "disk": self._own_shelves.disk,
+            "promising": self.current is not None and self.current.takes(),
+            "owned": {book: held.core.status(now) | {"current": held is self.current, "live": held.live}
+                      for book, held in sorted(self.books.items())},
+            "held": {book: {"owner": shelf.owner, "token": str(shelf.token), "safe": shelf.safe,
+                            "heard_ms": self.watch.since(now, shelf.owner)}
+                     for book, shelf in sorted(self.holder.shelves.items()) if book not in self.books},
+            "refused": self.holder.refused, "taken_up": self.taken_up, "let_go": self.let_go,
+            "disk_failing": any(disk.journal.failing for disk in self._disks.values())}
--- a/kelptrail/copies/place.py
+++ b/kelptrail/copies/place.py
@@ -58,6 +58,17 @@
     return out
 
 
+def ranked(members: Iterable[Member], owner: str, count: int) -> tuple[str, ...]:
+    """Whom an owner's books go to, the best first: its holders by `spread`, then the others by hash, other halls
+    first."""
+    every = {m.name: m for m in members}
+    first = spread(every.values(), count).get(owner, ())
+    hall = every[owner].hall if owner in every else ""
+    rest = sorted((m for m in every.values() if m.name not in first and m.name != owner),
+                  key=lambda m: (m.hall == hall, _rank(owner, m.name)))
+    return (*first, *(m.name for m in rest))
+
+
 def moves(before: dict[str, tuple[str, ...]], after: dict[str, tuple[str, ...]]) -> int:
     """Books that are to be copied anew: holders after that were none before."""
     return sum(len(set(names) - set(before.get(owner, ()))) for owner, names in after.items())
--- /dev/null
+++ b/kelptrail/copies/terms.py
@@ -0,0 +1,181 @@
+"""What an owner and those that hold its book say to each other, and the figures that both are built with.
+
+A *book* is what one run of a dispatcher holds for others.  It has one *owner* at a time, who holds the lease on it, and
+*members*: all that have the whole of it, the owner among them.  The list of members is kept as a note with the lease,
+so whoever holds the lease next knows who has the whole, also where a holder that was given up does not know that.
+Times are milliseconds; no message carries a time of day: ages count until a message was put out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import reduce
+from hashlib import blake2b
+from operator import xor
+from zlib import crc32
+
+import msgspec
+
+from kelptrail.lease.terms import Token
+
+BUCKETS = 256  # ranges of ids in which two books are compared
+DIGEST = 8  # bytes of each
+PREFIX = "book/"  # of the lease on a book
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of a book, `data` as `store.entries.pack` has it.  `age_ms`, when it was put out: since the call was
+    taken, or, of what may have run, since that was written."""
+
+    id: str
+    kind: int
+    age_ms: float
+    data: bytes
+
+
+class Open(msgspec.Struct, frozen=True, tag="copies-open", array_like=True):
+    """A stream of a book begins, under its owner's token; `stream` grows with each.  What do you have of it?"""
+
+    book: str
+    token: Token
+    stream: int
+
+
+class Put(msgspec.Struct, frozen=True, tag="put", array_like=True):
+    """The next of a stream: entries, and ids that are forgotten.  `bucket`: of it nothing but `only` is to be left, -1:
+    all is.  `check`: tell what the disk has of these buckets, from and up to.  `waited_ms`: since it was put out."""
+
+    book: str
+    token: Token
+    stream: int
+    number: int
+    items: tuple[Item, ...] = ()
+    drops: tuple[str, ...] = ()
+    bucket: int = -1
+    only: tuple[tuple[str, int], ...] = ()
+    check: tuple[int, int] = (0, 0)
+    waited_ms: float = 0.0
+
+
+class Told(msgspec.Struct, frozen=True, tag="copies-told", array_like=True):
+    """What a holder has, after `number` of a stream: digests of buckets from the `first` one on.  `disk`: the name of
+    its disk, never the same for two."""
+
+    book: str
+    token: Token
+    stream: int
+    number: int
+    first: int
+    digests: bytes
+    disk: str = ""
+
+
+class Kept(msgspec.Struct, frozen=True, tag="kept", array_like=True):
+    """All up to `number` of a stream is kept, as safe as the settings ask for."""
+
+    book: str
+    token: Token
+    stream: int
+    number: int
+
+
+class Fenced(msgspec.Struct, frozen=True, tag="fenced", array_like=True):
+    """A later token has been seen: nothing more is taken under an older one."""
+
+    book: str
+    token: Token
+
+
+class Shut(msgspec.Struct, frozen=True, tag="copies-shut", array_like=True):
+    """The holder is none of this book any more and may forget it; `stream` as in `Open`."""
+
+    book: str
+    token: Token
+    stream: int
+
+
+class Find(msgspec.Struct, frozen=True, tag="find", array_like=True):
+    """Who has this activation?"""
+
+    id: str
+
+
+class Found(msgspec.Struct, frozen=True, tag="found", array_like=True):
+    """Its record is at `at`; or, where that is empty, its book is held here and not taken up yet."""
+
+    id: str
+    at: str
+
+
+class Members(msgspec.Struct, frozen=True, array_like=True):
+    """The note with a book's lease: who owned it, and all that have the whole of it, each with the name of its disk.
+    Guards against one that comes back with an empty disk under its name and is taken to have the whole."""
+
+    owner: str
+    disks: dict[str, str]
+
+
+Answer = Told | Kept | Fenced
+Message = Open | Put | Told | Kept | Fenced | Shut | Find | Found
+
+_read_members = msgspec.msgpack.Decoder(Members).decode
+
+
+def note(members: Members) -> bytes:
+    """As it is left with the lease."""
+    return msgspec.msgpack.encode(members)
+
+
+def read_note(text: bytes) -> Members:
+    """What `note` made; nobody where there is none.  Raises `msgspec.MsgspecError`."""
+    return _read_members(text) if text else Members("", {})
+
+
+def bucket_of(id_: str) -> int:
+    """Of an activation."""
+    return crc32(id_.encode()) % BUCKETS
+
+
+def digest(id_: str, kind: int, crc: int) -> int:
+    """Of one entry, whose bytes have this CRC-32; a bucket's is that of all its entries, xor-ed."""
+    return int.from_bytes(blake2b(f"{id_}\0{kind}\0{crc}".encode(), digest_size=DIGEST).digest())
+
+
+def pack_digests(found: Iterable[int]) -> bytes:
+    """Digests of buckets as bytes."""
+    return b"".join(one.to_bytes(DIGEST) for one in found)
+
+
+def unpack_digests(data: bytes) -> list[int]:
+    """As they were."""
+    return [int.from_bytes(data[n:n + DIGEST]) for n in range(0, len(data), DIGEST)]
+
+
+def digests_of(items: Iterable[Item]) -> list[int]:
+    """Of all buckets, from entries."""
+    found: list[list[int]] = [[] for _ in range(BUCKETS)]
+    for item in items:
+        found[bucket_of(item.id)].append(digest(item.id, item.kind, crc32(item.data)))
+    return [reduce(xor, ones, 0) for ones in found]
+
+
+@dataclass(frozen=True, slots=True)
+class CopySettings:
+    """`count`: further dispatchers that hold each record; `short`: calls are promised with fewer, too; `again_ms`: what
+    was not answered is sent again; `slow_ms`: a holder that has not answered, or was not heard, for so long is given
+    up, and asked again after `pause_ms`; `most_bytes`: that wait for the slowest; `window_bytes`: out to one holder;
+    `fill_per_ms`: bytes of a holder that is filled up; `check_ms`: between two looks at a holder's disk, each at
+    `check_step` buckets."""
+
+    count: int = 0
+    short: bool = False
+    again_ms: float = 300.0
+    slow_ms: float = 1500.0
+    pause_ms: float = 3000.0
+    most_bytes: int = 64 << 20
+    window_bytes: int = 256 << 10
+    fill_per_ms: float = 20_000.0
+    check_ms: float = 1000.0
+    check_step: int = 8
+
--- /dev/null
+++ b/kelptrail/copies/watch.py
@@ -0,0 +1,62 @@
+"""Which books of others a holder wants to own: those whose owner has not been heard for a stated time; free of I/O."""
+
+from __future__ import annotations
+
+SHUN_MS = 2000.0  # after a book was refused or let go
+QUIET_MS = 5000.0  # some looks of an owner at a holder's disk
+
+
+class Watch:
+    """Who was heard when, by this process's clock; all count as heard at its start."""
+
+    def __init__(self, name: str, take_ms: float, now: float) -> None:
+        self._name, self._take_ms, self._start = name, take_ms, now
+        self._heard: dict[str, float] = {}
+        self._put: dict[str, float] = {}  # when an owner last wrote to a book
+        self._shunned: dict[str, float] = {}
+        self.wanted: set[str] = set()
+
+    def heard(self, name: str, when: float) -> None:
+        """A dispatcher was heard then."""
+        self._heard[name] = max(when, self._heard.get(name, self._start))
+
+    def put(self, book: str, now: float) -> None:
+        """Its owner has written to a book that is held here, or looked at it, as owners do all the time."""
+        self._put[book] = now
+
+    def _quiet(self, now: float, book: str) -> float:
+        return now - self._put.get(book, self._start)
+
+    def since(self, now: float, name: str) -> int:
+        """For how long one was not heard, ms."""
+        return 0 if name == self._name else round(now - self._heard.get(name, self._start))
+
+    def wants(self, book: str) -> None:
+        """The book's lease is asked for from now on."""
+        self.wanted.add(book)
+
+    def leaves(self, book: str) -> None:
+        """It is not, any more."""
+        self.wanted.discard(book)
+
+    def shuns(self, now: float, book: str) -> None:
+        """Not again for a while: guards against a book that is refused and won in turn."""
+        self._shunned[book] = now + SHUN_MS
+
+    def has(self, book: str) -> bool:
+        """Whether its lease is asked for."""
+        return book in self.wanted
+
+    def is_due(self, now: float, book: str, owner: str) -> bool:
+        """Whether a book that is held here should be owned here.  One whose last owner was this dispatcher is asked for
+        at once."""
+        if now < self._shunned.get(book, 0.0):
+            return False
+        # An owner that is heard and does not look at its book may have let it go, and nobody else may know.
+        return (owner == self._name or self.since(now, owner) >= self._take_ms
+                or self._quiet(now, book) >= self._take_ms + QUIET_MS)
+
+    def is_back(self, now: float, book: str, owner: str) -> bool:
+        """Whether its owner is heard again, and looks at it, before anybody else has it."""
+        return (owner != self._name and self.since(now, owner) < self._take_ms / 2
+                and self._quiet(now, book) < self._take_ms)
--- a/kelptrail/front/callers.py
+++ b/kelptrail/front/callers.py
@@ -9,6 +9,8 @@
 import base64
 import binascii
 import hmac
+from collections.abc import Callable
+from typing import Protocol
 
 from kelptrail.keys.names import digest, names_in
 from kelptrail.settings.deployment import Deployment, NamespaceSettings
@@ -16,6 +18,13 @@
 KNOWN = 4096  # sound headers kept so that they are not compared anew
 
 
+class Finder(Protocol):
+    """Asks other dispatchers."""
+
+    def find(self, id_: str, done: Callable[[str | None], None]) -> None:
+        """Who has an activation; see `Copies.find`."""
+
+
 class Callers:
     """The namespaces of a deployment by their credentials."""
 
--- a/kelptrail/front/inference/api.py
+++ b/kelptrail/front/inference/api.py
@@ -22,7 +22,7 @@
 from kelptrail.codec.grpc import Code, GrpcError
 from kelptrail.codec.infer import Payload
 from kelptrail.codec.tensors import JsonTensor, TensorError, fill, scalars, to_json, write_scalars
-from kelptrail.front.callers import Callers
+from kelptrail.front.callers import Callers, Finder
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
 from kelptrail.gateway.limits import WORDS
@@ -59,6 +59,7 @@
         self._loop = asyncio.get_running_loop()
         self._calls = 0
         self._trace_salt = os.urandom(8).hex()
+        self.copies: Finder | None = None  # who else may have an activation
         self.leaving = False  # the dispatcher drains: nothing new is taken
         self._unary: dict[str, tuple[Any, Callable[[GrpcStream, NamespaceSettings, Any], None]]] = {
             "ServerLive": (pb.ServerLiveRequest, self._live),
@@ -171,7 +172,7 @@
             if known is not None:
                 waits.join(known, deferred)
                 return
-        if deferred and gateway.journal is not None and not gateway.journal.takes():
+        if deferred and not gateway.promises():
             raise GrpcError(Code.UNAVAILABLE, "Deferred calls cannot be kept safe at the moment; the call was not "
                             "taken.", 1000.0, "NOT_TAKEN")
         who = self.admit(caller, action, payload, key)
@@ -236,6 +237,9 @@
     def _poll(self, stream: GrpcStream, caller: NamespaceSettings, request: Any, id_: str, wait: Any) -> None:
         gateway = self._driver.gateway
         record = gateway.records.get(caller.name, id_)
+        if record is None and self.copies is not None and not gateway.records.has(id_):
+            self.copies.find(id_, lambda at: self._looked_for(stream, at))
+            return
         if record is None:
             peer = gateway.members.asked_at(id_)
             told = {"asked_at": peer.address} if peer is not None else {}
@@ -252,6 +256,21 @@
             raise GrpcError(Code.UNAVAILABLE, "The activation is in hand and has no result yet.", 1000.0, "IN_HAND")
         waits.long_poll(ivk, min(float(wait), self._deployment.front.longest_wait_ms))
 
+    @staticmethod
+    def _looked_for(stream: GrpcStream, at: str | None) -> None:
+        """What others said of an activation that is not here."""
+        if stream.ended:
+            return
+        if at:
+            stream.fail(GrpcError(Code.NOT_FOUND, "Another dispatcher has the activation now.", reason="ELSEWHERE",
+                                  told={"asked_at": at}))
+        elif at is None:
+            stream.fail(GrpcError(Code.NOT_FOUND, "No dispatcher knows the activation: it never was, or is no longer "
+                                  "kept, or all that held it are lost.", reason="UNKNOWN_ID"))
+        else:
+            stream.fail(GrpcError(Code.UNAVAILABLE, "The activation is not known yet: whoever may have it is being "
+                                  "taken over, or cannot be heard.", 1000.0, "NOT_YET"))
+
     def response(self, record: Record, id_: str, raw: bool, result: bytes,
                  **more: str | int | float | bool) -> Any:
         """A record's result, or a part of one, as a response.  Raises `GrpcError` where a worker's tensors are none."""
@@ -360,12 +379,15 @@
         """The id once the call's record is safe."""
         if not self._stream.ended:
             self._api._driver.gateway.promise(ivk, lambda safe: self._promised(ivk, safe))
-            if self._api._driver.journal is not None:
-                self._api._driver.journal.pump()
+            self._api._driver.pump()
 
-    def _promised(self, ivk: Ivk, safe: bool) -> None:
+    def _promised(self, ivk: Ivk, safe: bool | None) -> None:
         if safe:
             self.deferred(ivk.record)
+        elif safe is None:
+            if not self._stream.ended:
+                self._stream.fail(GrpcError(Code.UNKNOWN, "Another dispatcher has taken over; whether it has this call "
+                                            f"is not known here.  Ask for {ivk.record.id} before a repeat."))
         elif not self._stream.ended:
             self._stream.fail(GrpcError(Code.UNAVAILABLE, "The call could not be kept safe and was not taken.", 1000.0,
                                         "NOT_TAKEN"))
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -22,7 +22,7 @@
 from kelptrail.codec.events import CONTENT_TYPE as EVENT_STREAM
 from kelptrail.codec.events import encode_event
 from kelptrail.codec.http import Request
-from kelptrail.front.callers import Callers
+from kelptrail.front.callers import Callers, Finder
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
 from kelptrail.gateway.limits import WORDS
@@ -34,6 +34,7 @@
 from . import views
 
 MOST_LISTED = 200
+UNKNOWN = "Another dispatcher has taken over; whether it has this call is not known here.  Ask before a repeat."
 IN_HAND = "The activation is in hand and has no result yet."
 
 
@@ -68,6 +69,7 @@
         self._requests = 0
         self._trace_salt = os.urandom(8).hex()
         self.own = ""  # where this dispatcher can be asked for what it took, whoever holds the front address
+        self.copies: Finder | None = None  # who else may have an activation
         self.leaving = False  # the dispatcher drains: nothing new is taken
 
     def handle(self, request: Request, exchange: Exchange) -> None:
@@ -179,7 +181,7 @@
             raise ApiError(400, "A streamed call is blocking and takes no Idempotency-Key.")
         if flows and request.version == "1.0":
             raise ApiError(406, "HTTP/1.0 has no streamed answers.")
-        if not blocking and gateway.journal is not None and not gateway.journal.takes():
+        if not blocking and not gateway.promises():
             raise ApiError(503, "Deferred calls cannot be kept safe at the moment; the call was not taken.",
                            {"retry-after": "1"})
         who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
@@ -303,6 +305,9 @@
             exchange.reply(200, views.encode([show(r) for r in islice(found, skip, skip + limit)]))
             return
         record = records.get(caller.name, rest[0])
+        if record is None and self.copies is not None and not records.has(rest[0]):
+            self._look_for(request, exchange, rest[0])
+            return
         if record is None:
             raise self._not_here(request, rest[0])
         if request.method == "DELETE":
@@ -323,6 +328,27 @@
             raise ApiError(404, IN_HAND, {"retry-after": "1"})
         self._long_poll(exchange, ivk, wait_ms, shown)
 
+    def _look_for(self, request: Request, exchange: Exchange, id_: str) -> None:
+        """Others may have taken it over: ask them, and lead the client there."""
+        code = f"{self._boot[:8]}{self._requests:x}"
+
+        def found(at: str | None) -> None:
+            if exchange.replied or exchange.gone:
+                return
+            if at:
+                exchange.reply(307, views.error(f"The activation is at {at} now; ask there.", code),
+                               {"location": f"http://{at}{request.target}"})
+            elif at is None:
+                exchange.reply(404, views.error("No dispatcher knows the activation: it never was, or is no longer "
+                                                "kept, or all that held it are lost.", code))
+            else:
+                exchange.reply(404, views.error("The activation is not known yet: whoever may have it is being taken "
+                                                "over, or cannot be heard.", code, known="not-yet"),
+                               {"retry-after": "1"})
+
+        assert self.copies is not None
+        self.copies.find(id_, found)
+
     def _not_here(self, request: Request, id_: str) -> ApiError:
         """Of what others may have in hand nothing is said but where to ask; `boot` starts with our own prefix."""
         if id_[:PREFIX] == self._boot[:PREFIX]:
@@ -401,12 +427,14 @@
         """202 once the call's record is safe; 503 where it cannot be."""
         if not self._exchange.replied:
             self._api._driver.gateway.promise(ivk, lambda safe: self._promised(ivk, safe))
-            if self._api._driver.journal is not None:
-                self._api._driver.journal.pump()
+            self._api._driver.pump()
 
-    def _promised(self, ivk: Ivk, safe: bool) -> None:
+    def _promised(self, ivk: Ivk, safe: bool | None) -> None:
         if safe:
             self.deferred(ivk.record)
+        elif safe is None:
+            if not self._exchange.replied:
+                self._exchange.reply(500, views.error(UNKNOWN, "unknown", activationId=ivk.record.id))
         elif not self._exchange.replied:
             self._exchange.reply(503, views.error("The call could not be kept safe and was not taken.", "journal"),
                                  {"retry-after": "1"})
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -95,6 +95,7 @@
         self._swept = 0.0
         self.sight = LinkSight()
         self.journal: JournalDriver | None = None
+        self.copies: Callable[[], None] | None = None  # starts what waits to be copied
         self.debug = False
         self.tls: Callable[[], ssl.SSLContext] | None = None  # towards workers
 
@@ -193,8 +194,7 @@
                     self._log.warning("unusual", what=effect.text)
         finally:
             self._stirring = False
-        if self.journal is not None:
-            self.journal.pump()
+        self.pump()
         if self._after:
             ready, self._after = self._after, []
             for after in ready:
@@ -212,6 +212,13 @@
             self._armed = due
             self._timer = self._loop.call_later(max(0.0, due - now_ms()) / 1000, self._rung)
 
+    def pump(self) -> None:
+        """Start what waits to be made safe."""
+        if self.journal is not None:
+            self.journal.pump()
+        if self.copies is not None:
+            self.copies()
+
     def _rung(self) -> None:
         now = now_ms()
         if now - self._armed > BEHIND_MS:
@@ -232,7 +239,12 @@
         return pool
 
     def _start(self, ivk: Ivk, send: Send) -> None:
-        pool, record = self._pool(send.copy.worker), ivk.record
+        record = ivk.record
+        if record.book is not None and not record.book.acting(now_ms()):
+            # Looked at right before the write: another may have the book since the send was decided.
+            self.gateway.answered(now_ms(), send, Outcome.UNSENT)
+            return
+        pool = self._pool(send.copy.worker)
         parameters: dict[str, str | int | float | bool] = {
             "dispatcher": self.name, "activation": record.id, "send": send.number,
             "limit_ms": round(send.act.deadline - send.sent, 1)}  # past it a worker does not begin
--- a/kelptrail/gateway/lifecycle.py
+++ b/kelptrail/gateway/lifecycle.py
@@ -191,18 +191,25 @@
         self.out -= 1
         self._settled()
 
-    def lasts(self) -> None:
-        """Its client goes on with the id, so from here on it is kept; what may have run is written, too."""
+    def lasts(self, moved: bool = False) -> None:
+        """Its client goes on with the id, so from here on it is kept; what may have run is written, too.  `moved`: what
+        was kept of it is written anew, elsewhere."""
         if self.final:
             raise IllegalStepError("it has its final answer")
         self.owed = True
-        if self.kept:
+        if self.kept and not moved:
             return
         self.kept = True
+        self.record = self.may_run = Safe.NO
         self.ask_record()
-        if (self.sends or self.out) and not self.repeatable:
+        if (self.sends or self.out or self.held) and not self.repeatable:
             self._ask(Need.MAY_RUN)
 
+    def let_go(self) -> None:
+        """Another dispatcher goes on with it: nothing more is written, answered or shown here."""
+        self._needs.clear()
+        self.stage = Stage.SHOWN
+
     def finish(self) -> bool:
         """The one final answer is decided; True if it may be shown at once, else `end` is asked for."""
         if self.final:
--- a/kelptrail/gateway/records.py
+++ b/kelptrail/gateway/records.py
@@ -6,9 +6,28 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import takewhile
+from typing import Any, Protocol
+
+
+class Keeping(Protocol):
+    """A book that other dispatchers hold copies of, as its owner writes to it."""
+
+    def takes(self) -> bool:
+        """Whether a new call can be promised."""
+
+    def acting(self, now: float) -> bool:
+        """Whether what is in it may be acted on at this instant."""
+
+    def write(self, entry: Any, waiter: Callable[[bool], None] | None = None, keep: bool = False) -> None:
+        """Write an entry.  `waiter` is told once it is safe: True, or, of what was accepted, False where fewer have it
+        than was asked for; never, where the book is lost before."""
+
+    def forget(self, id_: str) -> None:
+        """An activation whose record is no longer kept."""
+
 
 ANSWERS = {"completed": 0, "rejected": 1, "aborted": 2}
 STATUS = ("success", "application error", "action developer error", "whisk internal error")
@@ -43,6 +62,7 @@
     deferred: bool = False  # its client was given the id and will ask
     told: bool = False  # its final answer was shown
     logs: list[str] = field(default_factory=list)
+    book: Keeping | None = None  # where it is kept, if not on this dispatcher's disk alone
 
     @property
     def final(self) -> bool:
@@ -123,6 +143,22 @@
             if self.on_drop is not None:
                 self.on_drop(record)
 
+    def of(self, book: Keeping) -> list[Record]:
+        """All that a book keeps."""
+        return [record for record in self._by_id.values() if record.book is book]
+
+    def take_out(self, records: Iterable[Record]) -> None:
+        """Another dispatcher has them from now on."""
+        gone = {record.id for record in records}
+        self._ended = deque(kept for kept in self._ended if kept[1].id not in gone)
+        for id_ in gone:
+            if (record := self._by_id.pop(id_, None)) is not None and record.final:
+                self._bytes -= record.size
+
+    def has(self, id_: str) -> bool:
+        """Whether a record is here, whoever's it is."""
+        return id_ in self._by_id
+
     def get(self, namespace: str, id_: str) -> Record | None:
         """A record of a namespace, or None."""
         record = self._by_id.get(id_)
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -511,7 +511,7 @@
             number = wish.number
             ivk.waiters.append(lambda ended: self._waited(wish, number, ended))
 
-    def _promised(self, dispatcher: LabDispatcher, wish: Wish, ivk: Ivk, safe: bool) -> None:
+    def _promised(self, dispatcher: LabDispatcher, wish: Wish, ivk: Ivk, safe: bool | None) -> None:
         if safe:
             ivk.waiters.clear()
             self._accepted(wish, ivk.record.id)
--- a/kelptrail/lease/driver.py
+++ b/kelptrail/lease/driver.py
@@ -55,7 +55,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._carrying = self._stopped = False
         self._voters = settings.voters
-        self._reached: set[str] = set()
+        self._reached: dict[str, set[str]] = {}
         self.messages = 0
         self.passes: Callable[[str], None] = lambda step: None  # for crash tests: a step that a voter has come to
         peers.speak(SPEAKS, self._came, *KINDS)
@@ -79,6 +79,11 @@
         self._need()
         self.carry()
 
+    def leave(self, prefix: str) -> None:
+        """Give back all tasks but those whose names begin so."""
+        for task in [task for task in self.asker.wishes if not task.startswith(prefix)]:
+            self.release(task)
+
     async def stop(self) -> None:
         """Give back what is held, and end."""
         for task in list(self.asker.wishes):
@@ -118,10 +123,12 @@
         wish = self.asker.wishes.get(task)
         return wish.noted.text if wish is not None else b""
 
-    def reach(self, names: set[str]) -> None:
-        """Keep links up to these, too: whoever is acted on under a lease."""
-        self._reached = names
-        self._need()
+    def reach(self, names: set[str], whose: str) -> None:
+        """Keep links up to these, too: whoever is acted on under a lease.  `whose` wish that is, in place of the one
+        before."""
+        if self._reached.get(whose) != names:
+            self._reached[whose] = names
+            self._need()
 
     # Carrying out.
 
@@ -202,7 +209,8 @@
 
     def _need(self) -> None:
         self._voters = self.asker.voters
-        every = {*self._voters, *self._reached, *(self.settings.before if self.voter is not None else ())}
+        every = {*self._voters, *(self.settings.before if self.voter is not None else ())}
+        every = every.union(*self._reached.values())
         self._peers.need(every)
 
     def _arm(self) -> None:
--- a/kelptrail/roster/client.py
+++ b/kelptrail/roster/client.py
@@ -31,6 +31,7 @@
         self._wait_ms, self._pause_ms = wait_ms, pause_ms
         self.own = ""  # where this dispatcher can be asked for what it took
         self.channel = ""  # where its channel to other dispatchers listens
+        self.hall = ""  # where it stands
         self.listing: Listing | None = None
         self.saved = True  # whether the last list could be kept
 
@@ -54,6 +55,7 @@
             known = f"{self.listing.lineage}:{self.listing.version}" if self.listing else ""
             try:
                 response = await errand.ask("GET", f"/workers?who={self._who}&at={self.own}&channel={self.channel}"
+                                            f"&hall={self.hall}"
                                             f"&known={known}&wait={self._wait_ms:g}", timeout_ms=self._wait_ms + 3000)
                 if response.status == 304:
                     continue
--- a/kelptrail/roster/members.py
+++ b/kelptrail/roster/members.py
@@ -32,11 +32,13 @@
 
 
 class Peer(msgspec.Struct, frozen=True):
-    """A dispatcher that follows the list, where it can be asked for what it took, and where its channel listens."""
+    """A dispatcher that follows the list, where it can be asked for what it took, where its channel listens, and where
+    it stands."""
 
     name: str
     address: str
     channel: str = ""
+    hall: str = ""
 
 
 class Listing(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/kelptrail/service/carry.py
@@ -0,0 +1,36 @@
+"""Joins books with copies to the gateway that acts on what is in them."""
+
+from __future__ import annotations
+
+from kelptrail.clock import now_ms, wall_ms
+from kelptrail.copies.driver import Copies, Held
+from kelptrail.gateway.core import Gateway
+from kelptrail.gateway.driver import Driver
+from kelptrail.roster.members import PREFIX, id_prefix
+from kelptrail.store.book import Life
+
+
+def carry_on(copies: Copies | None, gateway: Gateway, driver: Driver, at_once: int, least_ms: float) -> None:
+    """New deferred calls go to this process's book, what is taken over to the gateway; `at_once`, `least_ms`: as after
+    a restart.  None: there is nowhere to keep copies, and nothing is promised."""
+    if copies is None:
+        gateway.promising = lambda: None
+        return
+
+    def taken(held: Held, lives: list[Life]) -> None:
+        gateway.recover(now_ms(), wall_ms(), lives, least_ms, at_once, held)
+        driver.stir_soon()
+
+    def acts(held: Held) -> None:
+        gateway.acts(held)
+        driver.stir_soon()
+
+    def lost(held: Held) -> int:
+        count = gateway.let_go(held)
+        driver.stir_soon()
+        return count
+
+    gateway.promising, driver.copies = copies.promising, copies.carry
+    copies.on_taken, copies.on_acts, copies.on_lost, copies.has = taken, acts, lost, gateway.records.has
+    copies.progress = driver.stir_soon
+    copies.born = lambda name, id_: id_prefix(name) == id_[:PREFIX]
--- a/kelptrail/service/control.py
+++ b/kelptrail/service/control.py
@@ -17,7 +17,7 @@
 
 
 class Control:
-    """`GET /state`, `GET /vrrp`, `GET /leases` and `GET /usage`."""
+    """`GET /state`, `GET /vrrp`, `GET /leases`, `GET /usage` and `GET /copies`."""
 
     def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None,
                  keepers: dict[str, TlsKeeper] | None = None,
@@ -37,6 +37,10 @@
             exchange.reply(200, msgspec.json.encode(self._more["leases"]() | {"peers": self._more["peers"]()}))
         elif request.path == "/leases":
             exchange.reply(404, b'{"error":"no leases section in the settings"}')
+        elif request.path == "/copies" and "copies" in self._more:
+            exchange.reply(200, msgspec.json.encode(self._more["copies"]()))
+        elif request.path == "/copies":
+            exchange.reply(404, b'{"error":"no copies in the settings"}')
         elif request.path == "/usage" and "usage" in self._more:
             exchange.reply(200, msgspec.json.encode(self._more["usage"]()))
         elif request.path == "/vrrp":
--- a/kelptrail/service/fleet.py
+++ b/kelptrail/service/fleet.py
@@ -7,12 +7,17 @@
 from pathlib import Path
 from typing import Any
 
+from kelptrail.copies.driver import Copies
+from kelptrail.copies.place import Member
+from kelptrail.copies.shelves import Shelves, open_shelves
+from kelptrail.copies.terms import CopySettings
 from kelptrail.lease.driver import Leases
 from kelptrail.lease.terms import LeaseSettings
 from kelptrail.peers.driver import Peers
 from kelptrail.peers.link import LinkSettings
 from kelptrail.roster.members import Listing
 from kelptrail.settings.deployment import Deployment, LeasesPlan, PeersPlan
+from kelptrail.store.book import BookError
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +31,7 @@
     at: dict[str, str] = field(default_factory=dict)
     state: Path | None = None
     vfs: str | None = None
+    hall: str = ""
 
 
 def link_settings(plan: PeersPlan) -> LinkSettings:
@@ -40,6 +46,13 @@
                          plan.retry_ms, plan.gap_ms, plan.reserve_ms, plan.first_round)
 
 
+def copy_settings(plan: PeersPlan) -> CopySettings:
+    """The copies' figures as owners take them."""
+    return CopySettings(plan.copies, plan.copies_short == "promise", slow_ms=plan.slow_ms,
+                        again_ms=min(300.0, plan.slow_ms / 4), pause_ms=2 * plan.slow_ms,
+                        window_bytes=int(plan.most_kb * 1024) // 4, fill_per_ms=plan.fill_kb_per_s * 1.024)
+
+
 class Fleet:
     """One process's part.  Raises `ValueError` where it is a voter and has nowhere to keep what it promises."""
 
@@ -51,6 +64,8 @@
         self.length_ms = leases.length_ms if leases is not None else 0.0
         self.peers = Peers(options.name, deployment.name, link_settings(plan), self.where, log)
         self.leases: Leases | None = None
+        self.copies: Copies | None = None
+        self._halls = {peer.name: peer.hall for peer in plan.peer}
         if leases is None:
             return
         self.leases = Leases(options.name, options.run, lease_settings(leases), self.peers, log)
@@ -59,6 +74,27 @@
                 raise ValueError(f"{options.name} is a voter and needs --state: its promises are kept there")
             self.leases.vote(options.state / "leases.sqlite", options.vfs)
 
+    def hold(self, plan: PeersPlan, log: Any) -> None:
+        """Copies of what is held for others, in the state folder.  Where they cannot be had there, none are held and
+        nothing is promised."""
+        options, state = self._options, self._options.state
+        if state is None or self.leases is None:
+            raise ValueError(f"{options.name} keeps copies and needs --state")
+        try:
+            own, aside = open_shelves(state / "copies.sqlite", options.vfs)
+            others = own if plan.copies_in == "disk" else Shelves(None)
+        except BookError as cause:
+            log.error("copies-unusable", reason=str(cause))
+            return
+        if aside is not None:
+            log.error("copies-set-aside", file=str(aside))
+        self.copies = Copies(options.name, copy_settings(plan), plan.take_ms, self.length_ms, self.peers, self.leases,
+                             own, others, self.members, log)
+
+    def members(self) -> list[Member]:
+        """Dispatchers that are known, and where they stand."""
+        return [Member(name, self._halls.get(name, "")) for name in sorted({*self.names(), self._options.name})]
+
     def where(self, name: str) -> str:
         """A peer's address; empty while it is not known."""
         for known in (self._options.at, self._stated, self._listed):
@@ -73,6 +109,7 @@
     def listed(self, listing: Listing) -> None:
         """The worker list names dispatchers, too."""
         self._listed = {peer.name: peer.channel for peer in listing.dispatchers if peer.channel}
+        self._halls |= {peer.name: peer.hall for peer in listing.dispatchers if peer.hall}
 
     def start(self) -> None:
         """Take part.  Raises `OSError` where the channel's address cannot be had."""
@@ -82,6 +119,8 @@
         self.peers.start()
         if self.leases is not None:
             self.leases.start()
+        if self.copies is not None:
+            self.copies.start()
 
     async def stop(self) -> None:
         """Give back leases and close links."""
@@ -94,4 +133,6 @@
         shown: dict[str, Callable[[], Any]] = {"peers": self.peers.status}
         if self.leases is not None:
             shown["leases"] = self.leases.status
+        if self.copies is not None:
+            shown["copies"] = self.copies.status
         return shown
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -17,6 +17,7 @@
 from kelptrail.background.core import SchedulerSettings
 from kelptrail.background.driver import Background
 from kelptrail.clock import now_ms, wall_ms
+from kelptrail.copies.terms import PREFIX as BOOKS
 from kelptrail.front.callers import Callers
 from kelptrail.front.inference.api import InferenceApi
 from kelptrail.front.invoke.api import InvokeApi
@@ -39,6 +40,7 @@
 from kelptrail.store.journal import Journal
 
 from .build import grpc_limits, limits, tls_keeper
+from .carry import carry_on
 from .control import Control
 from .fleet import Fleet, FleetOptions
 from .standing import Standing
@@ -160,21 +162,29 @@
     second = second_door()
     server = first_door(api.handle)
     last = options.state / "last-list.json" if options.state is not None else None
+    fleet: Fleet | None = None
+    if deployment.peers is not None:
+        stated = {peer.name: peer.at for peer in deployment.peers.peer}.get(options.name)
+        fleet = Fleet(deployment, FleetOptions(
+            options.name, os.urandom(4).hex(), options.peers or stated or f"{options.host}:0", options.at,
+            options.state, disk.vfs_name if disk else None, options.hall), log)
+        if deployment.peers.copies:
+            fleet.hold(deployment.peers, log)
+            carry_on(fleet.copies, gateway, driver, settings.resume_at_once,
+                     2 * deployment.dispatcher.answer_margin_ms)
+            api.copies = inference.copies = fleet.copies
     if book is not None and journal is not None:
         driver.journal = JournalDriver(journal, book, driver.stir_soon, log)
         gateway.on_forget = driver.journal.forget
         began = now_ms()
         # Half the margin is the least in which a run is worth beginning, as little time as a send and its answer take.
-        found = gateway.recover(began, wall_ms(), book.lives(), 2 * deployment.dispatcher.answer_margin_ms,
+        # What moved on to a book with copies is found there.
+        moved = fleet.copies.ids() if fleet is not None and fleet.copies is not None else set()
+        lives = (life for life in book.lives() if life.accepted.id not in moved)
+        found = gateway.recover(began, wall_ms(), lives, 2 * deployment.dispatcher.answer_margin_ms,
                                 settings.resume_at_once)
         log.info("recovered", ms=round(now_ms() - began), damaged=book.damaged, **found)
     listed = asyncio.Event()
-    fleet: Fleet | None = None
-    if deployment.peers is not None:
-        stated = {peer.name: peer.at for peer in deployment.peers.peer}.get(options.name)
-        fleet = Fleet(deployment, FleetOptions(
-            options.name, os.urandom(4).hex(), options.peers or stated or f"{options.host}:0", options.at,
-            options.state, disk.vfs_name if disk else None), log)
     plans: PlanFollower | None = None
     inner: PlannerProgram | None = None
 
@@ -202,7 +212,7 @@
         fleet.start()
         if usage is not None:
             usage.start()
-        roster.channel = fleet.peers.address
+        roster.channel, roster.hall = fleet.peers.address, options.hall
         if fleet.leases is not None and options.witness:
             trial = Trial(fleet.leases, options.witness, options.tasks, fleet.length_ms)
             trial.start()
@@ -216,6 +226,8 @@
     background.add("collect", collector.step, 9, 60_000.0, 600_000.0, 0.05)
     port = server.listen(options.host, options.port, options.shared_port)
     api.own, roster.own = f"{'https' if http_tls else 'http'}://{server.address}", server.address
+    if fleet is not None and fleet.copies is not None:
+        fleet.copies.own = server.address
     if driver.journal is not None:
         background.add("compact", driver.journal.compact, 7, 2000.0, 30_000.0)
     if keepers:
@@ -278,13 +290,17 @@
     if usage is not None:
         usage.stop()
     if fleet is not None and fleet.leases is not None:
-        await fleet.leases.stop()
+        fleet.leases.leave(BOOKS)  # books are owned until what is in them is over
     if standing is not None:
         await standing.stop()
     answered = await driver.drain(end - now_ms())
     # Whoever was given an id may still ask, at our own address.
     while gateway.records.untold(now_ms() - within) and now_ms() < end:
         await asyncio.sleep(0.05)
+    if fleet is not None and fleet.copies is not None:
+        answered = await fleet.copies.stop(max(500.0, end - now_ms())) and answered
+    if fleet is not None and fleet.leases is not None:
+        await fleet.leases.stop()
     if driver.journal is not None:
         answered = await driver.journal.close(max(500.0, end - now_ms())) and answered
     closed = await second.drain(max(100.0, min(1000.0, end - now_ms())))
--- a/kelptrail/service/usage.py
+++ b/kelptrail/service/usage.py
@@ -139,7 +139,7 @@
         self._collector = None
         if self._timer is not None:
             self._timer.cancel()
-        self._leases.reach(set())
+        self._leases.reach(set(), SPEAKS)
 
     def _turn(self) -> None:
         """Tell what the last turn came to, begin the next; the lease is looked at right before."""
@@ -147,7 +147,7 @@
         if collector is None or self._leases.holds(TASK) != collector.token:
             return
         names = self._names() - {self._leases.name}
-        self._leases.reach(names)
+        self._leases.reach(names, SPEAKS)
         if collector.turn:
             total = collector.total()
             for name in names:
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -302,10 +302,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerPlan:
-    """A dispatcher that is known by name; `at`: where its channel listens, if the worker list does not tell."""
+    """A dispatcher that is known by name; `at`: where its channel listens, `hall`: where it stands, if the worker list
+    does not tell."""
 
     name: str
     at: str
+    hall: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -318,6 +320,13 @@
     connect_ms: float
     most_kb: float
     per_s: float
+    copies: int  # further dispatchers that hold each deferred call
+    copies_in: str  # where they have it: on "disk" or in "memory"
+    copies_short: str  # with fewer: "refuse" new deferred calls, or "promise" them all the same
+    copies_kb: float  # a larger body is not promised
+    take_ms: float  # an owner that is not heard for so long is taken to be lost
+    slow_ms: float  # a holder that does not answer for so long is replaced
+    fill_kb_per_s: float  # pace at which a holder is filled up
 
 
 @dataclass(frozen=True, slots=True)
@@ -539,12 +548,19 @@
 }, build=PlannerPlan)
 
 PEERS = Shape({
-    "peer": Many(Shape({"at": word(default="")}, ("name",), PeerPlan)),
+    "peer": Many(Shape({"at": word(default=""), "hall": word(default="")}, ("name",), PeerPlan)),
     "beat-ms": _ms(50, 60_000, 500.0),
     "silent-ms": _ms(100, 600_000, 3000.0),
     "connect-ms": _ms(10, 60_000, 1000.0),
     "most-kb": number(1, 1e6, default=1024.0),
     "per-s": number(1, 1e6, default=2000.0),
+    "copies": number(0, 4, whole=True, default=0),
+    "copies-in": word(("disk", "memory"), "disk"),
+    "copies-short": word(("refuse", "promise"), "refuse"),
+    "copies-kb": number(1, 1e6, default=256.0),
+    "take-ms": _ms(100, 600_000, 1500.0),
+    "slow-ms": _ms(50, 600_000, 1500.0),
+    "fill-kb-per-s": number(1, 1e7, default=20_000.0),
 }, build=PeersPlan)
 
 LEASES = Shape({
@@ -690,6 +706,11 @@
         if form.head == "planner" and (within := _value(form, "within")) and within[0] == "yes" and not any(
                 f.head == "leases" for f in parts):
             checker.fault(within[1], "within yes", "(leases ...) beside it: planners act under a lease")
+        if form.head == "peers" and (copies := _value(form, "copies")) and _number(copies[0]):
+            if not any(f.head == "leases" for f in parts):
+                checker.fault(copies[1], f"copies {copies[0]}", "(leases ...) beside it: a book is owned under a lease")
+            if any((keep := _value(f, "keep")) and keep[0] == "no" for f in parts if f.head == "journal"):
+                checker.fault(copies[1], f"copies {copies[0]}", "(journal (keep yes)): what is copied is kept")
         if form.head == "leases":
             _across_leases(checker, form, next((f for f in parts if f.head == "peers"), None))
         if form.head == "namespace":
--- a/kelptrail/store/recovery.py
+++ b/kelptrail/store/recovery.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
 from .book import Life
 
@@ -94,6 +95,17 @@
         self._out += 1
         return first
 
+    def add(self, found: list[Resume], since_ms: float) -> None:
+        """More that was found, so long after `judge` was asked about the first."""
+        later = [replace(r, left_ms=r.left_ms + since_ms,
+                         again_ms=None if r.again_ms is None else r.again_ms + since_ms) for r in found]
+        self._left = deque(sorted([*self._left, *later], key=lambda r: -r.weight))
+
+    def drop(self, ids: Iterable[str]) -> None:
+        """Others go on with these."""
+        gone = set(ids)
+        self._left = deque(r for r in self._left if r.life.accepted.id not in gone)
+
     def ended(self) -> None:
         """One that was resumed has its final answer."""
         self._out -= 1
