--- a/kelptrail/badday/campaign.py
+++ b/kelptrail/badday/campaign.py
@@ -1,7 +1,9 @@
 """Campaigns: many bad days drawn from seeds, played through real processes and judged; what they came to in one table.
 
 A day of the campaign on leases has five to seven dispatchers in three halls, three or five of them voters, two tasks
-that all want, and five to seven troubles between them that overlap: at most instants three or more are on.
+that all want, and five to seven troubles between them that overlap: at most instants three or more are on.  A day of
+the campaign on copies has seven dispatchers, most calls deferred, machines lost with their disks (never more than the
+copies cover at once) and four to six other troubles that overlap.
 """
 
 from __future__ import annotations
@@ -53,10 +55,42 @@
     return deployment, script
 
 
-async def _one(seed: int, settings: str, out: Path) -> dict[str, Any]:
+WITH_LOSSES = ("kill-dispatchers", "cut-peers", "cut-peers", "one-way", "slow-peers", "reset-peers",
+               "pause-dispatchers", "clock-rate", "clock-step", "disk-fails", "disk-full", "disk-slow")
+COPIES_SECONDS, COPIES_LOAD = 30.0, 25.0
+
+
+def copies_day(seed: int, settings: str) -> tuple[str, str]:
+    """A drawn day of losses: its deployment, which is `settings`, with one copy or two, and its script."""
+    chance = np.random.default_rng([seed, 26])
+    dispatchers, copies = 7, int(chance.integers(1, 3))
+    first = float(chance.uniform(5, 8))
+    losses = [(first, int(chance.integers(1, copies + 1))), (first + 11.0, 1)]
+    troubles = [f"  (trouble lose-machines (at {at:.1f}) (for {chance.uniform(2, 5):.1f}) "
+                f"(part {count / dispatchers:.2f}))" for at, count in losses]
+    count = int(chance.integers(4, 7))
+    for number, kind in enumerate(chance.choice(WITH_LOSSES, count)):
+        at = first - 2.0 + 9.0 * number / count + float(chance.uniform(0, 1))
+        last, part = float(chance.uniform(2.0, 4.5)), round(float(chance.choice([1, 2])) / dispatchers, 2)
+        more = {"one-way": "(one-way yes)", "slow-peers": f"(ms {chance.integers(20, 400)}) (share 0.3)",
+                "reset-peers": "(share 0.5)", "disk-slow": "(ms 300)",
+                "clock-step": f"(ms {chance.choice([60_000, -60_000])})",
+                "clock-rate": f"(factor {1 + BOUND * float(chance.choice([1, -1])):g})"}
+        name = "cut-peers" if kind == "one-way" else kind
+        troubles.append(f"  (trouble {name} (at {at:.1f}) (for {last:.1f}) (part {part}) {more.get(kind, '')})")
+    script = f"""(bad-day copies-{seed} (deployment "fleet-{seed}.sexp") (seconds {COPIES_SECONDS:g}) (workers 3)
+  (dispatchers {dispatchers}) (load (rate {COPIES_LOAD:g}) (deferred 0.8))
+""" + "\n".join(troubles) + ")\n"
+    return settings.replace("(copies 2)", f"(copies {copies})"), script
+
+
+DAYS = {"leases": leases_day, "copies": copies_day}
+
+
+async def _one(seed: int, settings: str, out: Path, kind: str) -> dict[str, Any]:
     folder = out / f"{seed:03d}"
     folder.mkdir(parents=True, exist_ok=True)
-    deployment, script = leases_day(seed, settings)
+    deployment, script = DAYS[kind](seed, settings)
     (folder / f"fleet-{seed}.sexp").write_text(deployment)
     (folder / "day.sexp").write_text(script)
     process = await asyncio.create_subprocess_exec(
@@ -75,17 +109,18 @@
             "holders": sum(len(t["spans"]) for t in report["leases"].values()),
             "details": report["details"][:5],
             **{name: report[name] for name in ("taken", "acts", "old_tokens_refused", "holders_two_by_clocks",
-                                               "lost_with_disk", "lost_with_dispatcher")}}
+                                               "lost_with_disk", "lost_with_dispatcher", "not_taken", "completed",
+                                               "rejected", "aborted")}}
 
 
-async def play(seeds: list[int], settings: Path, out: Path, at_once: int,
+async def play(kind: str, seeds: list[int], settings: Path, out: Path, at_once: int,
                done: Callable[[dict[str, Any]], None]) -> list[dict[str, Any]]:
     """Play all seeds, some at once; a row each, in order, also in `campaign.json`."""
     text, gate = settings.read_text(), asyncio.Semaphore(at_once)
 
     async def one(seed: int) -> dict[str, Any]:
         async with gate:
-            row = await _one(seed, text, out)
+            row = await _one(seed, text, out, kind)
             done(row)
             return row
 
@@ -99,7 +134,7 @@
     good = [row for row in rows if "failed" not in row]
     sums = {name: sum(row[name] for row in good) for name in (
         "taken", "acts", "holders", "old_tokens_refused", "holders_two_by_clocks", "lost_with_disk",
-        "lost_with_dispatcher")}
+        "lost_with_dispatcher", "completed", "rejected", "aborted")}
     breaches: dict[str, int] = {}
     for row in good:
         for name, count in row["broken"].items():
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -24,6 +24,8 @@
 from .report import world_of
 from .script import ON_DISKS, ON_PEERS, ON_PLANNERS, ON_STORE, ON_WORKERS, BadDay, Trouble
 
+READY_S = 20.0  # for voters to found themselves and books to be won
+
 
 class Player:
     """One run.  The seed settles arrivals, victims and the stand-ins' chance.  Raises `ValueError` for troubles that
@@ -59,6 +61,8 @@
         await self._place.start(day.workers, day.dispatchers, self._out / "state", day.planners, day.solver,
                                 day.tasks)
         self._capture.note("world", **world_of(deployment, [d.name for d in self._place.dispatchers], day.workers))
+        if deployment.peers is not None and deployment.peers.copies:
+            await self._promising(READY_S)
         addresses = [d.said["address"] for d in self._place.dispatchers]
         second = [d.said["grpc"] for d in self._place.dispatchers]
         clients: Clients | None = None
@@ -95,6 +99,13 @@
                 self.states.append(await ask(dispatcher.said["asked_at"], "GET", "/state"))
         return await self._place.stop()
 
+    async def _promising(self, within_s: float) -> None:
+        """Wait until all dispatchers have their copies, as whoever starts a place would before letting clients in."""
+        end = now_ms() + within_s * 1000
+        for dispatcher in self._place.dispatchers:
+            while now_ms() < end and not (await ask(dispatcher.said["asked_at"], "GET", "/copies"))["promising"]:
+                await asyncio.sleep(0.1)
+
     async def _watch(self) -> None:
         while True:
             pids = [d.process.pid for d in self._place.dispatchers if d.running and d.process is not None]
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -511,12 +511,14 @@
 @click.option("--at-once", default=3, show_default=True, type=click.IntRange(1, 64))
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for days, reports and captures.")
 def campaign(settings: Path, seeds: int, first: int, at_once: int, out: Path) -> None:
-    """Play drawn bad days of leases between real processes.  Exit 6 where any of them broke a rule."""
+    """Play drawn bad days between real processes: of copies where the settings have any, else of leases.  Exit 6 where
+    any of them broke a rule."""
     from kelptrail.badday.campaign import play, total
 
-    _settings(str(settings))
+    peers = _settings(str(settings)).peers
+    kind = "copies" if peers is not None and peers.copies else "leases"
     with click.progressbar(length=seeds, label="days", file=sys.stderr) as bar:
-        rows = _run(play(list(range(first, first + seeds)), settings, out, at_once, lambda _row: bar.update(1)))
+        rows = _run(play(kind, list(range(first, first + seeds)), settings, out, at_once, lambda _row: bar.update(1)))
     found = total(rows)
     click.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
     for row in rows:
