Calls under keys and lost promises are asked for at all who can be heard

Others: a dispatcher that was stopped for three seconds took all others for lost when it went on; an owner that lost its lease as no majority was heard let its book go because another had been granted it for a moment; a book given back for a member that did not want it stayed without owner for seconds.

A key that is not known here is asked for at all who can be heard before a deferred call is taken anew, 307 to who has it, 503 while a book without owner may have it. Questions are a core of their own (copies/questions.py) and take the word of all for a no. Watch shifts its times by a late look; an owner without lease asks members whether another acts, and lets go on their word alone; whoever is not whole tells the member to want the book.

--- a/kelptrail/copies/driver.py
+++ b/kelptrail/copies/driver.py
@@ -25,6 +25,7 @@
 from .holder import Holder, Work
 from .owner import Owner
 from .place import Member, ranked
+from .questions import HERE, NO, PENDING, Questions
 from .shelves import Reading, Shelves
 from .terms import (
     PREFIX,
@@ -39,6 +40,7 @@
     Open,
     Put,
     Shut,
+    Take,
     Told,
     note,
     read_note,
@@ -46,10 +48,11 @@
 from .watch import Watch
 
 SPEAKS = "copies"
-KINDS_OF = (Open, Put, Told, Kept, Fenced, Shut, Find, Found)
+KINDS_OF = (Open, Put, Told, Kept, Fenced, Shut, Take, Find, Found)
 TICK_MS = 25.0
 AT_ONCE = 200  # lives that are taken up in one go: a large book must not stop the loop
 FIND_MS = 300.0
+KEY = "key:"
 FEW = 32  # dispatchers that all keep links to each other
 
 
@@ -60,7 +63,7 @@
         self._copies, self.core, self.book = copies, core, core.book
         self.live = False  # what was in it has been taken up
         self.note = 0  # number of the last one
-        self.lost_at = 0.0  # when its lease was lost last
+        self.probe_at = 0.0  # when members may be asked whether another owns it
 
     def takes(self) -> bool:
         """Whether a new call can be promised."""
@@ -105,8 +108,7 @@
         self._told = 0  # batches that were safe when that was last said
         self._timer: asyncio.TimerHandle | None = None
         self._ranked: tuple[tuple[Member, ...], tuple[str, ...]] = ((), ())
-        self._finding: dict[str, list[Callable[[str | None], None]]] = {}
-        self._pending: set[str] = set()  # those that somebody may come to have
+        self._questions = Questions(FIND_MS)
         self._taking: set[asyncio.Task[None]] = set()
         self.own = ""  # where this dispatcher can be asked
         self.taken_up = self.let_go = 0
@@ -220,6 +222,8 @@
         to = next((name for name in sorted(members.disks) if name in heard), "")
         self._log.warning("book-not-whole-here", book=book, members=sorted(members.disks), to=to)
         self._leave(book, to)
+        if to:
+            self._peers.send(to, Take(book))
         self.watch.shuns(now_ms(), book)
         if members.owner and not members.disks:  # it was closed: nobody needs what is here
             self.holder.shelves.pop(book, None)
@@ -264,6 +268,7 @@
             self.on_taken(held, lives[first:first + AT_ONCE])
             await asyncio.sleep(0.001)
         held.live = True
+        self.watch.welcome(held.book)
         self.taken_up += len(lives)
         if self._born_here(held.book) and (self.current is None or self.books.get(self.current.book) is None):
             self.current = held
@@ -274,7 +279,7 @@
 
     def _lost(self, book: str, token: Token, reason: str) -> None:
         if (held := self.books.get(book)) is not None:
-            held.core.ready, held.lost_at = False, now_ms()
+            held.core.ready = False
 
     def _noted(self, book: str, token: Token, number: int) -> None:
         held = self.books.get(book)
@@ -291,6 +296,8 @@
     def _end(self, held: Held, to: str = "") -> None:
         self._drop(held)
         self._leave(held.book, to)
+        if to:
+            self._peers.send(to, Take(held.book))
         self.watch.shuns(now_ms(), held.book)
         self._begin_anew()
 
@@ -320,41 +327,35 @@
         elif isinstance(message, Told | Kept | Fenced):
             if (held := self.books.get(message.book)) is not None:
                 held.core.received(now, sender, message)
+        elif isinstance(message, Take):
+            if message.book in self.holder.shelves and not self.watch.has(message.book):
+                self.watch.welcome(message.book)
+                self._want(message.book)
         elif isinstance(message, Find):
-            if self.has(message.id):
-                self._peers.send(sender, Found(message.id, self.own))
-            elif self.pending(message.id):
-                self._peers.send(sender, Found(message.id, ""))
-        elif message.at:
-            waiting, self._finding[message.id] = self._finding.get(message.id, []), []
-            for done in waiting:
-                done(message.at)
-        elif message.id in self._finding:
-            self._pending.add(message.id)
+            if self.has(message.what):
+                self._peers.send(sender, Found(message.what, HERE, self.own))
+            else:
+                self._peers.send(sender, Found(message.what, PENDING if self._pending(message.what) else NO))
+        else:
+            self._questions.answered(sender, message.what, message.state, message.at)
         self.carry()
 
-    def pending(self, id_: str) -> bool:
-        """Whether a book of the dispatcher that gave the id is held here, and what is in it is not known yet."""
-        return any(self.born(book.rpartition(".")[0], id_) and (
-            (held := self.books.get(book)) is None or not held.live) for book in self.holder.shelves)
-
-    def find(self, id_: str, done: Callable[[str | None], None]) -> None:
-        """Ask who has an activation; `done` is told where; "" where somebody may come to have it, or cannot be heard;
-        None where nobody knows it."""
-        if id_ in self._finding:
-            self._finding[id_].append(done)
-            return
-        self._finding[id_] = [done]
-        for name in self._peers.heard():
-            self._peers.send(name, Find(id_))
-        self._loop.call_later(FIND_MS / 1000, self._not_found, id_)
-
-    def _not_found(self, id_: str) -> None:
-        missing = {member.name for member in self._members()} - self._peers.heard().keys() - {self.name}
-        pending = id_ in self._pending or bool(missing) or self.pending(id_)
-        self._pending.discard(id_)
-        for done in self._finding.pop(id_, []):
-            done("" if pending else None)
+    def _pending(self, what: str) -> bool:
+        """Whether it may be in a book that is held here and that nobody who is heard owns."""
+        return any((what.startswith(KEY) or self.born(book.rpartition(".")[0], what)) and (
+            not self.books[book].live if book in self.books
+            else shelf.owner == self.name or self.watch.since(now_ms(), shelf.owner) >= self._take_ms / 2)
+            for book, shelf in self.holder.shelves.items())
+
+    def find(self, what: str, done: Callable[[str | None], None]) -> None:
+        """Ask who has an activation, by its id, or the call under a key: see `Find`.  `done` is told where; "" where
+        somebody may come to have it; None where nobody has it."""
+        heard = self._peers.heard().keys()
+        # What is under a key is nobody's who cannot be heard: whoever holds that one's book says so until it is his.
+        unheard = not what.startswith(KEY) and any(m.name not in heard and m.name != self.name for m in self._members())
+        if self._questions.ask(now_ms(), what, heard, unheard or self._pending(what), done):
+            for name in heard:
+                self._peers.send(name, Find(what))
 
     # Carrying out.
 
@@ -362,6 +363,7 @@
         if self._stopped:
             return
         now, heard = now_ms(), self._peers.heard()
+        self.watch.looked(now, TICK_MS)
         for name in heard:
             self.watch.heard(name, now - heard[name])
         ranking = self._ranking(heard)
@@ -381,12 +383,14 @@
                     self._log.info("book-wanted", book=book, owner=shelf.owner)
                     self._want(book)
             elif self._others(book) and self._born_here(book):  # it was taken over: this run begins its own
+                shelf.owner = self.leases.asker.seen[PREFIX + book][0].who.partition("/")[0]
                 self._leave(book)
                 self.watch.shuns(now, book)
                 self._begin_anew()
             elif self.watch.is_back(now, book, shelf.owner):
                 self._leave(book)
         self._reach(heard, ranking)
+        self._questions.tick(now)
         self.carry()
         self._timer = self._loop.call_later(TICK_MS / 1000, self._tick)
 
@@ -395,9 +399,12 @@
         core, now = held.core, now_ms()
         if core.failed:
             self._hand_over(held, "its disk fails")
-        elif core.fenced or (not core.ready and core.token.round and now - held.lost_at >= self._take_ms
-                             and self._others(held.book)):
+        elif core.fenced is not None:
+            self.holder.shelves[held.book].owner = core.fenced.who.partition("/")[0]
             self._end(held)
+        elif not core.ready and core.token.round and now >= held.probe_at and self._others(held.book):
+            held.probe_at = now + self.settings.again_ms  # who was told to hold the lease may not have acted
+            core.probe()
         elif held is not self.current and held.live and core.ready and not core.waiting and not any(
                 self._digests(held.book)):
             self._close(held)
--- a/kelptrail/copies/owner.py
+++ b/kelptrail/copies/owner.py
@@ -99,7 +99,8 @@
         self.reads: deque[tuple[str, int, int]] = deque()  # holder, stream, bucket of the own disk
         self.notes: deque[dict[str, str]] = deque()  # members and their disks, to be left with the lease
         self.ready = False  # the first note under this token is kept: it may act
-        self.fenced = self.failed = False  # another owns it; the own disk has failed
+        self.fenced: Token | None = None  # under which another owns it
+        self.failed = False  # the own disk has
         self.noting: dict[str, str] | None = None
         self.short_since: float | None = None  # since when fewer than wanted have the whole
         self.risk_ms = 0.0  # for how long that was so, before that
@@ -117,7 +118,7 @@
 
     def won(self, now: float, token: Token, members: Mapping[str, str]) -> None:
         """The book is owned under this token; `members` as the note has them, without who is lost for sure."""
-        self.token, self.ready, self.fenced = token, False, False
+        self.token, self.ready, self.fenced = token, False, None
         self._left |= self.ways.keys()
         self.ways, self.noting = {}, None
         self.members = {**members, self.me: self.disk}
@@ -141,6 +142,13 @@
             self.short_since = now
         self._settle()
 
+    def probe(self) -> None:
+        """Without the lease: ask members whether another owns the book already; they tell by a later token."""
+        for name in self.members:
+            if name != self.me:
+                self._streams += 1
+                self.out.append((name, Open(self.book, self.token, self._streams)))
+
     @property
     def full(self) -> bool:
         """Whether as many have the whole as the settings ask for."""
@@ -283,7 +291,8 @@
     def received(self, now: float, holder: str, answer: Answer) -> None:
         """A holder's answer; one to another stream says nothing here."""
         if isinstance(answer, Fenced):
-            self.fenced = self.fenced or answer.token > self.token
+            if answer.token > self.token:
+                self.fenced = max(answer.token, self.fenced or NONE)
             return
         way = self.ways.get(holder)
         if way is None or (answer.token, answer.stream) != (self.token, way.stream):
--- a/kelptrail/copies/terms.py
+++ b/kelptrail/copies/terms.py
@@ -95,17 +95,24 @@
     stream: int
 
 
+class Take(msgspec.Struct, frozen=True, tag="copies-take", array_like=True):
+    """The lease on a book was given back for whom this is sent to: want it now."""
+
+    book: str
+
+
 class Find(msgspec.Struct, frozen=True, tag="find", array_like=True):
-    """Who has this activation?"""
+    """Who has this: an activation by its id, or the call under a key as `key:NAMESPACE/ACTION/KEY`?"""
 
-    id: str
+    what: str
 
 
 class Found(msgspec.Struct, frozen=True, tag="found", array_like=True):
-    """Its record is at `at`; or, where that is empty, its book is held here and not taken up yet."""
+    """It is here, at `at`; or may come to be; or is not: see `questions`."""
 
-    id: str
-    at: str
+    what: str
+    state: str
+    at: str = ""
 
 
 class Members(msgspec.Struct, frozen=True, array_like=True):
@@ -117,7 +124,7 @@
 
 
 Answer = Told | Kept | Fenced
-Message = Open | Put | Told | Kept | Fenced | Shut | Find | Found
+Message = Open | Put | Told | Kept | Fenced | Shut | Take | Find | Found
 
 _read_members = msgspec.msgpack.Decoder(Members).decode
 
--- a/kelptrail/copies/watch.py
+++ b/kelptrail/copies/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-SHUN_MS = 2000.0  # after a book was refused or let go
+SHUN_MS, MOST_SHUN_MS = 2000.0, 60_000.0  # after a book was refused or let go, twice as long each time
 QUIET_MS = 5000.0  # some looks of an owner at a holder's disk
 
 
@@ -13,9 +13,20 @@
         self._name, self._take_ms, self._start = name, take_ms, now
         self._heard: dict[str, float] = {}
         self._put: dict[str, float] = {}  # when an owner last wrote to a book
-        self._shunned: dict[str, float] = {}
+        self._shunned: dict[str, tuple[float, float]] = {}  # until when, and for how long that was
+        self._last = now
         self.wanted: set[str] = set()
 
+    def looked(self, now: float, every_ms: float) -> None:
+        """A look at what is due, one each `every_ms`.  One that comes late counts as if it were in time: guards against
+        a process that was stopped, and takes all others for lost when it goes on."""
+        late = now - self._last - 2 * every_ms
+        if late > every_ms:
+            self._start += late
+            self._heard = {name: when + late for name, when in self._heard.items()}
+            self._put = {book: when + late for book, when in self._put.items()}
+        self._last = now
+
     def heard(self, name: str, when: float) -> None:
         """A dispatcher was heard then."""
         self._heard[name] = max(when, self._heard.get(name, self._start))
@@ -41,7 +52,13 @@
 
     def shuns(self, now: float, book: str) -> None:
         """Not again for a while: guards against a book that is refused and won in turn."""
-        self._shunned[book] = now + SHUN_MS
+        _, before = self._shunned.get(book, (0.0, SHUN_MS / 2))
+        pause = min(MOST_SHUN_MS, 2 * before)
+        self._shunned[book] = now + pause, pause
+
+    def welcome(self, book: str) -> None:
+        """It may be had here."""
+        self._shunned.pop(book, None)
 
     def has(self, book: str) -> bool:
         """Whether its lease is asked for."""
@@ -50,7 +67,7 @@
     def is_due(self, now: float, book: str, owner: str) -> bool:
         """Whether a book that is held here should be owned here.  One whose last owner was this dispatcher is asked for
         at once."""
-        if now < self._shunned.get(book, 0.0):
+        if now < self._shunned.get(book, (0.0, 0.0))[0]:
             return False
         # An owner that is heard and does not look at its book may have let it go, and nobody else may know.
         return (owner == self._name or self.since(now, owner) >= self._take_ms
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -13,6 +13,7 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from itertools import islice
 from typing import Any
 
@@ -35,6 +36,7 @@
 
 MOST_LISTED = 200
 UNKNOWN = "Another dispatcher has taken over; whether it has this call is not known here.  Ask before a repeat."
+LOOKS, LOOK_MS = 15, 500.0  # how often others are asked for a call whose book another has taken, and how far apart
 IN_HAND = "The activation is in hand and has no result yet."
 
 
@@ -157,7 +159,26 @@
             self._routes[request.method, request.target] = route
         self._invoke(request, exchange, caller, route)
 
-    def _invoke(self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route) -> None:
+    def _key_looked_for(self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route,
+                        at: str | None) -> None:
+        """What others said of a client's key that is not known here."""
+        code = f"{self._boot[:8]}{self._requests:x}"
+        if exchange.replied or exchange.gone:
+            return
+        if at:
+            exchange.reply(307, views.error(f"The call under this key is at {at} now; ask there.", code),
+                           {"location": f"http://{at}{request.target}"})
+        elif at is None:
+            try:
+                self._invoke(request, exchange, caller, route, False)
+            except ApiError as cause:
+                exchange.reply(cause.status, views.error(str(cause), code, **cause.more), cause.headers)
+        else:
+            exchange.reply(503, views.error("Whether a call under this key was taken is not known yet; nothing was "
+                                            "done.", code), {"retry-after": "1"})
+
+    def _invoke(self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route,
+                first: bool = True) -> None:
         action, blocking = route.action, route.blocking
         if self.leaving:
             raise ApiError(503, "This dispatcher is closing; the call was not taken.", {"retry-after": "1"})
@@ -184,6 +205,11 @@
         if not blocking and not gateway.promises():
             raise ApiError(503, "Deferred calls cannot be kept safe at the moment; the call was not taken.",
                            {"retry-after": "1"})
+        if key is not None and not blocking and self.copies is not None and first:
+            # The same key may have been promised elsewhere, by one that is lost.
+            self.copies.find(f"key:{caller.name}/{action.path}/{key}", partial(
+                self._key_looked_for, request, exchange, caller, route))
+            return
         who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
         if (refused := gateway.door(now_ms(), caller.name, action.path, len(payload), who)) is not None:
             reason, back = refused
@@ -433,19 +459,40 @@
         if safe:
             self.deferred(ivk.record)
         elif safe is None:
-            if not self._exchange.replied:
-                self._exchange.reply(500, views.error(UNKNOWN, "unknown", activationId=ivk.record.id))
+            self._taken_over(ivk.record, LOOKS)
         elif not self._exchange.replied:
             self._exchange.reply(503, views.error("The call could not be kept safe and was not taken.", "journal"),
                                  {"retry-after": "1"})
             self._api.cannot_promise(ivk)
 
-    def deferred(self, record: Record) -> None:
-        """202 with the id, unless the final answer has been given."""
+    def _taken_over(self, record: Record, looks: int) -> None:
+        """Another dispatcher has the book that the call may be in: ask until that is known."""
+        copies = self._api.copies
+        if copies is None or looks == 0:
+            if not self._exchange.replied:
+                self._exchange.reply(500, views.error(UNKNOWN, "unknown", activationId=record.id))
+            return
+
+        def found(at: str | None) -> None:
+            if self._exchange.replied or self._exchange.gone:
+                return
+            if at:
+                self.deferred(record, f"http://{at}")
+            elif at is None:  # nobody has it: whoever owns the book now has looked
+                self._exchange.reply(503, views.error("The call could not be kept safe and was not taken.", "journal"),
+                                     {"retry-after": "1"})
+            else:
+                self._api._loop.call_later(LOOK_MS / 1000, self._taken_over, record, looks - 1)
+
+        copies.find(record.id, found)
+
+    def deferred(self, record: Record, at: str = "") -> None:
+        """202 with the id, unless the final answer has been given; `at`: whom to ask, if not this dispatcher."""
         if not self._exchange.replied:
             headers = {"x-openwhisk-activation-id": record.id}
-            if self._api.own:
-                headers["location"] = f"{self._api.own}/api/v1/namespaces/{record.namespace}/activations/{record.id}"
+            if at or self._api.own:
+                headers["location"] = (f"{at or self._api.own}/api/v1/namespaces/{record.namespace}/activations/"
+                                       f"{record.id}")
             record.deferred = True
             self._exchange.reply(202, views.encode({"activationId": record.id}), headers)
 
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -260,6 +260,14 @@
             raise KeyConflictError(f"the key belongs to activation {record.id}, which has another body")
         return record
 
+    def has(self, what: str) -> bool:
+        """Whether a record is here, by its id, or as `key:NAMESPACE/ACTION/KEY` by its client's key."""
+        if not what.startswith("key:"):
+            return self.records.has(what)
+        namespace, _, rest = what.removeprefix("key:").partition("/")
+        return any((namespace, path, rest.removeprefix(f"{path}/")) in self._keys
+                   for path in self._world.deployment.actions if rest.startswith(f"{path}/"))
+
     def part(self, record: Record, waiter: Callable[[Record], None]) -> None:
         """Be told no more."""
         ivk = self._joined.get(record.id)
--- a/kelptrail/service/carry.py
+++ b/kelptrail/service/carry.py
@@ -31,6 +31,6 @@
         return count
 
     gateway.promising, driver.copies = copies.promising, copies.carry
-    copies.on_taken, copies.on_acts, copies.on_lost, copies.has = taken, acts, lost, gateway.records.has
+    copies.on_taken, copies.on_acts, copies.on_lost, copies.has = taken, acts, lost, gateway.has
     copies.progress = driver.stir_soon
     copies.born = lambda name, id_: id_prefix(name) == id_[:PREFIX]
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -113,17 +113,20 @@
         if wish.grpc and self._second:
             self._infer(wish, kind)
             return
+        self._capture.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
+                           dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=kind.timeout_ms,
+                           front=self._front)
+        self._post(wish, self._pools[wish.dispatcher], self._addresses[wish.dispatcher])
+
+    def _post(self, wish: Wish, pool: WorkerPool, address: str) -> None:
+        kind = self._deployment.types[wish.action.type]
         target = f"/api/v1/namespaces/_/actions/{wish.action.path}?blocking={str(not wish.deferred).lower()}"
         headers = {"authorization": self._auth[wish.namespace.name]}
         if kind.effect == "deduplicated":
             headers["idempotency-key"] = wish.ticket
-        data = encode_request("POST", target, self._addresses[wish.dispatcher],
-                              msgspec.json.encode({"ticket": wish.ticket}), headers)
-        self._capture.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
-                           dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=kind.timeout_ms,
-                           front=self._front)
+        data = encode_request("POST", target, address, msgspec.json.encode({"ticket": wish.ticket}), headers)
         self.out += 1
-        call = self._pools[wish.dispatcher].start(data, self._answered, wish)
+        call = pool.start(data, self._answered, wish)
         self._loop.call_later((kind.timeout_ms + 500) / 1000, call.give_up, "patience")
 
     def _infer(self, wish: Wish, kind: TypeSettings) -> None:
@@ -215,6 +218,10 @@
             self._capture.note("no-answer", call=wish.number, ending=ending.value)
             self._again(wish, Heard.LOST)
             return
+        if response.status == 307:  # another has the call under this key
+            wish.asked_at = response.headers["location"].removeprefix("http://").partition("/")[0]
+            self._post(wish, self._asked.setdefault(wish.asked_at, self._pool(wish.asked_at)), wish.asked_at)
+            return
         body = msgspec.json.decode(response.body)
         if response.status == 202:
             wish.activation = body["activationId"]
