Retire a dispatcher; losses at every step; a no takes the word of every owner

Need: a machine that is to go should leave nothing behind; and every step of a call's way, with its dispatcher and its disk lost there.

Mended: whoever holds a book names its owner in each no, and a no counts only once all those owners have said it themselves. A holder that waits behind another owner takes that one for the owner.

Change: kelptrail retire NAME CONTROL; holders that leave are replaced before they are let go; the owner before is told when it may forget a book.

--- a/bench/crash_points.py
+++ b/bench/crash_points.py
@@ -1,7 +1,9 @@
 """Kills a dispatcher at each step towards durability: every step x effect x deferred or keyed blocking call.
 
 `python bench/crash_points.py` starts real processes, lets a dispatcher kill itself at the step, starts it again from
-its book and asks what became of the call.  One JSON line a case; exit 1 where a promise was broken.
+its book and asks what became of the call.  With `--lost` its disk is gone, too, and it never comes back: five others
+hold copies, and one of them is asked, by id and by a repeat under the key.  One JSON line a case; exit 1 where a
+promise was broken.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 import asyncio
 import base64
 import json
+import shutil
 import sys
 import tempfile
 from pathlib import Path
@@ -21,21 +24,22 @@
 from kelptrail.codec.http import HttpError
 from kelptrail.net.client import Errand
 from kelptrail.settings.deployment import load
-from kelptrail.standin.place import Child, Place
+from kelptrail.standin.place import Child, Place, ask
 
 STEPS = ("accepted", "journalled", "cleared", "sent", "answered", "ended")
 ACTIONS = {"repeatable": "places/place-check", "deduplicated": "places/place-activate", "once-only": "grant"}
-FILE = str(Path(__file__).parent.parent / "examples" / "nursery.sexp")
+EXAMPLES = Path(__file__).parent.parent / "examples"
 
 
 class Trial:
     """One place; a dispatcher for each case."""
 
-    def __init__(self, folder: Path) -> None:
-        self.deployment, self._folder = load(FILE), folder
+    def __init__(self, folder: Path, lost: bool) -> None:
+        self.file = str(EXAMPLES / ("copies.sexp" if lost else "nursery.sexp"))
+        self.deployment, self._folder, self._lost = load(self.file), folder, lost
         space = next(iter(self.deployment.namespaces.values()))
         self._auth = "Basic " + base64.b64encode(f"{space.uuid}:{space.key}".encode()).decode()
-        self.place = Place(self.deployment, FILE, folder, quiet=True)
+        self.place = Place(self.deployment, self.file, folder, quiet=True)
 
     async def ask(self, address: str, method: str, target: str, body: Any = None, key: str = "") -> tuple[int, Any]:
         errand = Errand(address)
@@ -48,9 +52,76 @@
         finally:
             errand.close()
 
+    async def start(self) -> None:
+        """Workers, and who is to hold copies."""
+        await self.place.start(4, 5 if self._lost else 0, self._folder / "state" if self._lost else None)
+        for dispatcher in self.place.dispatchers:
+            while not (await ask(dispatcher.said["asked_at"], "GET", "/copies"))["promising"]:
+                await asyncio.sleep(0.1)
+
+    async def lost(self, step: str, effect: str, keyed: bool) -> dict[str, Any]:
+        """A deferred call whose dispatcher is lost with its disk at a step."""
+        name = f"lost-{step}-{effect}-{'keyed' if keyed else 'plain'}"
+        words = ["serve", self.file, "--name", name, "--roster", self.place.roster.said["address"], "--control",
+                 "127.0.0.1:0", "--state", str(self._folder / name), *self.place.ways("dispatcher-0")]
+        child = Child(name, [*words, "--crash-at", step])
+        await self.place.launch(child)
+        while not (await ask(child.said["asked_at"], "GET", "/copies"))["promising"]:
+            await asyncio.sleep(0.05)
+        key, ticket = f"key-{name}" if keyed else "", {"ticket": name}
+        target = f"actions/{ACTIONS[effect]}?blocking=false"
+        status, body = await self.ask(child.said["address"], "POST", target, ticket, key)
+        assert child.process is not None
+        await asyncio.wait_for(child.process.wait(), 8)
+        shutil.rmtree(self._folder / name)
+        promised = body["activationId"] if status == 202 else None
+        out: dict[str, Any] = {"step": step, "effect": effect, "keyed": keyed, "first": status, "lost": True}
+        began = asyncio.get_running_loop().time()
+        other = self.place.dispatchers[1].said["address"]
+        if keyed:  # from any dispatcher it joins the call, or is taken anew where nobody has that
+            out["repeat"], body = await self._follow(other, "POST", target, ticket, key)
+            out["joined"] = promised is not None and body["activationId"] == promised
+            found = body["activationId"] if out["repeat"] == 202 else None
+        else:
+            found = promised
+        if found:
+            out["after"], record = await self._follow(other, "GET", f"activations/{found}")
+            out["answer"] = next(n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail") \
+                if out["after"] == 200 else None
+            out["s"] = round(asyncio.get_running_loop().time() - began, 2)
+        await asyncio.sleep(0.5)
+        marks = {found, promised}
+        effects = [e for e in read(self._folder) if e["what"] == "effect" and (
+            e["activation"] in marks or (keyed and e["mark"].endswith(f"/{key}")))]
+        out["effects"] = len(effects)
+        out["broken"] = bool((effect != "repeatable" and len(effects) > 1) or (found and out["after"] != 200) or (
+            keyed and promised and not out["joined"]) or (out.get("answer") == "rejected" and effects
+                                                          and effect == "once-only"))
+        return out
+
+    async def _follow(self, address: str, method: str, target: str, body: Any = None, key: str = "") -> tuple[int, Any]:
+        """Ask until it is known, wherever a dispatcher leads."""
+        for _ in range(200):
+            errand = Errand(address)
+            headers = {"authorization": self._auth} | ({"idempotency-key": key} if key else {})
+            try:
+                response = await errand.ask(method, f"/api/v1/namespaces/_/{target}", body, 8000, headers)
+            finally:
+                errand.close()
+            told = json.loads(response.body)
+            if response.status == 307:
+                address = response.headers["location"].removeprefix("http://").partition("/")[0]
+            elif response.status == 404 and "No dispatcher knows" in told["error"]:
+                return 404, told
+            elif response.status not in (404, 503):
+                return response.status, told
+            else:
+                await asyncio.sleep(0.1)
+        return 0, None
+
     async def case(self, step: str, effect: str, deferred: bool) -> dict[str, Any]:
         name = f"{step}-{effect}-{'deferred' if deferred else 'keyed'}"
-        words = ["serve", FILE, "--name", name, "--roster", self.place.roster.said["address"],
+        words = ["serve", self.file, "--name", name, "--roster", self.place.roster.said["address"],
                  "--state", str(self._folder / name)]
         child = Child(name, [*words, "--crash-at", step])
         await self.place.launch(child)
@@ -99,18 +170,18 @@
         return 0, None
 
 
-async def main(steps: list[str]) -> bool:
+async def main(steps: list[str], lost: bool) -> bool:
     broken = False
     with tempfile.TemporaryDirectory() as folder:
-        trial = Trial(Path(folder))
-        await trial.place.start(4, 0, None)
+        trial = Trial(Path(folder), lost)
+        await trial.start()
         try:
             for step in steps:
                 for effect in ACTIONS:
                     for deferred in (True, False):
                         if step == "cleared" and effect == "repeatable":
                             continue  # nothing has to be cleared for what may run again
-                        found = await trial.case(step, effect, deferred)
+                        found = await (trial.lost if lost else trial.case)(step, effect, deferred)
                         broken = broken or found["broken"]
                         print(json.dumps(found), flush=True)
         finally:
@@ -121,4 +192,6 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--steps", default=",".join(STEPS))
-    sys.exit(uvloop.run(main(parser.parse_args().steps.split(","))))
+    parser.add_argument("--lost", action="store_true", help="The disk is gone, too.")
+    options = parser.parse_args()
+    sys.exit(uvloop.run(main(options.steps.split(","), options.lost)))
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -351,6 +351,39 @@
         click.echo(f"held {book} for {held['owner']}, heard {held['heard_ms'] / 1000:.1f} s ago")
 
 
+@main.command(cls=_Examples, example="kelptrail retire dispatcher-3 127.0.0.1:9001 --within 120")
+@click.argument("name")
+@click.argument("control")
+@click.option("--within", default=120.0, show_default=True, help="Seconds to wait until nothing is left there.")
+def retire(name: str, control: str, within: float) -> None:
+    """Move everything off the dispatcher NAME, whose control port is CONTROL, before its machine is taken away."""
+    from kelptrail.codec.http import HttpError
+    from kelptrail.standin.place import ask
+
+    async def go() -> str:
+        status = await ask(control, "GET", "/copies")
+        if status["name"] != name:
+            return f"{control} is {status['name']}, not {name}"
+        await ask(control, "POST", "/retire", {})
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within
+        while loop.time() < end:
+            status = await ask(control, "GET", "/copies")
+            if not status["owned"] and not status["held"]:
+                return ""
+            await asyncio.sleep(0.2)
+        return f"left after {within:g} s: owned {len(status['owned'])}, held {len(status['held'])}"
+
+    try:
+        left = _run(go())
+    except (OSError, HttpError) as cause:
+        left = f"{control}: {cause or type(cause).__name__}"
+    if left:
+        click.echo(left, err=True)
+        sys.exit(FAILED)
+    click.echo(f"{name} holds nothing for others and owns nothing: end it with SIGTERM")
+
+
 @main.command(cls=_Examples, example="kelptrail demo --workers 6 --quiet-logs")
 @click.argument("file", default="examples/nursery.sexp")
 @click.option("--workers", type=click.IntRange(1, 200), help="Stand-in workers; default: the settings'.")
--- a/kelptrail/copies/driver.py
+++ b/kelptrail/copies/driver.py
@@ -35,6 +35,7 @@
     Found,
     Item,
     Kept,
+    Leaving,
     Members,
     Message,
     Open,
@@ -48,11 +49,12 @@
 from .watch import Watch
 
 SPEAKS = "copies"
-KINDS_OF = (Open, Put, Told, Kept, Fenced, Shut, Take, Find, Found)
+KINDS_OF = (Open, Put, Told, Kept, Fenced, Shut, Take, Leaving, Find, Found)
 TICK_MS = 25.0
 AT_ONCE = 200  # lives that are taken up in one go: a large book must not stop the loop
 FIND_MS = 300.0
 KEY = "key:"
+RETIRE_MS, LEAVING_MS = 30_000.0, 500.0
 FEW = 32  # dispatchers that all keep links to each other
 
 
@@ -108,9 +110,10 @@
         self._told = 0  # batches that were safe when that was last said
         self._timer: asyncio.TimerHandle | None = None
         self._ranked: tuple[tuple[Member, ...], tuple[str, ...]] = ((), ())
-        self._questions = Questions(FIND_MS)
+        self._questions = Questions(name, FIND_MS)
         self._taking: set[asyncio.Task[None]] = set()
         self.own = ""  # where this dispatcher can be asked
+        self.retiring, self._retire_by, self._leaving_at = False, 0.0, 0.0
         self.taken_up = self.let_go = 0
         # Set by who joins this to a gateway.
         self.on_taken: Callable[[Held, list[Life]], None] = lambda held, lives: None
@@ -118,6 +121,7 @@
         self.on_lost: Callable[[Held], int] = lambda held: 0
         self.has: Callable[[str], bool] = lambda id_: False
         self.born: Callable[[str, str], bool] = lambda name, id_: False  # whether that dispatcher gave that id
+        self.busy: Callable[[Held], bool] = lambda held: False  # whether calls of a book are in hand
         self.progress: Callable[[], None] = lambda: None  # something may have become safe
         peers.speak(SPEAKS, self._came, *KINDS_OF)
 
@@ -153,9 +157,29 @@
         """Activations in any book here; before `start` only."""
         return self._own_shelves.ids() | self._other_shelves.ids()
 
+    def retire(self) -> None:
+        """Move everything off this dispatcher: nothing new is promised; its books go to other members once nothing of
+        them is in hand, or `RETIRE_MS` later; those whose books it holds find others."""
+        if not self.retiring:
+            self._log.warning("retiring", owned=len(self.books), held=len(self.holder.shelves))
+            self.retiring, self._retire_by = True, now_ms() + RETIRE_MS
+
+    def _retire(self, now: float) -> None:
+        for book, shelf in self.holder.shelves.items():
+            if book not in self.books and now >= self._leaving_at:
+                self._peers.send(shelf.owner, Leaving())
+        if now >= self._leaving_at:
+            self._leaving_at = now + LEAVING_MS
+        for held in list(self.books.values()):
+            others = sorted(name for name in held.core.members if name != self.name)
+            if others and held.core.ready and (not self.busy(held) or now >= self._retire_by):
+                to = next((name for name in others if name in self._peers.heard()), others[0])
+                self._end(held, to)
+                self.holder.shelves[held.book].owner = to  # who says when it may be forgotten here
+
     def promising(self) -> Held | None:
         """The book that new calls go to."""
-        return self.current
+        return self.current if not self.retiring else None
 
     def _at(self, book: str) -> Shelves:
         return self._own_shelves if self._born_here(book) else self._other_shelves
@@ -237,6 +261,8 @@
             self._hand_over(held, "its disk fails")
             return
         held.core.won(now_ms(), token, members)
+        if before not in ("", self.name):
+            held.core.dismiss(before)
         held.core.write((), partial(self._settled, held, token, before))
         self.carry()
 
@@ -302,7 +328,7 @@
         self._begin_anew()
 
     def _begin_anew(self) -> None:
-        if self.current is None and not any(self._born_here(book) for book in self.watch.wanted):
+        if not self.retiring and self.current is None and not any(self._born_here(book) for book in self.watch.wanted):
             self._begin()
 
     def _drop(self, held: Held) -> None:
@@ -327,6 +353,9 @@
         elif isinstance(message, Told | Kept | Fenced):
             if (held := self.books.get(message.book)) is not None:
                 held.core.received(now, sender, message)
+        elif isinstance(message, Leaving):
+            for held in self.books.values():
+                held.core.leaving.add(sender)
         elif isinstance(message, Take):
             if message.book in self.holder.shelves and not self.watch.has(message.book):
                 self.watch.welcome(message.book)
@@ -335,27 +364,38 @@
             if self.has(message.what):
                 self._peers.send(sender, Found(message.what, HERE, self.own))
             else:
-                self._peers.send(sender, Found(message.what, PENDING if self._pending(message.what) else NO))
+                state = PENDING if self._pending(message.what) else NO
+                self._peers.send(sender, Found(message.what, state, owners=self._owners(message.what)))
         else:
-            self._questions.answered(sender, message.what, message.state, message.at)
+            self._questions.answered(sender, message.what, message.state, message.at, message.owners)
         self.carry()
 
+    def _may_have(self, what: str) -> list[str]:
+        """Books here that may have it."""
+        return [book for book in self.holder.shelves
+                if what.startswith(KEY) or self.born(book.rpartition(".")[0], what)]
+
     def _pending(self, what: str) -> bool:
-        """Whether it may be in a book that is held here and that nobody who is heard owns."""
-        return any((what.startswith(KEY) or self.born(book.rpartition(".")[0], what)) and (
-            not self.books[book].live if book in self.books
-            else shelf.owner == self.name or self.watch.since(now_ms(), shelf.owner) >= self._take_ms / 2)
-            for book, shelf in self.holder.shelves.items())
+        """Whether it may be in a book that this dispatcher owns, and has not taken up or cannot act on."""
+        return any(not self.books[book].live if book in self.books else self.holder.shelves[book].owner == self.name
+                   for book in self._may_have(what))
+
+    def _owners(self, what: str) -> tuple[str, ...]:
+        """Of books that are held here and may have it."""
+        return tuple(sorted({self.holder.shelves[book].owner for book in self._may_have(what)
+                             if book not in self.books}))
 
     def find(self, what: str, done: Callable[[str | None], None]) -> None:
         """Ask who has an activation, by its id, or the call under a key: see `Find`.  `done` is told where; "" where
         somebody may come to have it; None where nobody has it."""
+        if self._questions.joined(what, done):
+            return
         heard = self._peers.heard().keys()
-        # What is under a key is nobody's who cannot be heard: whoever holds that one's book says so until it is his.
+        # What is under a key may be with one that cannot be heard only as far as that one's book has holders.
         unheard = not what.startswith(KEY) and any(m.name not in heard and m.name != self.name for m in self._members())
-        if self._questions.ask(now_ms(), what, heard, unheard or self._pending(what), done):
-            for name in heard:
-                self._peers.send(name, Find(what))
+        # One that does not read the question holds nothing.
+        asked = [name for name in heard if self._peers.send(name, Find(what))]
+        self._questions.ask(now_ms(), what, asked, self._owners(what), unheard or self._pending(what), done)
 
     # Carrying out.
 
@@ -379,16 +419,19 @@
             if book in self.books:
                 continue
             if not self.watch.has(book):
-                if self.watch.is_due(now, book, shelf.owner):
+                if not self.retiring and self.watch.is_due(now, book, shelf.owner):
                     self._log.info("book-wanted", book=book, owner=shelf.owner)
                     self._want(book)
-            elif self._others(book) and self._born_here(book):  # it was taken over: this run begins its own
+            elif self._others(book):
                 shelf.owner = self.leases.asker.seen[PREFIX + book][0].who.partition("/")[0]
-                self._leave(book)
-                self.watch.shuns(now, book)
-                self._begin_anew()
+                if self._born_here(book):  # it was taken over: this run begins its own
+                    self._leave(book)
+                    self.watch.shuns(now, book)
+                    self._begin_anew()
             elif self.watch.is_back(now, book, shelf.owner):
                 self._leave(book)
+        if self.retiring:
+            self._retire(now)
         self._reach(heard, ranking)
         self._questions.tick(now)
         self.carry()
@@ -499,6 +542,7 @@
         now = now_ms()
         return {
             "name": self.name, "copies": self.settings.count, "disk": self._own_shelves.disk,
+            "retiring": self.retiring,
             "promising": self.current is not None and self.current.takes(),
             "owned": {book: held.core.status(now) | {"current": held is self.current, "live": held.live}
                       for book, held in sorted(self.books.items())},
--- a/kelptrail/copies/owner.py
+++ b/kelptrail/copies/owner.py
@@ -112,6 +112,7 @@
         self._bytes = 0
         self._streams = 0
         self._lost: dict[str, float] = {}  # holders that were given up, and when they may be asked again
+        self.leaving: set[str] = set()  # holders that are to be replaced while they still keep what they have
         self._left: set[str] = set()  # those that may still keep what they need not
 
     # The lease.
@@ -142,6 +143,11 @@
             self.short_since = now
         self._settle()
 
+    def dismiss(self, name: str) -> None:
+        """The owner before need not keep the book, once it is heard."""
+        if name not in self.members:
+            self._left.add(name)
+
     def probe(self) -> None:
         """Without the lease: ask members whether another owns the book already; they tell by a later token."""
         for name in self.members:
@@ -230,11 +236,15 @@
         for way in list(self.ways.values()):
             if way.name not in here and now - way.since >= self.settings.slow_ms:
                 self._give_up(now, way)
+        stay = [way for way in self.ways.values() if way.name not in self.leaving]
         for name in ranked:
-            if len(self.ways) >= self.settings.count:
+            if len(stay) >= self.settings.count:
                 break
-            if name in here and name != self.me and name not in self.ways and self._lost.get(name, 0.0) <= now:
-                self._begin(now, name)
+            if name in here - self.leaving - self.ways.keys() - {self.me} and self._lost.get(name, 0.0) <= now:
+                stay.append(self._begin(now, name))
+        if sum(way.name in self.members for way in stay) >= self.settings.count:
+            for way in [way for way in self.ways.values() if way.name in self.leaving]:
+                self._give_up(now, way)
         for name in sorted(self._left & here - self.ways.keys()):
             if name not in self.members and self.noting is None and self.ready:
                 self._left.discard(name)
@@ -247,11 +257,12 @@
         if way is not None and not way.queue and way.stage is Stage.WHOLE:
             way.since = now
 
-    def _begin(self, now: float, name: str) -> None:
+    def _begin(self, now: float, name: str) -> Way:
         self._streams += 1
         way = self.ways[name] = Way(name, self._streams, now, again=now + self.settings.again_ms)
         self._left.discard(name)
         self.out.append((name, Open(self.book, self.token, way.stream)))
+        return way
 
     def _give_up(self, now: float, way: Way) -> None:
         del self.ways[way.name]
--- a/kelptrail/copies/questions.py
+++ b/kelptrail/copies/questions.py
@@ -1,7 +1,8 @@
 """Who has an activation, or the call under a client's key: asked of all who can be heard; free of I/O and clocks.
 
-An answer is where it is; or that it may come to be somewhere: whoever holds a book whose owner is silent cannot say yet
-what is in it, and whoever does not answer may have it; or that nobody has it, which takes the word of all.
+An answer is where it is; or that it may come to be somewhere; or that nobody has it.  The last takes the word of all
+that were asked, and of all who own a book that may have it, as its holders say: one that cannot be heard may have it,
+and so may whoever takes up its book later.
 """
 
 from __future__ import annotations
@@ -20,33 +21,39 @@
     until: float
     left: set[str]
     unsure: bool
+    owners: set[str]  # who must have answered
+    said: set[str] = field(default_factory=set)
     done: list[Done] = field(default_factory=list)
 
 
 class Questions:
     """All that are open, by what is asked for."""
 
-    def __init__(self, within_ms: float) -> None:
-        self._within_ms = within_ms
+    def __init__(self, name: str, within_ms: float) -> None:
+        self._name, self._within_ms = name, within_ms
         self._open: dict[str, Question] = {}
 
-    def ask(self, now: float, what: str, whom: Iterable[str], unsure: bool, done: Done) -> bool:
-        """`done` is told where it is; "" where somebody may come to have it; None where nobody has it.  Whether the
-        question is to be sent: not where it is open already."""
+    def joined(self, what: str, done: Done) -> bool:
+        """Whether the question is open already: then `done` is told, too."""
         question = self._open.get(what)
         if question is not None:
             question.done.append(done)
-            return False
-        self._open[what] = Question(now + self._within_ms, set(whom), unsure, [done])
+        return question is not None
+
+    def ask(self, now: float, what: str, whom: Iterable[str], owners: Iterable[str], unsure: bool, done: Done) -> None:
+        """It was sent to `whom`.  `done` is told where it is; "" where somebody may come to have it; None where nobody
+        has it."""
+        self._open[what] = Question(now + self._within_ms, set(whom), unsure, set(owners), done=[done])
         self._look(what)
-        return True
 
-    def answered(self, sender: str, what: str, state: str, at: str) -> None:
+    def answered(self, sender: str, what: str, state: str, at: str, owners: Iterable[str]) -> None:
         """Somebody's answer."""
         question = self._open.get(what)
         if question is None or sender not in question.left:
             return
         question.left.discard(sender)
+        question.said.add(sender)
+        question.owners |= set(owners)
         question.unsure = question.unsure or state == PENDING
         if state == HERE and at:
             self._end(what, at)
@@ -62,7 +69,8 @@
     def _look(self, what: str) -> None:
         question = self._open[what]
         if not question.left:
-            self._end(what, "" if question.unsure else None)
+            missing = question.owners - question.said - {self._name}
+            self._end(what, "" if question.unsure or missing else None)
 
     def _end(self, what: str, answer: str | None) -> None:
         for done in self._open.pop(what).done:
--- a/kelptrail/copies/terms.py
+++ b/kelptrail/copies/terms.py
@@ -101,6 +101,10 @@
     book: str
 
 
+class Leaving(msgspec.Struct, frozen=True, tag="copies-leaving", array_like=True):
+    """Its sender's machine is to be taken away: books should go elsewhere, with no time at risk."""
+
+
 class Find(msgspec.Struct, frozen=True, tag="find", array_like=True):
     """Who has this: an activation by its id, or the call under a key as `key:NAMESPACE/ACTION/KEY`?"""
 
@@ -108,11 +112,13 @@
 
 
 class Found(msgspec.Struct, frozen=True, tag="found", array_like=True):
-    """It is here, at `at`; or may come to be; or is not: see `questions`."""
+    """It is here, at `at`; or may come to be; or is not: see `questions`.  `owners`: of books held here that may have
+    it."""
 
     what: str
     state: str
     at: str = ""
+    owners: tuple[str, ...] = ()
 
 
 class Members(msgspec.Struct, frozen=True, array_like=True):
@@ -124,7 +130,7 @@
 
 
 Answer = Told | Kept | Fenced
-Message = Open | Put | Told | Kept | Fenced | Shut | Take | Find | Found
+Message = Open | Put | Told | Kept | Fenced | Shut | Take | Leaving | Find | Found
 
 _read_members = msgspec.msgpack.Decoder(Members).decode
 
--- a/kelptrail/service/carry.py
+++ b/kelptrail/service/carry.py
@@ -33,4 +33,5 @@
     gateway.promising, driver.copies = copies.promising, copies.carry
     copies.on_taken, copies.on_acts, copies.on_lost, copies.has = taken, acts, lost, gateway.has
     copies.progress = driver.stir_soon
+    copies.busy = lambda held: any(not record.final for record in gateway.records.of(held))
     copies.born = lambda name, id_: id_prefix(name) == id_[:PREFIX]
--- a/kelptrail/service/control.py
+++ b/kelptrail/service/control.py
@@ -1,4 +1,4 @@
-"""A dispatcher's control port: what operators ask; answers are JSON.  It changes nothing."""
+"""A dispatcher's control port: what operators ask; answers are JSON.  All that it can be told to do is to retire."""
 
 from __future__ import annotations
 
@@ -17,17 +17,21 @@
 
 
 class Control:
-    """`GET /state`, `GET /vrrp`, `GET /leases`, `GET /usage` and `GET /copies`."""
+    """`GET /state`, `GET /vrrp`, `GET /leases`, `GET /usage`, `GET /copies`, `POST /retire`."""
 
     def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None,
                  keepers: dict[str, TlsKeeper] | None = None,
-                 more: dict[str, Callable[[], Any]] | None = None) -> None:
+                 more: dict[str, Callable[[], Any]] | None = None, retire: Callable[[], None] | None = None) -> None:
+        self._retire = retire
         self._keepers, self._more = keepers or {}, more or {}
         self._driver, self._front, self._second, self._standing = driver, front, second, standing
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """Answer one question."""
-        if request.method != "GET":
+        if request.method == "POST" and request.path == "/retire" and self._retire is not None:
+            self._retire()
+            exchange.reply(202, b"{}")
+        elif request.method != "GET":
             exchange.reply(405, b'{"error":"only GET"}', {"allow": "GET"})
         elif request.path == "/state":
             exchange.reply(200, msgspec.json.encode(self._state()))
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -273,7 +273,9 @@
         more["plan"] = plans.status
     if inner is not None:
         more["planner"] = inner.status
-    control = HttpServer(Control(driver, server, second, standing, keepers, more).handle, Limits(connections=64))
+    control = HttpServer(Control(
+        driver, server, second, standing, keepers, more,
+        fleet.copies.retire if fleet is not None and fleet.copies is not None else None).handle, Limits(connections=64))
     if options.control is not None:
         host, _, control_port = options.control.rpartition(":")
         control.listen(host, int(control_port))
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -87,7 +87,7 @@
             self._child(f"planner-{n}", [
                 *logs, "planner", self._file, "--name", f"planner-{n}", "--roster", self.roster.said["address"],
                 "--control", "127.0.0.1:0", "--solver", solver,
-                *self._ways(f"planner-{n}"),
+                *self.ways(f"planner-{n}"),
                 *(["--state", str(state / f"planner-{n}")] if state else [])])
             for n in range(planners))))
         for planner in self.planners:
@@ -97,12 +97,12 @@
                 *logs, *(["edge", self._file, *self._follows(name)] if self.planners else ["serve", self._file]),
                 "--name", name, "--hall", halls[n % len(halls)],
                 "--roster", self.roster.said["address"], "--control", "127.0.0.1:0",
-                *self._ways(name), *self._acts(tasks),
+                *self.ways(name), *self._acts(tasks),
                 *(["--state", str(state / name), "--harmed-disk", str(state / f"disk-{n}.json"),
                    "--harmed-clock", str(state / f"clock-{n}.json")] if state else [])])
             for n, name in enumerate(names))))
 
-    def _ways(self, name: str) -> list[str]:
+    def ways(self, name: str) -> list[str]:
         """How a process reaches others: through the relay."""
         routes = self.links.said["routes"] if self.links is not None else {}
         return [word for pair, at in routes.items() if pair.startswith(f"{name}>") and ">planner" not in pair
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -15,6 +15,7 @@
 from kelptrail.copies.model import Faults, Node, World
 from kelptrail.copies.owner import Owner, Stage
 from kelptrail.copies.place import Member, moves, ranked, spread
+from kelptrail.copies.questions import HERE, NO, PENDING, Questions
 from kelptrail.copies.shelves import Reading, Shelves, open_shelves
 from kelptrail.copies.terms import CopySettings, Fenced, Item, Kept, Open, Put, Shut, Told, digests_of, pack_digests
 from kelptrail.copies.watch import QUIET_MS, SHUN_MS, Watch
@@ -380,3 +381,44 @@
     assert judge([world | {"copies": 0}, call, accepted, *lost]).lost_with_disk == 1
     assert judge([world, call, accepted, denied, *lost]).promises_denied == 1
     assert judge([world, call, denied, *lost]).promises_denied == 0, "what was never promised may be unknown"
+
+
+# Who has it.
+
+
+def test_that_nobody_has_it_takes_the_word_of_all_and_of_who_owns_a_book_that_may() -> None:
+    told: list[Any] = []
+    asks = Questions("me", 300.0)
+    asks.ask(0.0, "x", ["a", "b"], ["me"], False, told.append)
+    assert asks.joined("x", told.append) and not asks.joined("y", told.append)
+    asks.answered("a", "x", NO, "", ["b"])
+    asks.answered("stranger", "x", NO, "", [])
+    assert not told
+    asks.answered("b", "x", NO, "", ["b", "me"])
+    assert told == [None, None]
+    asks.ask(0.0, "x", ["a"], [], False, told.append)
+    asks.answered("a", "x", NO, "", ["gone"])
+    assert told.pop() == "", "whoever owns a book that may have it has not said so"
+    asks.ask(0.0, "x", ["a", "b"], [], False, told.append)
+    asks.answered("a", "x", PENDING, "", [])
+    asks.answered("b", "x", HERE, "1.2.3.4:5", [])
+    assert told.pop() == "1.2.3.4:5"
+    asks.ask(0.0, "x", ["a", "b"], [], False, told.append)
+    asks.answered("b", "x", NO, "", [])
+    asks.tick(299.0)
+    assert len(told) == 2
+    asks.tick(300.0)
+    assert told.pop() == "", "one that does not answer may have it"
+
+
+def test_a_holder_that_leaves_is_replaced_before_it_is_let_go() -> None:
+    core = owner()
+    whole(core, 1.0, "h")
+    core.leaving.add("h")
+    core.seek(2.0, ["h", "k"], ["h", "k"])
+    assert set(core.ways) == {"h", "k"} and core.takes()
+    whole(core, 3.0, "k")
+    assert core.members.keys() == {"a", "h", "k"} and core.full
+    core.seek(4.0, ["h", "k"], ["h", "k"])
+    core.noted(5.0)
+    assert core.members.keys() == {"a", "k"} and core.full and core.risk_ms == 1.0, "no time at risk for it"
