Another run of a name is another owner; ages of calls stand over a wall clock that is set

In the three the owner had come back empty, under its name, before its book was taken up: holders took it for heard, and its no for the owner's. The late one: its holder's wall clock was set by a minute between the record and its taking up.

Change: a no counts for an owner by name and run; a book that its owner has not looked at for 2.5 s and the take-over time is wanted (5 s before); books reckon by the time of day as it goes on from the process's start.

--- a/kelptrail/copies/driver.py
+++ b/kelptrail/copies/driver.py
@@ -110,8 +110,10 @@
         self._told = 0  # batches that were safe when that was last said
         self._timer: asyncio.TimerHandle | None = None
         self._ranked: tuple[tuple[Member, ...], tuple[str, ...]] = ((), ())
-        self._questions = Questions(name, FIND_MS)
+        self._believed: dict[str, str] = {}  # who is said to own a book whose stream does not come here
+        self._questions = Questions(leases.asker.who, FIND_MS)
         self._taking: set[asyncio.Task[None]] = set()
+        self._off_ms = wall_ms() - now_ms()
         self.own = ""  # where this dispatcher can be asked
         self.retiring, self._retire_by, self._leaving_at = False, 0.0, 0.0
         self.taken_up = self.let_go = 0
@@ -153,6 +155,11 @@
             await disk.close(500.0)
         return clean
 
+    def wall_ms(self) -> float:
+        """The time of day as it goes on from this run's start.  Guards against a wall clock that is set between a
+        call's record and its taking up: its time would seem to be over, or to last for longer than it does."""
+        return self._off_ms + now_ms()
+
     def ids(self) -> set[str]:
         """Activations in any book here; before `start` only."""
         return self._own_shelves.ids() | self._other_shelves.ids()
@@ -233,7 +240,7 @@
                                                        partial(self._digests, book)))
         gone = {members.owner} - {self.name}
         rest = {name: disk for name, disk in members.disks.items() if name not in gone}
-        work.wall_ms = wall_ms()
+        work.wall_ms = self.wall_ms()
         self._write(work, partial(self._owned, held, token, rest, members.owner))
         self.carry()
 
@@ -272,7 +279,7 @@
             self._log.info("book-goes-on", book=held.book, token=str(token))
             self.on_acts(held)
             return
-        reading = Reading(held.book, wall_ms=wall_ms())
+        reading = Reading(held.book, wall_ms=self.wall_ms())
         self._write(reading, partial(self._read_lives, held, token, before, reading))
 
     def _read_lives(self, held: Held, token: Token, before: str, reading: Reading, safe: bool) -> None:
@@ -346,10 +353,11 @@
         now = now_ms()
         self.watch.heard(sender, now)
         if isinstance(message, Open | Put | Shut):
+            self._believed.pop(message.book, None)
             self.watch.put(message.book, now)
             self.holder.received(sender, message)
             for work in self.holder.work:
-                work.wall_ms = work.wall_ms or wall_ms()
+                work.wall_ms = work.wall_ms or self.wall_ms()
         elif isinstance(message, Told | Kept | Fenced):
             if (held := self.books.get(message.book)) is not None:
                 held.core.received(now, sender, message)
@@ -362,12 +370,14 @@
                 self._want(message.book)
         elif isinstance(message, Find):
             if self.has(message.what):
-                self._peers.send(sender, Found(message.what, HERE, self.own))
+                self._peers.send(sender, Found(message.what, HERE, self.leases.asker.who, self.own))
             else:
                 state = PENDING if self._pending(message.what) else NO
-                self._peers.send(sender, Found(message.what, state, owners=self._owners(message.what)))
+                self._peers.send(sender, Found(message.what, state, self.leases.asker.who,
+                                               owners=self._owners(message.what)))
         else:
-            self._questions.answered(sender, message.what, message.state, message.at, message.owners)
+            self._questions.answered(sender, message.what, message.state, message.at, message.by,
+                                     message.owners)
         self.carry()
 
     def _may_have(self, what: str) -> list[str]:
@@ -382,8 +392,8 @@
 
     def _owners(self, what: str) -> tuple[str, ...]:
         """Of books that are held here and may have it."""
-        return tuple(sorted({self.holder.shelves[book].owner for book in self._may_have(what)
-                             if book not in self.books}))
+        found = {book: self.holder.shelves[book] for book in self._may_have(what) if book not in self.books}
+        return tuple(sorted({self._believed.get(book) or shelf.token.who for book, shelf in found.items()}))
 
     def find(self, what: str, done: Callable[[str | None], None]) -> None:
         """Ask who has an activation, by its id, or the call under a key: see `Find`.  `done` is told where; "" where
@@ -423,7 +433,8 @@
                     self._log.info("book-wanted", book=book, owner=shelf.owner)
                     self._want(book)
             elif self._others(book):
-                shelf.owner = self.leases.asker.seen[PREFIX + book][0].who.partition("/")[0]
+                self._believed[book] = who = self.leases.asker.seen[PREFIX + book][0].who
+                shelf.owner = who.partition("/")[0]
                 if self._born_here(book):  # it was taken over: this run begins its own
                     self._leave(book)
                     self.watch.shuns(now, book)
@@ -516,12 +527,12 @@
             core.pump(now)
             while core.locals:
                 any_, batch = True, core.locals.popleft()
-                self._write(Work(held.book, tuple(batch.items), tuple(batch.drops), wall_ms=wall_ms()),
+                self._write(Work(held.book, tuple(batch.items), tuple(batch.drops), wall_ms=self.wall_ms()),
                             partial(core.written, batch))
             while core.reads:
                 any_ = True
                 name, stream, bucket = core.reads.popleft()
-                reading = Reading(held.book, bucket, wall_ms())
+                reading = Reading(held.book, bucket, self.wall_ms())
                 self._write(reading, partial(self._bucket, core, name, stream, reading))
             while core.out:
                 any_ = True
--- a/kelptrail/copies/questions.py
+++ b/kelptrail/copies/questions.py
@@ -29,8 +29,8 @@
 class Questions:
     """All that are open, by what is asked for."""
 
-    def __init__(self, name: str, within_ms: float) -> None:
-        self._name, self._within_ms = name, within_ms
+    def __init__(self, who: str, within_ms: float) -> None:
+        self._who, self._within_ms = who, within_ms
         self._open: dict[str, Question] = {}
 
     def joined(self, what: str, done: Done) -> bool:
@@ -46,13 +46,13 @@
         self._open[what] = Question(now + self._within_ms, set(whom), unsure, set(owners), done=[done])
         self._look(what)
 
-    def answered(self, sender: str, what: str, state: str, at: str, owners: Iterable[str]) -> None:
-        """Somebody's answer."""
+    def answered(self, sender: str, what: str, state: str, at: str, by: str, owners: Iterable[str]) -> None:
+        """Somebody's answer; `by`: name and run, as `owners` are: another run of a name has not what one before had."""
         question = self._open.get(what)
         if question is None or sender not in question.left:
             return
         question.left.discard(sender)
-        question.said.add(sender)
+        question.said.add(by)
         question.owners |= set(owners)
         question.unsure = question.unsure or state == PENDING
         if state == HERE and at:
@@ -69,7 +69,7 @@
     def _look(self, what: str) -> None:
         question = self._open[what]
         if not question.left:
-            missing = question.owners - question.said - {self._name}
+            missing = question.owners - question.said - {self._who}
             self._end(what, "" if question.unsure or missing else None)
 
     def _end(self, what: str, answer: str | None) -> None:
--- a/kelptrail/copies/terms.py
+++ b/kelptrail/copies/terms.py
@@ -112,11 +112,12 @@
 
 
 class Found(msgspec.Struct, frozen=True, tag="found", array_like=True):
-    """It is here, at `at`; or may come to be; or is not: see `questions`.  `owners`: of books held here that may have
-    it."""
+    """It is here, at `at`; or may come to be; or is not: see `questions`.  `by`: who says so, name and run; `owners`:
+    the same of whoever owns a book that is held here and may have it."""
 
     what: str
     state: str
+    by: str
     at: str = ""
     owners: tuple[str, ...] = ()
 
--- a/kelptrail/copies/watch.py
+++ b/kelptrail/copies/watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 SHUN_MS, MOST_SHUN_MS = 2000.0, 60_000.0  # after a book was refused or let go, twice as long each time
-QUIET_MS = 5000.0  # some looks of an owner at a holder's disk
+QUIET_MS = 2500.0  # some looks of an owner at a holder's disk
 
 
 class Watch:
--- a/kelptrail/service/carry.py
+++ b/kelptrail/service/carry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from kelptrail.clock import now_ms, wall_ms
+from kelptrail.clock import now_ms
 from kelptrail.copies.driver import Copies, Held
 from kelptrail.gateway.core import Gateway
 from kelptrail.gateway.driver import Driver
@@ -18,7 +18,7 @@
         return
 
     def taken(held: Held, lives: list[Life]) -> None:
-        gateway.recover(now_ms(), wall_ms(), lives, least_ms, at_once, held)
+        gateway.recover(now_ms(), copies.wall_ms(), lives, least_ms, at_once, held)
         driver.stir_soon()
 
     def acts(held: Held) -> None:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -388,23 +388,23 @@
 
 def test_that_nobody_has_it_takes_the_word_of_all_and_of_who_owns_a_book_that_may() -> None:
     told: list[Any] = []
-    asks = Questions("me", 300.0)
-    asks.ask(0.0, "x", ["a", "b"], ["me"], False, told.append)
+    asks = Questions("me/1", 300.0)
+    asks.ask(0.0, "x", ["a", "b"], ["me/1"], False, told.append)
     assert asks.joined("x", told.append) and not asks.joined("y", told.append)
-    asks.answered("a", "x", NO, "", ["b"])
-    asks.answered("stranger", "x", NO, "", [])
+    asks.answered("a", "x", NO, "", "a/1", ["b/1"])
+    asks.answered("stranger", "x", NO, "", "stranger/1", [])
     assert not told
-    asks.answered("b", "x", NO, "", ["b", "me"])
+    asks.answered("b", "x", NO, "", "b/1", ["b/1", "me/1"])
     assert told == [None, None]
     asks.ask(0.0, "x", ["a"], [], False, told.append)
-    asks.answered("a", "x", NO, "", ["gone"])
+    asks.answered("a", "x", NO, "", "a/2", ["a/1"])
     assert told.pop() == "", "whoever owns a book that may have it has not said so"
     asks.ask(0.0, "x", ["a", "b"], [], False, told.append)
-    asks.answered("a", "x", PENDING, "", [])
-    asks.answered("b", "x", HERE, "1.2.3.4:5", [])
+    asks.answered("a", "x", PENDING, "", "a/1", [])
+    asks.answered("b", "x", HERE, "1.2.3.4:5", "b/1", [])
     assert told.pop() == "1.2.3.4:5"
     asks.ask(0.0, "x", ["a", "b"], [], False, told.append)
-    asks.answered("b", "x", NO, "", [])
+    asks.answered("b", "x", NO, "", "b/1", [])
     asks.tick(299.0)
     assert len(told) == 2
     asks.tick(300.0)
