Owners let go where their own disk was written past; new books come after a pause

A full disk made a dispatcher begin thirty books in three seconds. Two calls were shown to have taken 60 s: their start was told by the holder's clock, their end by the owner's, which had been set. A dispatcher that won its book again, and was no member any more, kept it without ever acting.

Change: an owner whose shelf is gone or under a later token lets go; the timer is armed before its work; a refused book is let go; new books begin after 100 ms to 10 s; ends are shifted with starts.

--- a/kelptrail/copies/driver.py
+++ b/kelptrail/copies/driver.py
@@ -15,7 +15,7 @@
 
 from kelptrail.clock import now_ms, wall_ms
 from kelptrail.lease.driver import Leases
-from kelptrail.lease.terms import Token
+from kelptrail.lease.terms import NONE, Token
 from kelptrail.peers.driver import Peers
 from kelptrail.store.book import KINDS, Life
 from kelptrail.store.driver import JournalDriver
@@ -55,6 +55,7 @@
 FIND_MS = 300.0
 KEY = "key:"
 TOO_LARGE = b'{"error":"The result was too large to be held by others, and was lost with its dispatcher."}'
+FIRST_PAUSE_MS, MOST_PAUSE_MS = 100.0, 10_000.0  # before a new book
 RETIRE_MS, LEAVING_MS = 30_000.0, 500.0
 FEW = 32  # dispatchers that all keep links to each other
 
@@ -66,6 +67,7 @@
         self._copies, self.core, self.book = copies, core, core.book
         self.live = False  # what was in it has been taken up
         self.note = 0  # number of the last one
+        self.token = NONE  # under which it was won last
         self.probe_at = 0.0  # when members may be asked whether another owns it
 
     def takes(self) -> bool:
@@ -116,6 +118,7 @@
         self._believed: dict[str, str] = {}  # who is said to own a book whose stream does not come here
         self._questions = Questions(leases.asker.who, FIND_MS)
         self._taking: set[asyncio.Task[None]] = set()
+        self._begin_at, self._begin_pause = float("inf"), FIRST_PAUSE_MS
         self._off_ms = wall_ms() - now_ms()
         self.own = ""  # where this dispatcher can be asked
         self.retiring, self._retire_by, self._leaving_at = False, 0.0, 0.0
@@ -185,7 +188,8 @@
             if others and held.core.ready and (not self.busy(held) or now >= self._retire_by):
                 to = next((name for name in others if name in self._peers.heard()), others[0])
                 self._end(held, to)
-                self.holder.shelves[held.book].owner = to  # who says when it may be forgotten here
+                if held.book in self.holder.shelves:
+                    self.holder.shelves[held.book].owner = to  # who says when it may be forgotten here
 
     def promising(self) -> Held | None:
         """The book that new calls go to."""
@@ -241,6 +245,7 @@
         if not goes_on or held is None:
             held = self.books[book] = Held(self, Owner(book, self.name, self._at(book).disk, self.settings,
                                                        partial(self._digests, book)))
+        held.token = token
         gone = {members.owner} - {self.name}
         rest = {name: disk for name, disk in members.disks.items() if name not in gone}
         work.wall_ms = self.wall_ms()
@@ -255,6 +260,8 @@
         heard = self._peers.heard()
         to = next((name for name in sorted(members.disks) if name in heard), "")
         self._log.warning("book-not-whole-here", book=book, members=sorted(members.disks), to=to)
+        if (held := self.books.get(book)) is not None:
+            self._drop(held)
         self._leave(book, to)
         if to:
             self._peers.send(to, Take(book))
@@ -307,7 +314,7 @@
         self.watch.welcome(held.book)
         self.taken_up += len(lives)
         if self._born_here(held.book) and (self.current is None or self.books.get(self.current.book) is None):
-            self.current = held
+            self.current, self._begin_pause = held, FIRST_PAUSE_MS
         self._log.info("book-taken-up", book=held.book, token=str(token), calls=len(lives), before=before,
                        damaged=reading.damaged, ms=round(now_ms() - began))
         self.on_acts(held)
@@ -338,7 +345,16 @@
         self._begin_anew()
 
     def _begin_anew(self) -> None:
-        if not self.retiring and self.current is None and not any(self._born_here(book) for book in self.watch.wanted):
+        """A book of this run's own in place of one that was lost, after a pause that grows.  Guards against a disk that
+        fails all books one after another."""
+        if self._begin_at == float("inf"):
+            self._begin_at, self._begin_pause = now_ms() + self._begin_pause, min(MOST_PAUSE_MS, 2 * self._begin_pause)
+
+    def _begin_due(self, now: float) -> None:
+        if now < self._begin_at or self.retiring:
+            return
+        self._begin_at = float("inf")
+        if self.current is None and not any(self._born_here(book) for book in self.watch.wanted):
             self._begin()
 
     def _drop(self, held: Held) -> None:
@@ -415,6 +431,7 @@
     def _tick(self) -> None:
         if self._stopped:
             return
+        self._timer = self._loop.call_later(TICK_MS / 1000, self._tick)
         now, heard = now_ms(), self._peers.heard()
         self.watch.looked(now, TICK_MS)
         for name in heard:
@@ -444,20 +461,22 @@
                     self._begin_anew()
             elif self.watch.is_back(now, book, shelf.owner):
                 self._leave(book)
+        self._begin_due(now)
         if self.retiring:
             self._retire(now)
         self._reach(heard, ranking)
         self._questions.tick(now)
         self.carry()
-        self._timer = self._loop.call_later(TICK_MS / 1000, self._tick)
 
     def _judge(self, held: Held) -> None:
         """What has become of a book that this process believes to own."""
         core, now = held.core, now_ms()
         if core.failed:
             self._hand_over(held, "its disk fails")
-        elif core.fenced is not None:
-            self.holder.shelves[held.book].owner = core.fenced.who.partition("/")[0]
+        elif core.fenced is not None or not self.holder.stands(held.book, held.token):
+            # A member said so, or the new owner has written to, or shut, what is here.
+            if core.fenced is not None and (shelf := self.holder.shelves.get(held.book)) is not None:
+                shelf.owner = core.fenced.who.partition("/")[0]
             self._end(held)
         elif not core.ready and core.token.round and now >= held.probe_at and self._others(held.book):
             held.probe_at = now + self.settings.again_ms  # who was told to hold the lease may not have acted
--- a/kelptrail/copies/shelves.py
+++ b/kelptrail/copies/shelves.py
@@ -12,9 +12,11 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import cast
 from zlib import crc32
 
 import apsw
+import msgspec
 
 from kelptrail.lease.terms import Token
 from kelptrail.store.book import BookError, Life
@@ -170,7 +172,7 @@
                     "SELECT id, kind, since, body FROM entries WHERE book = ? AND bucket = ? ORDER BY id, kind",
                     (reading.book, reading.bucket)))
             return
-        life: Life | None = None
+        life, shift = cast(Life | None, None), 0.0
         for id_, kind, since, crc, body in self._db.execute(
                 "SELECT id, kind, since, crc, body FROM entries WHERE book = ? ORDER BY bucket, id, kind",
                 (reading.book,)):
@@ -184,14 +186,13 @@
                 continue
             if isinstance(entry, Accepted):
                 # Its times are told by this machine's clock, as that of its owner may have been another.
-                life = Life(Accepted(**{name: getattr(entry, name) for name in entry.__struct_fields__}
-                                     | {"start": since}))
+                life, shift = Life(msgspec.structs.replace(entry, start=since)), since - entry.start
                 reading.lives.append(life)
             elif life is not None and life.accepted.id == id_:
                 if isinstance(entry, MayRun):
                     life.may_run = MayRun(id_, since, entry.worker)
                 elif isinstance(entry, Ended):
-                    life.ended = entry
+                    life.ended = msgspec.structs.replace(entry, end=entry.end + shift)
 
     def forget(self, ids: Iterable[str]) -> None:
         """Nothing is forgotten but by works."""
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -210,8 +210,9 @@
                          marked=key is not None)
         mark = f"{namespace}/{action.path}/{key}" if key is not None else id_
         if deferred and self.promising is not None:
-            record.book = self.promising()
-            kept = record.book is not None and record.book.takes()
+            book = self.promising()
+            kept = book is not None and book.takes()
+            record.book = book if kept else None
         else:
             kept = self.journal is not None and self.journal.takes() and (deferred or key is not None)
         passage = Passage(settings.effect == Effect.REPEATABLE.value, kept, deferred)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -321,7 +321,9 @@
     """The owner's clock was an hour off: what counts is how long ago its entries were."""
     shelves, _ = open_shelves(tmp_path / "copies.sqlite")
     hour = 3_600_000.0
-    shelves.commit([Work("b", items(CALL, MayRun("c1", 1100.0, "w1")), fence=(ONE, "a"), waited_ms=50.0, wall_ms=hour)])
+    ended = Ended("c1", CALL.start + 150.0, "completed", 0, b"{}")
+    shelves.commit([Work("b", items(CALL, MayRun("c1", 1100.0, "w1"), ended), fence=(ONE, "a"), waited_ms=50.0,
+                         wall_ms=hour)])
     shelves.close()
     again, aside = open_shelves(tmp_path / "copies.sqlite")
     reading = Reading("b", wall_ms=hour + 500.0)
@@ -329,6 +331,7 @@
     (life,) = reading.lives
     assert aside is None and again.books() == {"b": (ONE, "a")} and again.disk == shelves.disk
     assert life.accepted.start == hour - 300.0 and life.may_run is not None and life.may_run.sent == hour - 50.0
+    assert life.ended is not None and life.ended.end == life.accepted.start + 150.0, "as long as it was"
     assert life.accepted.key == "key" and again.ids() == {"c1"} and again.count("b") == 1
     assert again.digests == shelves.digests, "made anew from the rows"
 
