A deferred call whose record cannot become safe is answered before its client gives up

Change: at three quarters of a call's time its client is told that it is not known whether others keep it (500 with the id; UNKNOWN on the second front); the model's owner whose disk failed does not go on.

--- a/kelptrail/copies/model.py
+++ b/kelptrail/copies/model.py
@@ -127,7 +127,8 @@
         node.believes = True
         gone = {members.owner} - {node.name}
         before = node.owner.token
-        goes_on = before.round > 0 and members.owner == node.name and node.holder.stands(BOOK, before)
+        goes_on = (before.round > 0 and members.owner == node.name and node.holder.stands(BOOK, before)
+                   and not node.owner.failed)
         if (work := node.holder.own(BOOK, self.token, node.name)) is None:
             raise PropertyError(f"{node.name} has seen a later token than the lease's")
         if not goes_on:
--- a/kelptrail/front/callers.py
+++ b/kelptrail/front/callers.py
@@ -15,6 +15,7 @@
 from kelptrail.keys.names import digest, names_in
 from kelptrail.settings.deployment import Deployment, NamespaceSettings
 
+UNSURE = 0.75  # of a call's time, after which its client is told that it is not known whether others keep it
 KNOWN = 4096  # sound headers kept so that they are not compared anew
 
 
--- a/kelptrail/front/inference/api.py
+++ b/kelptrail/front/inference/api.py
@@ -22,7 +22,7 @@
 from kelptrail.codec.grpc import Code, GrpcError
 from kelptrail.codec.infer import Payload
 from kelptrail.codec.tensors import JsonTensor, TensorError, fill, scalars, to_json, write_scalars
-from kelptrail.front.callers import Callers, Finder
+from kelptrail.front.callers import UNSURE, Callers, Finder
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
 from kelptrail.gateway.limits import WORDS
@@ -383,6 +383,9 @@
         if not self._stream.ended:
             self._api._driver.gateway.promise(ivk, lambda safe: self._promised(ivk, safe))
             self._api._driver.pump()
+            if self._api.copies is not None:  # as on the first front
+                self._timer = self._api._loop.call_later(UNSURE * ivk.record.timeout_ms / 1000, self._promised, ivk,
+                                                         None)
 
     def _promised(self, ivk: Ivk, safe: bool | None) -> None:
         if safe:
@@ -399,6 +402,7 @@
 
     def deferred(self, record: Record) -> None:
         """The id, unless the final answer has been given."""
+        self._cancel()
         if self._stream.ended:
             return
         record.deferred = True
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -23,7 +23,7 @@
 from kelptrail.codec.events import CONTENT_TYPE as EVENT_STREAM
 from kelptrail.codec.events import encode_event
 from kelptrail.codec.http import Request
-from kelptrail.front.callers import Callers, Finder
+from kelptrail.front.callers import UNSURE, Callers, Finder
 from kelptrail.gateway.core import Ivk, KeyConflictError
 from kelptrail.gateway.driver import Driver
 from kelptrail.gateway.limits import WORDS
@@ -457,6 +457,10 @@
         if not self._exchange.replied:
             self._api._driver.gateway.promise(ivk, lambda safe: self._promised(ivk, safe))
             self._api._driver.pump()
+            if self._api.copies is not None and not self._exchange.replied:
+                # Nothing can be safe while no majority of voters is heard: its client hears so before it gives up.
+                self._timer = self._api._loop.call_later(UNSURE * ivk.record.timeout_ms / 1000, self._taken_over,
+                                                         ivk.record, 0)
 
     def _promised(self, ivk: Ivk, safe: bool | None) -> None:
         if safe:
@@ -491,6 +495,8 @@
 
     def deferred(self, record: Record, at: str = "") -> None:
         """202 with the id, unless the final answer has been given; `at`: whom to ask, if not this dispatcher."""
+        if self._timer is not None:
+            self._timer.cancel()
         if not self._exchange.replied:
             headers = {"x-openwhisk-activation-id": record.id}
             if at or self._api.own:
