--- a/bench/copies.py
+++ b/bench/copies.py
@@ -103,11 +103,14 @@
                     calls = fast["calls"]
                     spent = [d.cpu_s() - c for d, c in zip(trio.dispatchers, cpu, strict=True)]
                     slow = load(5, owner.address, TARGET, 32, seconds, 400.0)
-                    rows.append({"calls_a_s": fast["per_s"], "promised": fast["statuses"].get("202", 0) / fast["calls"], "p50_us": slow["p50_us"], "p99_us": slow["p99_us"],
-                                 "owner_us_a_call": 1e6 * spent[0] / calls,
-                                 "others_us_a_call": 1e6 * sum(spent[1:]) / calls}
-                                | ({"bytes_a_call": (after["bytes_out"] - before["bytes_out"]) / calls,
-                                    "calls_a_batch": calls / (after["batches"] - before["batches"])} if copies else {}))
+                    row = {"calls_a_s": fast["per_s"], "promised": fast["statuses"].get("202", 0) / fast["calls"],
+                           "p50_us": slow["p50_us"], "p99_us": slow["p99_us"],
+                           "owner_us_a_call": 1e6 * spent[0] / calls,
+                           "others_us_a_call": 1e6 * sum(spent[1:]) / calls}
+                    if copies:
+                        row["bytes_a_call"] = (after["bytes_out"] - before["bytes_out"]) / calls
+                        row["calls_a_batch"] = calls / (after["batches"] - before["batches"])
+                    rows.append(row)
                 trio.end()
                 print(json.dumps({"effect": effect, "copies": copies, "in": where} | {
                     key: round(statistics.median(r[key] for r in rows), 1) for key in rows[0]}), flush=True)
