What is shut keeps its token, and an owner without lease asks who is said to hold it

Followed: the owner was cut off, its book taken over twice; back again it asked its one member whether another owns the book. That one had been shut by the new owner and had forgotten it, token and all, so it took the old owner's word; the old owner waited for ever, and the client went on polling it. A member that forgets the token could also have let an old owner write, where clocks do not keep their bound.

Change: what is shut keeps its token, in memory and on disk; the owner also asks who is said to hold the lease.

--- a/bench/leases.py
+++ b/bench/leases.py
@@ -59,6 +59,8 @@
     "disk lost": (Budget(drops=10, copies=2, delays=200, wipes=1, runs=1), 0.3, 600, {}),
     "set changed": (Budget(drops=5, copies=3, delays=100, starts=3, runs=2), 0.1, 500, {"later": NEXT}),
 }
+WALKS |= {f"{name}, with notes": (budget, faults, length, how | {"notes": True})
+          for name, (budget, faults, length, how) in WALKS.items()}
 
 
 def product(name: str, most_states: int) -> dict[str, Any]:
--- a/kelptrail/copies/driver.py
+++ b/kelptrail/copies/driver.py
@@ -138,7 +138,7 @@
 
     def start(self) -> None:
         """Take up the own book of a run before, or begin one."""
-        own = [book for book, shelf in self.holder.shelves.items() if self._born_here(book)]
+        own = [book for book, shelf in self.holder.shelves.items() if self._born_here(book) and shelf.owner]
         for book in own:
             self._want(book)
         if not own:
@@ -180,7 +180,7 @@
 
     def _retire(self, now: float) -> None:
         for book, shelf in self.holder.shelves.items():
-            if book not in self.books and now >= self._leaving_at:
+            if book not in self.books and shelf.owner and now >= self._leaving_at:
                 self._peers.send(shelf.owner, Leaving())
         if now >= self._leaving_at:
             self._leaving_at = now + LEAVING_MS
@@ -269,8 +269,7 @@
             self._peers.send(to, Take(book))
         self.watch.shuns(now_ms(), book)
         if members.owner and not members.disks:  # it was closed: nobody needs what is here
-            self.holder.shelves.pop(book, None)
-            self._write(Work(book, shut=True))
+            self._shut(book)
         self._begin_anew()
 
     def _owned(self, held: Held, token: Token, members: Mapping[str, str], before: str, safe: bool) -> None:
@@ -405,7 +404,7 @@
 
     def _may_have(self, what: str) -> list[str]:
         """Books here that may have it."""
-        return [book for book in self.holder.shelves
+        return [book for book, shelf in self.holder.shelves.items() if shelf.owner
                 if what.startswith(KEY) or self.born(book.rpartition(".")[0], what)]
 
     def _pending(self, what: str) -> bool:
@@ -452,7 +451,7 @@
                 core.tick(now)
             self._judge(held)
         for book, shelf in list(self.holder.shelves.items()):
-            if book in self.books:
+            if book in self.books or not shelf.owner:
                 continue
             if not self.watch.has(book):
                 if not self.retiring and self.watch.is_due(now, book, shelf.owner):
@@ -486,7 +485,7 @@
             self._end(held)
         elif not core.ready and core.token.round and now >= held.probe_at and self._others(held.book):
             held.probe_at = now + self.settings.again_ms  # who was told to hold the lease may not have acted
-            core.probe()
+            core.probe(self.leases.asker.seen[PREFIX + held.book][0].who.partition("/")[0])
         elif held is not self.current and held.live and core.ready and not core.waiting and not any(
                 self._digests(held.book)):
             self._close(held)
@@ -504,6 +503,10 @@
             names = {*ranking[:self.settings.count + 2], *(n for h in self.books.values() for n in h.core.members)}
         self.leases.reach(names, SPEAKS)
 
+    def _shut(self, book: str) -> None:
+        if book in self.holder.shelves:
+            self.holder.shut(book, self.holder.shelves[book].token)
+
     def _close(self, held: Held) -> None:
         """All of a book that was taken over is forgotten: nobody needs to hold it any more."""
         if not held.core.closing:
@@ -513,8 +516,7 @@
             self._log.info("book-closed", book=held.book)
             self.books.pop(held.book)
             self._leave(held.book)
-            self.holder.shelves.pop(held.book, None)
-            self._write(Work(held.book, shut=True))
+            self._shut(held.book)
 
     def _ranking(self, heard: Iterable[str]) -> tuple[str, ...]:
         """Whom this dispatcher's books go to, the best first, of those that are heard."""
@@ -587,6 +589,7 @@
                       for book, held in sorted(self.books.items())},
             "held": {book: {"owner": shelf.owner, "token": str(shelf.token), "safe": shelf.safe,
                             "heard_ms": self.watch.since(now, shelf.owner)}
-                     for book, shelf in sorted(self.holder.shelves.items()) if book not in self.books},
+                     for book, shelf in sorted(self.holder.shelves.items())
+                     if book not in self.books and shelf.owner},
             "refused": self.holder.refused, "taken_up": self.taken_up, "let_go": self.let_go,
             "disk_failing": any(disk.journal.failing for disk in self._disks.values())}
--- a/kelptrail/copies/holder.py
+++ b/kelptrail/copies/holder.py
@@ -68,8 +68,7 @@
             self._open(sender, shelf, message)
         elif isinstance(message, Shut):
             if message.book in self.shelves and (message.token, message.stream) > (shelf.token, shelf.stream):
-                del self.shelves[message.book]
-                self.work.append(Work(message.book, shut=True))
+                self.shut(message.book, message.token, message.stream)
         elif (message.token, message.stream) == (shelf.token, shelf.stream):
             self._put(sender, shelf, message)
 
@@ -113,6 +112,12 @@
         shelf = self.shelves.get(book)
         return shelf is not None and shelf.token == token
 
+    def shut(self, book: str, token: Token, stream: int = 0) -> None:
+        """Forget a book, but for its token: an older owner must not find a holder here that has forgotten who came
+        after him.  Nobody owns what is shut."""
+        self.shelves[book] = Shelf(token, "", stream)
+        self.work.append(Work(book, fence=(token, ""), shut=True))
+
     def own(self, book: str, token: Token, owner: str) -> Work | None:
         """This dispatcher owns the book from now on: what is to be on disk before it acts.  None where a later token
         has been seen."""
--- a/kelptrail/copies/model.py
+++ b/kelptrail/copies/model.py
@@ -53,6 +53,8 @@
         """All of a work."""
         if work.fence is not None:
             self.token, self.owner = work.fence
+        if work.shut:
+            self.items.clear()
         for item in work.items:
             self.items[item.id, item.kind] = item.data
         for id_, kind in list(self.items):
--- a/kelptrail/copies/owner.py
+++ b/kelptrail/copies/owner.py
@@ -148,12 +148,12 @@
         if name not in self.members:
             self._left.add(name)
 
-    def probe(self) -> None:
-        """Without the lease: ask members whether another owns the book already; they tell by a later token."""
-        for name in self.members:
-            if name != self.me:
-                self._streams += 1
-                self.out.append((name, Open(self.book, self.token, self._streams)))
+    def probe(self, said: str) -> None:
+        """Without the lease: ask members, and who is said to own the book, whether that is so; they tell by a later
+        token."""
+        for name in sorted({*self.members, said} - {self.me}):
+            self._streams += 1
+            self.out.append((name, Open(self.book, self.token, self._streams)))
 
     @property
     def full(self) -> bool:
--- a/kelptrail/copies/shelves.py
+++ b/kelptrail/copies/shelves.py
@@ -147,8 +147,7 @@
         elif work.check != (0, 0):
             work.digests = pack_digests(self._looked_at(book, *work.check))
         if work.shut:
-            self._run("DELETE FROM entries WHERE book = ?", (book,))
-            self._run("DELETE FROM shelves WHERE book = ?", (book,))
+            self._run("DELETE FROM entries WHERE book = ?", (book,))  # its token stays
             self._staged.pop(book, None)
 
     def _drop(self, found: list[int], book: str, bucket: int, where: str, values: tuple[object, ...]) -> None:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -288,7 +288,9 @@
     holder.received("a", shut)
     assert "b" in holder.shelves, "it has been asked again meanwhile"
     holder.received("a", Shut("b", ONE, shut.stream + 2))
-    assert not holder.shelves and holder.work[-1].shut
+    assert not holder.shelves["b"].owner and holder.work[-1].shut
+    holder.received("old", Open("b", Token(0, "old/1"), 99))
+    assert isinstance(holder.out.pop()[1], Fenced), "what is forgotten is not who came last"
 
 
 def test_books_are_wanted_once_their_owner_is_silent_or_looks_at_them_no_more() -> None:
@@ -349,8 +351,8 @@
     assert shelves.digests["b"] == digests_of(items(CALL)) != both
     shelves.commit([Work("b", drops=("c1",))])
     assert not any(shelves.digests["b"])
-    shelves.commit([Work("b", shut=True)])
-    assert not shelves.books() and not shelves.digests
+    shelves.commit([Work("b", fence=(TWO, ""), shut=True)])
+    assert shelves.books() == {"b": (TWO, "")} and not shelves.digests
 
 
 def test_a_flipped_bit_is_seen_by_reading_back_and_what_follows_it_may_have_run(tmp_path: Path) -> None:
