--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY ?= python3
 BIN := .venv/bin
 # Processes of the tests.  Those marked `processes` start whole places and measure time: they run alone, afterwards.
-JOBS ?= 8
+JOBS ?= 6
 
 .PHONY: run demo test lint lock proto
 run: demo
