--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -272,18 +272,23 @@
                    f"{m['cause']}")
 
 
-@main.command(cls=_Examples, example="kelptrail usage 127.0.0.1:9001")
-@click.argument("control")
-def usage(control: str) -> None:
-    """Calls a second by namespace over the whole fleet, as the dispatcher at CONTROL was told last."""
+def _shown(control: str, target: str) -> Any:
+    """What a control port shows; ends the process where it shows nothing."""
     from kelptrail.codec.http import HttpError
     from kelptrail.standin.place import ask
 
     try:
-        status = _run(ask(control, "GET", "/usage"))
+        return _run(ask(control, "GET", target))
     except (OSError, HttpError) as cause:
         click.echo(f"{control}: {cause or type(cause).__name__}", err=True)
         sys.exit(FAILED)
+
+
+@main.command(cls=_Examples, example="kelptrail usage 127.0.0.1:9001")
+@click.argument("control")
+def usage(control: str) -> None:
+    """Calls a second by namespace over the whole fleet, as the dispatcher at CONTROL was told last."""
+    status = _shown(control, "/usage")
     click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
 
 
@@ -292,14 +297,7 @@
 @click.option("--json", "as_json", is_flag=True, help="All of it as JSON.")
 def leases(control: str, as_json: bool) -> None:
     """Tasks, holders, tokens, time left and voters, as the dispatcher at CONTROL sees them."""
-    from kelptrail.codec.http import HttpError
-    from kelptrail.standin.place import ask
-
-    try:
-        status = _run(ask(control, "GET", "/leases"))
-    except (OSError, HttpError) as cause:
-        click.echo(f"{control}: {cause or type(cause).__name__}", err=True)
-        sys.exit(FAILED)
+    status = _shown(control, "/leases")
     if as_json:
         click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
         return
@@ -328,14 +326,7 @@
 @click.option("--json", "as_json", is_flag=True, help="All of it as JSON.")
 def copies(control: str, as_json: bool) -> None:
     """What the dispatcher at CONTROL owns and holds for others, who has copies, how far behind, at risk since when."""
-    from kelptrail.codec.http import HttpError
-    from kelptrail.standin.place import ask
-
-    try:
-        status = _run(ask(control, "GET", "/copies"))
-    except (OSError, HttpError) as cause:
-        click.echo(f"{control}: {cause or type(cause).__name__}", err=True)
-        sys.exit(FAILED)
+    status = _shown(control, "/copies")
     if as_json:
         click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
         return
