--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -202,6 +202,7 @@
     revoked: bool = False
     lost: bool = False  # out for unusually long
     first: float | None = None  # when the first part of a streamed answer came
+    until: float = float("inf")  # it may not begin to leave later: where repeats are dropped for a time only
 
     @property
     def may_have_run(self) -> bool:
--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -90,6 +90,13 @@
                 last(*found)
             sock.close()
 
+    def take_all(self) -> None:
+        """Let in whoever has connected already, whatever the pace."""
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                while (found := self._next(sock)) is not None:
+                    self._came(*found)
+
     def refuse(self, client: socket.socket, told: bytes) -> None:
         """Tell a client something and let it go, at little cost and without a reset as long as there is room."""
         with contextlib.suppress(OSError):
--- a/kelptrail/platform/__main__.py
+++ b/kelptrail/platform/__main__.py
@@ -1,34 +1,54 @@
 """`python -m kelptrail.platform`: one dispatcher on the platform's sockets, as `LB_CONFIG` tells."""
 
+# ruff: noqa: E402  signals are held before all else is imported: their defaults would end the process
 from __future__ import annotations
 
+from kelptrail.platform.signals import SIGNALS, Held
+
+held = Held(SIGNALS if __name__ == "__main__" else ())
+
 import asyncio
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
 from kelptrail.platform import config
 from kelptrail.platform.service import Service, note
 
+AGAIN_MS = (50.0, 100.0, 200.0, 400.0, 800.0)  # a file that is being written may be whole a little later
+
 
-async def serve(path: str) -> None:
+async def serve(path: str, first: config.Config) -> None:
     """Serve till told to end."""
     loop = asyncio.get_running_loop()
-    service = Service(loop, config.read(path))
+    service = Service(loop, first)
+    rereads: list[asyncio.TimerHandle] = []
 
-    def reload() -> None:
+    def reload(again: tuple[float, ...] = AGAIN_MS) -> None:
+        while rereads:
+            rereads.pop().cancel()
         try:
             service.reload(config.read(path, service.config))
         except config.ConfigError as cause:
-            note("configuration kept", cause=cause)
+            if again is AGAIN_MS or not again:
+                note("configuration kept", cause=cause)
+            if again:
+                rereads.append(loop.call_later(again[0] / 1000, reload, again[1:]))
 
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    loop.add_signal_handler(signal.SIGTERM, service.end)
-    loop.add_signal_handler(signal.SIGINT, service.end)
-    service.open()
-    await service.over
+    acts: dict[int, Callable[[], None]] = {
+        signal.SIGHUP: reload, signal.SIGTERM: service.end, signal.SIGINT: service.end}
+    for number, act in acts.items():
+        loop.add_signal_handler(number, act)
+    came = held.release()
+    if signal.SIGTERM not in came and signal.SIGINT not in came:
+        service.open()
+        if signal.SIGHUP in came:
+            reload()
+        await service.over
+    held.block()  # the loop's handlers go before the process does
     service.close()
 
 
@@ -39,7 +59,7 @@
         print("kelptrail.platform: LB_CONFIG names no file", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(path))
+        uvloop.run(serve(path, config.read(path)))
     except (config.ConfigError, OSError) as cause:
         print(f"kelptrail.platform: {cause}", file=sys.stderr)
         return 2
--- a/kelptrail/platform/config.py
+++ b/kelptrail/platform/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -29,6 +30,7 @@
     connect_ms: float
     idle_ms: float
     streams: int  # that one connection to a worker carries
+    cancels: bool  # whether a send may be called off
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +51,14 @@
 def address(told: Told, name: str) -> tuple[str, int]:
     """Host and port of `host:port`.  Raises `MalformedError`."""
     host, _, port = (text := told.text(name)).rpartition(":")
-    if not host or not (port.isascii() and port.isdecimal()) or int(port) > PORTS:
-        raise MalformedError(f"{told.at}.{name}: {text!r} is no address")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    try:
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+        if not (port.isascii() and port.isdecimal()) or int(port) > PORTS:
+            raise ValueError
+    except (OSError, ValueError):
+        raise MalformedError(f"{told.at}.{name}: {text!r} is no address") from None
+    return host, int(port)
 
 
 def read(path: str, before: Config | None = None) -> Config:
@@ -93,7 +100,8 @@
     most_mb = max(memories.number(str(n), 1) for n in range(len(kinds)))
     return Sockets(zones, kinds, {each.text("name"): each.ms("give_up_us", 1000) for each in told.parts("classes")},
                    most_mb, extras.ms("answer_within_us", 1), bounds.ms("connect_timeout_us", 1),
-                   bounds.ms("idle_close_us", 1), bounds.whole("multiplex", 1))
+                   bounds.ms("idle_close_us", 1), bounds.whole("multiplex", 1),
+                   bounds.flag("may_cancel"))
 
 
 def _seed(told: Told) -> int:
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -11,6 +11,7 @@
 import re
 import socket
 from collections.abc import Callable, Mapping
+from itertools import islice
 
 from kelptrail.codec import frames
 from kelptrail.codec.frames import FrameError, FrameReader
@@ -22,8 +23,12 @@
 
 OPEN = 32  # requests that one connection may have open
 WAITING = 1 << 20  # bytes that a client may leave unread
-FIRST_MS = 2_000.0  # within which a connection's first frame, and every frame begun, has come whole
+FIRST_MS = 2_000.0  # within which a connection says something, and goes on with a frame that it began
 IDLE_MS = 6_000.0  # a usual client closes sooner
+STUCK_MS = 1_000.0  # a client that read nothing for so long is not waited for at the end
+LEAVE_MS = 1_000.0  # for which a connection that was told why is held, so that the client reads it
+CROWD = 8  # connections beyond the bound, to be told that there is no room
+LOOKS = 16  # connections looked at for one that can make way
 _HEX16 = re.compile(r"[0-9a-f]{16}")
 _KEY = re.compile(r"[0-9A-Za-z._:-]{1,64}")
 _FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
@@ -81,16 +86,18 @@
 class Client:
     """One client's connection."""
 
-    __slots__ = ("_front", "begun", "link", "open", "reader", "since")
+    __slots__ = ("_front", "begun", "crowds", "heard", "link", "open", "reader", "since")
 
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self._front, self.reader = front, FrameReader()
         self.open: dict[int, Request] = {}
-        self.since = front.time()  # connected, or last had something open
+        self.since = self.heard = front.time()  # connected, or last had something open; last sent bytes
         self.begun: float | None = None  # since when a frame is not whole
+        self.crowds = False  # it came when there was no room
         self.link = Link(front.loop, sock, self._got, self._ended, WAITING)
 
     def _got(self, data: memoryview) -> None:
+        self.heard = self._front.time()
         self.reader.feed(data)
         try:
             while not self.link.closed and (frame := self.reader.next()) is not None:
@@ -103,7 +110,7 @@
         if not len(self.reader):
             self.begun = None
         elif self.begun is None:
-            self.begun = self._front.time()
+            self.begun = self.heard
 
     def _ended(self) -> None:
         self._front.gone(self)
@@ -125,11 +132,13 @@
         self._fresh: dict[Client, None] = {}  # those that have not yet sent a whole frame, oldest first
         self._idle: dict[Client, None] = {}  # with nothing open, the longest idle first
         self._busy: dict[Client, None] = {}
+        self._leaving: dict[Client, None] = {}  # told why and to be closed
+        self._longest_s = max(FIRST_MS, *sockets.longest_ms.values()) / 1000
         self._door = Door(loop, self._came, _nobody, note)
         self.ready = True
 
     def __len__(self) -> int:
-        return len(self._fresh) + len(self._idle) + len(self._busy)
+        return len(self._fresh) + len(self._idle) + len(self._busy) + len(self._leaving)
 
     def open(self, where: tuple[str, int]) -> int:
         """Listen; returns the port.  Raises `OSError`."""
@@ -144,19 +153,38 @@
     def close(self) -> None:
         """Close the door and all connections."""
         self._door.close()
-        for client in [*self._fresh, *self._idle, *self._busy]:
+        for client in [*self._clients, *self._leaving]:
             client.link.close()
 
+    def finish(self, within_ms: float) -> None:
+        """Close the door, and all connections in order."""
+        self._door.close()
+        for client in self._clients:
+            client.link.finish(within_ms)
+
+    @property
+    def _clients(self) -> list[Client]:
+        return [*self._fresh, *self._idle, *self._busy]
+
     @property
-    def quiet(self) -> bool:
-        """Whether nothing that clients sent waits to be read."""
-        clients = [*self._fresh, *self._idle, *self._busy]
-        return all(client.link.closed or client.link.wire.quiet() is not None for client in clients)
+    def settled(self) -> bool:
+        """Whether nothing of a client is under way: nobody to let in, nothing to read, no frame half read, and no
+        answer that its client is reading."""
+        self._door.take_all()
+        return not any(self._under_way(client) for client in self._clients)
+
+    def _under_way(self, client: Client) -> bool:
+        link = client.link
+        if link.closed:
+            return False
+        if link.unwritten and (self.time() - link.moved) * 1000 < STUCK_MS:
+            return True
+        return client.begun is not None or link.wire.quiet() is None
 
     def go_away(self) -> None:
         """Ready no longer: tell all that are connected to ask for nothing new here."""
         self.ready = False
-        for client in [*self._fresh, *self._idle, *self._busy]:
+        for client in self._clients:
             client.link.write(frames.frame(frames.GO_AWAY, 0))
 
     def answer(self, request: Request, code: int, body: bytes = b"", later_ms: int = 0) -> None:
@@ -169,17 +197,22 @@
                 self._rest(client)
 
     def sweep(self) -> None:
-        """Close connections that said nothing in time, stopped in the middle of a frame, or idled."""
+        """Close connections that said nothing in time, stopped in the middle of a frame, or idled.  A slow frame that
+        goes on is given as long as a request of any namespace type."""
         now = self.time()
         for group, within in ((self._fresh, FIRST_MS), (self._idle, IDLE_MS)):
             for client in list(group):
                 if (now - client.since) * 1000 < within:
                     break
-                if client.link.wire.quiet() is not None:  # else a request waits to be read
+                if client.begun is None and client.link.wire.quiet() is not None:  # else a request comes
+                    self._drop(client)
+        for client in self._clients:
+            if client.begun is not None and ((now - client.heard) * 1000 > FIRST_MS or (
+                    now - client.begun > self._longest_s)) and client.link.wire.quiet() is not None:
+                if client in self._fresh:  # it never said a whole frame
                     self._drop(client)
-        for client in [*self._idle, *self._busy]:
-            if client.begun is not None and (now - client.begun) * 1000 > FIRST_MS:
-                self.unreadable(client, FrameError("a frame that does not end"))
+                else:
+                    self.unreadable(client, FrameError("a frame that does not end"))
 
     # What the connections tell.
 
@@ -204,24 +237,39 @@
     def unreadable(self, client: Client, cause: FrameError) -> None:
         """What came cannot be read: say so and close; nobody can tell any longer what belongs to what."""
         stream = cause.stream if cause.stream not in client.open else 0
-        self._abandon(client)
         client.link.write(frames.answer(stream, frames.FAILED))
-        client.link.finish()
+        self._leave(client)
 
     def gone(self, client: Client) -> None:
         """A connection has ended."""
         self._abandon(client)
 
     def _came(self, sock: socket.socket, _: str) -> None:
-        if len(self) >= self._most:
-            victim = next(iter(self._fresh), None) or next(
-                (client for client in self._idle if client.link.wire.quiet() is not None), None)
-            if victim is None:
-                sock.close()
-                return
-            self._drop(victim)
+        crowds = len(self) >= self._most and not self._make_room()
+        if crowds and len(self) >= self._most + CROWD:
+            sock.close()
+            return
         client = Client(self, sock)
+        client.crowds = crowds
         self._fresh[client] = None
+        if not self.ready:
+            client.link.write(frames.frame(frames.GO_AWAY, 0))
+
+    def _make_room(self) -> bool:
+        """Close a connection that nobody waits on: one that was told why, one that said nothing, one that idles."""
+        for group in (self._leaving, self._fresh, self._idle):
+            for client in islice(group, LOOKS):
+                if group is self._leaving or (client.begun is None and client.link.wire.quiet() is not None):
+                    self._drop(client)
+                    return True
+        return False
+
+    def _leave(self, client: Client) -> None:
+        """Close once what it was told is read."""
+        self._abandon(client)
+        if not client.link.closed:
+            self._leaving[client] = None
+            client.link.finish(LEAVE_MS)
 
     def _request(self, client: Client, stream: int, payload: bytes) -> None:
         if not stream or stream in client.open:
@@ -239,8 +287,10 @@
         except UnusableError:
             client.link.write(frames.answer(stream, frames.FAILED))
             return
-        if self._bytes + len(body) > self._most_bytes:  # memory: what was taken comes first
+        if client.crowds or self._bytes + len(body) > self._most_bytes:  # memory: what was taken comes first
             client.link.write(frames.answer(stream, frames.REFUSED))
+            if client.crowds:
+                self._leave(client)
             return
         self._bytes += len(body)
         request = client.open[stream] = Request(client, stream, asked.id, asked.key, body)
@@ -264,7 +314,7 @@
     def _abandon(self, client: Client) -> None:
         for request in list(client.open.values()):
             self._forget(request)
-        for group in (self._fresh, self._idle, self._busy):
+        for group in (self._fresh, self._idle, self._busy, self._leaving):
             group.pop(client, None)
 
     def _drop(self, client: Client) -> None:
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -25,6 +25,8 @@
 STATES = {READY: State.LIVE, GONE: State.GONE}
 STATE_MS = 5_000.0  # how often the log compares what is believed with what the sockets show
 LAST_MS = 700.0  # after the word to end, requests are still under way to us for so long
+PART_MS = 50.0  # for which clients may read on at the end
+OTHERS = 24  # descriptors that are neither clients' nor workers': the loop, the list and its next connection, the log
 
 
 class Log:
@@ -73,9 +75,12 @@
         self._host = Host(config.seed, config.settings)
         self._wall_ms = time.time() * 1000 - self._now()  # from the list's clock to the loop's, once
         self._order_ms, self._descriptors = sockets.order_ms, config.descriptors
-        self._bounds = Bounds(sockets.connect_ms, sockets.idle_ms, sockets.streams, 1, frames.BODY * 8)
         # A third of the descriptors is the usual clients'; some more hold those that come too many.
-        self._front = Front(loop, sockets, self._host.types, self._host.customers, config.descriptors // 2,
+        clients = config.descriptors * 5 // 12
+        workers = max(4, config.descriptors - clients - min(OTHERS, config.descriptors // 8))
+        self._bounds = Bounds(sockets.connect_ms, sockets.idle_ms, sockets.streams, workers, frames.BODY * 8,
+                              sockets.cancels, max(sockets.longest_ms.values()), self._make_room)
+        self._front = Front(loop, sockets, self._host.types, self._host.customers, clients,
                             int(config.memory_mb * (1 << 20) / 16), self._take, self._left,
                             lambda id_: id_ in self._host.acts, note)
         self._requests: dict[Activation, Request] = {}
@@ -127,10 +132,16 @@
             links.close()
 
     def _end_if_idle(self) -> None:
-        if self._requests or not self._front.quiet:
+        """The last look, and the end in the same turn: nothing can come in between unseen."""
+        if self._requests or not self._front.settled:
             self._loop.call_later(0.02, self._end_if_idle)
-        elif not self.over.done():
-            self._loop.call_later(0.05, self.over.set_result, None)
+        else:
+            self._front.finish(PART_MS)
+            self._loop.call_later(PART_MS / 1000, self._end)
+
+    def _end(self) -> None:
+        if not self.over.done():
+            self.over.set_result(None)
 
     def _now(self) -> float:
         return self._loop.time() * 1000
@@ -147,6 +158,19 @@
     def _left(self, request: Request) -> None:
         if request.act is not None and self._requests.pop(request.act, None) is not None:
             self._host.left(request.act)
+            self._take_back(request.act)
+            self._stir_soon()
+
+    def _take_back(self, act: Activation) -> None:
+        """Nobody waits any more for what has not begun to leave: behind a slow worker, or a connection not up yet."""
+        for send in act.sends:
+            if send.outcome is None:
+                self._withdraw(send)
+
+    def _withdraw(self, send: Send) -> None:
+        links = self._links.get(send.copy.worker)
+        if links is not None and links.withdraw(send):
+            self._host.answered(self._now(), send, Outcome.UNSENT, send.act.verdict is not None)
             self._stir_soon()
 
     def _ended(self, item: Item, outcome: Outcome, answer: Answer | None) -> None:
@@ -167,6 +191,8 @@
                 for name in self._host.fields]
             self._host.answered(now, item, outcome, over, said.tell == "crashed", said.tell == "up", said.ahead,
                                 report)
+            if over:
+                self._take_back(item.act)
         self._stir_soon()
 
     def _listed(self, event: Event) -> None:
@@ -182,6 +208,8 @@
             if links is not None and (worker in restarted or links.address != self._addresses[worker.id]):
                 del self._links[worker]
                 links.close()
+            elif links is not None and worker.gone:  # its address may be another's from now on
+                links.unreached()
             if worker.gone and worker.id not in self._host.workers:
                 self._addresses.pop(worker.id, None)
         live = sum(worker.live for worker in self._host.workers.values())
@@ -218,7 +246,12 @@
             self._arm()
 
     def _send(self, now: float, send: Send) -> None:
-        act, request = send.act, self._requests[send.act]
+        act, request = send.act, self._requests.get(send.act)
+        if request is None:  # guards against one decision too many: it must not end the round
+            self._host.answered(now, send, Outcome.UNSENT, True)
+            return
+        if send.until < act.deadline:
+            self._due.add(send.until, send)
         limit = max(1, int(act.deadline - now))
         self._links_to(send.copy.worker).send(send, call(
             act.id, act.type.name, act.function.id, limit, request.key, request.body))
@@ -229,6 +262,7 @@
             rejected = act.verdict == "rejected"
             self._front.answer(request, frames.REFUSED if rejected else frames.FAILED,
                                later_ms=round(act.return_ms) if rejected else 0)
+        self._take_back(act)
         for send in act.sends:
             if send.outcome is None:
                 self._due.add(act.deadline, send)
@@ -246,6 +280,12 @@
                                                       self._bounds, self._ended, note)
         return links
 
+    def _make_room(self) -> bool:
+        idle = [found for links in self._links.values() if (found := links.idlest) is not None]
+        if idle:
+            min(idle, key=lambda each: each.used).close()
+        return bool(idle)
+
     def _state(self) -> None:
         """What the module believes of load and health, beside the traffic on the sockets."""
         workers = self._host.workers.values()
@@ -276,7 +316,9 @@
 
     def _periodic(self, now: float) -> None:
         while (item := self._due.pop_due(now)) is not None:
-            if isinstance(item, Send):
+            if isinstance(item, Send) and item.act.verdict is None:  # it may begin no more; if it has, it goes on
+                self._withdraw(item)
+            elif isinstance(item, Send):
                 self._give_up(now, item, Outcome.SILENT)
             else:
                 links = self._links.get(item.copy.worker)
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from errno import EMFILE, ENFILE, ENOBUFS
 from typing import Any
 
 from kelptrail.codec.lines import Answer, LineError, LineReader, cancel, load
@@ -24,25 +25,33 @@
 
 
 class Bounds:
-    """What the settings say of connections to workers, and how many there may be to one."""
+    """What the settings say of connections to workers, how many there may be to one and to all, and how many are held.
 
-    __slots__ = ("answer_bytes", "connect_ms", "idle_ms", "most", "streams")
+    `cancels`: whether a send may be called off; `longest_ms`: an id is of use for so long; `make_room`: closes an idle
+    connection to any worker, and says whether there was one."""
 
-    def __init__(self, connect_ms: float, idle_ms: float, streams: int, most: int, answer_bytes: int) -> None:
-        self.connect_ms, self.idle_ms, self.streams, self.most = connect_ms, idle_ms, streams, most
-        self.answer_bytes = answer_bytes
+    __slots__ = ("answer_bytes", "cancels", "connect_ms", "held", "idle_ms", "longest_ms", "make_room", "most",
+                 "most_in_all", "streams")
+
+    def __init__(self, connect_ms: float, idle_ms: float, streams: int, most_in_all: int, answer_bytes: int,
+                 cancels: bool, longest_ms: float, make_room: Callable[[], bool]) -> None:
+        self.connect_ms, self.idle_ms, self.streams, self.most = connect_ms, idle_ms, streams, 1
+        self.most_in_all, self.held, self.make_room = most_in_all, 0, make_room
+        self.answer_bytes, self.cancels, self.longest_ms = answer_bytes, cancels, longest_ms
 
 
 class Connection:
     """One connection and what is open on it."""
 
-    __slots__ = ("_loop", "_owner", "_reader", "_task", "_waiting", "doubtful", "heard", "link", "open", "used")
+    __slots__ = ("_loop", "_owner", "_reader", "_task", "_waiting", "doubtful", "heard", "link", "open", "spent",
+                 "used")
 
     def __init__(self, owner: WorkerLinks, loop: asyncio.AbstractEventLoop) -> None:
         self._owner, self._loop = owner, loop
         self._reader = LineReader(owner.bounds.answer_bytes)
         self._waiting: list[tuple[str, bytes]] = []
-        self.open: dict[str, tuple[Item, int]] = {}  # and how much must be written for it to have arrived
+        self.open: dict[str, tuple[Item, int, int]] = {}  # its mark at the link, and its size
+        self.spent: dict[str, float] = {}  # ids that were used on it, oldest first: an answer of then may still come
         self.doubtful = False  # something on it was given up unanswered, and nothing was heard since
         self.used = self.heard = loop.time()
         self.link: Link | None = None
@@ -55,22 +64,37 @@
 
     def start(self, id_: str, item: Item, data: bytes) -> None:
         """Open something on it."""
-        self.used = self._loop.time()
+        self.used = self.spent[id_] = self._loop.time()
         if self.link is None:
-            self.open[id_] = item, 0
+            self.open[id_] = item, 0, 0
             self._waiting.append((id_, data))
         else:
-            self.open[id_] = item, self.link.write(data)
+            self.open[id_] = item, self.link.write(data), len(data)
 
-    def give_up(self, id_: str) -> bool:
-        """Open no longer; whether it may have arrived."""
-        _, needs = self.open.pop(id_)
+    def withdraw(self, id_: str) -> bool:
+        """Take back what has not begun to leave."""
+        _, mark, size = self.open[id_]
         if self.link is None:
             self._waiting = [(other, data) for other, data in self._waiting if other != id_]
+        elif not self.link.withdraw(mark, size):
             return False
+        del self.open[id_]
+        return True
+
+    def give_up(self, id_: str) -> bool:
+        """Open no longer; whether it may arrive: what has begun to leave goes on, as the peer counts its bytes."""
+        if self.withdraw(id_):
+            return False
+        del self.open[id_]
         self.doubtful = True
-        self.link.write(cancel(id_))
-        return self.link.written >= needs
+        if self._owner.bounds.cancels and self.link is not None:
+            self.link.write(cancel(id_))
+        return True
+
+    def forget(self, before: float) -> None:
+        """Ids that were used before then are of no use to anybody any more."""
+        while self.spent and (oldest := next(iter(self.spent))) not in self.open and self.spent[oldest] < before:
+            del self.spent[oldest]
 
     def stalled(self, now: float) -> bool:
         """Whether an answer broke off in its middle."""
@@ -89,15 +113,15 @@
             sock = await connect(self._loop, self._owner.address, self._owner.bounds.connect_ms)
         except asyncio.CancelledError:  # by `close`, which has told what becomes of what waited
             return
-        except OSError:
-            self._task = None
-            self._over(Outcome.UNREACHABLE)
+        except OSError as cause:
+            self._task = None  # without a descriptor for it nothing is known of the worker
+            self._over(Outcome.UNSENT if cause.errno in (EMFILE, ENFILE, ENOBUFS) else Outcome.UNREACHABLE)
             return
         self._task = None
         self.heard = self._loop.time()
         self.link = Link(self._loop, sock, self._got, self._ended, WAITING)
         for id_, data in self._waiting:
-            self.open[id_] = self.open[id_][0], self.link.write(data)
+            self.open[id_] = self.open[id_][0], self.link.write(data), len(data)
         self._waiting = []
 
     def _got(self, data: memoryview) -> None:
@@ -121,7 +145,7 @@
         self._owner.gone(self)
         ended, self.open, self._waiting = self.open, {}, []
         written = self.link.written if self.link is not None else -1
-        for item, needs in ended.values():
+        for item, needs, _ in ended.values():
             self._owner.finished(item, Outcome.BROKEN if written >= needs else unsent, None)
 
 
@@ -155,10 +179,28 @@
         self._start(tag, order, load(tag, order.copy.function.id, order.count))
 
     def give_up(self, item: Item) -> bool | None:
-        """Call something off; whether it may have arrived.  None: it has ended."""
+        """Call something off; whether it may arrive.  None: it has ended."""
         at = self._at.pop(item, None)
         return None if at is None else at[0].give_up(at[1])
 
+    def withdraw(self, item: Item) -> bool:
+        """Take something back that has not begun to leave; whether it was."""
+        at = self._at.get(item)
+        if at is None or not at[0].withdraw(at[1]):
+            return False
+        del self._at[item]
+        return True
+
+    @property
+    def idlest(self) -> Connection | None:
+        """The connection with nothing open that was used the longest ago."""
+        return min((each for each in self._connections if not each.open), key=lambda each: each.used, default=None)
+
+    def unreached(self) -> None:
+        """Close connections that are not up yet: who will answer at the address is not certain any more."""
+        for connection in [each for each in self._connections if each.link is None]:
+            connection.close()
+
     def sweep(self) -> None:
         """Close connections that have idled, that stalled in an answer, or that are no longer trusted."""
         now = self._loop.time()
@@ -169,6 +211,8 @@
             elif not connection.open and (
                     connection.doubtful or (now - connection.used) * 1000 > 0.2 * self.bounds.idle_ms):
                 connection.close()
+            else:
+                connection.forget(now - self.bounds.longest_ms / 1000)
 
     def close(self) -> None:
         """Close all; what is open ends."""
@@ -182,17 +226,30 @@
 
     def gone(self, connection: Connection) -> None:
         """A connection has ended."""
-        self._connections.pop(connection, None)
+        if connection in self._connections:
+            del self._connections[connection]
+            self.bounds.held -= 1
 
     def _start(self, id_: str, item: Item, data: bytes) -> None:
         best = None
         for connection in self._connections:
-            if id_ in connection.open or len(connection.open) >= self.bounds.streams:
+            # Guards against a second answer to what went there before under this id: it would be taken for the first.
+            if id_ in connection.spent or len(connection.open) >= self.bounds.streams:
                 continue
             if best is None or connection.rank < best.rank:
                 best = connection
-        if best is None or ((best.open or best.doubtful) and len(self._connections) < self.bounds.most):
+        if best is None or ((best.open or best.doubtful) and self._room()):
+            if best is None and not self._room():  # the bounds hold: one that idles makes way, here or elsewhere
+                if (idle := self.idlest) is not None:
+                    idle.close()
+                elif len(self._connections) >= self.bounds.most or not self.bounds.make_room():
+                    self._ended(item, Outcome.UNSENT, None)
+                    return
             best = Connection(self, self._loop)
             self._connections[best] = None
+            self.bounds.held += 1
         self._at[item] = best, id_
         best.start(id_, item, data)
+
+    def _room(self) -> bool:
+        return len(self._connections) < self.bounds.most and self.bounds.held < self.bounds.most_in_all
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,729 @@
+"""Crossings on the platform's door, forced on real sockets: an end, a leaving client, a broken connection or a second
+answer that comes between two steps.  One side is held at a known point; nothing here waits and hopes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_platform import CLASS, SETTINGS, Place, Runner, configuration, echo, event, run
+
+from kelptrail.codec import frames
+from kelptrail.codec.lines import call
+from kelptrail.dispatch.terms import Outcome
+from kelptrail.net.link import connect
+from kelptrail.platform import workers
+from kelptrail.platform.front import OPEN
+from kelptrail.platform.workers import Bounds, WorkerLinks
+
+SMALL = 4096  # bytes of a socket's buffer, where it shall be full soon
+
+
+def silent(*_: Any) -> None:
+    """A worker that never answers."""
+
+
+async def until(true: Callable[[], Any], within: float = 3.0) -> None:
+    async with asyncio.timeout(within):
+        while not true():
+            await asyncio.sleep(0.005)
+
+
+def raw(port: int, receive: int | None = None) -> socket.socket:
+    """A client's socket; its buffer is bound before it connects."""
+    sock = socket.socket()
+    if receive is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+    sock.connect(("127.0.0.1", port))
+    return sock
+
+
+def request(stream: int, body: bytes = b"hello", **other: str) -> bytes:
+    """A request's bytes."""
+    told = {"verb": "t", "txn": f"{stream:016x}", "limit": "1500", "team": "acme", "item": f"{stream:016x}",
+            "info": "memory_mb:512;lanes:2"} | other
+    return frames.frame(frames.REQUEST, stream, frames.fields(told) + body)
+
+
+def read_all(sock: socket.socket, within: float = 3.0) -> list[tuple[int, int, bytes]]:
+    """All frames until the connection ends."""
+    sock.settimeout(within)
+    reader, found = frames.FrameReader(1 << 20), []
+    with contextlib.suppress(ConnectionResetError):
+        while data := sock.recv(65536):
+            reader.feed(data)
+            while (frame := reader.next()) is not None:
+                found.append(frame)
+    return found
+
+
+def answers(found: list[tuple[int, int, bytes]]) -> dict[int, int]:
+    """The code that each stream was answered."""
+    told = [(stream, payload[0]) for kind, stream, payload in found if kind == frames.ANSWER]
+    assert len(dict(told)) == len(told), "one answer each"
+    return dict(told)
+
+
+class Held:
+    """Stands in for `connect`: those to come are held until they are let go."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, where: Any = workers, port: int | None = None) -> None:
+        self.gate, self.waiting, self._port = asyncio.Event(), 0, port
+        monkeypatch.setattr(where, "connect", self._connect)
+
+    async def _connect(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], within: float) -> socket.socket:
+        if self._port in (None, address[1]):
+            self.waiting += 1
+            await self.gate.wait()
+        return await connect(loop, address, within)
+
+
+# The planned end.
+
+
+def test_a_request_in_the_moment_of_the_end_is_answered_or_sees_the_close_and_ran_nowhere() -> None:
+    async def main() -> None:
+        def slowly(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            asyncio.get_running_loop().call_later(0.2, echo, runner, id_, body, writer)
+
+        async with Place(Runner(slowly)) as place:
+            client = await place.client()
+            client.ask(1)
+            assert await client.code() == frames.SERVED
+            loop, asked = asyncio.get_running_loop(), []
+            later = loop.call_later
+
+            def crossing(delay: float, back: Callable[..., Any], *args: Any, **more: Any) -> Any:
+                ends = getattr(back, "__name__", "") in ("set_result", "_end")
+                if ends and not asked:  # the last look has found nothing: now a request comes
+                    asked.append(2)
+                    client.ask(2)
+                return later(delay, back, *args, **more)
+
+            place.service._loop = Crossing(loop, crossing)
+            place.service.end()
+            assert await client.next() == (frames.GO_AWAY, 0, b"")
+            await asyncio.wait_for(place.service.over, 3.0)
+            assert asked
+            place.service.close()
+            code = await client.code()
+            assert code == frames.SERVED or (code is None and len(place.runners[0].calls) == 1)
+
+    run(main())
+
+
+class Crossing:
+    """The loop, with its `call_later` looked at."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, later: Callable[..., Any]) -> None:
+        self._loop, self.call_later = loop, later
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_the_end_waits_for_answers_that_a_client_reads_and_for_none_that_it_does_not(reads: bool) -> None:
+    body = bytes(90_000)
+
+    def large(runner: Runner, id_: bytes, _: bytes, writer: asyncio.StreamWriter) -> None:
+        echo(runner, id_, body, writer)
+
+    async def main() -> None:
+        async with Place(runner := Runner(large)) as place:
+            sock = raw(place.port, SMALL)
+            await until(lambda: len(place.service._front))
+            (client,) = place.service._front._fresh
+            client.link.wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
+            sock.sendall(request(1))
+            await until(lambda: len(runner.calls) and client.link._writing)
+            began = time.monotonic()
+            place.service.end()
+            if not reads:
+                await asyncio.wait_for(place.service.over, 2.5)
+                sock.close()
+                return
+            await asyncio.sleep(0.8)  # the last look comes after 0.7 s
+            assert not place.service.over.done()
+            found = await asyncio.to_thread(read_all, sock)
+            assert answers(found) == {1: frames.SERVED} and found[0][2] == b"\0\0" + body
+            await asyncio.wait_for(place.service.over, 1.0)
+            assert time.monotonic() - began < 2.5
+            sock.close()
+
+    run(main())
+
+
+def test_half_a_frame_at_the_end_is_waited_for_and_whoever_stands_in_the_door_is_let_in() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            half, front = await place.client(), place.service._front
+            data = request(1)
+            half.writer.write(data[:30])
+            await until(lambda: any(each.begun for each in front._fresh))
+            (listening,) = front._door._sockets
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(listening)  # whoever comes stands in the queue of the kernel
+            place.service.end()
+            assert await half.next() == (frames.GO_AWAY, 0, b"")
+            late = raw(place.port)
+            late.sendall(request(2))
+            await asyncio.sleep(0.75)
+            assert not place.service.over.done()
+            half.writer.write(data[30:])
+            assert await half.code() == frames.SERVED
+            await asyncio.wait_for(place.service.over, 2.0)
+            place.service.close()
+            assert answers(await asyncio.to_thread(read_all, late)) == {2: frames.SERVED}
+            late.close()
+
+    run(main())
+
+
+def test_what_the_last_client_was_told_is_not_eaten_by_a_reset() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            sock = raw(place.port)
+            sock.sendall(b"\0\0\0\2no" + bytes(3000))  # no frame: told, and closed
+            await asyncio.sleep(0.2)
+            with contextlib.suppress(OSError):
+                sock.sendall(bytes(1000))  # what comes after that must not reset the connection
+            await asyncio.sleep(0.05)
+            assert answers(read_all(sock)) == {0: frames.FAILED}
+            sock.close()
+            await until(lambda: not len(place.service._front))
+
+    run(main())
+
+
+# Signals of a process.
+
+
+class HeldProcess:
+    """A process whose configuration is a pipe: it stands still in reading it, before its signals are the loop's."""
+
+    def __init__(self, tmp_path: Path) -> None:
+        self._pipe = tmp_path / "pipe.json"
+        os.mkfifo(self._pipe)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(self._pipe)},
+            stdout=subprocess.PIPE)
+
+    def reading(self) -> int:
+        """The pipe's other end, once the process reads."""
+        deadline = time.monotonic() + 10
+        while time.monotonic() < deadline and self.process.poll() is None:
+            try:
+                return os.open(self._pipe, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:  # nobody reads yet
+                time.sleep(0.005)
+        raise AssertionError(f"it reads nothing; exit code {self.process.poll()}")
+
+    def replace(self, text: str) -> None:
+        """A file in the pipe's place: what is read already stays."""
+        whole = self._pipe.with_suffix(".whole")
+        whole.write_text(text)
+        whole.replace(self._pipe)
+
+    def __enter__(self) -> HeldProcess:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def let_go(end: int, text: str) -> None:
+    os.write(end, text.encode())
+    os.close(end)
+
+
+def read_until(process: subprocess.Popen[bytes], text: str, within: float = 4.0) -> str:
+    """What the process says up to and with `text`."""
+    assert process.stdout is not None
+    said, deadline = "", time.monotonic() + within
+    while text not in said:
+        left = deadline - time.monotonic()
+        assert left > 0 and select.select([process.stdout], [], [], left)[0], f"{text!r} not said: {said}"
+        data = os.read(process.stdout.fileno(), 65536)
+        assert data, f"ended: {said}"
+        said += data.decode()
+    return said
+
+
+def told(port: int) -> str:
+    return json.dumps(configuration() | {"listen": f"127.0.0.1:{port}"})
+
+
+def test_signals_before_the_loop_has_them_end_nothing_but_what_they_should(tmp_path: Path) -> None:
+    with HeldProcess(tmp_path) as held:
+        end = held.reading()
+        held.process.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+        held.replace(told(0))  # what is read again, for the signal
+        let_go(end, told(0))
+        read_until(held.process, "configuration journal")
+        held.process.send_signal(signal.SIGTERM)
+        held.process.send_signal(signal.SIGTERM)
+        assert held.process.wait(5) == 0
+
+
+def test_an_end_before_the_door_is_open_opens_none(tmp_path: Path) -> None:
+    with HeldProcess(tmp_path) as held:
+        end = held.reading()
+        held.process.send_signal(signal.SIGTERM)
+        time.sleep(0.05)
+        let_go(end, told(0))
+        assert held.process.wait(5) == 0 and held.process.stdout is not None
+        assert b"ending" not in held.process.stdout.read(), "nobody has come, nobody is waited for"
+
+
+def test_a_new_configuration_is_no_crash_at_any_moment_of_the_end(tmp_path: Path) -> None:
+    file = tmp_path / "c.json"
+    file.write_text(told(0))
+    process = subprocess.Popen([sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)},
+                               stdout=subprocess.PIPE)
+    try:
+        read_until(process, "list number=1")
+        time.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.0005)
+        assert process.returncode == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_file_that_is_half_written_at_the_signal_is_read_again(tmp_path: Path) -> None:
+    file = tmp_path / "c.json"
+    file.write_text(told(0))
+    process = subprocess.Popen([sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)},
+                               stdout=subprocess.PIPE)
+    try:
+        read_until(process, "list number=1")
+        time.sleep(0.2)
+        whole = json.dumps(configuration() | {"journal": "127.0.0.1:19"})
+        file.write_text(whole[:len(whole) // 2])
+        process.send_signal(signal.SIGHUP)
+        read_until(process, "configuration kept")
+        file.write_text(whole)
+        assert "kept" not in read_until(process, "configuration journal=('127.0.0.1', 19)")
+    finally:
+        process.kill()
+        process.wait()
+
+
+# Clients that left.
+
+
+class Thing:
+    """Something to send, as far as the links know of it."""
+
+    def __init__(self, id_: str) -> None:
+        self.id, self.act = id_, self
+
+
+class Bare:
+    """Links to one worker that reads when the test does, over small buffers."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, most: int = 1, in_all: int = 8, cancels: bool = True) -> None:
+        async def small(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within: float) -> socket.socket:
+            sock = await connect(loop, address, within)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
+            return sock
+
+        monkeypatch.setattr(workers, "connect", small)
+        self.listening = socket.socket()
+        self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL)
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen()
+        self.ended: list[tuple[Any, Outcome]] = []
+        bounds = Bounds(150.0, 15_000.0, 100, in_all, 1 << 17, cancels, 2000.0, lambda: False)
+        bounds.most = most
+        self.links = WorkerLinks(asyncio.get_running_loop(), "w", self.listening.getsockname(), bounds,
+                                 lambda item, outcome, _: self.ended.append((item, outcome)), silent)
+
+    def send(self, id_: str, size: int = 16_000) -> Any:
+        thing = Thing(id_)
+        self.links.send(thing, call(id_, "t", "a" * 16, 1000, "", bytes(size)))  # type: ignore[arg-type]
+        return thing
+
+    async def take(self) -> socket.socket:
+        """The worker's end of the connection, once it is up."""
+        sock, _ = await asyncio.to_thread(self.listening.accept)
+        await until(lambda: all(each.link for each in self.links._connections))
+        return sock
+
+    async def full(self, count: int = 4) -> tuple[socket.socket, list[Any]]:
+        """Sends behind a socket that takes no more of the first."""
+        things = [self.send(f"{n:016x}") for n in range(count)]
+        sock = await self.take()
+        (connection,) = self.links._connections
+        await until(lambda: connection.link is not None and connection.link._waits)
+        return sock, things
+
+
+def commands(sock: socket.socket, within: float = 0.3) -> list[bytes]:
+    """The lines that the worker reads, bodies passed over; fails where the framing does not hold."""
+    sock.settimeout(within)
+    data, found = b"", []
+    with contextlib.suppress(TimeoutError):
+        while more := sock.recv(65536):
+            data += more
+    while data:
+        line, _, data = data.partition(b"\r\n")
+        words = line.split(b" ")
+        assert words[0] in (b"CALL", b"CANCEL", b"LOAD"), line
+        if words[0] == b"CALL":
+            size = int(words[-1])
+            assert data[size:size + 2] == b"\r\n"
+            data = data[size + 2:]
+        found.append(b" ".join(words[:2]))
+    return found
+
+
+def test_what_waits_behind_a_full_socket_is_taken_back_and_what_has_begun_goes_on(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def main() -> None:
+        bare = Bare(monkeypatch)
+        sock, (begun, second, third, _) = await bare.full()
+        assert bare.links.give_up(begun) is True, "it will arrive: nobody may take it for unsent"
+        assert bare.links.give_up(third) is False and bare.links.withdraw(second)
+        assert not bare.links.withdraw(second) and bare.links.give_up(third) is None
+        found = await asyncio.to_thread(commands, sock)
+        assert found == [b"CALL %016d" % 0, b"CALL %016d" % 3, b"CANCEL %016d" % 0]
+        bare.links.close()
+        sock.close()
+
+    run(main())
+
+
+def test_a_connection_that_ends_proves_what_had_not_begun(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        bare = Bare(monkeypatch)
+        sock, things = await bare.full()
+        sock.close()  # a reset, as bytes wait there
+        await until(lambda: len(bare.ended) == 4)
+        told = dict(bare.ended)
+        assert [told[thing] for thing in things][1:] == [Outcome.UNSENT] * 3
+        assert not len(bare.links) and not bare.links.bounds.held
+
+    run(main())
+
+
+def test_no_cancel_goes_out_where_the_settings_forbid_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        bare = Bare(monkeypatch, cancels=False)
+        thing = bare.send("a" * 16, 10)
+        sock = await bare.take()
+        await asyncio.sleep(0.05)
+        assert bare.links.give_up(thing) is True
+        assert await asyncio.to_thread(commands, sock) == [b"CALL " + b"a" * 16]
+        bare.links.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("cancels", [True, False])
+@pytest.mark.parametrize("leaves", ["close", "reset", "half", "cancel"])
+def test_nothing_begins_for_a_client_that_left_while_its_connection_came_up(
+    leaves: str, cancels: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(SETTINGS, "bounds", SETTINGS["bounds"] | {"may_cancel": cancels, "connect_timeout_us": 10**6})
+
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            stays = await place.client()
+            stays.ask(1)
+            assert await stays.code() == frames.SERVED  # a copy stands
+            for links in place.service._links.values():
+                links.close()
+            held = Held(monkeypatch)
+            sock = raw(place.port)
+            sock.sendall(request(2, item=f"{0x7f3a9c21e0b4d655:016x}"))
+            await until(lambda: held.waiting)
+            if leaves == "cancel":
+                sock.sendall(frames.frame(frames.CANCEL, 2))
+            elif leaves == "half":
+                sock.shutdown(socket.SHUT_WR)
+            else:
+                if leaves == "reset":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                sock.close()
+            await until(lambda: not place.service._requests)
+            held.gate.set()
+            await asyncio.sleep(0.15)
+            assert place.runners[0].calls == [b"%016x" % 1]
+            sock.close()
+
+    run(main())
+
+
+def test_a_close_behind_many_requests_is_seen_before_they_go_on() -> None:
+    async def main() -> None:
+        began: list[float] = []
+
+        def late(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            began.append(time.monotonic())
+            echo(runner, id_, body, writer)
+
+        async with Place(Runner(late)) as place:
+            loop, busy = asyncio.get_running_loop(), True
+
+            def work() -> None:  # each turn of the loop takes 10 ms
+                time.sleep(0.01)
+                if busy:
+                    loop.call_soon(work)
+
+            sock = raw(place.port)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+            data = b"".join(request(n, bytes(15_000), item="7f3a9c21e0b4d655") for n in range(1, OPEN + 1))
+            await until(lambda: len(place.service._front))
+            work()
+            await asyncio.to_thread(sock.sendall, data)
+            closed = time.monotonic()
+            sock.close()
+            await until(lambda: not len(place.service._front))
+            await asyncio.sleep(0.1)
+            busy = False
+            assert not [at - closed for at in began if at > closed + 0.1]
+
+    run(main())
+
+
+def test_one_decision_too_many_does_not_end_the_round() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            client, taken = await place.client(), place.service._host.taken
+
+            def forget_the_first(*args: Any) -> Any:
+                act = taken(*args)
+                if act.id == f"{1:016x}":
+                    place.service._loop.call_soon(place.service._requests.pop, act)
+                return act
+
+            place.service._host.taken = forget_the_first  # type: ignore[method-assign]
+            stir = place.service._stir
+            place.service._stir_soon = lambda: asyncio.get_running_loop().call_soon(  # type: ignore[method-assign]
+                asyncio.get_running_loop().call_soon, stir)
+            failed: list[Any] = []
+            asyncio.get_running_loop().set_exception_handler(lambda _, context: failed.append(context))
+            client.ask(1)
+            client.ask(2, item="1" * 16)
+            assert await client.next() is not None and not failed
+
+    run(main())
+
+
+# Workers' connections.
+
+
+def test_a_second_answer_of_before_is_never_taken_for_that_of_a_further_send(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"effect": "single_shot", "give_up_us": 2000000}])
+
+    async def main() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        def script(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            if len(writers) == 1:
+                writer.write(b"%b MISS - 0\r\n\r\n" % id_)
+                return
+            if len(writers) == 2:  # the first answer's copy comes while the further send runs
+                writers[0].write(b"%b MISS - 0\r\n\r\n" % id_)
+            asyncio.get_running_loop().call_later(0.1, echo, runner, id_, body, writer)
+
+        async with Place(Runner(script)) as place:
+            client = await place.client()
+            client.ask(1)
+            assert await client.code() == frames.SERVED
+            await asyncio.sleep(0.1)
+            assert len(place.runners[0].calls) == 2, "once-only ran once"
+
+    run(main())
+
+
+def test_an_address_that_passes_to_another_worker_while_a_connect_is_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            place.service._bounds.connect_ms = 5000.0
+            held, client = Held(monkeypatch), await place.client()
+            client.ask(1)
+            await until(lambda: held.waiting)
+            (port,) = {int(t["endpoint"].rpartition(":")[2])
+                       for t in place.told["known"]["entries"][0]["hosts"]["targets"]}
+            (old,) = place.service._links.values()
+            connecting = list(old._connections)
+            place.events = [event(2, 2, (0, port, 2)), event(3, 2, (7, port, 0))]
+            place.service.reload(place.service.config)
+            await until(lambda: place.service.number == 3)
+            assert not any(each in old._connections for each in connecting), "who answers there is not certain"
+            held.gate.set()
+            assert await client.code() == frames.SERVED
+            assert len(place.runners[0].calls) == 1
+
+    run(main())
+
+
+def test_a_repeat_that_waits_past_what_workers_remember_does_not_go_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"name": "k", "effect": "guarded", "key_scope": "all",
+                                                       "window_us": 300_000, "give_up_us": 2_000_000}])
+    monkeypatch.setitem(SETTINGS, "bounds", SETTINGS["bounds"] | {"connect_timeout_us": 1_500_000})
+
+    async def main() -> None:
+        held: list[Held] = []
+
+        def breaks(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            held.append(Held(monkeypatch))  # the repeat's connection comes up late
+            writer.transport.abort()
+
+        async with Place(Runner(breaks), Runner(breaks)) as place:
+            client = await place.client()
+            client.ask(1, verb="k", unique="u" * 32)
+            await until(lambda: held and held[0].waiting)
+            await asyncio.sleep(0.35)
+            held[0].gate.set()
+            assert await client.code() in (frames.FAILED, frames.REFUSED)
+            await asyncio.sleep(0.05)
+            assert sum(len(runner.calls) for runner in place.runners) == 1
+
+    run(main())
+
+
+def test_connections_to_workers_stay_within_the_descriptors_and_idle_ones_make_way() -> None:
+    async def main() -> None:
+        async with Place(*(Runner(echo) for _ in range(24)), sockets=32) as place:
+            most = place.service._bounds.most_in_all
+            assert most < 24
+            client = await place.client()
+            for n in range(1, 30):
+                client.ask(n, item=f"{n:016x}")
+                assert await client.code() == frames.SERVED
+                held = sum(len(links) for links in place.service._links.values())
+                assert held == place.service._bounds.held <= most
+
+    run(main())
+
+
+def test_no_descriptor_says_nothing_of_a_worker(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async def none(*_: Any) -> socket.socket:
+            raise OSError(24, "Too many open files")
+
+        bare = Bare(monkeypatch)
+        monkeypatch.setattr(workers, "connect", none)
+        thing = bare.send("a" * 16, 10)
+        await until(lambda: bare.ended)
+        assert bare.ended == [(thing, Outcome.UNSENT)]
+
+    run(main())
+
+
+# Slow and hostile clients.
+
+
+def test_a_slow_frame_that_goes_on_is_waited_for_and_one_that_stands_still_is_not(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"give_up_us": 5_000_000}])
+
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            slow, stuck, front = await place.client(), await place.client(), place.service._front
+            for client in (slow, stuck):
+                client.ask(1, txn=f"{id(client) % 2**32:016x}")
+                assert await client.code() == frames.SERVED
+            data = request(2, item="7f3a9c21e0b4d655")
+            slow.writer.write(data[:20])
+            stuck.writer.write(request(3)[:20])
+            await until(lambda: all(each.begun for each in front._idle))
+            mine, other = front._idle
+            for each in (mine, other):  # it began so long ago
+                each.begun -= 2.5
+                each.since -= 7.0
+            other.heard -= 2.5
+            front.sweep()
+            slow.writer.write(data[20:])
+            assert await slow.code() == frames.SERVED
+            assert await stuck.code() == frames.FAILED and await stuck.next() is None
+
+    run(main())
+
+
+def test_a_newcomer_among_busy_clients_is_told_that_there_is_no_room() -> None:
+    async def main() -> None:
+        async with Place(Runner(silent), sockets=32) as place:
+            front, busy = place.service._front, []
+            for n in range(front._most):
+                busy.append(await place.client())
+                busy[-1].ask(1, txn=f"{n:016x}", item=f"{n:016x}")
+            await until(lambda: len(front._busy) == front._most)
+            late = await place.client()
+            late.ask(1, txn="f" * 16)
+            assert await late.code() == frames.REFUSED and await late.next() is None
+            assert len(front._busy) == front._most, "nobody lost anything for it"
+
+    run(main())
+
+
+def test_who_has_asked_and_was_not_yet_read_does_not_make_way_for_others() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo), sockets=32) as place:
+            front, loop = place.service._front, asyncio.get_running_loop()
+            (listening,) = front._door._sockets
+            loop.remove_reader(listening)
+            asked = [raw(place.port) for _ in range(front._most + 4)]
+            for n, sock in enumerate(asked):
+                sock.sendall(request(n + 1))
+            loop.add_reader(listening, front._door._ready, listening)  # all are let in in one turn
+            found = [await asyncio.to_thread(lambda sock=sock: answers(read_some(sock))) for sock in asked]
+            assert [list(each) for each in found] == [[n + 1] for n in range(len(asked))], "each is answered"
+            for sock in asked:
+                sock.close()
+
+    run(main())
+
+
+def read_some(sock: socket.socket) -> list[tuple[int, int, bytes]]:
+    """Frames until an answer or the end."""
+    sock.settimeout(3.0)
+    reader, found = frames.FrameReader(1 << 20), []
+    while not found and (data := sock.recv(65536)):
+        reader.feed(data)
+        while (frame := reader.next()) is not None:
+            found.append(frame)
+    return found
+
+
+def test_a_client_that_never_reads_what_it_was_told_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            sock = raw(place.port, SMALL)
+            await until(lambda: len(place.service._front))
+            (client,) = place.service._front._fresh
+            client.link.wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
+            sock.sendall(frames.frame(frames.ASK_READY, 7, b"\0") * 3000)
+            await until(lambda: client.link._writing)
+            sock.sendall(b"\0\0\0\2no")
+            await until(lambda: client.link.closed, 2.5)
+            assert not len(place.service._front)
+            sock.close()
+
+    run(main())
+
+
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -316,6 +316,7 @@
             assert await stays.next() == (frames.GO_AWAY, 0, b"")
             late = await place.client()
             late.ask(3)  # it was under way when the end began
+            assert await late.next() == (frames.GO_AWAY, 0, b"")  # so is whoever comes after it
             assert await stays.code() == frames.SERVED and await late.code() == frames.SERVED
             await asyncio.wait_for(place.service.over, 1.0)
 
