The worker list through rare moments, each forced on sockets

Need: the list's follower had no tests of what comes between two lines: an event that fails, a trickle, a move, no descriptor.

--- /dev/null
+++ b/tests/test_worker_list.py
@@ -0,0 +1,288 @@
+"""The worker list through rare moments, forced: silence, trickles, moves, events that fail, no descriptor left."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_crossings import Held, raw, read_until, until
+from test_platform import Place, Runner, configuration, echo, event, run
+
+from kelptrail.codec import frames
+from kelptrail.platform import config, feed
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class List:
+    """A list's service of the test: what it does on each connection, and from where it was asked."""
+
+    def __init__(self, serve: Serve) -> None:
+        self._serve, self.asked = serve, list[int]()
+
+    async def open(self, port: int = 0) -> int:
+        self.server = await asyncio.start_server(self._came, "127.0.0.1", port)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def _came(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            self.asked.append(int.from_bytes(await reader.readexactly(8), "big"))
+            await self._serve(reader, writer)
+        writer.close()
+
+
+async def follow(place: Place, port: int) -> None:
+    place.service._feed.moved(("127.0.0.1", port))
+
+
+def test_an_event_that_could_not_be_taken_in_is_asked_for_again() -> None:
+    async def main() -> None:
+        async with Place(Runner(echo), Runner(echo)) as place:
+            host, listed, fails = place.service._host, place.service._host.listed, [True]
+
+            def once(*args: Any) -> Any:
+                if fails:
+                    fails.pop()
+                    raise RuntimeError("not foreseen")
+                return listed(*args)
+
+            host.listed = once  # type: ignore[method-assign]
+            place.events = [event(2, 2, (1, 9, 1))]
+            place.service.reload(place.service.config)
+            await until(lambda: place.service.number == 2)
+            assert not fails and not host.workers["s-00000001"].live
+
+    run(main())
+
+
+@pytest.mark.parametrize("says", ["bytes of a frame that never ends", "nothing", "empty events, then nothing"])
+def test_a_list_that_tells_no_whole_event_is_asked_again(says: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feed, "SILENT_MS", 200.0)
+
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if says.startswith("empty"):
+                writer.write(event(1, 0))
+            for byte in event(2, 2, (1, 9, 1)):
+                if says.startswith("bytes"):
+                    writer.write(bytes((byte,)))
+                await asyncio.sleep(0.05)
+            await reader.read()
+
+        asked = List(serve)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            await follow(place, port)
+            await until(lambda: len(asked.asked) >= 3, 1.5)
+            assert set(asked.asked) == {1}
+
+    run(main())
+
+
+def test_a_link_too_slow_for_one_event_is_given_more_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feed, "SILENT_MS", 100.0)
+
+    async def main() -> None:
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for byte in event(2, 2, (1, 9, 1)):
+                writer.write(bytes((byte,)))
+                await asyncio.sleep(0.01)  # some 0.4 s for the event
+            await reader.read()
+
+        asked = List(slow)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            await follow(place, port)
+            await until(lambda: place.service.number == 2)
+            assert len(asked.asked) > 1, "not at the first time"
+
+    run(main())
+
+
+def test_a_list_that_breaks_at_once_each_time_is_not_asked_without_a_pause() -> None:
+    async def main() -> None:
+        async def breaks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(event(1, 0) + event(5, 2, (1, 9, 1)))  # events are missing
+
+        asked = List(breaks)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            await follow(place, port)
+            await asyncio.sleep(0.5)
+            assert 2 <= len(asked.asked) <= 8
+
+    run(main())
+
+
+def test_a_move_while_a_connect_is_under_way_waits_for_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(event(2, 2, (1, 9, 1)))
+            await reader.read()
+
+        asked = List(serve)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            held = Held(monkeypatch, feed, port=9)  # a connect to the old address hangs for good
+            await follow(place, 9)
+            await until(lambda: held.waiting)
+            place.told["journal"] = f"127.0.0.1:{port}"
+            place.service.reload(feed_config(place))
+            await until(lambda: place.service.number == 2, 0.5)
+
+    run(main())
+
+
+def feed_config(place: Place) -> config.Config:
+    return config.parse(json.dumps(place.told), place.service.config)
+
+
+def test_a_move_while_it_pauses_waits_for_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feed, "PAUSE_MS", 60_000.0)
+    monkeypatch.setattr(feed, "LONGEST_PAUSE_MS", 60_000.0)
+
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(event(2, 2, (1, 9, 1)))
+            await reader.read()
+
+        asked = List(serve)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            unreachable: list[str] = []
+            place.service._feed._note = lambda what, **_: unreachable.append(what)
+            await follow(place, 9)  # nobody listens there
+            await until(lambda: unreachable)
+            await follow(place, port)
+            await until(lambda: place.service.number == 2, 0.5)
+
+    run(main())
+
+
+def test_what_the_old_address_still_tells_is_taken_until_the_new_one_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def old(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            await reader.read()
+
+        async def new(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(event(2, 2, (1, 9, 1)) + event(3, 2, (1, 9, 2)))
+            await reader.read()
+
+        first, second = List(old), List(new)
+        ports = await first.open(), await second.open()
+        async with Place(Runner(echo), Runner(echo)) as place:
+            await follow(place, ports[0])
+            await until(lambda: writers)
+            held = Held(monkeypatch, feed, port=ports[1])
+            await follow(place, ports[1])
+            await until(lambda: held.waiting)
+            writers[0].write(event(2, 2, (1, 9, 1))[:30])
+            await asyncio.sleep(0.02)
+            writers[0].write(event(2, 2, (1, 9, 1))[30:])
+            await until(lambda: place.service.number == 2)
+            held.gate.set()
+            await until(lambda: place.service.number == 3)
+            assert second.asked == [2], "nothing is asked for twice"
+
+    run(main())
+
+
+def test_a_descriptor_is_kept_for_the_list_while_idle_clients_fill_the_rest(tmp_path: Path) -> None:
+    """The process has fewer descriptors than it was told: clients take all, then the list comes up."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+    (journal, listen) = (port, socket.socket())
+    listen.bind(("127.0.0.1", 0))
+    door = listen.getsockname()[1]
+    listen.close()
+    file = tmp_path / "c.json"
+    file.write_text(json.dumps(configuration() | {"listen": f"127.0.0.1:{door}", "journal": f"127.0.0.1:{journal}",
+                                                  "limits": {"cores": 1, "memory_mb": 64, "sockets": 400}}))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)}, stdout=subprocess.PIPE,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40)))
+    clients: list[socket.socket] = []
+    try:
+        read_until(process, "feed unreachable")
+        deadline = time.monotonic() + 5
+        while time.monotonic() < deadline:
+            with contextlib.suppress(ConnectionRefusedError):
+                clients.append(raw(door))
+                break
+            time.sleep(0.02)
+        while len(os.listdir(f"/proc/{process.pid}/fd")) < 40 and len(clients) < 100:
+            clients.append(raw(door))
+            clients[-1].sendall(frames.frame(frames.ASK_READY, 1, b"\0"))
+        read_until(process, "accept-failed")
+
+        async def main() -> None:
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                for _ in range(100):
+                    writer.write(event(1, 0))
+                    await asyncio.sleep(0.1)
+
+            asked = List(serve)
+            await asked.open(journal)
+            await until(lambda: asked.asked, 3.0)
+            assert asked.asked == [1]
+
+        run(main())
+    finally:
+        process.kill()
+        process.wait()
+        for sock in clients:
+            sock.close()
+
+
+def test_new_versions_of_what_is_loaded_arrive_on_a_quiet_day() -> None:
+    """All copies go stale at once, with one call here and there and no burst: each function is ordered anew when it is
+    next called for, its call is served, and orders stay within the ration."""
+    async def main() -> None:
+        versions: dict[bytes, int] = {}
+        release, orders = [1], list[float]()
+
+        class Versions(Runner):
+            """Serves a function only in the version that is the newest."""
+
+            async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    while line := await reader.readline():
+                        word, id_, *rest = line.split()
+                        if word == b"LOAD":
+                            versions[rest[0][5:21]] = release[0]
+                            orders.append(asyncio.get_running_loop().time())
+                            writer.write(id_ + b" OK units=1 0\r\n\r\n")
+                        elif word == b"CALL":
+                            body = (await reader.readexactly(int(rest[-1]) + 2))[:-2]
+                            item = rest[0].partition(b"item=")[2][:16]
+                            if versions.get(item) == release[0]:
+                                echo(self, id_, body, writer)
+                            else:
+                                writer.write(id_ + b" MISS - 0\r\n\r\n")
+
+        async with Place(Versions(echo)) as place:
+            client, stream = await place.client(), 0
+            for release[0] in (1, 2, 3):
+                for n in range(6):
+                    for _ in range(3):
+                        stream += 1
+                        client.ask(stream, item=f"{n:016x}")
+                        assert await client.code() == frames.SERVED, (release, n)
+            assert len(orders) <= 3 * 6 + 2, "one for each version and function, no storm"
+
+    run(main())
