--- /dev/null
+++ b/bench/door_fuzz.py
@@ -0,0 +1,446 @@
+"""A seeded fuzz of the platform's door: processes of the program between clients, workers and a list that do what they
+like at random instants, and signals.  What was seen on the sockets is judged by the five rules and two terms more.
+
+    python bench/door_fuzz.py --days 20 --seed 1
+
+A day takes some seconds.  The draws are the seed's, their instants the machine's.  Exit code 1 where a rule is broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import struct
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from kelptrail.codec import frames
+
+SLACK_S = 0.25  # for a machine that is busy otherwise: the fuzz looks for faults, not for milliseconds
+LEFT_S = 0.1  # an attempt may begin so long after its client left
+GRACE_S = 0.5
+WINDOW_S = 0.7
+LIMITS_MS = (300, 700, 1500)
+EFFECTS = {"t": "free", "k": "guarded", "o": "single_shot"}
+NEVER_RAN = {"MISS", "BUSY", "VOID"}
+
+
+def settings() -> dict[str, Any]:
+    """The settings object, with names and figures of no deployment."""
+    classes = [{"name": name, "effect": effect, "aim_us": 200_000, "gain": 1.0, "late_worth": 0.2,
+                "give_up_us": 2_000_000, "key_scope": "all", "window_us": int(WINDOW_S * 1e6)}
+               for name, effect in EFFECTS.items()]
+    return {"my_zone": 0, "failure_domains": ["p", "q"], "models": ["m"], "classes": classes,
+            "customers": [{"name": "acme", "allowance_per_s": 100.0}], "report": {"fields": ["cpu", "x1", "x0"]},
+            "rules": {"tip_multiple": 3.0, "fall_us": 2_000_000, "start_capacity": 0.3, "cold_us": 5_000_000,
+                      "stop_sending_within_us": int(GRACE_S * 1e6)},
+            "bounds": {"parallel_tries": True, "may_cancel": True, "max_attempts": 6, "retry_after": True,
+                       "max_retry_after_us": 500_000, "connect_timeout_us": 200_000, "idle_close_us": 10_000_000,
+                       "multiplex": 100},
+            "specifics": {"says_warm": True, "idle_life_us": 5_000_000, "load_control": True, "free_loads": 20.0,
+                          "load_share": 0.5, "load_span_us": 5_000_000, "answer_within_us": 3_000_000,
+                          "machine_mb": [50_000.0]}}
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request, as its client knows of it."""
+
+    id: str
+    kind: str
+    process: int
+    written: float  # its last byte
+    limit: float
+    until: float
+    left: float | None = None  # cancelled, or its connection closed by the client
+    ended: float | None = None  # its connection was closed by the dispatcher
+    said: float | None = None  # GO_AWAY was there before it was asked
+    answers: list[tuple[float, int, bytes]] = field(default_factory=list)
+
+
+class Day:
+    """One day of one seed."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path, processes: int) -> None:
+        self.chance, self.seconds, self.folder = random.Random(seed), seconds, folder
+        self.asked: dict[str, Asked] = {}
+        self.calls: dict[str, list[tuple[float, str, int]]] = collections.defaultdict(list)  # begun, end, worker
+        self.bodies: set[bytes] = set()
+        self.told: dict[int, float] = {}  # workers that drain or went, and when the list's event was written
+        self.sent_to: list[tuple[float, int]] = []
+        self.events: list[bytes] = []
+        self.entries: list[dict[str, Any]] = []
+        self.killed: list[tuple[int, float]] = []
+        self.problems: list[str] = []
+        self.signals: collections.Counter[str] = collections.Counter()
+        self.ports: list[int] = []
+        self.processes: list[asyncio.subprocess.Process | None] = [None] * processes
+        self.doors = [(f"127.0.{7 + seed % 200}.{n + 1}", 0) for n in range(processes)]
+        self.more = True
+        self.begun: set[str] = set()  # requests of which something was written
+
+    # The workers.
+
+    async def worker(self, number: int) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError, RuntimeError, asyncio.IncompleteReadError, ValueError):
+                while line := await reader.readline():
+                    word, id_, *rest = line.decode().split()
+                    if word == "LOAD":
+                        await asyncio.sleep(self.chance.random() * 0.05)
+                        says = self.chance.choice(["OK units=1"] * 9 + ["BUSY units=0"])
+                        writer.write(f"{id_} {says} 0\r\n\r\n".encode())
+                    elif word == "CALL":
+                        body = (await reader.readexactly(int(rest[-1]) + 2))[:-2]
+                        self._called(number, id_, body, writer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.ports.append(server.sockets[0].getsockname()[1])
+
+    def _called(self, number: int, id_: str, body: bytes, writer: asyncio.StreamWriter) -> None:
+        now, loop = time.monotonic(), asyncio.get_running_loop()
+        does = self.chance.choice(["OK"] * 60 + ["MISS", "MISS", "MISSES", "BUSY", "ERR", "noise", "break", "silent",
+                                                 "half", "twice", "late", "VOID"])
+        self.calls[id_].append((now, does, number))
+        self.sent_to.append((now, number))
+        made = b"%d %s" % (number, body)
+        self.bodies.add(made)
+        good = b"%s OK tell=up,ahead=0 %d\r\n%s\r\n" % (id_.encode(), len(made), made)
+        plain = b"%s %s - 0\r\n\r\n" % (id_.encode(), does[:4].encode())
+        says = {"OK": good, "late": good, "twice": good + good, "noise": b"\0\xffno line\r\n", "half": good[:-5],
+                "silent": b"", "break": b""}.get(does, plain)
+
+        def say() -> None:
+            with contextlib.suppress(RuntimeError, OSError):
+                writer.write(says)
+                if does in ("break", "half"):
+                    writer.close()
+                if does == "MISSES":  # a second answer some milliseconds later
+                    loop.call_later(0.02 * self.chance.random(), writer.write, says)
+
+        loop.call_later(1.0 if does == "late" else self.chance.random() * 0.04, say)
+
+    # The list.
+
+    async def list(self) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError, RuntimeError, asyncio.IncompleteReadError):
+                at = int.from_bytes(await reader.readexactly(8), "big")
+                does = self.chance.choice(["tell"] * 6 + ["break", "twice"])
+                while self.more:
+                    for data in self.events[at - 1:]:
+                        if does == "break" and self.chance.random() < 0.2:
+                            writer.write(data[:9])
+                            return
+                        writer.write(data * (2 if does == "twice" else 1))
+                        at += 1
+                    writer.write(struct.pack(">IQB", 9, at, 0))
+                    await asyncio.sleep(0.1)
+            writer.close()
+
+        self.lists = [await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(2)]
+        self.journals = [f"127.0.0.1:{each.sockets[0].getsockname()[1]}" for each in self.lists]
+
+    def tell(self, *changes: tuple[int, int, int]) -> None:
+        """An event: ids, the workers behind them, states."""
+        number = 2 + len(self.events)
+        records = b"".join(struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), self.ports[worker], state, 0, 0, 0,
+                                       1000, 0) for id_, worker, state in changes)
+        self.events.append(struct.pack(">IQB", 9 + len(records), number, 2) + records)
+        states = ("in_service", "terminating", "terminated")
+        targets = [self._target(id_, worker, states[state]) for id_, worker, state in changes]
+        self.entries.append({"pos": number, "hosts": {"rev": number, "all": False, "targets": targets}})
+
+    def _target(self, id_: int, worker: int, state: str) -> dict[str, Any]:
+        return {"uid": f"s-{id_:08x}", "endpoint": f"127.0.0.1:{self.ports[worker]}", "az": "p", "model": "m",
+                "pod_group": 0, "state": state, "capacity_hint": 1, "boot_ms": 0}
+
+    # The processes.
+
+    def configuration(self, n: int) -> str:
+        host, port = self.doors[n]
+        return json.dumps({"name": f"n{n}", "listen": f"{host}:{port}", "seed": f"{self.chance.getrandbits(60):x}",
+                           "limits": {"cores": 1, "memory_mb": 64, "sockets": 128},
+                           "journal": self.chance.choice(self.journals),
+                           "known": {"pos": self.entries[-1]["pos"], "entries": self.entries},
+                           "settings": settings()})
+
+    async def start(self, n: int) -> None:
+        file = self.folder / f"c{n}.json"
+        if not self.doors[n][1]:
+            with socket.socket() as free:
+                free.bind((self.doors[n][0], 0))
+                self.doors[n] = free.getsockname()
+        file.write_text(self.configuration(n))
+        with open(self.folder / f"log{n}", "ab") as log:
+            self.processes[n] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "kelptrail.platform", env=os.environ | {"LB_CONFIG": str(file)}, stdout=log,
+                stderr=log)
+        deadline = time.monotonic() + 10
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(*self.doors[n])
+                writer.close()
+                return
+            await asyncio.sleep(0.02)
+        self.problems.append(f"process {n} did not start")
+
+    async def trouble(self, n: int) -> None:
+        """Signals to one process, for as long as the day lasts."""
+        while self.more:
+            await asyncio.sleep(0.2 + self.chance.random() * 1.2)
+            process, does = self.processes[n], self.chance.choice(["HUP", "HUP", "half", "TERM", "KILL"])
+            if process is None or not self.more:
+                continue
+            self.signals[does] += 1
+            if does in ("HUP", "half"):
+                whole, file = self.configuration(n), self.folder / f"c{n}.json"
+                file.write_text(whole[:self.chance.randrange(len(whole))] if does == "half" else whole)
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.08)
+                file.write_text(whole)
+            else:
+                await self.stop(n, does)
+                await self.start(n)
+
+    async def stop(self, n: int, does: str) -> None:
+        process = self.processes[n]
+        assert process is not None
+        if process.returncode is not None:
+            self.problems.append(f"process {n} ended by itself with {process.returncode}")
+            return
+        if does == "KILL":
+            self.killed.append((n, time.monotonic()))
+            process.kill()
+            await process.wait()
+            return
+        process.send_signal(signal.SIGTERM)
+        if self.chance.random() < 0.5:
+            await asyncio.sleep(self.chance.random() * 0.8)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(self.chance.choice([signal.SIGTERM, signal.SIGHUP]))
+        try:
+            code = await asyncio.wait_for(process.wait(), 5.0)
+        except TimeoutError:
+            self.problems.append(f"process {n} did not end")
+            process.kill()
+            return
+        if code:
+            self.problems.append(f"process {n} ended with {code}")
+
+    # The clients.
+
+    async def client(self) -> None:
+        while self.more:
+            n = self.chance.randrange(len(self.doors))
+            with contextlib.suppress(OSError, RuntimeError):  # the connection has ended
+                await self._connection(n)
+            await asyncio.sleep(self.chance.random() * 0.05)
+
+    async def _connection(self, n: int) -> None:
+        reader, writer = await asyncio.open_connection(*self.doors[n])
+        mine: dict[int, Asked] = {}
+        state = {"away": False}
+        hears = asyncio.create_task(self._hear(reader, mine, state))
+        how = self.chance.choice(["usual"] * 6 + ["slow", "flood", "leaves", "resets", "garbage", "half"])
+        stream = 0
+        try:
+            for _ in range(self.chance.randrange(1, 12)):
+                if not self.more or state["away"] or hears.done():
+                    break
+                for _ in range(self.chance.randrange(8, 24) if how == "flood" else self.chance.choice((1, 1, 3))):
+                    if sum(not each.answers and each.left is None for each in mine.values()) >= 30:
+                        break  # as many as a connection may have open
+                    stream += 1
+                    asked, data = self._request(n, stream)
+                    mine[stream] = asked
+                    if how == "slow":
+                        for at in range(0, len(data), 60):
+                            writer.write(data[at:at + 60])
+                            await asyncio.sleep(0.01)
+                    if hears.done() or writer.is_closing():
+                        return
+                    self.asked[asked.id] = asked
+                    if how != "slow":
+                        writer.write(data)
+                    now = time.monotonic()
+                    asked.written, asked.until = now, now + asked.limit
+                    if self.chance.random() < (0.5 if how == "flood" else 0.05):
+                        writer.write(frames.frame(frames.CANCEL, stream))
+                        asked.left = time.monotonic()
+                await asyncio.sleep(self.chance.random() * 0.06)
+                if how in ("leaves", "resets", "half", "garbage") and self.chance.random() < 0.4:
+                    break
+            if how in ("leaves", "resets", "half", "garbage"):
+                now = time.monotonic()
+                for asked in mine.values():
+                    if not asked.answers and asked.left is None:
+                        asked.left = now
+                if how == "garbage":  # it is told, and closed: what was open on it nobody waits for
+                    writer.write(self.chance.randbytes(40))
+                    await asyncio.sleep(0.1)
+                elif how == "half":
+                    writer.write_eof()
+                    await asyncio.sleep(0.1)
+                elif how == "resets" and (sock := writer.transport.get_extra_info("socket")) is not None:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                return
+            async with asyncio.timeout(2.5):
+                while not hears.done() and any(not each.answers and each.left is None for each in mine.values()):
+                    await asyncio.sleep(0.01)
+        except TimeoutError:
+            pass
+        finally:
+            now = time.monotonic()
+            for asked in mine.values():
+                if not asked.answers and asked.left is None and not hears.done() and now < asked.until:
+                    asked.left = now
+            await asyncio.sleep(0.01)
+            hears.cancel()
+            writer.close()
+
+    def _request(self, n: int, stream: int) -> tuple[Asked, bytes]:
+        kind, limit, id_ = self.chance.choice("ttko"), self.chance.choice(LIMITS_MS), self.chance.randbytes(8).hex()
+        told = {"verb": kind, "txn": id_, "limit": str(limit), "team": "acme", "info": "memory_mb:300;lanes:4",
+                "item": f"{self.chance.randrange(9):016x}"} | ({"unique": f"u{id_}"} if kind == "k" else {})
+        self.begun.add(id_)
+        size = self.chance.choice((0, 40, 40, 2000, 16_000))
+        data = frames.frame(frames.REQUEST, stream, frames.fields(told) + id_.encode() + bytes(size))
+        return Asked(id_, kind, n, 0.0, limit / 1000, 0.0), data
+
+    async def _hear(self, reader: asyncio.StreamReader, mine: dict[int, Asked], state: dict[str, bool]) -> None:
+        found = frames.FrameReader(1 << 20)
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                now = time.monotonic()
+                found.feed(data)
+                while (frame := found.next()) is not None:
+                    kind, stream, payload = frame
+                    if kind == frames.GO_AWAY:
+                        state["away"] = True
+                    elif kind == frames.ANSWER and stream in mine:
+                        _, end = frames.read_fields(payload[1:])
+                        mine[stream].answers.append((now, payload[0], payload[1 + end:]))
+                if self.chance.random() < 0.02:
+                    await asyncio.sleep(0.05)  # it reads slowly
+        now = time.monotonic()
+        for asked in mine.values():
+            asked.ended = now
+
+    # The day, and what is judged of it.
+
+    async def play(self) -> None:
+        for n in range(4):
+            await self.worker(n)
+        await self.list()
+        first = [self._target(n, n, "in_service") for n in range(3)]
+        self.entries.append({"pos": 1, "hosts": {"rev": 1, "all": True, "targets": first}})
+        await asyncio.gather(*(self.start(n) for n in range(len(self.doors))))
+        tasks = [asyncio.create_task(self.client()) for _ in range(10)]
+        tasks += [asyncio.create_task(self.trouble(n)) for n in range(len(self.doors))]
+        step = self.seconds / 4
+        await asyncio.sleep(step)
+        self.tell((0, 0, 1))  # the first drains; a new one comes
+        self.told[0] = time.monotonic()
+        self.tell((9, 3, 0))
+        await asyncio.sleep(step)
+        self.tell((0, 0, 2))
+        await asyncio.sleep(2 * step)
+        self.more = False
+        await asyncio.gather(*tasks)
+        for n in range(len(self.doors)):
+            await self.stop(n, "TERM")
+        await asyncio.sleep(0.2)  # the lists' connections end
+        self.judge()
+
+    def judge(self) -> None:
+        for asked in self.asked.values():
+            for problem in self._judged(asked):
+                self.problems.append(f"{asked.id} ({asked.kind}, process {asked.process}): {problem}")
+        if 0 in self.told and (late := [at for at, number in self.sent_to if number == 0 and (
+                at > self.told[0] + GRACE_S + 1.0 + SLACK_S)]):  # a list that breaks may tell a second late
+            self.problems.append(f"{len(late)} sends to one that drains, the last {late[-1] - self.told[0]:.2f} s on")
+        made = collections.Counter(id_ for id_ in self.calls)
+        if unknown := [id_ for id_ in made if id_ not in self.asked and id_ not in self.begun]:
+            self.problems.append(f"sent what nobody asked: {unknown[:3]}")
+
+    def _judged(self, asked: Asked) -> list[str]:
+        calls, out = self.calls.get(asked.id, []), []
+        ran = [call for call in calls if call[1][:4] not in NEVER_RAN]
+        codes = [code for _, code, _ in asked.answers]
+        if len(codes) > 1:
+            out.append(f"{len(codes)} answers: {codes}")
+        if asked.left is not None:
+            if begun := [at - asked.left for at, _, _ in calls if at > asked.left + LEFT_S + SLACK_S / 2]:
+                out.append(f"an attempt began {begun[-1]:.3f} s after its client left")
+        elif not codes:
+            killed = any(n == asked.process and asked.written - 0.05 <= at <= asked.until + 0.05
+                         for n, at in self.killed)
+            crossed = not calls and asked.ended is not None and asked.ended - asked.written < 0.05 + SLACK_S
+            if not killed and not crossed:
+                out.append(f"no answer; calls {[c[1] for c in calls]}, ended "
+                           f"{None if asked.ended is None else round(asked.ended - asked.written, 3)} s on")
+        elif asked.answers[0][0] > asked.until + SLACK_S:
+            out.append(f"answered {asked.answers[0][0] - asked.until:.3f} s late")
+        for _, code, body in asked.answers:
+            if code == frames.SERVED and (body not in self.bodies or asked.id.encode() not in body):
+                out.append("served what no worker made")
+        if asked.kind == "o" and len(ran) > 1:
+            out.append(f"once-only ran {len(ran)} times: {[c[1] for c in calls]}")
+        if asked.kind == "o" and ran and frames.REFUSED in codes:
+            out.append("once-only refused though it may have run")
+        if asked.kind == "k" and ran and calls[-1][0] > ran[0][0] + WINDOW_S + 0.05 + SLACK_S / 2:
+            out.append(f"a repeat {calls[-1][0] - ran[0][0]:.3f} s after the first")
+        if out:
+            out.append(f"calls {[(round(at - asked.written, 3), does, n) for at, does, n in calls]}")
+        return out
+
+
+def play(seed: int, seconds: float = 6.0, processes: int = 3) -> Day:
+    """One day; its problems are in `problems`."""
+    with tempfile.TemporaryDirectory() as folder:
+        day = Day(seed, seconds, Path(folder), processes)
+        uvloop.run(day.play())
+        for n in range(processes):
+            for line in (day.folder / f"log{n}").read_text(errors="replace").splitlines():
+                if "failed problem" in line or "Traceback" in line:
+                    day.problems.append(f"log {n}: {line}")
+    return day
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--days", type=int, default=5)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    asks = parser.parse_args()
+    broken = requests = 0
+    for seed in range(asks.seed, asks.seed + asks.days):
+        day = play(seed, asks.seconds)
+        codes = collections.Counter(a.answers[0][1] if a.answers else None for a in day.asked.values())
+        requests += len(day.asked)
+        broken += bool(day.problems)
+        print(f"seed {seed}: {len(day.asked)} requests, answers {dict(codes)}, signals {dict(day.signals)}, "
+              f"{len(day.problems)} problems", flush=True)
+        for problem in day.problems[:20]:
+            print("   ", problem)
+    print(f"{requests} requests on {asks.days} days, {broken} days with a problem")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -156,9 +156,13 @@
         for client in [*self._clients, *self._leaving]:
             client.link.close()
 
-    def finish(self, within_ms: float) -> None:
-        """Close the door, and all connections in order."""
+    def shut(self) -> None:
+        """Let in who has connected, and nobody from then on: they try another dispatcher."""
+        self._door.take_all()
         self._door.close()
+
+    def finish(self, within_ms: float) -> None:
+        """Close all connections in order."""
         for client in self._clients:
             client.link.finish(within_ms)
 
@@ -168,9 +172,8 @@
 
     @property
     def settled(self) -> bool:
-        """Whether nothing of a client is under way: nobody to let in, nothing to read, no frame half read, and no
-        answer that its client is reading."""
-        self._door.take_all()
+        """Whether nothing of a client is under way: nothing to read, no frame half read, and no answer that its client
+        is reading."""
         return not any(self._under_way(client) for client in self._clients)
 
     def _under_way(self, client: Client) -> bool:
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -93,6 +93,7 @@
         self._soon = False
         self._state_due = self._now() + STATE_MS
         self._counts: Counter[str] = Counter()
+        self._end_due = float("inf")
         self.over = loop.create_future()
         for event in config.known:
             self._listed(event)
@@ -122,6 +123,8 @@
         if self._front.ready:
             note("ending", in_hand=len(self._requests))
             self._front.go_away()
+            # All that is taken till the door shuts has its answer by then; who asks on and on is not waited for.
+            self._end_due = self._now() + LAST_MS + self._bounds.longest_ms
             self._loop.call_later(LAST_MS / 1000, self._end_if_idle)
 
     def close(self) -> None:
@@ -133,7 +136,8 @@
 
     def _end_if_idle(self) -> None:
         """The last look, and the end in the same turn: nothing can come in between unseen."""
-        if self._requests or not self._front.settled:
+        self._front.shut()
+        if (self._requests or not self._front.settled) and self._now() < self._end_due:
             self._loop.call_later(0.02, self._end_if_idle)
         else:
             self._front.finish(PART_MS)
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -51,7 +51,7 @@
         self._reader = LineReader(owner.bounds.answer_bytes)
         self._waiting: list[tuple[str, bytes]] = []
         self.open: dict[str, tuple[Item, int, int]] = {}  # its mark at the link, and its size
-        self.spent: dict[str, float] = {}  # ids that were used on it, oldest first: an answer of then may still come
+        self.spent: dict[str, float] = {}  # ids that were used on it, and until when an answer of then may still come
         self.doubtful = False  # something on it was given up unanswered, and nothing was heard since
         self.used = self.heard = loop.time()
         self.link: Link | None = None
@@ -64,7 +64,8 @@
 
     def start(self, id_: str, item: Item, data: bytes) -> None:
         """Open something on it."""
-        self.used = self.spent[id_] = self._loop.time()
+        self.used = self._loop.time()
+        self.spent[id_] = self.used + self._owner.bounds.longest_ms / 1000
         if self.link is None:
             self.open[id_] = item, 0, 0
             self._waiting.append((id_, data))
@@ -91,10 +92,10 @@
             self.link.write(cancel(id_))
         return True
 
-    def forget(self, before: float) -> None:
-        """Ids that were used before then are of no use to anybody any more."""
-        while self.spent and (oldest := next(iter(self.spent))) not in self.open and self.spent[oldest] < before:
-            del self.spent[oldest]
+    def forget(self, now: float) -> None:
+        """Ids under which nothing of before can come any more."""
+        for id_ in [id_ for id_, until in self.spent.items() if until < now and id_ not in self.open]:
+            del self.spent[id_]
 
     def stalled(self, now: float) -> bool:
         """Whether an answer broke off in its middle."""
@@ -132,7 +133,8 @@
                 self.doubtful = False
                 found = self.open.pop(answer.id, None)
                 if found is not None:  # else a second copy, a late one, or one that nobody asked for
-                    self.used = self.heard
+                    self.used = self.heard  # a second copy comes soon, if one comes
+                    self.spent[answer.id] = self.heard + self._owner.bounds.connect_ms / 1000
                     self._owner.finished(found[0], WORDS.get(answer.word, Outcome.BROKEN), answer)
         except LineError as cause:
             self._owner.note("worker unreadable", worker=self._owner.id, cause=str(cause))
@@ -212,7 +214,7 @@
                     connection.doubtful or (now - connection.used) * 1000 > 0.2 * self.bounds.idle_ms):
                 connection.close()
             else:
-                connection.forget(now - self.bounds.longest_ms / 1000)
+                connection.forget(now)
 
     def close(self) -> None:
         """Close all; what is open ends."""
@@ -231,10 +233,11 @@
             self.bounds.held -= 1
 
     def _start(self, id_: str, item: Item, data: bytes) -> None:
-        best = None
+        best, now = None, self._loop.time()
         for connection in self._connections:
             # Guards against a second answer to what went there before under this id: it would be taken for the first.
-            if id_ in connection.spent or len(connection.open) >= self.bounds.streams:
+            used = id_ in connection.open or connection.spent.get(id_, now) > now
+            if used or len(connection.open) >= self.bounds.streams:
                 continue
             if best is None or connection.rank < best.rank:
                 best = connection
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,7 +24,7 @@
 from kelptrail.codec.lines import call
 from kelptrail.dispatch.terms import Outcome
 from kelptrail.net.link import connect
-from kelptrail.platform import workers
+from kelptrail.platform import service, workers
 from kelptrail.platform.front import OPEN
 from kelptrail.platform.workers import Bounds, WorkerLinks
 
@@ -192,6 +192,28 @@
     run(main())
 
 
+def test_who_asks_on_and_on_does_not_keep_a_process_that_was_told_to_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "LAST_MS", 100.0)
+    monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"give_up_us": 400_000}])
+
+    async def main() -> None:
+        def slowly(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+            asyncio.get_running_loop().call_later(0.1, echo, runner, id_, body, writer)
+
+        async with Place(Runner(slowly)) as place:
+            client, stream = await place.client(), 0
+            place.service.end()
+            async with asyncio.timeout(1.0):
+                while not place.service.over.done():
+                    stream += 1
+                    client.ask(stream, limit="400")
+                    await asyncio.sleep(0.02)
+            with pytest.raises(ConnectionRefusedError):
+                await place.client()
+
+    run(main())
+
+
 def test_what_the_last_client_was_told_is_not_eaten_by_a_reset() -> None:
     async def main() -> None:
         async with Place(Runner(echo)) as place:
