What has not begun to leave for a worker that drains is taken back at once

Lines: Service._listed looked at gone workers only. Change: when the list tells that a worker drains, what waits for it ends as unsent and goes elsewhere. Measured: the new test holds the connect open past the list's event; red without the change (the send stays open there).

--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -214,6 +214,9 @@
                 links.close()
             elif links is not None and worker.gone:  # its address may be another's from now on
                 links.unreached()
+            elif links is not None and not worker.live:  # what waits behind others could leave after the grace
+                for item in links.withdraw_all():
+                    self._ended(item, Outcome.UNSENT, None)
             if worker.gone and worker.id not in self._host.workers:
                 self._addresses.pop(worker.id, None)
         live = sum(worker.live for worker in self._host.workers.values())
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -193,6 +193,10 @@
         del self._at[item]
         return True
 
+    def withdraw_all(self) -> list[Item]:
+        """Take back all that has not begun to leave."""
+        return [item for item in list(self._at) if self.withdraw(item)]
+
     @property
     def idlest(self) -> Connection | None:
         """The connection with nothing open that was used the longest ago."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -602,6 +602,29 @@
     run(main())
 
 
+def test_nothing_begins_at_a_worker_that_drains_once_it_was_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo), Runner(echo)) as place:
+            place.service._bounds.connect_ms = 5000.0
+            ports = [int(t["endpoint"].rpartition(":")[2])
+                     for t in place.told["known"]["entries"][0]["hosts"]["targets"]]
+            held, client = Held(monkeypatch), await place.client()
+            client.ask(1)
+            await until(lambda: held.waiting)
+            ((first, links),) = place.service._links.items()
+            number = int(first.id[2:], 16)
+            assert links.open
+            place.events = [event(2, 2, (number, ports[number], 1))]  # it drains
+            place.service.reload(place.service.config)
+            await until(lambda: place.service.number == 2)
+            assert not links.open
+            held.gate.set()
+            assert await client.code() == frames.SERVED
+            assert not place.runners[number].calls and len(place.runners[1 - number].calls) == 1
+
+    run(main())
+
+
 def test_a_repeat_that_waits_past_what_workers_remember_does_not_go_out(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"name": "k", "effect": "guarded", "key_scope": "all",
                                                        "window_us": 300_000, "give_up_us": 2_000_000}])
