A slow link's patience is tested without the help of the pauses

Cause: with the mend taken out the test still passed: during a pause the connection of before is still heard. Change: pauses of 10 ms in that test.

--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -92,6 +92,8 @@
 
 def test_a_link_too_slow_for_one_event_is_given_more_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(feed, "SILENT_MS", 100.0)
+    monkeypatch.setattr(feed, "PAUSE_MS", 5.0)  # while it pauses it still hears the connection of before
+    monkeypatch.setattr(feed, "LONGEST_PAUSE_MS", 10.0)
 
     async def main() -> None:
         async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
