Where a worker loads for a send, the first goes without an order

Tests: the setting, and the first decision of a function under both; red before. Deployments with "miss" decide as before.

--- a/kelptrail/host/host.py
+++ b/kelptrail/host/host.py
@@ -51,7 +51,7 @@
         gate = Gate(seed, told.parallel, told.most_sends, told.tip, told.tip_ms, told.cold_share, told.cold_ms,
                     told.ration, told.connect_ms)
         self._dispatcher = Dispatcher(
-            gate, health, Placement(gate, health, told.zone, seed), Copies(agenda, told.keep_ms),
+            gate, health, Placement(gate, health, told.zone, seed), Copies(agenda, told.keep_ms, told.loads),
             Queues(seed, self.types, self.customers), agenda, told.cancels, told.longest_return_ms)
         self.beat_ms = self._dispatcher.beat_ms
         self.next_due = agenda.next_due
--- a/kelptrail/host/settings.py
+++ b/kelptrail/host/settings.py
@@ -116,6 +116,7 @@
     cold_share: float
     cold_ms: float
     keep_ms: float
+    loads: bool  # a worker without the function loads it for a send
     ration: tuple[bool, float, float, float]
     connect_ms: float
 
@@ -146,6 +147,7 @@
         cold_share=rules.number("start_capacity", 0, 1),
         cold_ms=rules.ms("cold_us"),
         keep_ms=extras.ms("idle_life_us"),
+        loads=extras.has("not_loaded") and extras.one_of("not_loaded", {"load": True, "miss": False}),
         ration=(extras.flag("load_control"), extras.number("free_loads"), extras.number("load_share"),
                 extras.ms("load_span_us")),
         connect_ms=bounds.ms("connect_timeout_us", 1),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
 from test_drill import ENV
 
 from kelptrail.codec import feed, frames, lines
+from kelptrail.host.settings import read as read_settings
 from kelptrail.platform import config
 from kelptrail.platform.service import Service
 
@@ -507,6 +508,16 @@
     assert config.parse(json.dumps(told)).sockets.zones == ["a", "b"]
 
 
+def test_whether_a_worker_loads_for_a_send_is_what_the_settings_say() -> None:
+    told = configuration()
+    for says, loads in (("load", True), ("miss", False), (None, False)):
+        told["settings"]["specifics"]["not_loaded"] = says
+        assert read_settings(told["settings"]).loads is loads
+    told["settings"]["specifics"]["not_loaded"] = "perhaps"
+    with pytest.raises(config.ConfigError, match=r"specifics\.not_loaded: 'perhaps' is none of load, miss"):
+        config.parse(json.dumps(told))
+
+
 @pytest.mark.parametrize("text", ["{", "[]", "{}", "3", "9" * 5000, "[" * 100_000, "\ud800"])
 def test_what_is_no_configuration_says_so(tmp_path: Path, text: str) -> None:
     (tmp_path / "c.json").write_bytes(text.encode(errors="surrogatepass"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 import pytest
 from helpers import GATE, activation, kind, make, model, pull
 
-from kelptrail.dispatch.rules import Decision, Dispatcher, Gate
+from kelptrail.dispatch.rules import Copies, Decision, Dispatcher, Gate
 from kelptrail.dispatch.terms import (
     NEVER_RAN,
     Activation,
@@ -544,6 +544,16 @@
     assert sent > (6 if many < 100 else 2) * 0.15 * tip * least * per_s / warm * 8, "it is used all the same"
 
 
+def test_where_a_worker_loads_for_a_send_the_first_goes_without_an_order() -> None:
+    for loads in (True, False):
+        dispatcher, function = make(4, ration=PLENTY), model()
+        dispatcher._copies = Copies(dispatcher.agenda, 8000.0, loads)
+        for _ in range(20):
+            dispatcher._copies.met(False)  # nothing stood for others
+        found = take(dispatcher, function, 10.0, 1)
+        assert [type(each) for each in found] == [Send if loads else Order]
+
+
 def test_copies_go_where_this_dispatcher_may_send_and_barred_lanes_are_not_held() -> None:
     dispatcher, function = make(8, ration=PLENTY), model()
     home = ready(dispatcher, function)
