--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -281,9 +281,9 @@
 class Copies:
     """What is believed to stand where: holding, renewing, expiring."""
 
-    def __init__(self, agenda: Agenda, keep_ms: float, loads: bool = False, idle_ms: float = 10_000.0) -> None:
+    def __init__(self, agenda: Agenda, keep_ms: float, loads: bool = False, idle_ms: float = 10_000) -> None:
         self._agenda, self._keep_ms, self._idle_stop_ms, self._loads = agenda, keep_ms, idle_ms, loads
-        self.shared = 0.5 + loads  # the recent share of copies that stood where first asked for, or a send loads
+        self.shared = 0.5 + loads  # the recent share of copies that stood where first asked for, or load
 
     def met(self, stood: bool) -> None:
         self.shared += 0.1 * ((stood or self._loads) - self.shared)
