Bench commands of the tests run two at a time, so that all stay under eight minutes

Cause: the tests that start processes ran one after another for some 300 s; with the fuzz's twin and the thirty starts all of make test would pass eight minutes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Two commands do all set-up on a fresh machine: `make run` and `make test`.
 PY ?= python3
 BIN := .venv/bin
-# Processes of the tests.  Those marked `processes` start whole places and measure time: they run alone, afterwards.
+# Processes of the tests.  Those marked `rigs` run a bench's command each and judge what it counts: two at a time.
+# Those marked `processes` start whole places and measure time: they run alone, last.
 JOBS ?= 6
 
 .PHONY: run demo test lint lock proto
@@ -23,7 +24,8 @@
 	$(BIN)/mypy
 
 test: lint
-	$(BIN)/python -m pytest -q -n $(JOBS) -m "not processes" $(ARGS)
+	$(BIN)/python -m pytest -q -n $(JOBS) -m "not processes and not rigs" $(ARGS)
+	$(BIN)/python -m pytest -q -n 2 -m rigs $(ARGS) || [ $$? -eq 5 ]
 	$(BIN)/python -m pytest -q -m processes $(ARGS) || [ $$? -eq 5 ]
 
 # The code of the gRPC messages; a test tells when it is older than its .proto.
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -476,7 +476,7 @@
     assert all(row["troubles"].count("lose-machines") == 2 and len(row["troubles"]) >= 6 for row in rows)
 
 
-@pytest.mark.processes
+@pytest.mark.rigs
 def test_a_dispatcher_lost_with_its_disk_at_a_step_is_carried_on() -> None:
     """One step of the matrix of bench/crash_points.py --lost, by id and by a repeat under the key."""
     done = subprocess.run([sys.executable, "bench/crash_points.py", "--lost", "--steps", "cleared"], cwd=ROOT,
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -466,7 +466,7 @@
     run(main())
 
 
-@pytest.mark.processes
+@pytest.mark.rigs
 def test_a_dispatcher_killed_at_a_step_keeps_what_it_had_promised() -> None:
     """Two steps of the matrix of bench/crash_points.py, every effect, deferred and keyed, with real processes."""
     done = subprocess.run([sys.executable, "bench/crash_points.py", "--steps", "cleared,ended"], cwd=ROOT,
