A cancel leaves before a further send can, in the turn in which it is given

Ruled out: the module's order, answers of before under the id, taking back, a decision without an end. Lines: Connection.give_up and Link.write: links flush in the order in which each was first written to in the turn, so a CALL joins a link that waits to flush and overtakes the CANCEL given before it; a CANCEL behind a full socket does not leave at all. Change: give_up writes the CANCEL through at once; where it cannot leave and second sends are not allowed, the connection ends, which gives up what is on it. parallel_tries is read by the door. Tests: the worker's end has the CANCEL in the same turn (red before); a full socket (red before).

--- a/bench/crash_points.py
+++ b/bench/crash_points.py
@@ -2,8 +2,11 @@
 
 `python bench/crash_points.py` starts real processes, lets a dispatcher kill itself at the step, starts it again from
 its book and asks what became of the call.  With `--lost` its disk is gone, too, and it never comes back: five others
-hold copies, and one of them is asked, by id and by a repeat under the key.  One JSON line a case; exit 1 where a
-promise was broken.
+hold copies, and one of them is asked, by id and by a repeat under the key.  With `--paused` it stands still at the
+step until another has carried its call on, and goes on then: it must say and send nothing of its own.
+`--remembered-ms` then sets how long workers drop repeats, and the pause outlasts that: a deduplicated call that was
+about to be written may run a second time, the window that docs/copies.md states; such a case is told as `window`.
+One JSON line a case; exit 1 where a promise was broken.
 """
 
 from __future__ import annotations
@@ -12,7 +15,9 @@
 import asyncio
 import base64
 import json
+import os
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -34,9 +39,15 @@
 class Trial:
     """One place; a dispatcher for each case."""
 
-    def __init__(self, folder: Path, lost: bool) -> None:
+    def __init__(self, folder: Path, lost: bool, remembered_ms: int = 0) -> None:
         self.file = str(EXAMPLES / ("copies.sexp" if lost else "nursery.sexp"))
+        if remembered_ms:
+            text = Path(self.file).read_text()
+            text = text.replace("(remembered-ms 12000)", f"(remembered-ms {remembered_ms})")
+            (folder / "copies.sexp").write_text(text)
+            self.file = str(folder / "copies.sexp")
         self.deployment, self._folder, self._lost = load(self.file), folder, lost
+        self._remembered_ms = remembered_ms
         space = next(iter(self.deployment.namespaces.values()))
         self._auth = "Basic " + base64.b64encode(f"{space.uuid}:{space.key}".encode()).decode()
         self.place = Place(self.deployment, self.file, folder, quiet=True)
@@ -99,6 +110,52 @@
                                                           and effect == "once-only"))
         return out
 
+    async def paused(self, step: str, effect: str, _: bool) -> dict[str, Any]:
+        """A deferred call whose dispatcher stands still at a step until another has carried the call on."""
+        name = f"paused-{step}-{effect}"
+        child = Child(name, ["serve", self.file, "--name", name, "--roster", self.place.roster.said["address"],
+                             "--control", "127.0.0.1:0", "--state", str(self._folder / name),
+                             *self.place.ways("dispatcher-0"), "--pause-at", step])
+        await self.place.launch(child)
+        while not (await ask(child.said["asked_at"], "GET", "/copies"))["promising"]:
+            await asyncio.sleep(0.05)
+        key, ticket, loop = f"key-{name}", {"ticket": name}, asyncio.get_running_loop()
+        target = f"actions/{ACTIONS[effect]}?blocking=false"
+        first = asyncio.create_task(self.ask(child.said["address"], "POST", target, ticket, key))
+        assert child.process is not None
+        stat = Path(f"/proc/{child.process.pid}/stat")
+        async with asyncio.timeout(8):
+            while stat.read_text().rpartition(")")[2].split()[0] != "T":
+                await asyncio.sleep(0.01)
+        began, other = loop.time(), self.place.dispatchers[1].said["address"]
+        out: dict[str, Any] = {"step": step, "effect": effect, "paused": True}
+        out["repeat"], body = await self._follow(other, "POST", target, ticket, key)
+        found = body.get("activationId")
+        if found:  # carried on, or taken anew where nobody had it
+            out["after"], _ = await self._follow(other, "GET", f"activations/{found}")
+        if self._remembered_ms:
+            await asyncio.sleep(self._remembered_ms / 1000)
+        out["stood_s"] = round(loop.time() - began, 2)
+        os.kill(child.process.pid, signal.SIGCONT)
+        out["first"], body = await first
+        promised = body["activationId"] if out["first"] == 202 else None
+        await asyncio.sleep(0.8)  # what it would still do
+        told: dict[str, set[str]] = {}
+        for id_ in {each for each in (found, promised) if each}:
+            for address in (other, child.said["address"]):
+                status, record = await self._follow(address, "GET", f"activations/{id_}")
+                told.setdefault(id_, set()).add(next(
+                    n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail")
+                    if status == 200 else str(status))
+        await self.place.end(child)
+        effects = [e for e in read(self._folder) if e["what"] == "effect" and e["mark"].endswith(f"/{key}")]
+        out |= {"effects": len(effects), "answers": [sorted(answers) for answers in told.values()]}
+        twice = effect != "repeatable" and len(effects) > 1
+        out["window"] = twice and effect == "deduplicated" and bool(self._remembered_ms)
+        out["broken"] = (twice and not out["window"]) or not found or len(told) > 1 or any(
+            len(answers) > 1 or not answers <= {"completed", "rejected", "aborted"} for answers in told.values())
+        return out
+
     async def _follow(self, address: str, method: str, target: str, body: Any = None, key: str = "") -> tuple[int, Any]:
         """Ask until it is known, wherever a dispatcher leads."""
         for _ in range(200):
@@ -170,18 +227,19 @@
         return 0, None
 
 
-async def main(steps: list[str], lost: bool) -> bool:
+async def main(steps: list[str], lost: bool, paused: bool, remembered_ms: int) -> bool:
     broken = False
     with tempfile.TemporaryDirectory() as folder:
-        trial = Trial(Path(folder), lost)
+        trial = Trial(Path(folder), lost or paused, remembered_ms)
         await trial.start()
         try:
             for step in steps:
                 for effect in ACTIONS:
-                    for deferred in (True, False):
+                    for deferred in (True,) if paused else (True, False):
                         if step == "cleared" and effect == "repeatable":
                             continue  # nothing has to be cleared for what may run again
-                        found = await (trial.lost if lost else trial.case)(step, effect, deferred)
+                        play = trial.paused if paused else trial.lost if lost else trial.case
+                        found = await play(step, effect, deferred)
                         broken = broken or found["broken"]
                         print(json.dumps(found), flush=True)
         finally:
@@ -193,5 +251,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--steps", default=",".join(STEPS))
     parser.add_argument("--lost", action="store_true", help="The disk is gone, too.")
+    parser.add_argument("--paused", action="store_true", help="It stands still, and goes on later.")
+    parser.add_argument("--remembered-ms", type=int, default=0, help="With --paused: workers drop repeats so long.")
     options = parser.parse_args()
-    sys.exit(uvloop.run(main(options.steps.split(","), options.lost)))
+    sys.exit(uvloop.run(main(options.steps.split(","), options.lost, options.paused, options.remembered_ms)))
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -121,6 +121,7 @@
             click.option("--state", type=click.Path(path_type=Path), help="Folder for what outlives it."),
             click.option("--shared-port", is_flag=True, help="Let other dispatchers of this machine listen on it too."),
             click.option("--crash-at", default="", hidden=True),
+            click.option("--pause-at", default="", hidden=True),
             click.option("--grpc-port", type=int, help="Port of the second front; default: the settings'."),
             click.option("--harmed-disk", type=click.Path(path_type=Path), hidden=True),
             click.option("--control", help="Address and port for operators' questions, such as 127.0.0.1:0."),
@@ -151,7 +152,8 @@
     host, port, name = words["host"], words["port"], words["name"]
     log = _log(context, dispatcher=name)
     options = Options(name, words["hall"], host, port, words["roster"], words["state"], words["shared_port"],
-                      words["crash_at"], words["control"], words["grpc_port"], planners, words["harmed_disk"],
+                      words["crash_at"], words["pause_at"], words["control"], words["grpc_port"], planners,
+                      words["harmed_disk"],
                       words["peers"] if words["peers_port"] is None else f"127.0.0.1:{words['peers_port']}",
                       _addresses(words["at"]), words["harmed_clock"], words["witness"], words["tasks"])
 
--- a/kelptrail/net/link.py
+++ b/kelptrail/net/link.py
@@ -71,6 +71,10 @@
                     return True
         return False
 
+    def push(self) -> None:
+        """Write now what the socket takes, before what other links were given in this turn."""
+        self._flush()
+
     def finish(self, within_ms: float) -> None:
         """Close in order, within a time: what was given is written, then our end is shut, and what still comes is
         passed over until the peer's end.  Guards against a reset that eats what the peer has yet to read."""
--- a/kelptrail/platform/config.py
+++ b/kelptrail/platform/config.py
@@ -31,6 +31,7 @@
     idle_ms: float
     streams: int  # that one connection to a worker carries
     cancels: bool  # whether a send may be called off
+    parallel: bool  # whether two sends of an activation may be out at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +102,7 @@
     return Sockets(zones, kinds, {each.text("name"): each.ms("give_up_us", 1000) for each in told.parts("classes")},
                    most_mb, extras.ms("answer_within_us", 1), bounds.ms("connect_timeout_us", 1),
                    bounds.ms("idle_close_us", 1), bounds.whole("multiplex", 1),
-                   bounds.flag("may_cancel"))
+                   bounds.flag("may_cancel"), bounds.flag("parallel_tries"))
 
 
 def _seed(told: Told) -> int:
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -79,7 +79,7 @@
         clients = config.descriptors * 5 // 12
         workers = max(4, config.descriptors - clients - min(OTHERS, config.descriptors // 8))
         self._bounds = Bounds(sockets.connect_ms, sockets.idle_ms, sockets.streams, workers, frames.BODY * 8,
-                              sockets.cancels, max(sockets.longest_ms.values()), self._make_room)
+                              sockets.cancels, sockets.parallel, max(sockets.longest_ms.values()), self._make_room)
         self._front = Front(loop, sockets, self._host.types, self._host.customers, clients,
                             int(config.memory_mb * (1 << 20) / 16), self._take, self._left,
                             lambda id_: id_ in self._host.acts, note)
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -27,17 +27,18 @@
 class Bounds:
     """What the settings say of connections to workers, how many there may be to one and to all, and how many are held.
 
-    `cancels`: whether a send may be called off; `longest_ms`: an id is of use for so long; `make_room`: closes an idle
-    connection to any worker, and says whether there was one."""
+    `cancels`: whether a send may be called off; `parallel`: whether two of one activation may be out at once;
+    `longest_ms`: an id is of use for so long; `make_room`: closes an idle connection to any worker, and says whether
+    there was one."""
 
     __slots__ = ("answer_bytes", "cancels", "connect_ms", "held", "idle_ms", "longest_ms", "make_room", "most",
-                 "most_in_all", "streams")
+                 "most_in_all", "parallel", "streams")
 
     def __init__(self, connect_ms: float, idle_ms: float, streams: int, most_in_all: int, answer_bytes: int,
-                 cancels: bool, longest_ms: float, make_room: Callable[[], bool]) -> None:
+                 cancels: bool, parallel: bool, longest_ms: float, make_room: Callable[[], bool]) -> None:
         self.connect_ms, self.idle_ms, self.streams, self.most = connect_ms, idle_ms, streams, 1
         self.most_in_all, self.held, self.make_room = most_in_all, 0, make_room
-        self.answer_bytes, self.cancels, self.longest_ms = answer_bytes, cancels, longest_ms
+        self.answer_bytes, self.cancels, self.parallel, self.longest_ms = answer_bytes, cancels, parallel, longest_ms
 
 
 class Connection:
@@ -90,6 +91,9 @@
         self.doubtful = True
         if self._owner.bounds.cancels and self.link is not None:
             self.link.write(cancel(id_))
+            self.link.push()  # a further send, on a link that was written to before, must not overtake it
+            if self.link.unwritten and not self._owner.bounds.parallel:
+                self.close()  # the worker does not read: the end of its connection gives up what it was sent
         return True
 
     def forget(self, now: float) -> None:
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -60,6 +60,7 @@
     state: Path | None
     shared_port: bool = False
     crash_at: str = ""  # a step at which the process kills itself, for crash tests
+    pause_at: str = ""  # a step at which the process stops itself, once, for tests of what stands still
     control: str | None = None  # address of the control port; None: no such port
     grpc_port: int | None = None  # of the second front; None: the settings'
     planners: tuple[str, ...] = ()  # addresses of planners to follow
@@ -127,6 +128,15 @@
     gateway = Gateway(world, boot, journal)
     if options.crash_at:
         gateway.passes = lambda step: os.kill(os.getpid(), signal.SIGKILL) if step == options.crash_at else None
+    if options.pause_at:
+        left = [options.pause_at]
+
+        def stand_still(step: str) -> None:
+            if step in left:
+                left.clear()
+                os.kill(os.getpid(), signal.SIGSTOP)
+
+        gateway.passes = stand_still
     driver = Driver(gateway, f"{options.name}/{boot}", deployment.pool, log)
     driver.debug = debug
     keepers = {name: keeper for name, side, alpn in (
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -362,7 +362,8 @@
 class Bare:
     """Links to one worker that reads when the test does, over small buffers."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, most: int = 1, in_all: int = 8, cancels: bool = True) -> None:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, most: int = 1, in_all: int = 8, cancels: bool = True,
+                 parallel: bool = True) -> None:
         async def small(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within: float) -> socket.socket:
             sock = await connect(loop, address, within)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
@@ -374,7 +375,7 @@
         self.listening.bind(("127.0.0.1", 0))
         self.listening.listen()
         self.ended: list[tuple[Any, Outcome]] = []
-        bounds = Bounds(150.0, 15_000.0, 100, in_all, 1 << 17, cancels, 2000.0, lambda: False)
+        bounds = Bounds(150.0, 15_000.0, 100, in_all, 1 << 17, cancels, parallel, 2000.0, lambda: False)
         bounds.most = most
         self.links = WorkerLinks(asyncio.get_running_loop(), "w", self.listening.getsockname(), bounds,
                                  lambda item, outcome, _: self.ended.append((item, outcome)), silent)
@@ -461,6 +462,41 @@
     run(main())
 
 
+def test_a_cancel_has_left_before_a_further_send_can(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The further send's link may have been written to earlier in the turn: it would leave first."""
+    async def main() -> None:
+        first, second = Bare(monkeypatch, parallel=False), Bare(monkeypatch, parallel=False)
+        thing, _ = first.send("a" * 16, 10), second.send("b" * 16, 10)
+        ends = [await first.take(), await second.take()]
+        await asyncio.sleep(0.05)
+        ends[0].setblocking(False)
+        assert ends[0].recv(1000).startswith(b"CALL")
+        second.send("c" * 16, 10)  # its link is about to write
+        assert first.links.give_up(thing) is True
+        second.send("a" * 16, 10)
+        assert ends[0].recv(1000) == b"CANCEL " + b"a" * 16 + b"\r\n", "in the same turn, before any link's flush"
+        for bare in (first, second):
+            bare.links.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("parallel", [True, False])
+def test_a_cancel_that_cannot_leave_ends_its_connection_where_a_second_send_may_not_be_out(
+    parallel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def main() -> None:
+        bare = Bare(monkeypatch, parallel=parallel)
+        sock, (begun, *others) = await bare.full()
+        assert bare.links.give_up(begun) is True
+        assert bool(len(bare.links)) is parallel, "what it was sent is given up by the end of its connection"
+        assert [outcome for _, outcome in bare.ended] == ([] if parallel else [Outcome.UNSENT] * len(others))
+        bare.links.close()
+        sock.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("cancels", [True, False])
 @pytest.mark.parametrize("leaves", ["close", "reset", "half", "cancel"])
 def test_nothing_begins_for_a_client_that_left_while_its_connection_came_up(
