--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -486,6 +486,18 @@
     assert {case.get("joined", True) for case in found if case["first"] == 202} == {True}
 
 
+@pytest.mark.rigs
+def test_a_dispatcher_that_stood_still_while_its_call_was_carried_on_adds_nothing() -> None:
+    """One step of the matrix of bench/crash_points.py --paused: just before the first byte."""
+    done = subprocess.run([sys.executable, "bench/crash_points.py", "--paused", "--steps", "cleared"], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60)
+    cases = [json.loads(line) for line in done.stdout.splitlines()]
+    assert done.returncode == 0 and len(cases) == 2, done.stdout + done.stderr
+    for case in cases:
+        assert case["effects"] <= 1 and not case["window"], "none beside the successor's"
+        assert len(case["answers"]) == 1 and len(case["answers"][0]) == 1, "one answer, from both alike"
+
+
 @pytest.mark.processes
 def test_a_retired_dispatcher_leaves_nothing_behind(tmp_path: Path) -> None:
     file = str(ROOT / "examples" / "copies.sexp")
