A deployment with every name and figure changed is played through the door

Need: names, fields, times and limits come from the settings alone. Change: a test on sockets with all of them changed, for each effect, without orders, cancels and second sends, also without customers and without load reports. Its first form asked eight calls at once of one lane and met the lag bound, as it should; it asks one after another.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -508,6 +508,45 @@
     assert config.parse(json.dumps(told)).sockets.zones == ["a", "b"]
 
 
+@pytest.mark.parametrize(("effect", "fields", "customers"), [
+    ("free", ["active", "waiting", "x0"], [{"name": "muelle-a", "allowance_per_s": 7.0}]),
+    ("guarded", [], None), ("single_shot", ["rps"], [{"name": "muelle-a", "allowance_per_s": 7.0}])])
+def test_another_deployment_with_every_name_and_figure_changed_is_served(
+    effect: str, fields: list[str], customers: list[dict[str, Any]] | None
+) -> None:
+    def answers(runner: Runner, id_: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+        meter = b",meter=" + b";".join(b"%b:3.5" % name.encode() for name in fields) if fields else b""
+        writer.write(b"%b OK tell=fresh%b %d\r\n%b\r\n" % (id_, meter, len(body), body))
+
+    async def main() -> None:
+        runner, told = Runner(answers), configuration()
+        target = told["known"]["entries"][0]["hosts"]["targets"][0]
+        target |= {"uid": "s-0badcafe", "endpoint": f"127.0.0.1:{await runner.open()}", "az": "quay",
+                   "model": "crane-9", "pod_group": 41, "capacity_hint": 0.37}
+        settings = told["settings"]
+        settings |= {"failure_domains": ["pier", "quay", "mole"], "my_zone": 2, "models": ["cart", "crane-9"],
+                     "customers": customers, "report": {"fields": fields}, "classes": [
+                         {"name": "berth", "effect": effect, "aim_us": 77_000, "gain": 0.3, "late_worth": 0.9,
+                          "give_up_us": 900_000, "key_scope": "all", "window_us": 450_000}]}
+        settings["rules"] |= {"tip_multiple": 1.5, "fall_us": 700_000, "start_capacity": 0.9, "cold_us": 300_000}
+        settings["bounds"] |= {"parallel_tries": False, "may_cancel": False, "max_attempts": 2, "retry_after": False,
+                               "connect_timeout_us": 90_000, "idle_close_us": 1_000_000, "multiplex": 3}
+        settings["specifics"] |= {"says_warm": False, "idle_life_us": 900_000, "load_control": False, "free_loads": 0,
+                                  "load_share": 0, "load_span_us": 0, "answer_within_us": 800_000,
+                                  "machine_mb": [10.0, 900.0], "not_loaded": "load"}
+        service = Service(asyncio.get_running_loop(), config.parse(json.dumps(told)))
+        client = Client(*await asyncio.open_connection("127.0.0.1", service.open()))
+        for n in range(1, 9):
+            client.ask(n, b"%d" % n, verb="berth", team="muelle-a" if customers else None, limit="850",
+                       info="lanes:1;memory_mb:899.5", unique=f"key:{n}" if effect == "guarded" else None)
+            assert await client.next() == (frames.ANSWER, n, b"\0\0%d" % n)
+        client.ask(9, verb="t", team="acme")  # what the first deployment calls them is unknown here
+        assert await client.code() == frames.FAILED and len(runner.calls) == 8
+        service.close()
+
+    run(main())
+
+
 def test_whether_a_worker_loads_for_a_send_is_what_the_settings_say() -> None:
     told = configuration()
     for says, loads in (("load", True), ("miss", False), (None, False)):
