--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 lint: .venv/.locked
 	$(BIN)/ruff check kelptrail tests bench
 	$(BIN)/ruff check --line-length 110 kelptrail/dispatch
+	$(BIN)/ruff format --check kelptrail tests bench
 	$(BIN)/mypy
 
 test: lint
--- a/bench/copies.py
+++ b/bench/copies.py
@@ -45,10 +45,13 @@
 def settings(copies: int, where: str, effect: str = "repeatable") -> str:
     text = DEPLOYMENT.format(functions=2).replace("(effect repeatable)", f"(effect {effect})").rstrip()
     text = text.replace("(records 5000)", "(records 200000) (records-mb 2000)")
-    return text[:-1] + f"""
-  (peers {' '.join(f'(peer {n})' for n in NAMES)} (beat-ms 200) (silent-ms 1500) (copies {copies}) (copies-in {where}))
-  (leases (voters {' '.join(NAMES)}) (length-ms 2000) (longest-ms 2000) (usage-ms 0)))
+    return (
+        text[:-1]
+        + f"""
+  (peers {" ".join(f"(peer {n})" for n in NAMES)} (beat-ms 200) (silent-ms 1500) (copies {copies}) (copies-in {where}))
+  (leases (voters {" ".join(NAMES)}) (length-ms 2000) (longest-ms 2000) (usage-ms 0)))
 """
+    )
 
 
 def told(process: Process, what: str) -> Any:
@@ -70,9 +73,24 @@
         self.wait(copies)
 
     def start(self, n: int) -> Process:
-        return Process(2 + n, sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(self.file),
-                       "--roster", self.roster.process.address, "--name", NAMES[n], "--control", "127.0.0.1:0",
-                       "--state", str(self.folder / NAMES[n]))
+        return Process(
+            2 + n,
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "--log-level",
+            "error",
+            "serve",
+            str(self.file),
+            "--roster",
+            self.roster.process.address,
+            "--name",
+            NAMES[n],
+            "--control",
+            "127.0.0.1:0",
+            "--state",
+            str(self.folder / NAMES[n]),
+        )
 
     def wait(self, copies: int) -> None:
         end = time.monotonic() + 20
@@ -103,17 +121,26 @@
                     calls = fast["calls"]
                     spent = [d.cpu_s() - c for d, c in zip(trio.dispatchers, cpu, strict=True)]
                     slow = load(5, owner.address, TARGET, 32, seconds, 400.0)
-                    row = {"calls_a_s": fast["per_s"], "promised": fast["statuses"].get("202", 0) / fast["calls"],
-                           "p50_us": slow["p50_us"], "p99_us": slow["p99_us"],
-                           "owner_us_a_call": 1e6 * spent[0] / calls,
-                           "others_us_a_call": 1e6 * sum(spent[1:]) / calls}
+                    row = {
+                        "calls_a_s": fast["per_s"],
+                        "promised": fast["statuses"].get("202", 0) / fast["calls"],
+                        "p50_us": slow["p50_us"],
+                        "p99_us": slow["p99_us"],
+                        "owner_us_a_call": 1e6 * spent[0] / calls,
+                        "others_us_a_call": 1e6 * sum(spent[1:]) / calls,
+                    }
                     if copies:
                         row["bytes_a_call"] = (after["bytes_out"] - before["bytes_out"]) / calls
                         row["calls_a_batch"] = calls / (after["batches"] - before["batches"])
                     rows.append(row)
                 trio.end()
-                print(json.dumps({"effect": effect, "copies": copies, "in": where} | {
-                    key: round(statistics.median(r[key] for r in rows), 1) for key in rows[0]}), flush=True)
+                print(
+                    json.dumps(
+                        {"effect": effect, "copies": copies, "in": where}
+                        | {key: round(statistics.median(r[key] for r in rows), 1) for key in rows[0]}
+                    ),
+                    flush=True,
+                )
 
 
 def own(process: Process) -> dict[str, Any]:
@@ -141,9 +168,19 @@
                 time.sleep(0.05)
             after = own(owner)
             median, worst = ([calm[key], during[key]] for key in ("p50_us", "p99_us"))
-            print(json.dumps({"records": count, "at_risk_ms": after["risk_ms"] - risk,
-                              "filled_mb": round(sum(w["filled"] for w in after["holders"].values()) / 1e6, 2),
-                              "p50_us": median, "p99_us": worst, "statuses": during["statuses"]}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "records": count,
+                        "at_risk_ms": after["risk_ms"] - risk,
+                        "filled_mb": round(sum(w["filled"] for w in after["holders"].values()) / 1e6, 2),
+                        "p50_us": median,
+                        "p99_us": worst,
+                        "statuses": during["statuses"],
+                    }
+                ),
+                flush=True,
+            )
             trio.dispatchers.remove(lost)
             trio.end()
 
@@ -167,8 +204,12 @@
 
 async def takeover(count: int, share: float, run_ms: float, at_once: int) -> dict[str, Any]:
     """A book of so many activations, `share` of them without an answer; workers take `run_ms` a call, emulated."""
-    deployment = parse(settings(1, "disk", "repeatable").replace("(timeout-ms 10000)", "(timeout-ms 600000)").replace(
-        "(records 200000)", "(records 2000000)"), "bench")
+    deployment = parse(
+        settings(1, "disk", "repeatable")
+        .replace("(timeout-ms 10000)", "(timeout-ms 600000)")
+        .replace("(records 200000)", "(records 2000000)"),
+        "bench",
+    )
     loop, wall = asyncio.get_running_loop(), wall_ms()
     with tempfile.TemporaryDirectory(dir=".") as folder:
         file = Path(folder) / "copies.sqlite"
@@ -213,7 +254,7 @@
         slowest = 0.0
         for n in range(0, len(lives), 200):
             step = now_ms()
-            gateway.recover(now_ms(), wall_ms(), lives[n:n + 200], 200.0, at_once, book)
+            gateway.recover(now_ms(), wall_ms(), lives[n : n + 200], 200.0, at_once, book)
             stir()
             slowest = max(slowest, now_ms() - step)
             await asyncio.sleep(0.001)
@@ -222,9 +263,16 @@
             await asyncio.sleep(0.01)
             stir()
         shelves.close()
-        return {"records": count, "unfinished": int(count * share), "resumed": len(finals), "read_ms": round(read),
-                "first_resumed_ms": round(first - began), "all_known_ms": round(known - began),
-                "last_resumed_ms": round(last - began), "longest_step_ms": round(slowest, 1)}
+        return {
+            "records": count,
+            "unfinished": int(count * share),
+            "resumed": len(finals),
+            "read_ms": round(read),
+            "first_resumed_ms": round(first - began),
+            "all_known_ms": round(known - began),
+            "last_resumed_ms": round(last - began),
+            "longest_step_ms": round(slowest, 1),
+        }
 
 
 def walk(seeds: range) -> tuple[int, int, int]:
@@ -257,9 +305,17 @@
         began, parts = time.monotonic(), range(0, options.seeds, 50)
         with ProcessPoolExecutor(options.processes) as pool:
             found = list(pool.map(walk, [range(n, n + 50) for n in parts]))
-        print(json.dumps({"seeds": options.seeds, "takeovers": sum(f[0] for f in found),
-                          "promised": sum(f[1] for f in found), "all_disks_lost": sum(f[2] for f in found),
-                          "seconds": round(time.monotonic() - began, 1)}))
+        print(
+            json.dumps(
+                {
+                    "seeds": options.seeds,
+                    "takeovers": sum(f[0] for f in found),
+                    "promised": sum(f[1] for f in found),
+                    "all_disks_lost": sum(f[2] for f in found),
+                    "seconds": round(time.monotonic() - began, 1),
+                }
+            )
+        )
 
 
 if __name__ == "__main__":
--- a/bench/crash_points.py
+++ b/bench/crash_points.py
@@ -73,8 +73,19 @@
     async def lost(self, step: str, effect: str, keyed: bool) -> dict[str, Any]:
         """A deferred call whose dispatcher is lost with its disk at a step."""
         name = f"lost-{step}-{effect}-{'keyed' if keyed else 'plain'}"
-        words = ["serve", self.file, "--name", name, "--roster", self.place.roster.said["address"], "--control",
-                 "127.0.0.1:0", "--state", str(self._folder / name), *self.place.ways("dispatcher-0")]
+        words = [
+            "serve",
+            self.file,
+            "--name",
+            name,
+            "--roster",
+            self.place.roster.said["address"],
+            "--control",
+            "127.0.0.1:0",
+            "--state",
+            str(self._folder / name),
+            *self.place.ways("dispatcher-0"),
+        ]
         child = Child(name, [*words, "--crash-at", step])
         await self.place.launch(child)
         while not (await ask(child.said["asked_at"], "GET", "/copies"))["promising"]:
@@ -97,25 +108,49 @@
             found = promised
         if found:
             out["after"], record = await self._follow(other, "GET", f"activations/{found}")
-            out["answer"] = next(n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail") \
-                if out["after"] == 200 else None
+            out["answer"] = (
+                next(n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail")
+                if out["after"] == 200
+                else None
+            )
             out["s"] = round(asyncio.get_running_loop().time() - began, 2)
         await asyncio.sleep(0.5)
         marks = {found, promised}
-        effects = [e for e in read(self._folder) if e["what"] == "effect" and (
-            e["activation"] in marks or (keyed and e["mark"].endswith(f"/{key}")))]
+        effects = [
+            e
+            for e in read(self._folder)
+            if e["what"] == "effect" and (e["activation"] in marks or (keyed and e["mark"].endswith(f"/{key}")))
+        ]
         out["effects"] = len(effects)
-        out["broken"] = bool((effect != "repeatable" and len(effects) > 1) or (found and out["after"] != 200) or (
-            keyed and promised and not out["joined"]) or (out.get("answer") == "rejected" and effects
-                                                          and effect == "once-only"))
+        out["broken"] = bool(
+            (effect != "repeatable" and len(effects) > 1)
+            or (found and out["after"] != 200)
+            or (keyed and promised and not out["joined"])
+            or (out.get("answer") == "rejected" and effects and effect == "once-only")
+        )
         return out
 
     async def paused(self, step: str, effect: str, _: bool) -> dict[str, Any]:
         """A deferred call whose dispatcher stands still at a step until another has carried the call on."""
         name = f"paused-{step}-{effect}"
-        child = Child(name, ["serve", self.file, "--name", name, "--roster", self.place.roster.said["address"],
-                             "--control", "127.0.0.1:0", "--state", str(self._folder / name),
-                             *self.place.ways("dispatcher-0"), "--pause-at", step])
+        child = Child(
+            name,
+            [
+                "serve",
+                self.file,
+                "--name",
+                name,
+                "--roster",
+                self.place.roster.said["address"],
+                "--control",
+                "127.0.0.1:0",
+                "--state",
+                str(self._folder / name),
+                *self.place.ways("dispatcher-0"),
+                "--pause-at",
+                step,
+            ],
+        )
         await self.place.launch(child)
         while not (await ask(child.said["asked_at"], "GET", "/copies"))["promising"]:
             await asyncio.sleep(0.05)
@@ -144,16 +179,22 @@
         for id_ in {each for each in (found, promised) if each}:
             for address in (other, child.said["address"]):
                 status, record = await self._follow(address, "GET", f"activations/{id_}")
-                told.setdefault(id_, set()).add(next(
-                    n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail")
-                    if status == 200 else str(status))
+                told.setdefault(id_, set()).add(
+                    next(n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail")
+                    if status == 200
+                    else str(status)
+                )
         await self.place.end(child)
         effects = [e for e in read(self._folder) if e["what"] == "effect" and e["mark"].endswith(f"/{key}")]
         out |= {"effects": len(effects), "answers": [sorted(answers) for answers in told.values()]}
         twice = effect != "repeatable" and len(effects) > 1
         out["window"] = twice and effect == "deduplicated" and bool(self._remembered_ms)
-        out["broken"] = (twice and not out["window"]) or not found or len(told) > 1 or any(
-            len(answers) > 1 or not answers <= {"completed", "rejected", "aborted"} for answers in told.values())
+        out["broken"] = (
+            (twice and not out["window"])
+            or not found
+            or len(told) > 1
+            or any(len(answers) > 1 or not answers <= {"completed", "rejected", "aborted"} for answers in told.values())
+        )
         return out
 
     async def _follow(self, address: str, method: str, target: str, body: Any = None, key: str = "") -> tuple[int, Any]:
@@ -178,8 +219,16 @@
 
     async def case(self, step: str, effect: str, deferred: bool) -> dict[str, Any]:
         name = f"{step}-{effect}-{'deferred' if deferred else 'keyed'}"
-        words = ["serve", self.file, "--name", name, "--roster", self.place.roster.said["address"],
-                 "--state", str(self._folder / name)]
+        words = [
+            "serve",
+            self.file,
+            "--name",
+            name,
+            "--roster",
+            self.place.roster.said["address"],
+            "--state",
+            str(self._folder / name),
+        ]
         child = Child(name, [*words, "--crash-at", step])
         await self.place.launch(child)
         address, key = child.said["address"], "" if deferred else f"key-{name}"
@@ -191,8 +240,14 @@
             await asyncio.wait_for(child.process.wait(), 4)
         except TimeoutError:  # the call never came by that step
             await self.place.end(child)
-            return {"step": step, "effect": effect, "deferred": deferred, "first": status, "broken": True,
-                    "reached": False}
+            return {
+                "step": step,
+                "effect": effect,
+                "deferred": deferred,
+                "first": status,
+                "broken": True,
+                "reached": False,
+            }
         child.words = words
         await self.place.launch(child)
         out: dict[str, Any] = {"step": step, "effect": effect, "deferred": deferred, "first": status}
@@ -200,8 +255,11 @@
         if promised:
             found, record = await self._until_final(address, promised)
             out["after"] = found
-            out["answer"] = next(n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail") \
-                if found == 200 else None
+            out["answer"] = (
+                next(n["value"]["answer"] for n in record["annotations"] if n["key"] == "kelptrail")
+                if found == 200
+                else None
+            )
         elif key:  # the client's own repeat after the broken connection
             out["after"], record = await self.ask(address, "POST", target, ticket, key)
             out["answer"] = {200: "completed", 429: "rejected", 502: "aborted"}.get(out["after"])
@@ -209,8 +267,11 @@
         await self.place.end(child)
         effects = [e for e in read(self._folder) if e["what"] == "effect" and self._of(e, name, promised, key)]
         out["effects"] = len(effects)
-        out["broken"] = (effect != "repeatable" and len(effects) > 1) or (bool(promised) and out["after"] != 200) or (
-            out.get("answer") == "rejected" and effect == "once-only" and len(effects) > 0)
+        out["broken"] = (
+            (effect != "repeatable" and len(effects) > 1)
+            or (bool(promised) and out["after"] != 200)
+            or (out.get("answer") == "rejected" and effect == "once-only" and len(effects) > 0)
+        )
         return out
 
     def _of(self, event: dict[str, Any], name: str, promised: str | None, key: str) -> bool:
--- a/bench/deferred.py
+++ b/bench/deferred.py
@@ -32,13 +32,25 @@
         file.write_text(DEPLOYMENT.format(functions=2))
         worker = Process(0, sys.executable, echo)
         roster = List([worker.address], 1)
-        words = [sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file), "--roster",
-                 roster.process.address]
+        words = [
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "--log-level",
+            "error",
+            "serve",
+            str(file),
+            "--roster",
+            roster.process.address,
+        ]
         kept = Process(2, *words, "--state", str(Path(folder) / "state"), "--control", "127.0.0.1:0")
         bare = Process(3, *words)
         target = "/api/v1/namespaces/_/actions/f-0?result=true&blocking="
-        cases = {"deferred, with a book": (kept, "false"), "deferred, without": (bare, "false"),
-                 "blocking, with a book": (kept, "true")}
+        cases = {
+            "deferred, with a book": (kept, "false"),
+            "deferred, without": (bare, "false"),
+            "blocking, with a book": (kept, "true"),
+        }
         found: dict[str, list[dict[str, Any]]] = {name: [] for name in cases}
         for _ in range(runs):
             for name, (process, blocking) in cases.items():
@@ -49,8 +61,11 @@
                     commits = after["commits"] - before["commits"]
                     found[name][-1]["entries_a_sync"] = (after["entries"] - before["entries"]) / max(1, commits)
                     found[name][-1]["commits_a_second"] = commits / seconds
-    return {name: {key: statistics.median(r[key] for r in rows) for key in rows[0] if key != "statuses"}
-            | {"statuses": rows[-1]["statuses"]} for name, rows in found.items()}
+    return {
+        name: {key: statistics.median(r[key] for r in rows) for key in rows[0] if key != "statuses"}
+        | {"statuses": rows[-1]["statuses"]}
+        for name, rows in found.items()
+    }
 
 
 def journal(process: Process) -> dict[str, Any]:
--- a/bench/door_fuzz.py
+++ b/bench/door_fuzz.py
@@ -40,19 +40,54 @@
 
 def settings() -> dict[str, Any]:
     """The settings object, with names and figures of no deployment."""
-    classes = [{"name": name, "effect": effect, "aim_us": 200_000, "gain": 1.0, "late_worth": 0.2,
-                "give_up_us": 2_000_000, "key_scope": "all", "window_us": int(WINDOW_S * 1e6)}
-               for name, effect in EFFECTS.items()]
-    return {"my_zone": 0, "failure_domains": ["p", "q"], "models": ["m"], "classes": classes,
-            "customers": [{"name": "acme", "allowance_per_s": 100.0}], "report": {"fields": ["cpu", "x1", "x0"]},
-            "rules": {"tip_multiple": 3.0, "fall_us": 2_000_000, "start_capacity": 0.3, "cold_us": 5_000_000,
-                      "stop_sending_within_us": int(GRACE_S * 1e6)},
-            "bounds": {"parallel_tries": True, "may_cancel": True, "max_attempts": 6, "retry_after": True,
-                       "max_retry_after_us": 500_000, "connect_timeout_us": 200_000, "idle_close_us": 10_000_000,
-                       "multiplex": 100},
-            "specifics": {"says_warm": True, "idle_life_us": 5_000_000, "load_control": True, "free_loads": 20.0,
-                          "load_share": 0.5, "load_span_us": 5_000_000, "answer_within_us": 3_000_000,
-                          "machine_mb": [50_000.0]}}
+    classes = [
+        {
+            "name": name,
+            "effect": effect,
+            "aim_us": 200_000,
+            "gain": 1.0,
+            "late_worth": 0.2,
+            "give_up_us": 2_000_000,
+            "key_scope": "all",
+            "window_us": int(WINDOW_S * 1e6),
+        }
+        for name, effect in EFFECTS.items()
+    ]
+    return {
+        "my_zone": 0,
+        "failure_domains": ["p", "q"],
+        "models": ["m"],
+        "classes": classes,
+        "customers": [{"name": "acme", "allowance_per_s": 100.0}],
+        "report": {"fields": ["cpu", "x1", "x0"]},
+        "rules": {
+            "tip_multiple": 3.0,
+            "fall_us": 2_000_000,
+            "start_capacity": 0.3,
+            "cold_us": 5_000_000,
+            "stop_sending_within_us": int(GRACE_S * 1e6),
+        },
+        "bounds": {
+            "parallel_tries": True,
+            "may_cancel": True,
+            "max_attempts": 6,
+            "retry_after": True,
+            "max_retry_after_us": 500_000,
+            "connect_timeout_us": 200_000,
+            "idle_close_us": 10_000_000,
+            "multiplex": 100,
+        },
+        "specifics": {
+            "says_warm": True,
+            "idle_life_us": 5_000_000,
+            "load_control": True,
+            "free_loads": 20.0,
+            "load_share": 0.5,
+            "load_span_us": 5_000_000,
+            "answer_within_us": 3_000_000,
+            "machine_mb": [50_000.0],
+        },
+    }
 
 
 @dataclass(slots=True)
@@ -113,16 +148,25 @@
 
     def _called(self, number: int, id_: str, body: bytes, writer: asyncio.StreamWriter) -> None:
         now, loop = time.monotonic(), asyncio.get_running_loop()
-        does = self.chance.choice(["OK"] * 60 + ["MISS", "MISS", "MISSES", "BUSY", "ERR", "noise", "break", "silent",
-                                                 "half", "twice", "late", "VOID"])
+        does = self.chance.choice(
+            ["OK"] * 60
+            + ["MISS", "MISS", "MISSES", "BUSY", "ERR", "noise", "break", "silent", "half", "twice", "late", "VOID"]
+        )
         self.calls[id_].append((now, does, number))
         self.sent_to.append((now, number))
         made = b"%d %s" % (number, body)
         self.bodies.add(made)
         good = b"%s OK tell=up,ahead=0 %d\r\n%s\r\n" % (id_.encode(), len(made), made)
         plain = b"%s %s - 0\r\n\r\n" % (id_.encode(), does[:4].encode())
-        says = {"OK": good, "late": good, "twice": good + good, "noise": b"\0\xffno line\r\n", "half": good[:-5],
-                "silent": b"", "break": b""}.get(does, plain)
+        says = {
+            "OK": good,
+            "late": good,
+            "twice": good + good,
+            "noise": b"\0\xffno line\r\n",
+            "half": good[:-5],
+            "silent": b"",
+            "break": b"",
+        }.get(does, plain)
 
         def say() -> None:
             with contextlib.suppress(RuntimeError, OSError):
@@ -142,7 +186,7 @@
                 at = int.from_bytes(await reader.readexactly(8), "big")
                 does = self.chance.choice(["tell"] * 6 + ["break", "twice"])
                 while self.more:
-                    for data in self.events[at - 1:]:
+                    for data in self.events[at - 1 :]:
                         if does == "break" and self.chance.random() < 0.2:
                             writer.write(data[:9])
                             return
@@ -158,26 +202,42 @@
     def tell(self, *changes: tuple[int, int, int]) -> None:
         """An event: ids, the workers behind them, states."""
         number = 2 + len(self.events)
-        records = b"".join(struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), self.ports[worker], state, 0, 0, 0,
-                                       1000, 0) for id_, worker, state in changes)
+        records = b"".join(
+            struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), self.ports[worker], state, 0, 0, 0, 1000, 0)
+            for id_, worker, state in changes
+        )
         self.events.append(struct.pack(">IQB", 9 + len(records), number, 2) + records)
         states = ("in_service", "terminating", "terminated")
         targets = [self._target(id_, worker, states[state]) for id_, worker, state in changes]
         self.entries.append({"pos": number, "hosts": {"rev": number, "all": False, "targets": targets}})
 
     def _target(self, id_: int, worker: int, state: str) -> dict[str, Any]:
-        return {"uid": f"s-{id_:08x}", "endpoint": f"127.0.0.1:{self.ports[worker]}", "az": "p", "model": "m",
-                "pod_group": 0, "state": state, "capacity_hint": 1, "boot_ms": 0}
+        return {
+            "uid": f"s-{id_:08x}",
+            "endpoint": f"127.0.0.1:{self.ports[worker]}",
+            "az": "p",
+            "model": "m",
+            "pod_group": 0,
+            "state": state,
+            "capacity_hint": 1,
+            "boot_ms": 0,
+        }
 
     # The processes.
 
     def configuration(self, n: int) -> str:
         host, port = self.doors[n]
-        return json.dumps({"name": f"n{n}", "listen": f"{host}:{port}", "seed": f"{self.chance.getrandbits(60):x}",
-                           "limits": {"cores": 1, "memory_mb": 64, "sockets": 128},
-                           "journal": self.chance.choice(self.journals),
-                           "known": {"pos": self.entries[-1]["pos"], "entries": self.entries},
-                           "settings": settings()})
+        return json.dumps(
+            {
+                "name": f"n{n}",
+                "listen": f"{host}:{port}",
+                "seed": f"{self.chance.getrandbits(60):x}",
+                "limits": {"cores": 1, "memory_mb": 64, "sockets": 128},
+                "journal": self.chance.choice(self.journals),
+                "known": {"pos": self.entries[-1]["pos"], "entries": self.entries},
+                "settings": settings(),
+            }
+        )
 
     async def start(self, n: int) -> None:
         file = self.folder / f"c{n}.json"
@@ -188,8 +248,13 @@
         file.write_text(self.configuration(n))
         with open(self.folder / f"log{n}", "ab") as log:
             self.processes[n] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "kelptrail.platform", env=os.environ | {"LB_CONFIG": str(file)}, stdout=log,
-                stderr=log)
+                sys.executable,
+                "-m",
+                "kelptrail.platform",
+                env=os.environ | {"LB_CONFIG": str(file)},
+                stdout=log,
+                stderr=log,
+            )
         deadline = time.monotonic() + 10
         while time.monotonic() < deadline:
             with contextlib.suppress(OSError):
@@ -209,7 +274,7 @@
             self.signals[does] += 1
             if does in ("HUP", "half"):
                 whole, file = self.configuration(n), self.folder / f"c{n}.json"
-                file.write_text(whole[:self.chance.randrange(len(whole))] if does == "half" else whole)
+                file.write_text(whole[: self.chance.randrange(len(whole))] if does == "half" else whole)
                 process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.08)
                 file.write_text(whole)
@@ -270,7 +335,7 @@
                     mine[stream] = asked
                     if how == "slow":
                         for at in range(0, len(data), 60):
-                            writer.write(data[at:at + 60])
+                            writer.write(data[at : at + 60])
                             await asyncio.sleep(0.01)
                     if hears.done() or writer.is_closing():
                         return
@@ -315,8 +380,14 @@
 
     def _request(self, n: int, stream: int) -> tuple[Asked, bytes]:
         kind, limit, id_ = self.chance.choice("ttko"), self.chance.choice(LIMITS_MS), self.chance.randbytes(8).hex()
-        told = {"verb": kind, "txn": id_, "limit": str(limit), "team": "acme", "info": "memory_mb:300;lanes:4",
-                "item": f"{self.chance.randrange(9):016x}"} | ({"unique": f"u{id_}"} if kind == "k" else {})
+        told = {
+            "verb": kind,
+            "txn": id_,
+            "limit": str(limit),
+            "team": "acme",
+            "info": "memory_mb:300;lanes:4",
+            "item": f"{self.chance.randrange(9):016x}",
+        } | ({"unique": f"u{id_}"} if kind == "k" else {})
         self.begun.add(id_)
         size = self.chance.choice((0, 40, 40, 2000, 16_000))
         data = frames.frame(frames.REQUEST, stream, frames.fields(told) + id_.encode() + bytes(size))
@@ -334,7 +405,7 @@
                         state["away"] = True
                     elif kind == frames.ANSWER and stream in mine:
                         _, end = frames.read_fields(payload[1:])
-                        mine[stream].answers.append((now, payload[0], payload[1 + end:]))
+                        mine[stream].answers.append((now, payload[0], payload[1 + end :]))
                 if self.chance.random() < 0.02:
                     await asyncio.sleep(0.05)  # it reads slowly
         now = time.monotonic()
@@ -371,8 +442,9 @@
         for asked in self.asked.values():
             for problem in self._judged(asked):
                 self.problems.append(f"{asked.id} ({asked.kind}, process {asked.process}): {problem}")
-        if 0 in self.told and (late := [at for at, number in self.sent_to if number == 0 and (
-                at > self.told[0] + GRACE_S + 1.0 + SLACK_S)]):  # a list that breaks may tell a second late
+        if 0 in self.told and (
+            late := [at for at, number in self.sent_to if number == 0 and (at > self.told[0] + GRACE_S + 1.0 + SLACK_S)]
+        ):  # a list that breaks may tell a second late
             self.problems.append(f"{len(late)} sends to one that drains, the last {late[-1] - self.told[0]:.2f} s on")
         made = collections.Counter(id_ for id_ in self.calls)
         if unknown := [id_ for id_ in made if id_ not in self.asked and id_ not in self.begun]:
@@ -388,12 +460,15 @@
             if begun := [at - asked.left for at, _, _ in calls if at > asked.left + LEFT_S + SLACK_S / 2]:
                 out.append(f"an attempt began {begun[-1]:.3f} s after its client left")
         elif not codes:
-            killed = any(n == asked.process and asked.written - 0.05 <= at <= asked.until + 0.05
-                         for n, at in self.killed)
+            killed = any(
+                n == asked.process and asked.written - 0.05 <= at <= asked.until + 0.05 for n, at in self.killed
+            )
             crossed = not calls and asked.ended is not None and asked.ended - asked.written < 0.05 + SLACK_S
             if not killed and not crossed:
-                out.append(f"no answer; calls {[c[1] for c in calls]}, ended "
-                           f"{None if asked.ended is None else round(asked.ended - asked.written, 3)} s on")
+                out.append(
+                    f"no answer; calls {[c[1] for c in calls]}, ended "
+                    f"{None if asked.ended is None else round(asked.ended - asked.written, 3)} s on"
+                )
         elif asked.answers[0][0] > asked.until + SLACK_S:
             out.append(f"answered {asked.answers[0][0] - asked.until:.3f} s late")
         for _, code, body in asked.answers:
@@ -434,8 +509,11 @@
         codes = collections.Counter(a.answers[0][1] if a.answers else None for a in day.asked.values())
         requests += len(day.asked)
         broken += bool(day.problems)
-        print(f"seed {seed}: {len(day.asked)} requests, answers {dict(codes)}, signals {dict(day.signals)}, "
-              f"{len(day.problems)} problems", flush=True)
+        print(
+            f"seed {seed}: {len(day.asked)} requests, answers {dict(codes)}, signals {dict(day.signals)}, "
+            f"{len(day.problems)} problems",
+            flush=True,
+        )
         for problem in day.problems[:20]:
             print("   ", problem)
     print(f"{requests} requests on {asks.days} days, {broken} days with a problem")
--- a/bench/grpc_echo.py
+++ b/bench/grpc_echo.py
@@ -22,8 +22,11 @@
 async def bare(sock: socket.socket) -> None:
     """One connection."""
     loop = asyncio.get_running_loop()
-    made = H2Connection(H2Configuration(client_side=False, header_encoding=None, validate_outbound_headers=False,
-                                        normalize_outbound_headers=False))
+    made = H2Connection(
+        H2Configuration(
+            client_side=False, header_encoding=None, validate_outbound_headers=False, normalize_outbound_headers=False
+        )
+    )
     made.initiate_connection()
     made.increment_flow_control_window(1 << 24)
     await loop.sock_sendall(sock, made.data_to_send())
@@ -67,8 +70,9 @@
 
     server = grpc.aio.server()
     service, _, method = PATH[1:].partition("/")
-    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(
-        service, {method: grpc.unary_unary_rpc_method_handler(echo)}),))
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(service, {method: grpc.unary_unary_rpc_method_handler(echo)}),)
+    )
     print(f"127.0.0.1:{server.add_insecure_port('127.0.0.1:0')}", flush=True)
     await server.start()
     await server.wait_for_termination()
@@ -84,6 +88,7 @@
         def whole() -> None:
             stream.send(kept[0])
             stream.finish()
+
         stream.on_end = whole
 
     server = GrpcServer(echo)
--- a/bench/inference.py
+++ b/bench/inference.py
@@ -41,6 +41,7 @@
 
 def metadata() -> dict[str, str]:
     import base64
+
     return {"authorization": "Basic " + base64.b64encode(AUTH.encode()).decode()}
 
 
@@ -77,6 +78,7 @@
             codes[name] = codes.get(name, 0) + 1
             calls += 1
             one(client)
+
         client.call(SERVICE + "ModelInfer", data, metadata(), lambda _: None, over, 10_000.0)
 
     for n in range(at_once):
@@ -84,8 +86,13 @@
     await done
     for client in clients:
         client.close()
-    return {"calls": calls, "per_s": calls / seconds, "p50_us": times.get_value_at_percentile(50),
-            "p99_us": times.get_value_at_percentile(99), "codes": codes}
+    return {
+        "calls": calls,
+        "per_s": calls / seconds,
+        "p50_us": times.get_value_at_percentile(50),
+        "p99_us": times.get_value_at_percentile(99),
+        "codes": codes,
+    }
 
 
 async def streams(address: str, count: int, parts: int, gap_ms: float) -> dict[str, Any]:
@@ -103,6 +110,7 @@
             now = time.perf_counter()
             (between if last else first).record_value(max(1, int((now - (last or began)) * 1e6)))
             last = now
+
         client.call(SERVICE + "ModelStreamInfer", data, metadata(), part, done.set_result, 60_000.0)
         ended = await done
         assert ended.code is not None and ended.code == 0, ended
@@ -110,10 +118,15 @@
     for _ in range(count):
         await one()
     client.close()
-    return {"streams": count, "parts": parts, "gap_ms": gap_ms,
-            "first_p50_us": first.get_value_at_percentile(50), "first_p99_us": first.get_value_at_percentile(99),
-            "between_p50_us": between.get_value_at_percentile(50),
-            "between_p99_us": between.get_value_at_percentile(99)}
+    return {
+        "streams": count,
+        "parts": parts,
+        "gap_ms": gap_ms,
+        "first_p50_us": first.get_value_at_percentile(50),
+        "first_p99_us": first.get_value_at_percentile(99),
+        "between_p50_us": between.get_value_at_percentile(50),
+        "between_p99_us": between.get_value_at_percentile(99),
+    }
 
 
 async def direct(address: str, count: int, parts: int, gap_ms: float) -> dict[str, Any]:
@@ -121,8 +134,13 @@
     first, between = HdrHistogram(1, 60_000_000, 3), HdrHistogram(1, 60_000_000, 3)
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    body = json.dumps({"id": "m", "inputs": [{"name": "x", "datatype": "FP32", "shape": [16], "data": [0.5] * 16}],
-                       "parameters": {"stream": True, "form": "tensors", "parts": parts, "gap_ms": gap_ms}}).encode()
+    body = json.dumps(
+        {
+            "id": "m",
+            "inputs": [{"name": "x", "datatype": "FP32", "shape": [16], "data": [0.5] * 16}],
+            "parameters": {"stream": True, "form": "tensors", "parts": parts, "gap_ms": gap_ms},
+        }
+    ).encode()
     for _ in range(count):
         began, last = time.perf_counter(), 0.0
         parser = ResponseReader(1 << 20)
@@ -133,14 +151,18 @@
                 now = time.perf_counter()
                 (between if last else first).record_value(max(1, int((now - (last or began)) * 1e6)))  # noqa: B023
                 last = now
+
         parser.on_piece = piece
         writer.write(encode_request("POST", "/v2/models/f/infer", "x", body))
         while parser.feed(await reader.read(65536)) is None:
             pass
     writer.close()
-    return {"first_p50_us": first.get_value_at_percentile(50), "first_p99_us": first.get_value_at_percentile(99),
-            "between_p50_us": between.get_value_at_percentile(50),
-            "between_p99_us": between.get_value_at_percentile(99)}
+    return {
+        "first_p50_us": first.get_value_at_percentile(50),
+        "first_p99_us": first.get_value_at_percentile(99),
+        "between_p50_us": between.get_value_at_percentile(50),
+        "between_p99_us": between.get_value_at_percentile(99),
+    }
 
 
 async def held(address: str, count: int) -> int:
@@ -153,9 +175,11 @@
         begun += 1
         if begun == count and not ready.done():
             ready.set_result(None)
+
     for n in range(count):
-        clients[n % len(clients)].call(SERVICE + "ModelStreamInfer", message(2, 8000.0), metadata(), part,
-                                       lambda _ended: None, 60_000.0)
+        clients[n % len(clients)].call(
+            SERVICE + "ModelStreamInfer", message(2, 8000.0), metadata(), part, lambda _ended: None, 60_000.0
+        )
     await asyncio.wait_for(ready, 60)
     print("held", flush=True)
     await asyncio.sleep(6)
@@ -176,20 +200,29 @@
             await reader.read(4096)
             writer.close()
             count += 1
+
     await asyncio.gather(*(one() for _ in range(16)))
     return {"per_s": count / seconds}
 
 
 def pinned(core: int, *words: str) -> dict[str, Any]:
     """A part of this file as a process on a core."""
-    done = subprocess.run([sys.executable, __file__, *words], capture_output=True, text=True, check=True,
-                          preexec_fn=lambda: os.sched_setaffinity(0, {core}))
+    done = subprocess.run(
+        [sys.executable, __file__, *words],
+        capture_output=True,
+        text=True,
+        check=True,
+        preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+    )
     return json.loads(done.stdout.strip().splitlines()[-1])
 
 
 def middle(rows: list[dict[str, Any]]) -> dict[str, Any]:
-    return {key: round(statistics.median(r[key] for r in rows), 1) for key in rows[0]
-            if isinstance(rows[0][key], int | float)} | {"codes": rows[-1].get("codes", rows[-1].get("statuses"))}
+    return {
+        key: round(statistics.median(r[key] for r in rows), 1)
+        for key in rows[0]
+        if isinstance(rows[0][key], int | float)
+    } | {"codes": rows[-1].get("codes", rows[-1].get("statuses"))}
 
 
 def main() -> None:
@@ -228,13 +261,16 @@
         words = [sys.executable, "-m", "kelptrail", "--log-level", "error", "serve"]
         plain = Process(2, *words, str(folder / "plain.sexp"), "--roster", roster.process.address)
         secure = Process(3, *words, str(folder / "tls.sexp"), "--roster", roster.process.address)
-        bares = {kind: Process(5, sys.executable, str(HERE / "grpc_echo.py"), kind)
-                 for kind in ("h2", "ours", "grpcio", "grpcio-uvloop")}
+        bares = {
+            kind: Process(5, sys.executable, str(HERE / "grpc_echo.py"), kind)
+            for kind in ("h2", "ours", "grpcio", "grpcio-uvloop")
+        }
         authority, seconds = str(folder / "authority.pem"), str(options.seconds)
         cases: dict[str, tuple[Process, str, list[str]]] = {
             "gateway, gRPC": (plain, plain.said["grpc"], []),
             "gateway, gRPC under TLS": (secure, secure.said["grpc"], [authority]),
-            **{f"echo, {kind}": (process, process.address, []) for kind, process in bares.items()}}
+            **{f"echo, {kind}": (process, process.address, []) for kind, process in bares.items()},
+        }
         rows: dict[str, list[dict[str, Any]]] = {}
         target = "/api/v1/namespaces/_/actions/f?blocking=true&result=true"
         for _ in range(options.runs):
@@ -253,22 +289,55 @@
         print(json.dumps({"case": "TLS handshakes"} | middle(shake)), flush=True)
         store = Process(1, sys.executable, "-m", "kelptrail", "standin", "store", str(folder / "plain.sexp"))
         roster = List([], 1)
-        runner = Process(0, sys.executable, "-m", "kelptrail", "standin", "worker", str(folder / "plain.sexp"), "--id",
-                         "w", "--store", store.address, "--roster", roster.process.address, "--warm")
+        runner = Process(
+            0,
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "standin",
+            "worker",
+            str(folder / "plain.sexp"),
+            "--id",
+            "w",
+            "--store",
+            store.address,
+            "--roster",
+            roster.process.address,
+            "--warm",
+        )
         flows = Process(2, *words, str(folder / "plain.sexp"), "--roster", roster.process.address)
         time.sleep(1)
         pinned(4, "streams", flows.said["grpc"], "5", "3", "1")
         for parts, gap in ((20, 5.0),):
-            print(json.dumps({"case": "streams through the gateway"} | pinned(
-                4, "streams", flows.said["grpc"], "60", str(parts), str(gap))), flush=True)
-            print(json.dumps({"case": "streams straight from the worker"} | pinned(
-                4, "direct", runner.address, "60", str(parts), str(gap))), flush=True)
+            print(
+                json.dumps(
+                    {"case": "streams through the gateway"}
+                    | pinned(4, "streams", flows.said["grpc"], "60", str(parts), str(gap))
+                ),
+                flush=True,
+            )
+            print(
+                json.dumps(
+                    {"case": "streams straight from the worker"}
+                    | pinned(4, "direct", runner.address, "60", str(parts), str(gap))
+                ),
+                flush=True,
+            )
         before_mb, count = flows.memory_mb(), 1000
-        child = subprocess.Popen([sys.executable, __file__, "held", flows.said["grpc"], str(count)],
-                                 stdout=subprocess.PIPE, text=True)
+        child = subprocess.Popen(
+            [sys.executable, __file__, "held", flows.said["grpc"], str(count)], stdout=subprocess.PIPE, text=True
+        )
         assert child.stdout is not None and child.stdout.readline().strip() == "held"
-        print(json.dumps({"case": "memory a stream", "streams": count,
-                          "kb": round((flows.memory_mb() - before_mb) * 1000 / count, 1)}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "case": "memory a stream",
+                    "streams": count,
+                    "kb": round((flows.memory_mb() - before_mb) * 1000 / count, 1),
+                }
+            ),
+            flush=True,
+        )
         child.wait()
 
 
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -37,8 +37,14 @@
 from kelptrail.standin.place import Child, Place, ask
 
 ROOT = Path(__file__).parent.parent
-FIGURES: dict[str, Any] = {"longest_ms": 100.0, "ask_ms": 8.0, "retry_ms": 5.0, "gap_ms": 0.0, "reserve_ms": 20.0,
-                           "clock_bound": 0.02}
+FIGURES: dict[str, Any] = {
+    "longest_ms": 100.0,
+    "ask_ms": 8.0,
+    "retry_ms": 5.0,
+    "gap_ms": 0.0,
+    "reserve_ms": 20.0,
+    "clock_bound": 0.02,
+}
 SET = LeaseSettings(("a", "b", "c"), **FIGURES)
 NEXT = LeaseSettings(("a", "b", "d"), 2, ("a", "b", "c"), **FIGURES)
 RATES = (("a", 1.02), ("b", 1.02), ("c", 1.02), ("x", 0.98), ("y", 0.98), ("z", 0.98))
@@ -53,14 +59,20 @@
     "2 askers, founding": (("x", "y"), Budget(delays=2, starts=1), 18, {"founded": False}),
 }
 WALKS = {
-    "all": (Budget(drops=9, copies=9, delays=60, starts=3, wipes=1, failures=3, runs=3, pauses=3, releases=3, acts=9),
-            0.12, 400, {}),
+    "all": (
+        Budget(drops=9, copies=9, delays=60, starts=3, wipes=1, failures=3, runs=3, pauses=3, releases=3, acts=9),
+        0.12,
+        400,
+        {},
+    ),
     "late": (Budget(drops=30, copies=9, delays=200, pauses=9, acts=20), 0.3, 800, {}),
     "disk lost": (Budget(drops=10, copies=2, delays=200, wipes=1, runs=1), 0.3, 600, {}),
     "set changed": (Budget(drops=5, copies=3, delays=100, starts=3, runs=2), 0.1, 500, {"later": NEXT}),
 }
-WALKS |= {f"{name}, with notes": (budget, faults, length, how | {"notes": True})
-          for name, (budget, faults, length, how) in WALKS.items()}
+WALKS |= {
+    f"{name}, with notes": (budget, faults, length, how | {"notes": True})
+    for name, (budget, faults, length, how) in WALKS.items()
+}
 
 
 def product(name: str, most_states: int) -> dict[str, Any]:
@@ -99,8 +111,12 @@
         for name in WALKS:
             began, parts = time.monotonic(), range(0, count, 50)
             states = sum(pool.map(walks, [name] * len(parts), parts, [50] * len(parts)))
-            print(json.dumps({"walks": name, "seeds": count, "states": states,
-                              "seconds": round(time.monotonic() - began, 1)}), flush=True)
+            print(
+                json.dumps(
+                    {"walks": name, "seeds": count, "states": states, "seconds": round(time.monotonic() - began, 1)}
+                ),
+                flush=True,
+            )
 
 
 # Time without a holder.
@@ -113,8 +129,9 @@
         self.deployment, self.folder = load(ROOT / "examples" / "fleet.sexp"), folder
         (folder / "captures").mkdir(parents=True)
         self.capture = Capture(folder / "captures" / "player.jsonl", "player")
-        self.place = Place(self.deployment, str(ROOT / "examples" / "fleet.sexp"), folder / "captures", 1, "info",
-                           folder)
+        self.place = Place(
+            self.deployment, str(ROOT / "examples" / "fleet.sexp"), folder / "captures", 1, "info", folder
+        )
         self.chance = np.random.default_rng(7)
 
     async def holder(self) -> Child:
@@ -176,20 +193,38 @@
                 new = next(e for e in acts if e["looked"] > old["looked"] and e["token"] > old["token"])
                 gaps.append(new["looked"] - old["looked"])
             every[kind] = gaps
-            print(json.dumps({"without_a_holder_ms": kind, "times": len(gaps), "median": round(statistics.median(gaps)),
-                              "worst": round(max(gaps)), "all": [round(g) for g in sorted(gaps)]}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "without_a_holder_ms": kind,
+                        "times": len(gaps),
+                        "median": round(statistics.median(gaps)),
+                        "worst": round(max(gaps)),
+                        "all": [round(g) for g in sorted(gaps)],
+                    }
+                ),
+                flush=True,
+            )
         leases = rig.deployment.leases
         assert leases is not None
         # A grant just before the end, on the slowest voter; the pause; the places; one silent first voter; two round
         # trips of questions with their syncs.
-        bound = (leases.length_ms / (1 - leases.clock_bound) + 1.5 * leases.retry_ms + 7 * leases.gap_ms
-                 + leases.ask_ms + 100)
+        bound = (
+            leases.length_ms / (1 - leases.clock_bound)
+            + 1.5 * leases.retry_ms
+            + 7 * leases.gap_ms
+            + leases.ask_ms
+            + 100
+        )
         print(json.dumps({"bound_ms": round(bound)}))
         if plot is not None:
             draw(plot, every, bound)
         verdict = judge([e for e in events if e["what"] in ("act", "done", "world", "trouble")])
-        print(json.dumps({"acts": verdict.acts, "holders_two": verdict.holders_two,
-                          "old_tokens_taken": verdict.old_tokens_taken}))
+        print(
+            json.dumps(
+                {"acts": verdict.acts, "holders_two": verdict.holders_two, "old_tokens_taken": verdict.old_tokens_taken}
+            )
+        )
 
 
 async def real_askers(count: int, seconds: float) -> dict[str, Any]:
@@ -214,10 +249,13 @@
         await rig.place.stop()
     rows = [((m2 - m1) / took, (c2 - c1) / took) for (m1, c1), (m2, c2) in zip(before, after, strict=True)]
     voters, others = rows[:5], rows[5:]
-    return {"real_askers": count, "voter_messages_per_s": round(max(m for m, _ in voters), 1),
-            "voter_cpu_ms_per_s": round(max(c for _, c in voters), 1),
-            "other_messages_per_s": round(statistics.median(m for m, _ in others), 2),
-            "other_cpu_ms_per_s": round(statistics.median(c for _, c in others), 1)}
+    return {
+        "real_askers": count,
+        "voter_messages_per_s": round(max(m for m, _ in voters), 1),
+        "voter_cpu_ms_per_s": round(max(c for _, c in voters), 1),
+        "other_messages_per_s": round(statistics.median(m for m, _ in others), 2),
+        "other_cpu_ms_per_s": round(statistics.median(c for _, c in others), 1),
+    }
 
 
 def draw(file: Path, every: dict[str, list[float]], bound: float) -> None:
@@ -245,8 +283,7 @@
     engine, names = Engine(), [f"dispatcher-{n:03d}" for n in range(count)]
     settings = LeaseSettings(tuple(names[:5]), longest_ms=4000.0)
     acts: list[float] = []
-    leases = LabLeases(engine, settings, 4000.0, names, 1, 2.0, 0.2, 3000.0,
-                       lambda what, **f: acts.append(engine.now))
+    leases = LabLeases(engine, settings, 4000.0, names, 1, 2.0, 0.2, 3000.0, lambda what, **f: acts.append(engine.now))
     leases.contend(("sweep",), names)
     engine.run(20_000.0)
     if outage:
@@ -263,11 +300,17 @@
         peak = max(peak, max(leases.nodes[n].told - at[n] for n in names[:5]) * 1000 / step)
     cpu = time.process_time() - cpu
     told = {name: (node.told - before[name]) / seconds for name, node in leases.nodes.items()}
-    row = {"askers": count, "outage": outage, "voter_messages_per_s": round(max(told[n] for n in names[:5]), 1),
-           "voter_peak_per_s_in_100_ms": round(peak), "asker_messages_per_s": round(
-               statistics.median(told[n] for n in names[5:]), 2), "all_messages_per_s": round(sum(told.values())),
-           "cpu_us_a_message": round(cpu * 1e6 / max(1, sum(node.told for node in leases.nodes.values())
-                                                     - sum(before.values())), 1)}
+    row = {
+        "askers": count,
+        "outage": outage,
+        "voter_messages_per_s": round(max(told[n] for n in names[:5]), 1),
+        "voter_peak_per_s_in_100_ms": round(peak),
+        "asker_messages_per_s": round(statistics.median(told[n] for n in names[5:]), 2),
+        "all_messages_per_s": round(sum(told.values())),
+        "cpu_us_a_message": round(
+            cpu * 1e6 / max(1, sum(node.told for node in leases.nodes.values()) - sum(before.values())), 1
+        ),
+    }
     if outage:
         row["held_again_after_ms"] = round(min(a for a in acts if a > healed) - healed)
     return row
@@ -278,8 +321,11 @@
 
     names = ["v0", "v1", "v2"]
     own = DEPLOYMENT.format(functions=10)
-    leased = own.rstrip()[:-1] + f"""
+    leased = (
+        own.rstrip()[:-1]
+        + f"""
   (peers {" ".join(f"(peer {n})" for n in names)}) (leases (voters {" ".join(names)}) (usage-ms 1000)))"""
+    )
     try:
         with tempfile.TemporaryDirectory() as folder:
             plain, with_leases = Path(folder) / "plain.sexp", Path(folder) / "leased.sexp"
@@ -289,12 +335,29 @@
             roster = List([w.address for w in workers], 2)
 
             def serve(core: int, name: str, file: Path, cwd: Path) -> Process:
-                return Process(core, sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file),
-                               "--name", name, "--roster", roster.process.address, "--state", f"{folder}/{name}",
-                               cwd=cwd)
-
-            served = {"before": serve(3, "before", plain, before), "now": serve(3, "now", plain, ROOT),
-                      "now, voter and holder": serve(3, "v0", with_leases, ROOT)}
+                return Process(
+                    core,
+                    sys.executable,
+                    "-m",
+                    "kelptrail",
+                    "--log-level",
+                    "error",
+                    "serve",
+                    str(file),
+                    "--name",
+                    name,
+                    "--roster",
+                    roster.process.address,
+                    "--state",
+                    f"{folder}/{name}",
+                    cwd=cwd,
+                )
+
+            served = {
+                "before": serve(3, "before", plain, before),
+                "now": serve(3, "now", plain, ROOT),
+                "now, voter and holder": serve(3, "v0", with_leases, ROOT),
+            }
             for core, name in ((6, "v1"), (7, "v2")):
                 time.sleep(6)  # the first alone holds nothing; with the second it has all tasks
                 serve(core, name, with_leases, ROOT)
@@ -309,10 +372,19 @@
                         rows[name].append((run["per_s"], (process.cpu_s() - began) / run["calls"] * 1e6, run["p99_us"]))
             for name, found in rows.items():
                 per_s, cpu, p99 = zip(*found, strict=True)
-                print(json.dumps({"cost": name, "runs": runs, "calls_per_s": round(statistics.median(per_s)),
-                                  "cpu_us_a_call": round(statistics.median(cpu), 1),
-                                  "cpu_us_least_most": [round(min(cpu), 1), round(max(cpu), 1)],
-                                  "p99_us": round(statistics.median(p99))}), flush=True)
+                print(
+                    json.dumps(
+                        {
+                            "cost": name,
+                            "runs": runs,
+                            "calls_per_s": round(statistics.median(per_s)),
+                            "cpu_us_a_call": round(statistics.median(cpu), 1),
+                            "cpu_us_least_most": [round(min(cpu), 1), round(max(cpu), 1)],
+                            "p99_us": round(statistics.median(p99)),
+                        }
+                    ),
+                    flush=True,
+                )
     finally:
         for child in STARTED:
             child.end()
--- a/bench/load.py
+++ b/bench/load.py
@@ -46,8 +46,9 @@
 
 
 async def main(address: str, target: str, auth: str, connections: int, seconds: float, rate: float) -> None:
-    data = encode_request("POST", target, "x", b'{"family":7}',
-                          {"authorization": "Basic " + base64.b64encode(auth.encode()).decode()})
+    data = encode_request(
+        "POST", target, "x", b'{"family":7}', {"authorization": "Basic " + base64.b64encode(auth.encode()).decode()}
+    )
     clients = [Client(await connect(address), data) for _ in range(connections)]
     times = HdrHistogram(1, 60_000_000, 3)
     end = time.monotonic() + seconds
@@ -88,8 +89,17 @@
         for status, count in client.statuses.items():
             statuses[status] = statuses.get(status, 0) + count
         client.sock.close()
-    print(json.dumps({"calls": done, "per_s": round(done / took, 1), "statuses": statuses,
-                      "p50_us": times.get_value_at_percentile(50), "p99_us": times.get_value_at_percentile(99)}))
+    print(
+        json.dumps(
+            {
+                "calls": done,
+                "per_s": round(done / took, 1),
+                "statuses": statuses,
+                "p50_us": times.get_value_at_percentile(50),
+                "p99_us": times.get_value_at_percentile(99),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -36,8 +36,14 @@
     """A child whose first line tells where it listens; pinned to a core."""
 
     def __init__(self, core: int, *words: str, cwd: Path | None = None) -> None:
-        self.process = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True, cwd=cwd,
-                                        preexec_fn=lambda: os.sched_setaffinity(0, {core}))
+        self.process = subprocess.Popen(
+            words,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            cwd=cwd,
+            preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+        )
         assert self.process.stdout is not None
         line = self.process.stdout.readline().strip()
         if not line:
@@ -66,16 +72,22 @@
 
         self.process = Process(core, sys.executable, "-m", "kelptrail", "standin", "roster")
         for n, address in enumerate(workers):
-            body = json.dumps({"id": f"w{n}", "address": address, "incarnation": "1", "hall": "", "cell": n,
-                               "age_ms": 1e9}).encode()
-            urllib.request.urlopen(urllib.request.Request(
-                f"http://{self.process.address}/register", data=body, method="POST"), timeout=5)
+            body = json.dumps(
+                {"id": f"w{n}", "address": address, "incarnation": "1", "hall": "", "cell": n, "age_ms": 1e9}
+            ).encode()
+            urllib.request.urlopen(
+                urllib.request.Request(f"http://{self.process.address}/register", data=body, method="POST"), timeout=5
+            )
 
 
 def load(core: int, address: str, target: str, connections: int, seconds: float, rate: float = 0.0) -> dict[str, Any]:
-    done = subprocess.run([sys.executable, str(HERE / "load.py"), address, target, AUTH, str(connections),
-                           str(seconds), str(rate)], capture_output=True, text=True, check=True,
-                          preexec_fn=lambda: os.sched_setaffinity(0, {core}))
+    done = subprocess.run(
+        [sys.executable, str(HERE / "load.py"), address, target, AUTH, str(connections), str(seconds), str(rate)],
+        capture_output=True,
+        text=True,
+        check=True,
+        preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+    )
     return json.loads(done.stdout)
 
 
@@ -90,8 +102,18 @@
         file.write_text(DEPLOYMENT.format(functions=10))
         workers = [Process(n % 2, sys.executable, str(HERE / "echo_worker.py")) for n in range(2)]
         roster = List([w.address for w in workers], 2)
-        gateway = Process(3, sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file),
-                          "--roster", roster.process.address)
+        gateway = Process(
+            3,
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "--log-level",
+            "error",
+            "serve",
+            str(file),
+            "--roster",
+            roster.process.address,
+        )
         bare = Process(4, sys.executable, str(HERE / "passthrough.py"), workers[0].address)
         target = "/api/v1/namespaces/_/actions/f-{}?blocking=true&result=true"
         for n in range(10):
@@ -114,9 +136,13 @@
 
         out: dict[str, Any] = {"runs": options.runs, "half_load_per_s": round(half, 1)}
         for name in rows:
-            out[name] = {"per_s": mid(rows[name], "per_s"), "cpu_us": mid(rows[name], "cpu_us"),
-                         "statuses": rows[name][-1]["statuses"],
-                         "half_p50_us": mid(slow[name], "p50_us"), "half_p99_us": mid(slow[name], "p99_us")}
+            out[name] = {
+                "per_s": mid(rows[name], "per_s"),
+                "cpu_us": mid(rows[name], "cpu_us"),
+                "statuses": rows[name][-1]["statuses"],
+                "half_p50_us": mid(slow[name], "p50_us"),
+                "half_p99_us": mid(slow[name], "p99_us"),
+            }
         out["rate_ratio"] = round(out["gateway"]["per_s"] / out["bare"]["per_s"], 3)
         memory, calls, began = [], 0, time.monotonic()
         while calls < options.memory_calls:
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -39,8 +39,18 @@
     needs = []
     for n in range(functions):
         standing = {f"worker-{int(w)}": 1 for w in chance.integers(workers, size=1 + n % 2)}
-        needs.append(Need(f"m-{n}", float(chance.choice([250, 500, 1000])), 4, 1000.0, 100.0,
-                          float(chance.choice([1, 3])), float(rates[n]), standing))
+        needs.append(
+            Need(
+                f"m-{n}",
+                float(chance.choice([250, 500, 1000])),
+                4,
+                1000.0,
+                100.0,
+                float(chance.choice([1, 3])),
+                float(rates[n]),
+                standing,
+            )
+        )
     return hosts, needs
 
 
@@ -55,9 +65,19 @@
                 found = how(hosts, needs, budget)
                 took = time.perf_counter() - began
                 assert not valid(found.wants, hosts, needs, budget)
-                rows.append({"workers": workers, "functions": functions, "memory": tight, "how": name, "by": found.by,
-                             "s": round(took, 3), "price": round(found.price, 1), "missing": found.missing,
-                             "moves": found.moves})
+                rows.append(
+                    {
+                        "workers": workers,
+                        "functions": functions,
+                        "memory": tight,
+                        "how": name,
+                        "by": found.by,
+                        "s": round(took, 3),
+                        "price": round(found.price, 1),
+                        "missing": found.missing,
+                        "moves": found.moves,
+                    }
+                )
                 print(json.dumps(rows[-1]), flush=True)
     import matplotlib
 
@@ -68,8 +88,12 @@
     for name in ("greedy", "program"):
         for tight in (1.0, 0.12):
             mine = [r for r in rows if r["how"] == name and r["memory"] == tight]
-            axis.plot([r["workers"] * r["functions"] for r in mine], [r["s"] for r in mine], marker="o",
-                      label=f"{name}, memory x {tight}")
+            axis.plot(
+                [r["workers"] * r["functions"] for r in mine],
+                [r["s"] for r in mine],
+                marker="o",
+                label=f"{name}, memory x {tight}",
+            )
     axis.set_xscale("log")
     axis.set_yscale("log")
     axis.set_xlabel("workers x functions")
@@ -108,8 +132,11 @@
         began = now_ms()
         while True:
             counts = chance.poisson(self._rate, len(self._models))
-            tallies = {m: Tally(int(c), int(c), 0, 0, 0, 0, 100.0 * float(c))
-                       for m, c in zip(self._models, counts, strict=True) if c}
+            tallies = {
+                m: Tally(int(c), int(c), 0, 0, 0, 0, 100.0 * float(c))
+                for m, c in zip(self._models, counts, strict=True)
+                if c
+            }
             self._write(writer, frame(Report(FIRST, now_ms() - began, tallies, {}, False)))
             self._write(writer, frame(Beat()))
             await asyncio.sleep(1.0)
@@ -128,23 +155,47 @@
     await place.start(4, 1, None)
     large = ROOT / "examples" / "large.sexp"
     roster = await place._child("roster-2", ["standin", "roster"])
-    planner = await place._child("planner", ["planner", str(large), "--roster", roster.said["address"], "--control",
-                                             "127.0.0.1:0"])
+    planner = await place._child(
+        "planner", ["planner", str(large), "--roster", roster.said["address"], "--control", "127.0.0.1:0"]
+    )
     fakes: list[asyncio.Task[None]] = []
     if big:
         for n in range(1000):
-            await ask(roster.said["address"], "POST", "/register", {
-                "id": f"worker-{n}", "address": f"127.0.0.1:{20_000 + n}", "incarnation": "a", "hall": "",
-                "cell": n // 2, "age_ms": 1e9})
+            await ask(
+                roster.said["address"],
+                "POST",
+                "/register",
+                {
+                    "id": f"worker-{n}",
+                    "address": f"127.0.0.1:{20_000 + n}",
+                    "incarnation": "a",
+                    "hall": "",
+                    "cell": n // 2,
+                    "age_ms": 1e9,
+                },
+            )
         deployment = load(large)
         models = [a.model for a in deployment.actions.values()]
-        fakes = [asyncio.create_task(FakeEdge(f"e{n}", deployment.name, planner.said["address"], models, 1.0).run())
-                 for n in range(edges)]
+        fakes = [
+            asyncio.create_task(FakeEdge(f"e{n}", deployment.name, planner.said["address"], models, 1.0).run())
+            for n in range(edges)
+        ]
         await asyncio.sleep(12)
     script = ROOT / "examples" / "bad-days" / "steady.sexp"
     load_process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "kelptrail", "load", str(script), "--at", place.dispatchers[0].said["address"],
-        "--processes", "1", "--out", str(out / f"edge-{big}"), stdout=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "kelptrail",
+        "load",
+        str(script),
+        "--at",
+        place.dispatchers[0].said["address"],
+        "--processes",
+        "1",
+        "--out",
+        str(out / f"edge-{big}"),
+        stdout=asyncio.subprocess.PIPE,
+    )
     said, _ = await load_process.communicate()
     state = await ask(planner.said["control"], "GET", "/")
     for fake in fakes:
@@ -153,9 +204,17 @@
         await place.end(child, 5)
     await place.stop()
     row = json.loads(said)
-    return {"planner": "solving" if big else "idle", "p50_ms": row["p50_ms"], "p99_ms": row["p99_ms"],
-            "late_p99_ms": row["late_p99_ms"], "completed": row["completed"], "plans": state["plans"],
-            "models": state["models"], "solve_ms": state["solve_ms"], "by": state["by"]}
+    return {
+        "planner": "solving" if big else "idle",
+        "p50_ms": row["p50_ms"],
+        "p99_ms": row["p99_ms"],
+        "late_p99_ms": row["late_p99_ms"],
+        "completed": row["completed"],
+        "plans": state["plans"],
+        "models": state["models"],
+        "solve_ms": state["solve_ms"],
+        "by": state["by"],
+    }
 
 
 async def edge(out: Path) -> None:
@@ -170,12 +229,23 @@
     deployment = load(large)
     place = Place(deployment, str(large), None, 1, "warning", None, quiet=True)
     roster = await place._child("roster", ["standin", "roster"])
-    planner = await place._child("planner", ["planner", str(large), "--roster", roster.said["address"], "--control",
-                                             "127.0.0.1:0"])
+    planner = await place._child(
+        "planner", ["planner", str(large), "--roster", roster.said["address"], "--control", "127.0.0.1:0"]
+    )
     for n in range(1000):
-        await ask(roster.said["address"], "POST", "/register", {
-            "id": f"worker-{n}", "address": f"127.0.0.1:{20_000 + n}", "incarnation": "a", "hall": "", "cell": n // 2,
-            "age_ms": 1e9})
+        await ask(
+            roster.said["address"],
+            "POST",
+            "/register",
+            {
+                "id": f"worker-{n}",
+                "address": f"127.0.0.1:{20_000 + n}",
+                "incarnation": "a",
+                "hall": "",
+                "cell": n // 2,
+                "age_ms": 1e9,
+            },
+        )
     models = [a.model for a in deployment.actions.values()]
     fakes = [FakeEdge(f"e{n}", deployment.name, planner.said["address"], models, 3000 / 30 / 5000) for n in range(30)]
     tasks = [asyncio.create_task(fake.run()) for fake in fakes]
@@ -188,9 +258,21 @@
     after = sum(f.bytes_in for f in fakes), sum(f.bytes_out for f in fakes), sum(f.plans for f in fakes)
     state = await ask(planner.said["control"], "GET", "/")
     down, up, plans = (round((b - a) / 30) for a, b in zip(before, after, strict=True))
-    print(json.dumps({"edges": 30, "to_edges_bytes_s": down, "from_edges_bytes_s": up, "plans_s": plans,
-                      "models": state["models"], "copies": state["copies"], "solve_ms": state["solve_ms"],
-                      "by": state["by"], "background": state["background"]}))
+    print(
+        json.dumps(
+            {
+                "edges": 30,
+                "to_edges_bytes_s": down,
+                "from_edges_bytes_s": up,
+                "plans_s": plans,
+                "models": state["models"],
+                "copies": state["copies"],
+                "solve_ms": state["solve_ms"],
+                "by": state["by"],
+                "background": state["background"],
+            }
+        )
+    )
     for task in tasks:
         task.cancel()
     for child in (planner, roster):
--- a/bench/second_sends.py
+++ b/bench/second_sends.py
@@ -35,16 +35,42 @@
     (folder / "place.sexp").write_text(place)
     (folder / "day.sexp").write_text(SCRIPT.read_text().replace("../hedged.sexp", str(folder / "place.sexp")))
     out = folder / "out"
-    subprocess.run([sys.executable, "-m", "kelptrail", "--log-level", "error", "bad-day", str(folder / "day.sexp"),
-                    "--seed", str(seed), "--out", str(out)], cwd=ROOT, capture_output=True, check=False)
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "--log-level",
+            "error",
+            "bad-day",
+            str(folder / "day.sexp"),
+            "--seed",
+            str(seed),
+            "--out",
+            str(out),
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        check=False,
+    )
     report = json.loads((out / "report.json").read_text())
     quiet = [row for row in report["timeline"] if row["second"] < 33]
-    return {"variant": name, "seed": seed, "broken": report["broken"], "taken": report["taken"],
-            "completed": report["completed"], "rejected": report["rejected"], "aborted": report["aborted"],
-            "in_time_before_overload": round(sum(r["in_time"] for r in quiet) / sum(r["calls"] for r in quiet), 4),
-            "sends": report["sends"], "second_sends": report["second_sends"], "saved": report["second_saved"],
-            "wasted": report["second_sends"] - report["second_saved"],
-            "check_ms": report["latency_ms"].get("check"), "activate_ms": report["latency_ms"].get("activate")}
+    return {
+        "variant": name,
+        "seed": seed,
+        "broken": report["broken"],
+        "taken": report["taken"],
+        "completed": report["completed"],
+        "rejected": report["rejected"],
+        "aborted": report["aborted"],
+        "in_time_before_overload": round(sum(r["in_time"] for r in quiet) / sum(r["calls"] for r in quiet), 4),
+        "sends": report["sends"],
+        "second_sends": report["second_sends"],
+        "saved": report["second_saved"],
+        "wasted": report["second_sends"] - report["second_saved"],
+        "check_ms": report["latency_ms"].get("check"),
+        "activate_ms": report["latency_ms"].get("activate"),
+    }
 
 
 def draw(file: Path, rows: list[dict[str, Any]]) -> None:
@@ -66,8 +92,12 @@
     left.set_ylabel("second sends a run")
     left.legend()
     for shift, key in ((-0.2, "p99"), (0.2, "p99.9")):
-        right.bar([n + shift for n in range(len(names))],
-                  [mid(name, lambda r, key=key: r["check_ms"][key]) for name in names], 0.4, label=key)
+        right.bar(
+            [n + shift for n in range(len(names))],
+            [mid(name, lambda r, key=key: r["check_ms"][key]) for name in names],
+            0.4,
+            label=key,
+        )
     right.set_xticks(range(len(names)), names)
     right.set_ylabel("ms, repeatable calls")
     right.legend()
@@ -88,11 +118,20 @@
             print(json.dumps(rows[-1]), flush=True)
     for name in VARIANTS:
         mine = [r for r in rows if r["variant"] == name]
-        print(json.dumps({"variant": name, "runs": len(mine)} | {
-            key: statistics.median(r[key] for r in mine)
-            for key in ("in_time_before_overload", "completed", "sends", "second_sends", "saved", "wasted")} | {
-            f"{kind} {p}": statistics.median(r[f"{kind}_ms"][p] for r in mine)
-            for kind in ("check", "activate") for p in ("p50", "p99", "p99.9")}))
+        print(
+            json.dumps(
+                {"variant": name, "runs": len(mine)}
+                | {
+                    key: statistics.median(r[key] for r in mine)
+                    for key in ("in_time_before_overload", "completed", "sends", "second_sends", "saved", "wasted")
+                }
+                | {
+                    f"{kind} {p}": statistics.median(r[f"{kind}_ms"][p] for r in mine)
+                    for kind in ("check", "activate")
+                    for p in ("p50", "p99", "p99.9")
+                }
+            )
+        )
     if options.out:
         draw(options.out, rows)
 
--- a/bench/side_by_side.py
+++ b/bench/side_by_side.py
@@ -14,22 +14,35 @@
 
 
 def sockets(name: str, out: Path) -> dict[str, Any]:
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "bad-day", f"examples/bad-days/{name}.sexp", "--out",
-                           str(out / name)], cwd=ROOT, capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "bad-day", f"examples/bad-days/{name}.sexp", "--out", str(out / name)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     return dict(json.loads(done.stdout))
 
 
 def lab(name: str) -> dict[str, Any]:
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "lab", "play", f"examples/bad-days/{name}.sexp"],
-                          cwd=ROOT, capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "lab", "play", f"examples/bad-days/{name}.sexp"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     return dict(json.loads(done.stdout))
 
 
 def row(name: str, where: str, found: dict[str, Any]) -> str:
     kind = next(iter(found["latency_ms"]))
     times = found["latency_ms"][kind]
-    return (f"| {name}, {where} | " + " | ".join(f"{found[c]:,}" for c in COUNTS)
-            + f" | {kind} {times['p50']:.0f}, {times['p90']:.0f}, {times['p99']:.0f} | {found['broken']} |")
+    return (
+        f"| {name}, {where} | "
+        + " | ".join(f"{found[c]:,}" for c in COUNTS)
+        + f" | {kind} {times['p50']:.0f}, {times['p90']:.0f}, {times['p99']:.0f} | {found['broken']} |"
+    )
 
 
 def main(out: Path, names: list[str]) -> None:
--- a/bench/split.py
+++ b/bench/split.py
@@ -42,8 +42,13 @@
 
 def codecs() -> Callable[[], None]:
     """All bytes of one activation, both ways."""
-    request = encode_request("POST", "/api/v1/namespaces/_/actions/f?blocking=true", "x", b'{"family":7}',
-                             {"authorization": "Basic " + "x" * 60})
+    request = encode_request(
+        "POST",
+        "/api/v1/namespaces/_/actions/f?blocking=true",
+        "x",
+        b'{"family":7}',
+        {"authorization": "Basic " + "x" * 60},
+    )
     answer = encode_response(200, infer_answer("f", "m" * 32, '{"family":7}', True), REPORT)
     door, back = RequestReader(16_384, 1 << 20), ResponseReader(1 << 20)
 
--- a/bench/vrrp_explore.py
+++ b/bench/vrrp_explore.py
@@ -28,8 +28,10 @@
 
 
 def cores(priorities: tuple[int, ...], preempt: bool) -> list[Router]:
-    return [Router(RouterSettings(1, p, FRONT, 100, preempt), ip_address(f"127.0.1.{n + 1}"))
-            for n, p in enumerate(priorities)]
+    return [
+        Router(RouterSettings(1, p, FRONT, 100, preempt), ip_address(f"127.0.1.{n + 1}"))
+        for n, p in enumerate(priorities)
+    ]
 
 
 def main() -> None:
@@ -42,11 +44,21 @@
         found = explore(partial(cores, priorities, preempt), budget, depth, options.most_states, 9000.0)
         print(json.dumps({"product": name, **asdict(found), "seconds": round(time.monotonic() - began, 1)}), flush=True)
     found = failovers(range(options.failovers))
-    print(json.dumps({
-        "failovers": found.failovers, "broken": found.broken[:5], "median_ms": round(statistics.median(found.took), 1),
-        "p99_ms": round(float(np.percentile(found.took, 99)), 1), "worst_ms": round(max(found.took), 1),
-        "worst_of_bound": round(found.worst_ratio, 4), "seconds_none": round(found.none_ms / 1000, 1),
-        "seconds_one": round(found.one_ms / 1000, 1), "seconds_more": round(found.more_ms / 1000, 1)}))
+    print(
+        json.dumps(
+            {
+                "failovers": found.failovers,
+                "broken": found.broken[:5],
+                "median_ms": round(statistics.median(found.took), 1),
+                "p99_ms": round(float(np.percentile(found.took, 99)), 1),
+                "worst_ms": round(max(found.took), 1),
+                "worst_of_bound": round(found.worst_ratio, 4),
+                "seconds_none": round(found.none_ms / 1000, 1),
+                "seconds_one": round(found.one_ms / 1000, 1),
+                "seconds_more": round(found.more_ms / 1000, 1),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/vrrp_failover.py
+++ b/bench/vrrp_failover.py
@@ -41,8 +41,10 @@
     """Counts the listening sockets on addresses, from /proc/net/tcp (proc(5)), every few milliseconds."""
 
     def __init__(self, addresses: list[tuple[str, int]]) -> None:
-        self._wanted = {"".join(f"{int(part):02X}" for part in reversed(host.split("."))) + f":{port:04X}": n
-                        for n, (host, port) in enumerate(addresses)}
+        self._wanted = {
+            "".join(f"{int(part):02X}" for part in reversed(host.split("."))) + f":{port:04X}": n
+            for n, (host, port) in enumerate(addresses)
+        }
         self.samples: list[tuple[float, tuple[frozenset[str], ...]]] = []
 
     def look(self) -> None:
@@ -86,18 +88,25 @@
     async def play(self, failovers: int) -> bool:
         place = self._place
         await place.start(self._deployment.fleet.workers, len(self._deployment.vrrp.instance), self._out / "state")
-        self._capture.note("world", **world_of(self._deployment, [d.name for d in place.dispatchers],
-                                               self._deployment.fleet.workers))
+        self._capture.note(
+            "world", **world_of(self._deployment, [d.name for d in place.dispatchers], self._deployment.fleet.workers)
+        )
         sampling = asyncio.create_task(self._sampler.run())
         while not self._sampler.now():
             await asyncio.sleep(0.02)
         await asyncio.sleep(1.0)
-        clients = Clients(self._deployment, [f"{r.address}:{r.port}" for r in self._routers],
-                          Capture(self._out / "captures" / "clients.jsonl", "clients"), self._seed, front=True)
+        clients = Clients(
+            self._deployment,
+            [f"{r.address}:{r.port}" for r in self._routers],
+            Capture(self._out / "captures" / "clients.jsonl", "clients"),
+            self._seed,
+            front=True,
+        )
         seconds = failovers * (HARM_S + REST_S + 1.5) + 2
         arrivals: list[tuple[float, Callable[[], None]]] = [
             (when, partial(clients.wish, action, 0.25, 1.0, 1))
-            for when, action in clients.arrivals(steady(self._rate, seconds, 0.8), seconds)]
+            for when, action in clients.arrivals(steady(self._rate, seconds, 0.8), seconds)
+        ]
         self.start = now_ms()
         self._capture.note("begin", start=self.start, seconds=seconds)
         calling = asyncio.create_task(clients.play(arrivals, self.start))
@@ -128,8 +137,11 @@
     async def _failover(self, kind: str, number: int) -> None:
         place, child = self._place, await self._master()
         index, others = place.dispatchers.index(child), [d for d in place.dispatchers if d is not child]
-        await self._relay(loss=float(self._chance.uniform(0, 0.08)), copy=float(self._chance.uniform(0, 0.3)),
-                          delay_ms=[0.0, float(self._chance.uniform(0, 40))])
+        await self._relay(
+            loss=float(self._chance.uniform(0, 0.08)),
+            copy=float(self._chance.uniform(0, 0.3)),
+            delay_ms=[0.0, float(self._chance.uniform(0, 40))],
+        )
         before, began = self._sampler.now(), now_ms()
         self._capture.note("failover", kind=kind, number=number, of=child.name)
         if kind == "kill":
@@ -242,21 +254,32 @@
     took = [ms for kind, ms in trial.took if kind != "term"]
     lines: dict[str, Any] = {}
     out: dict[str, Any] = {
-        "failovers": options.failovers, "taken_over": len(trial.took), "interval_ms": interval,
-        "master_down_interval_ms": round(bound, 1), "drained_cleanly": clean,
-        "take_over_ms": {"median": round(statistics.median(took), 1) if took else None,
-                         "p99": round(float(np.percentile(took, 99)), 1) if took else None,
-                         "worst": round(max(took), 1) if took else None},
+        "failovers": options.failovers,
+        "taken_over": len(trial.took),
+        "interval_ms": interval,
+        "master_down_interval_ms": round(bound, 1),
+        "drained_cleanly": clean,
+        "take_over_ms": {
+            "median": round(statistics.median(took), 1) if took else None,
+            "p99": round(float(np.percentile(took, 99)), 1) if took else None,
+            "worst": round(max(took), 1) if took else None,
+        },
         "take_over_by_kind_ms": {kind: [round(ms, 1) for k, ms in trial.took if k == kind] for kind in KINDS},
-        "seconds_held_by": {}, "seconds_advertised_by": {}}
+        "seconds_held_by": {},
+        "seconds_advertised_by": {},
+    }
     for number, router in enumerate(deployment.vrrp.router):
         out["seconds_held_by"][router.address], lines[f"sockets {router.address}"] = trial.held(number)
         out["seconds_advertised_by"][router.address], lines[f"datagrams {router.vrid}"] = told(
-            events, int(router.vrid), interval, trial.start)
+            events, int(router.vrid), interval, trial.start
+        )
     marks = [((e["t"] - trial.start) / 1000, e["kind"]) for e in events if e["what"] == "failover"]
     draw(options.out / "masters.png", lines, marks)
-    out |= verdict.counts() | {"broken": verdict.broken, "details": verdict.details[:40],
-                               "latency_ms": latencies(events)}
+    out |= verdict.counts() | {
+        "broken": verdict.broken,
+        "details": verdict.details[:40],
+        "latency_ms": latencies(events),
+    }
     (options.out / "report.json").write_text(json.dumps(out, indent=1) + "\n")
     print(json.dumps(out, indent=1))
     wanted = sum(KINDS[n % len(KINDS)] != "cut-in" for n in range(options.failovers))
--- a/kelptrail/audit/judge.py
+++ b/kelptrail/audit/judge.py
@@ -54,9 +54,22 @@
     effects: int = 0
     details: list[str] = field(default_factory=list)
 
-    BREACHES = ("unanswered", "accepted_lost", "late_finals", "finals_twice", "sends_after_final", "sends_after_part",
-                "effects_twice", "false_rejections", "drain_breaches", "cold_breaches", "ration_breaches",
-                "holders_two", "old_tokens_taken", "promises_denied")
+    BREACHES = (
+        "unanswered",
+        "accepted_lost",
+        "late_finals",
+        "finals_twice",
+        "sends_after_final",
+        "sends_after_part",
+        "effects_twice",
+        "false_rejections",
+        "drain_breaches",
+        "cold_breaches",
+        "ration_breaches",
+        "holders_two",
+        "old_tokens_taken",
+        "promises_denied",
+    )
 
     @property
     def broken(self) -> bool:
@@ -117,8 +130,11 @@
     """Rule 1, at the clients: each call taken has one final answer in time.  Returns finals by activation."""
     downs: dict[int, list[tuple[float, float]]] = defaultdict(list)  # from a kill or a pause until it runs again
     for event in [*by_kind["kill"], *by_kind["stopped"]]:
-        back = (e["t"] for e in [*by_kind["restarted"], *by_kind["woken"]]
-                if e["dispatcher"] == event["dispatcher"] and e["t"] > event["t"])
+        back = (
+            e["t"]
+            for e in [*by_kind["restarted"], *by_kind["woken"]]
+            if e["dispatcher"] == event["dispatcher"] and e["t"] > event["t"]
+        )
         downs[event["dispatcher"]].append((event["t"], min(back, default=float("inf"))))
     names = {name: number for number, name in enumerate(by_kind["world"][0].get("names", []))}
     apart: dict[int, list[tuple[float, float]]] = defaultdict(list)  # cut off from the others
@@ -173,15 +189,22 @@
         else:
             verdict.other_answers += 1
         took = final["took"] if final.get("took") is not None else final["t"] - final["lag"] - call["t"]
-        if took > call["limit_ms"] + SLACK_MS and not was_down(call, final["t"]) and not (
-                copied and number in accepted and any(call["t"] <= back and since <= final["t"] for since, back in
-                                                      apart[call["dispatcher"]])):
+        if (
+            took > call["limit_ms"] + SLACK_MS
+            and not was_down(call, final["t"])
+            and not (
+                copied
+                and number in accepted
+                and any(call["t"] <= back and since <= final["t"] for since, back in apart[call["dispatcher"]])
+            )
+        ):
             verdict.breach("late_finals", f"{number} took {took:.0f} of {call['limit_ms']:.0f} ms")
     return by_activation
 
 
-def _effects(verdict: Verdict, by_kind: dict[str, list[Event]], calls: dict[str, Event],
-             finals: dict[str, Event], world: Event) -> None:
+def _effects(
+    verdict: Verdict, by_kind: dict[str, list[Event]], calls: dict[str, Event], finals: dict[str, Event], world: Event
+) -> None:
     """Rule 2, at the workers: effects counted for each wish of a client."""
     effects = {t["name"]: t["effect"] for t in world["types"]}
     ticket_of = {a: calls[f["call"]]["ticket"] for a, f in finals.items() if f["call"] in calls}
@@ -195,8 +218,7 @@
         ran.add(event["activation"])
         if kind == "repeatable":
             continue
-        whose = event["mark"] if kind == "deduplicated" else ticket_of.get(event["activation"],
-                                                                           event["activation"])
+        whose = event["mark"] if kind == "deduplicated" else ticket_of.get(event["activation"], event["activation"])
         seen[event["type"], whose] += 1
         if seen[event["type"], whose] == 2:
             verdict.breach("effects_twice", f"{event['type']} {whose}")
@@ -211,8 +233,10 @@
     for event in by_kind["send"]:
         final = finals.get(event["activation"])
         if final is not None and event["t"] - event["lag"] > final["t"] + SLACK_MS:
-            verdict.breach("sends_after_final", f"{event['activation']} at {event['worker']}, "
-                           f"{event['t'] - final['t']:.0f} ms later")
+            verdict.breach(
+                "sends_after_final",
+                f"{event['activation']} at {event['worker']}, {event['t'] - final['t']:.0f} ms later",
+            )
 
 
 def _after_part(verdict: Verdict, by_kind: dict[str, list[Event]]) -> None:
@@ -221,8 +245,9 @@
     for event in by_kind["send"]:
         since = seen.get(event["activation"])
         if since is not None and event["t"] - event["lag"] > since + SLACK_MS:
-            verdict.breach("sends_after_part", f"{event['activation']} at {event['worker']}, "
-                           f"{event['t'] - since:.0f} ms later")
+            verdict.breach(
+                "sends_after_part", f"{event['activation']} at {event['worker']}, {event['t'] - since:.0f} ms later"
+            )
 
 
 def _drains(verdict: Verdict, by_kind: dict[str, list[Event]], world: Event) -> None:
@@ -246,8 +271,10 @@
                 break
             shut = None if is_open else (since if shut is None else shut)
         if shut is not None and came > shut + grace:
-            verdict.breach("drain_breaches", f"{event['what']} to {event['worker']} {came - shut:.0f} ms after "
-                           f"{event['dispatcher']} was told")
+            verdict.breach(
+                "drain_breaches",
+                f"{event['what']} to {event['worker']} {came - shut:.0f} ms after {event['dispatcher']} was told",
+            )
 
 
 def _cold(verdict: Verdict, by_kind: dict[str, list[Event]], world: Event) -> None:
@@ -278,8 +305,9 @@
             verdict.breach("cold_breaches", f"{start['worker']} ({incarnation}) was sent too much while cold")
 
 
-def _ration(verdict: Verdict, by_kind: dict[str, list[Event]], calls: dict[str, Event],
-            finals: dict[str, Event], world: Event) -> None:
+def _ration(
+    verdict: Verdict, by_kind: dict[str, list[Event]], calls: dict[str, Event], finals: dict[str, Event], world: Event
+) -> None:
     """Rule 5: a dispatcher's orders of the span stay under a few and a share of what it took in it."""
     rules = world["rules"]
     span = rules["load_span_ms"]
@@ -326,8 +354,11 @@
     token has been acted under was one of two holders.  What the witness took is judged in the order in which it
     came."""
     bound = world.get("clock_bound", 0.0)
-    wrong = [(e["t"], e["t"] + e["seconds"] * 1000) for e in by_kind["trouble"]
-             if e["kind"] == "clock-rate" and abs(e.get("factor", 1.0) - 1) > bound + 1e-9]
+    wrong = [
+        (e["t"], e["t"] + e["seconds"] * 1000)
+        for e in by_kind["trouble"]
+        if e["kind"] == "clock-rate" and abs(e.get("factor", 1.0) - 1) > bound + 1e-9
+    ]
     looks, came = defaultdict[str, list[Event]](list), defaultdict[str, list[Event]](list)
     for event in sorted([*by_kind["act"], *by_kind["done"]], key=lambda e: e["t"]):
         looks[event["task"]].append(event)
--- a/kelptrail/background/core.py
+++ b/kelptrail/background/core.py
@@ -117,15 +117,24 @@
         for job in self.jobs.values():
             ready = max(job.due, job.not_before) - now
             if self._left <= floor and ready < 1000:  # until the budget has room, or it starves
-                ready = min(max(ready, (floor - self._left + 0.1) / self._settings.share),
-                            max(ready, job.due + job.longest_wait_ms - now + 0.1))
+                ready = min(
+                    max(ready, (floor - self._left + 0.1) / self._settings.share),
+                    max(ready, job.due + job.longest_wait_ms - now + 0.1),
+                )
             wait = min(wait, ready)
         return max(0.0, wait)
 
     def status(self) -> dict[str, dict[str, float]]:
         """What operators are shown."""
-        return {j.name: {"turns": j.turns, "cpu_ms": round(j.cpu_ms, 1), "worst_wait_ms": round(j.worst_wait_ms, 1),
-                         "failures": j.failures} for j in self.jobs.values()}
+        return {
+            j.name: {
+                "turns": j.turns,
+                "cpu_ms": round(j.cpu_ms, 1),
+                "worst_wait_ms": round(j.worst_wait_ms, 1),
+                "failures": j.failures,
+            }
+            for j in self.jobs.values()
+        }
 
     def _fill(self, now: float, busy: bool) -> None:
         passed, self._seen, self._busy = max(0.0, now - self._seen), now, busy
--- a/kelptrail/background/driver.py
+++ b/kelptrail/background/driver.py
@@ -13,18 +13,28 @@
 class Background:
     """One process's background work.  `busy` says whether calls are in hand."""
 
-    def __init__(self, settings: SchedulerSettings, now_ms: Callable[[], float], busy: Callable[[], bool],
-                 log: Any) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, now_ms: Callable[[], float], busy: Callable[[], bool], log: Any
+    ) -> None:
         self._now, self._busy, self._log = now_ms, busy, log
         self.scheduler = Scheduler(settings, now_ms())
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
 
-    def add(self, name: str, step: Callable[[], bool | None], priority: int, every_ms: float = 0.0,
-            longest_wait_ms: float = 10_000.0, share: float = 0.05, after_ms: float | None = None) -> None:
+    def add(
+        self,
+        name: str,
+        step: Callable[[], bool | None],
+        priority: int,
+        every_ms: float = 0.0,
+        longest_wait_ms: float = 10_000.0,
+        share: float = 0.05,
+        after_ms: float | None = None,
+    ) -> None:
         """Have work done; see `Job`.  A step that returns nothing is a whole turn."""
-        self.scheduler.add(self._now(), Job(name, lambda: bool(step()), priority, every_ms, longest_wait_ms, share),
-                           after_ms)
+        self.scheduler.add(
+            self._now(), Job(name, lambda: bool(step()), priority, every_ms, longest_wait_ms, share), after_ms
+        )
         self._wake.set()
 
     def want(self, name: str) -> None:
--- a/kelptrail/badday/player.py
+++ b/kelptrail/badday/player.py
@@ -31,11 +31,14 @@
     """One run.  The seed settles arrivals, victims and the stand-ins' chance.  Raises `ValueError` for troubles that
     the deployment has no place for."""
 
-    def __init__(self, day: BadDay, deployment: Deployment, seed: int, out: Path,
-                 log_level: str = "info", script: str = "") -> None:
+    def __init__(
+        self, day: BadDay, deployment: Deployment, seed: int, out: Path, log_level: str = "info", script: str = ""
+    ) -> None:
         if len(deployment.halls) < 2 and any(t.kind in ON_PEERS for t in day.trouble):
-            raise ValueError(f"{day.name}: troubles between dispatchers need dispatchers in different halls, "
-                             f"{deployment.name} has one")
+            raise ValueError(
+                f"{day.name}: troubles between dispatchers need dispatchers in different halls, "
+                f"{deployment.name} has one"
+            )
         self._script = script
         self._day, self._deployment, self._out = day, deployment, out
         self._chance = np.random.default_rng([seed, 11])
@@ -58,8 +61,7 @@
     async def play(self) -> bool:
         """Play it whole; True if the dispatchers that ran at the end drained cleanly."""
         day, deployment = self._day, self._deployment
-        await self._place.start(day.workers, day.dispatchers, self._out / "state", day.planners, day.solver,
-                                day.tasks)
+        await self._place.start(day.workers, day.dispatchers, self._out / "state", day.planners, day.solver, day.tasks)
         self._capture.note("world", **world_of(deployment, [d.name for d in self._place.dispatchers], day.workers))
         if deployment.peers is not None and deployment.peers.copies:
             await self._promising(READY_S)
@@ -68,8 +70,13 @@
         clients: Clients | None = None
         arrivals: list[tuple[float, Callable[[], None]]] = []
         if day.client_processes == 1:
-            clients = Clients(deployment, addresses, Capture(self._out / "captures" / "clients.jsonl", "clients"),
-                              self._seed, second=second)
+            clients = Clients(
+                deployment,
+                addresses,
+                Capture(self._out / "captures" / "clients.jsonl", "clients"),
+                self._seed,
+                second=second,
+            )
             arrivals = clients.plan(day.load, day.seconds)
         gc.collect()
         gc.freeze()
@@ -119,13 +126,20 @@
         if trouble.kind in ON_WORKERS:
             names = self._some([w for w in self._place.workers if w.running], trouble.part)
         elif trouble.kind == "kill-dispatchers" or trouble.kind in (*ON_DISKS, *ON_PEERS):
-            names = self._some(self._place.dispatchers, trouble.part) if not trouble.hall else [
-                d for n, d in enumerate(self._place.dispatchers)
-                if self._deployment.halls[n % len(self._deployment.halls)] == trouble.hall]
+            names = (
+                self._some(self._place.dispatchers, trouble.part)
+                if not trouble.hall
+                else [
+                    d
+                    for n, d in enumerate(self._place.dispatchers)
+                    if self._deployment.halls[n % len(self._deployment.halls)] == trouble.hall
+                ]
+            )
         elif trouble.kind in ON_PLANNERS and self._place.planners:
             names = self._some(self._place.planners, trouble.part)
-        self._capture.note("trouble", kind=trouble.kind, seconds=trouble.last, factor=trouble.factor,
-                           of=[c.name for c in names])
+        self._capture.note(
+            "trouble", kind=trouble.kind, seconds=trouble.last, factor=trouble.factor, of=[c.name for c in names]
+        )
         try:
             await self._befall(trouble, names)
         except (OSError, RuntimeError) as cause:  # a victim that is down already
@@ -153,7 +167,10 @@
             await self._peers(trouble, victims)
         elif kind in ON_DISKS:
             fault: dict[str, dict[str, Any]] = {
-                "disk-slow": {"sync_ms": trouble.ms}, "disk-fails": {"fails": True}, "disk-full": {"full": True}}
+                "disk-slow": {"sync_ms": trouble.ms},
+                "disk-fails": {"fails": True},
+                "disk-full": {"full": True},
+            }
             for victim in victims:
                 place.harm_disk(victim, **fault[kind])
             await asyncio.sleep(trouble.last)
@@ -206,8 +223,9 @@
         others = [c.name for c in (*self._place.dispatchers, *self._place.planners) if c.name not in names]
         pairs = []
         for name in sorted(names):
-            out, back = (True, True) if not trouble.one_way else (False, True) if self._chance.random() < 0.5 else (
-                True, False)
+            out, back = (
+                (True, True) if not trouble.one_way else (False, True) if self._chance.random() < 0.5 else (True, False)
+            )
             pairs += [(name, other) for other in others if out] + [(other, name) for other in others if back]
         self._cut.update(pairs)
         await self._tell_links()
@@ -217,8 +235,9 @@
 
     async def _tell_links(self) -> None:
         ms, share = max(self._slow, default=(0.0, 0.0))
-        await self._place.harm_links(cut=[pair for pair, count in self._cut.items() if count > 0],
-                                     slow={"ms": ms, "share": share})
+        await self._place.harm_links(
+            cut=[pair for pair, count in self._cut.items() if count > 0], slow={"ms": ms, "share": share}
+        )
 
     async def _holders(self) -> list[Child]:
         """Dispatchers that hold a task."""
@@ -308,8 +327,19 @@
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
         roster = self._place.roster.said["address"]
-        await ask(roster, "POST", "/register", {"id": "worker-nobody", "address": f"127.0.0.1:{port}",
-                                                "incarnation": "nobody", "hall": "", "cell": 99, "age_ms": 1e9})
+        await ask(
+            roster,
+            "POST",
+            "/register",
+            {
+                "id": "worker-nobody",
+                "address": f"127.0.0.1:{port}",
+                "incarnation": "nobody",
+                "hall": "",
+                "cell": 99,
+                "age_ms": 1e9,
+            },
+        )
         await asyncio.sleep(trouble.last)
         await ask(roster, "POST", "/state", {"id": "worker-nobody", "state": "gone"})
 
--- a/kelptrail/badday/script.py
+++ b/kelptrail/badday/script.py
@@ -9,13 +9,28 @@
 from kelptrail.settings.reader import Form, Place, read
 from kelptrail.settings.shape import Checker, Many, Shape, number, some, word, yes_no
 
-ON_WORKERS = ("stall", "cut", "fail-fast", "fail-type", "hang", "silent", "pause", "models-voided", "heavy-work",
-              "handshakes-slow", "answers-lost", "answers-twice", "answers-late", "crash", "restart-cold",
-              "rolling-deploy", "drain")
+ON_WORKERS = (
+    "stall",
+    "cut",
+    "fail-fast",
+    "fail-type",
+    "hang",
+    "silent",
+    "pause",
+    "models-voided",
+    "heavy-work",
+    "handshakes-slow",
+    "answers-lost",
+    "answers-twice",
+    "answers-late",
+    "crash",
+    "restart-cold",
+    "rolling-deploy",
+    "drain",
+)
 ON_STORE = ("store-slow", "store-refuse", "store-stopped")
 ON_DISKS = ("disk-slow", "disk-fails", "disk-full")
-ON_PLANNERS = ("kill-planners", "planners-slow", "planners-forget", "planners-wrong", "pause-planners",
-               "cut-planners")
+ON_PLANNERS = ("kill-planners", "planners-slow", "planners-forget", "planners-wrong", "pause-planners", "cut-planners")
 ON_PEERS = ("cut-peers", "slow-peers", "reset-peers", "pause-dispatchers", "lose-machines", "clock-rate", "clock-step")
 LEAST_PEERS = 5  # dispatchers, in different halls, of a script with such troubles
 OTHERS = ("kill-dispatchers", "list-late", "list-names-nobody", "idle-connections", "slow-readers")
@@ -44,8 +59,9 @@
 
     def as_kind(self, kind: str) -> Trouble:
         """The same of another kind."""
-        rest: dict[str, object] = {f.name: getattr(self, f.name) for f in fields(self)
-                                   if f.name not in ("kind", "last")}
+        rest: dict[str, object] = {
+            f.name: getattr(self, f.name) for f in fields(self) if f.name not in ("kind", "last")
+        }
         return Trouble(kind, **rest | {"for": self.last})  # type: ignore[arg-type]
 
 
@@ -71,31 +87,39 @@
         return max((t.at + t.last for t in self.trouble), default=0.0)
 
 
-TROUBLE = Shape({
-    "at": number(0, 86_400),
-    "for": number(0, 86_400, default=5.0),
-    "part": number(0, 1, default=0.2),
-    "share": number(0, 1, default=1.0),
-    "factor": number(0.1, 1000, default=5.0),
-    "ms": number(-86_400_000, 86_400_000, default=500.0),
-    "type": word(default=""),
-    "count": number(1, 100_000, whole=True, default=100),
-    "one-way": yes_no(False),
-    "hall": word(default=""),
-}, ("kind",), build=Trouble)
-
-BAD_DAY = Shape({
-    "deployment": word(),
-    "seconds": number(1, 86_400),
-    "workers": number(1, 10_000, whole=True, default=8),
-    "dispatchers": number(1, 1000, whole=True, default=3),
-    "client-processes": number(1, 64, whole=True, default=1),
-    "planners": number(0, 16, whole=True, default=0),
-    "solver": word(("program", "greedy"), "program"),
-    "tasks": some(word(), ()),
-    "load": Many(LOAD, 1),
-    "trouble": Many(TROUBLE),
-}, ("name",), BadDay)
+TROUBLE = Shape(
+    {
+        "at": number(0, 86_400),
+        "for": number(0, 86_400, default=5.0),
+        "part": number(0, 1, default=0.2),
+        "share": number(0, 1, default=1.0),
+        "factor": number(0.1, 1000, default=5.0),
+        "ms": number(-86_400_000, 86_400_000, default=500.0),
+        "type": word(default=""),
+        "count": number(1, 100_000, whole=True, default=100),
+        "one-way": yes_no(False),
+        "hall": word(default=""),
+    },
+    ("kind",),
+    build=Trouble,
+)
+
+BAD_DAY = Shape(
+    {
+        "deployment": word(),
+        "seconds": number(1, 86_400),
+        "workers": number(1, 10_000, whole=True, default=8),
+        "dispatchers": number(1, 1000, whole=True, default=3),
+        "client-processes": number(1, 64, whole=True, default=1),
+        "planners": number(0, 16, whole=True, default=0),
+        "solver": word(("program", "greedy"), "program"),
+        "tasks": some(word(), ()),
+        "load": Many(LOAD, 1),
+        "trouble": Many(TROUBLE),
+    },
+    ("name",),
+    BadDay,
+)
 
 
 def load(path: str | Path) -> BadDay:
@@ -118,15 +142,19 @@
     made: BadDay = day
     for form, one in zip((i for i in whole.items if isinstance(i, Form) and i.head == "load"), made.load, strict=True):
         check_load(checker, form.place, one, Path(path).parent)
-    for form, trouble in zip((i for i in whole.items if isinstance(i, Form) and i.head == "trouble"), made.trouble,
-                             strict=True):
+    for form, trouble in zip(
+        (i for i in whole.items if isinstance(i, Form) and i.head == "trouble"), made.trouble, strict=True
+    ):
         if trouble.ms < 0 and trouble.kind != "clock-step":
             checker.fault(form.place, f"{trouble.ms:g} ms", "0 or more; only clock-step goes back")
     if made.dispatchers < LEAST_PEERS:
         for form in (i for i in whole.items if isinstance(i, Form) and i.head == "trouble"):
             if str(form.items[1]) in ON_PEERS:
-                checker.fault(form.place, f"{form.items[1]} among {made.dispatchers} dispatchers",
-                              f"{LEAST_PEERS} dispatchers at least, in different halls")
+                checker.fault(
+                    form.place,
+                    f"{form.items[1]} among {made.dispatchers} dispatchers",
+                    f"{LEAST_PEERS} dispatchers at least, in different halls",
+                )
     checker.done()
     file = Path(made.deployment)
     if not file.is_absolute():
--- a/kelptrail/badday/turn.py
+++ b/kelptrail/badday/turn.py
@@ -29,7 +29,8 @@
     requests: list[tuple[float, int, str]] = field(default_factory=list)  # second, class, function
     functions: dict[str, tuple[int, float, int]] = field(default_factory=dict)  # class, memory, lanes
     outcomes: dict[tuple[str, int], Counter[tuple[str, int]]] = field(
-        default_factory=lambda: defaultdict(Counter))  # (worker, second): (ending, class)
+        default_factory=lambda: defaultdict(Counter)
+    )  # (worker, second): (ending, class)
     latency: dict[int, list[float]] = field(default_factory=lambda: defaultdict(list))  # ms by class
     loads: list[tuple[float, float]] = field(default_factory=list)  # second, ms
     instances: set[str] = field(default_factory=set)
@@ -201,13 +202,23 @@
     if seen.loads:
         times, took = np.array([a for a, _ in seen.loads]), np.array([ms for _, ms in seen.loads])
         usual = float(np.median(took))
-        slow = [s for s in range(seconds) if (here := took[(times >= s) & (times < s + 1)]).size >= 3
-                and float(np.median(here)) > 2.5 * usual]
+        slow = [
+            s
+            for s in range(seconds)
+            if (here := took[(times >= s) & (times < s + 1)]).size >= 3 and float(np.median(here)) > 2.5 * usual
+        ]
         for first, last in _runs(slow):
             if last - first >= 2:
                 here = took[(times >= first) & (times <= last + 1)]
-                found.append(Spell("store-slow", float(first), float(last - first + 1), 1.0,
-                                   {"factor": float(np.median(here)) / usual}))
+                found.append(
+                    Spell(
+                        "store-slow",
+                        float(first),
+                        float(last - first + 1),
+                        1.0,
+                        {"factor": float(np.median(here)) / usual},
+                    )
+                )
     return found
 
 
@@ -221,8 +232,9 @@
     return runs
 
 
-def _gather(kind: str, spells: list[tuple[float, float]], of: int,
-            more: dict[str, float | str] | None = None) -> list[Spell]:
+def _gather(
+    kind: str, spells: list[tuple[float, float]], of: int, more: dict[str, float | str] | None = None
+) -> list[Spell]:
     """One trouble for spells that begin within two seconds of each other."""
     out: list[Spell] = []
     group: list[tuple[float, float]] = []
@@ -246,50 +258,70 @@
     classes, rules = env["classes"], env["rules"]
     extras, bounds = env["specifics"], env["bounds"]
     load_ms = float(np.median([ms for _, ms in seen.loads])) if seen.loads else 500.0
-    out = [f"; Turned from a captured day of {env['balancers']} dispatchers and {len(seen.workers)} workers.",
-           f"(deployment {name}", "  (halls " + " ".join(env["failure_domains"]) + ")"]
+    out = [
+        f"; Turned from a captured day of {env['balancers']} dispatchers and {len(seen.workers)} workers.",
+        f"(deployment {name}",
+        "  (halls " + " ".join(env["failure_domains"]) + ")",
+    ]
     for c in classes:
-        kept = f" (scope {c['key_scope'] or 'all'}) (remembered-ms {c['window_us'] / 1000:g})" \
-            if c["effect"] == "guarded" else ""
-        out.append(f"  (type {c['name']} (effect {EFFECTS[c['effect']]}) (target-ms {c['aim_us'] / 1000:g}) "
-                   f"(timeout-ms {c['give_up_us'] / 1000:g}) (utility {c['gain']:g}) "
-                   f"(late-share {c['late_worth']:g}){kept})")
+        kept = (
+            f" (scope {c['key_scope'] or 'all'}) (remembered-ms {c['window_us'] / 1000:g})"
+            if c["effect"] == "guarded"
+            else ""
+        )
+        out.append(
+            f"  (type {c['name']} (effect {EFFECTS[c['effect']]}) (target-ms {c['aim_us'] / 1000:g}) "
+            f"(timeout-ms {c['give_up_us'] / 1000:g}) (utility {c['gain']:g}) "
+            f"(late-share {c['late_worth']:g}){kept})"
+        )
     for number, customer in enumerate(env.get("customers") or [{"name": "all", "allowance_per_s": 1e6}]):
-        out.append(f'  (namespace {customer["name"]} (uuid "00000000-0000-4000-8000-{number:012d}") '
-                   f'(key "loopback-only-{number}") (allowed-per-s {customer["allowance_per_s"] * rate_scale:g}))')
+        out.append(
+            f'  (namespace {customer["name"]} (uuid "00000000-0000-4000-8000-{number:012d}") '
+            f'(key "loopback-only-{number}") (allowed-per-s {customer["allowance_per_s"] * rate_scale:g}))'
+        )
     names: dict[str, str] = {}
     for rank, (fn, _) in enumerate(counts.most_common()):
         class_, memory, lanes = seen.functions[fn]
         names[fn] = f"f{rank}"
         quick = seen.latency.get(class_)
         work = max(5.0, float(np.percentile(quick, 25))) if quick else 50.0
-        out.append(f"  (action f{rank} (type {classes[class_]['name']}) (memory-mb {memory:g}) (lanes {lanes}) "
-                   f"(load-ms {load_ms:.0f}) (work-ms {work:.0f}))")
+        out.append(
+            f"  (action f{rank} (type {classes[class_]['name']}) (memory-mb {memory:g}) (lanes {lanes}) "
+            f"(load-ms {load_ms:.0f}) (work-ms {work:.0f}))"
+        )
     memory = float(np.median(extras["machine_mb"]))
     per_worker = memory * len(seen.workers) / workers
-    out += [f"  (rules (drain-grace-ms {rules['stop_sending_within_us'] / 1000:g}) (tip {rules['tip_multiple']:g}) "
-            f"(tip-ms {rules['fall_us'] / 1000:g}) (cold-share {rules['start_capacity']:g})",
-            f"         (cold-ms {rules['cold_us'] / 1000:g}) (free-loads {extras['free_loads']:g}) "
-            f"(load-share {extras['load_share']:g}) (load-span-ms {extras['load_span_us'] / 1000:g}))",
-            f"  (dispatcher (parallel {_yes(bounds['parallel_tries'])}) (most-sends {bounds['max_attempts']}) "
-            f"(cancels {_yes(bounds['may_cancel'])}) (keep-ms {extras['idle_life_us'] / 1000:g})",
-            f"              (longest-return-ms {bounds['max_retry_after_us'] / 1000:g}))",
-            f"  (fleet (workers {workers}) (cores 8) (memory-mb {per_worker:.0f}) "
-            f"(keep-ms {extras['idle_life_us'] / 1000:g}) (queue 128))",
-            "  (store (fetches 16) (most 64)))", ""]
+    out += [
+        f"  (rules (drain-grace-ms {rules['stop_sending_within_us'] / 1000:g}) (tip {rules['tip_multiple']:g}) "
+        f"(tip-ms {rules['fall_us'] / 1000:g}) (cold-share {rules['start_capacity']:g})",
+        f"         (cold-ms {rules['cold_us'] / 1000:g}) (free-loads {extras['free_loads']:g}) "
+        f"(load-share {extras['load_share']:g}) (load-span-ms {extras['load_span_us'] / 1000:g}))",
+        f"  (dispatcher (parallel {_yes(bounds['parallel_tries'])}) (most-sends {bounds['max_attempts']}) "
+        f"(cancels {_yes(bounds['may_cancel'])}) (keep-ms {extras['idle_life_us'] / 1000:g})",
+        f"              (longest-return-ms {bounds['max_retry_after_us'] / 1000:g}))",
+        f"  (fleet (workers {workers}) (cores 8) (memory-mb {per_worker:.0f}) "
+        f"(keep-ms {extras['idle_life_us'] / 1000:g}) (queue 128))",
+        "  (store (fetches 16) (most 64)))",
+        "",
+    ]
     length = max(at for at, _, _ in seen.requests)
     ranks = np.arange(1, len(counts) + 1)
     heights = np.array([n for _, n in counts.most_common()], float)
     zipf = float(-np.polyfit(np.log(ranks[:50]), np.log(heights[:50]), 1)[0]) if len(counts) > 3 else 1.0
-    script = [f"; Turned from a captured day; rates are {rate_scale:g} of it.", f"(bad-day {name}",
-              f'  (deployment "{name}.sexp")',
-              f"  (seconds {length:.0f}) (workers {workers}) (dispatchers {dispatchers})"]
+    script = [
+        f"; Turned from a captured day; rates are {rate_scale:g} of it.",
+        f"(bad-day {name}",
+        f'  (deployment "{name}.sexp")',
+        f"  (seconds {length:.0f}) (workers {workers}) (dispatchers {dispatchers})",
+    ]
     blocks = Counter(int(at // BLOCK_S) for at, _, _ in seen.requests)
     for block in sorted(blocks):
         last = min(BLOCK_S, length - block * BLOCK_S)
         if last > 0.5:
-            script.append(f"  (load (rate {max(0.01, blocks[block] / last * rate_scale):.1f}) (at {block * BLOCK_S}) "
-                          f"(for {last:.1f}) (zipf {min(4.0, max(0.0, zipf)):.2f}) (deferred 0.1))")
+            script.append(
+                f"  (load (rate {max(0.01, blocks[block] / last * rate_scale):.1f}) (at {block * BLOCK_S}) "
+                f"(for {last:.1f}) (zipf {min(4.0, max(0.0, zipf)):.2f}) (deferred 0.1))"
+            )
     script += [spell.write() for spell in troubles(seen)]
     return "\n".join(out), "\n".join(script) + ")\n"
 
--- a/kelptrail/cli/main.py
+++ b/kelptrail/cli/main.py
@@ -84,10 +84,20 @@
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info",
-              show_default=True, help="Least level that is logged, on standard error.")
-@click.option("--log-form", type=click.Choice(["auto", "json", "text"]), default="auto", show_default=True,
-              help="JSON lines, or readable text; auto: text on a terminal.")
+@click.option(
+    "--log-level",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    default="info",
+    show_default=True,
+    help="Least level that is logged, on standard error.",
+)
+@click.option(
+    "--log-form",
+    type=click.Choice(["auto", "json", "text"]),
+    default="auto",
+    show_default=True,
+    help="JSON lines, or readable text; auto: text on a terminal.",
+)
 @click.pass_context
 def main(context: click.Context, log_level: str, log_form: str) -> None:
     """A gateway that runs calls on workers which load functions or models on demand."""
@@ -106,12 +116,15 @@
     """Check settings files; each fault is named with file, line, what was read and what was expected."""
     for file in files:
         deployment = _settings(file)
-        click.echo(f"{file}: {deployment.name}, {len(deployment.types)} types, {len(deployment.namespaces)} "
-                   f"namespaces, {len(deployment.actions)} actions")
+        click.echo(
+            f"{file}: {deployment.name}, {len(deployment.types)} types, {len(deployment.namespaces)} "
+            f"namespaces, {len(deployment.actions)} actions"
+        )
 
 
 def _dispatcher(function: Any) -> Any:
-    for option in reversed([
+    for option in reversed(
+        [
             click.argument("file"),
             click.option("--roster", required=True, help="Address of the worker list."),
             click.option("--name", default="dispatcher", show_default=True, help="Name in logs and towards workers."),
@@ -131,7 +144,9 @@
             click.option("--harmed-clock", type=click.Path(path_type=Path), hidden=True),
             click.option("--witness", default="", hidden=True),
             click.option("--task", "tasks", multiple=True, hidden=True),
-            click.option("--with-stdin", is_flag=True, hidden=True)]):
+            click.option("--with-stdin", is_flag=True, hidden=True),
+        ]
+    ):
         function = option(function)
     return click.pass_context(function)
 
@@ -151,21 +166,49 @@
 
     host, port, name = words["host"], words["port"], words["name"]
     log = _log(context, dispatcher=name)
-    options = Options(name, words["hall"], host, port, words["roster"], words["state"], words["shared_port"],
-                      words["crash_at"], words["pause_at"], words["control"], words["grpc_port"], planners,
-                      words["harmed_disk"],
-                      words["peers"] if words["peers_port"] is None else f"127.0.0.1:{words['peers_port']}",
-                      _addresses(words["at"]), words["harmed_clock"], words["witness"], words["tasks"])
+    options = Options(
+        name,
+        words["hall"],
+        host,
+        port,
+        words["roster"],
+        words["state"],
+        words["shared_port"],
+        words["crash_at"],
+        words["pause_at"],
+        words["control"],
+        words["grpc_port"],
+        planners,
+        words["harmed_disk"],
+        words["peers"] if words["peers_port"] is None else f"127.0.0.1:{words['peers_port']}",
+        _addresses(words["at"]),
+        words["harmed_clock"],
+        words["witness"],
+        words["tasks"],
+    )
 
     async def go() -> bool:
         stop = asyncio.Event()
         if words["with_stdin"]:
             _ends_with_stdin(stop.set)
-        return bool(await run(deployment, options, log, context.obj["level"] == "debug",
-                              lambda bound, at, grpc, peers: _say(
-                                  ready=True, address=f"{host}:{bound}", asked_at=at,
-                                  invoke=f"http://{host}:{bound}", grpc=grpc, name=name, peers=peers),
-                              stop))
+        return bool(
+            await run(
+                deployment,
+                options,
+                log,
+                context.obj["level"] == "debug",
+                lambda bound, at, grpc, peers: _say(
+                    ready=True,
+                    address=f"{host}:{bound}",
+                    asked_at=at,
+                    invoke=f"http://{host}:{bound}",
+                    grpc=grpc,
+                    name=name,
+                    peers=peers,
+                ),
+                stop,
+            )
+        )
 
     try:
         sys.exit(0 if _run(go()) else FAILED)
@@ -177,8 +220,7 @@
         sys.exit(UNUSABLE)
 
 
-@main.command(cls=_Examples,
-              example="kelptrail serve examples/nursery.sexp --roster 127.0.0.1:7000 --port 8080")
+@main.command(cls=_Examples, example="kelptrail serve examples/nursery.sexp --roster 127.0.0.1:7000 --port 8080")
 @_dispatcher
 def serve(context: click.Context, file: str, **words: Any) -> None:
     """Run one dispatcher until SIGTERM, then drain; with a planner of its own where the settings say so.  Exit 1 where
@@ -186,8 +228,9 @@
     _dispatch(context, file, (), **words)
 
 
-@main.command(cls=_Examples,
-              example="kelptrail edge examples/nursery.sexp --roster 127.0.0.1:7000 --planner 127.0.0.1:7100")
+@main.command(
+    cls=_Examples, example="kelptrail edge examples/nursery.sexp --roster 127.0.0.1:7000 --planner 127.0.0.1:7100"
+)
 @_dispatcher
 @click.option("--planner", "planners", multiple=True, required=True, help="A planner's address; may be given again.")
 def edge(context: click.Context, file: str, planners: tuple[str, ...], **words: Any) -> None:
@@ -195,8 +238,10 @@
     _dispatch(context, file, planners, **words)
 
 
-@main.command(cls=_Examples,
-              example="kelptrail planner examples/nursery.sexp --roster 127.0.0.1:7000 --port 7100 --state var/planner")
+@main.command(
+    cls=_Examples,
+    example="kelptrail planner examples/nursery.sexp --roster 127.0.0.1:7000 --port 7100 --state var/planner",
+)
 @click.argument("file")
 @click.option("--roster", required=True, help="Address of the worker list.")
 @click.option("--name", default="planner", show_default=True)
@@ -210,9 +255,21 @@
 @click.option("--slow-ms", default=0.0, hidden=True)
 @click.option("--with-stdin", is_flag=True, hidden=True)
 @click.pass_context
-def planner(context: click.Context, file: str, roster: str, name: str, host: str, port: int, state: Path | None,
-            control: str | None, control_port: int | None, at: tuple[str, ...], solver: str, slow_ms: float,
-            with_stdin: bool) -> None:
+def planner(
+    context: click.Context,
+    file: str,
+    roster: str,
+    name: str,
+    host: str,
+    port: int,
+    state: Path | None,
+    control: str | None,
+    control_port: int | None,
+    at: tuple[str, ...],
+    solver: str,
+    slow_ms: float,
+    with_stdin: bool,
+) -> None:
     """Plan loads and placement ahead for edges, until SIGTERM, while it holds the lease; others stand by."""
     deployment = _settings(file)
     from kelptrail.planner.program import Options
@@ -227,8 +284,9 @@
         stop = asyncio.Event()
         if with_stdin:
             _ends_with_stdin(stop.set)
-        await run(deployment, options, log, lambda at, asked: _say(ready=True, address=at, control=asked, name=name),
-                  stop)
+        await run(
+            deployment, options, log, lambda at, asked: _say(ready=True, address=at, control=asked, name=name), stop
+        )
 
     try:
         _run(go())
@@ -264,14 +322,17 @@
     click.echo(f"instance {status['primary']}, peers {', '.join(status['peers'])}")
     for r in status["routers"]:
         timers = ", ".join(f"{name} in {left:g} ms" for name, left in r["timers_ms"].items())
-        click.echo(f"router {r['vrid']} {', '.join(r['addresses'])}: {r['state']} for {r['for_ms'] / 1000:.1f} s, "
-                   f"priority {r['priority']} of {r['base_priority']}, {timers}")
+        click.echo(
+            f"router {r['vrid']} {', '.join(r['addresses'])}: {r['state']} for {r['for_ms'] / 1000:.1f} s, "
+            f"priority {r['priority']} of {r['base_priority']}, {timers}"
+        )
     for name, t in status["tracked"].items():
         click.echo(f"tracked {name}: {'failed' if t['failed'] else 'well'}, weight {t['weight']}")
     click.echo("counts: " + ", ".join(f"{name} {n}" for name, n in status["counts"].items()))
     for m in status["transitions"][-10:]:
-        click.echo(f"{m['ago_ms'] / 1000:8.1f} s ago  router {m['router']}  {m['before']} -> {m['after']}: "
-                   f"{m['cause']}")
+        click.echo(
+            f"{m['ago_ms'] / 1000:8.1f} s ago  router {m['router']}  {m['before']} -> {m['after']}: {m['cause']}"
+        )
 
 
 def _shown(control: str, target: str) -> Any:
@@ -305,9 +366,11 @@
         return
     vote, heard = status["vote"], status["voters"]
     reached = sum(ms is not None for ms in heard.values())
-    click.echo(f"{status['name']}, set of voters {status['number']}: " + ", ".join(
-        f"{name} {'not heard' if ms is None else f'{ms:g} ms ago'}" for name, ms in heard.items())
-        + ("" if 2 * reached > len(heard) else "; no majority is heard: nothing can be won or renewed from here"))
+    click.echo(
+        f"{status['name']}, set of voters {status['number']}: "
+        + ", ".join(f"{name} {'not heard' if ms is None else f'{ms:g} ms ago'}" for name, ms in heard.items())
+        + ("" if 2 * reached > len(heard) else "; no majority is heard: nothing can be won or renewed from here")
+    )
     if vote is not None:
         click.echo(f"votes here: {vote['stage']}, disk {vote['disk']}")
     known = status["seen"] | (vote["tasks"] if vote is not None else {})
@@ -316,8 +379,10 @@
         if mine is not None:
             words = f"held here under {mine['token']}, {mine['left_ms'] / 1000:.1f} s left"
         elif seen is not None and seen["left_ms"]:
-            words = f"held by {seen['token'].partition('.')[2].partition('/')[0]} under {seen['token']}, " \
-                    f"{seen['left_ms'] / 1000:.1f} s left at most"
+            words = (
+                f"held by {seen['token'].partition('.')[2].partition('/')[0]} under {seen['token']}, "
+                f"{seen['left_ms'] / 1000:.1f} s left at most"
+            )
         else:
             words = f"not held, last token {seen['token']}" if seen is not None else "wanted, not held here"
         click.echo(f"{task}: {words}")
@@ -332,12 +397,17 @@
     if as_json:
         click.echo(msgspec.json.format(msgspec.json.encode(status)).decode())
         return
-    click.echo(f"{status['name']}, {status['copies']} copies: " + (
-        "new deferred calls are promised" if status["promising"] else "new deferred calls are refused"))
+    click.echo(
+        f"{status['name']}, {status['copies']} copies: "
+        + ("new deferred calls are promised" if status["promising"] else "new deferred calls are refused")
+    )
     for book, own in status["owned"].items():
         words = "all copies stand" if own["full"] else f"at risk for {own['at_risk_ms'] / 1000:.1f} s"
-        click.echo(f"owned {book}{' (current)' if own['current'] else ''}, under {own['token']}: {words}; whole at "
-                   + ", ".join(own["members"]) + f"; {own['waiting']} entries wait")
+        click.echo(
+            f"owned {book}{' (current)' if own['current'] else ''}, under {own['token']}: {words}; whole at "
+            + ", ".join(own["members"])
+            + f"; {own['waiting']} entries wait"
+        )
         for name, way in own["holders"].items():
             click.echo(f"  {name}: {way['stage']}, {way['behind']} batches and {way['bytes']} bytes behind")
     for book, held in status["held"].items():
@@ -395,19 +465,33 @@
             asyncio.get_running_loop().add_signal_handler(sign, stop.set)
         place = Place(deployment, file, None, log_level=context.obj["level"], quiet=quiet_logs)
         try:
-            await place.start(max(4, workers or deployment.fleet.workers) if workers is None else workers, 1,
-                              None)
+            await place.start(max(4, workers or deployment.fleet.workers) if workers is None else workers, 1, None)
             invoke = place.dispatchers[0].said["invoke"]
             first = next(iter(deployment.namespaces.values()))
             types = deployment.types
-            _say(ready=True, invoke=invoke, auth=f"{first.uuid}:{first.key}", namespace=first.name,
-                 actions=[{"name": a.name, "package": a.package, "type": a.type,
-                           "effect": types[a.type].effect, "target_ms": types[a.type].target_ms,
-                           "timeout_ms": types[a.type].timeout_ms} for a in deployment.actions.values()])
+            _say(
+                ready=True,
+                invoke=invoke,
+                auth=f"{first.uuid}:{first.key}",
+                namespace=first.name,
+                actions=[
+                    {
+                        "name": a.name,
+                        "package": a.package,
+                        "type": a.type,
+                        "effect": types[a.type].effect,
+                        "target_ms": types[a.type].target_ms,
+                        "timeout_ms": types[a.type].timeout_ms,
+                    }
+                    for a in deployment.actions.values()
+                ],
+            )
             path = next(iter(deployment.actions))
-            click.echo(f"try: curl -u {first.uuid}:{first.key} -H 'content-type: application/json' "
-                       f"-d '{{\"family\": 7}}' '{invoke}/api/v1/namespaces/_/actions/{path}?blocking=true'",
-                       err=True)
+            click.echo(
+                f"try: curl -u {first.uuid}:{first.key} -H 'content-type: application/json' "
+                f"-d '{{\"family\": 7}}' '{invoke}/api/v1/namespaces/_/actions/{path}?blocking=true'",
+                err=True,
+            )
             await stop.wait()
         finally:
             clean = await place.stop()
@@ -426,8 +510,15 @@
     return function
 
 
-async def _ask(url: str, auth: str, method: str, target: str, body: Any = None, timeout_ms: float = 70_000,
-               headers: dict[str, str] | None = None) -> tuple[int, Any]:
+async def _ask(
+    url: str,
+    auth: str,
+    method: str,
+    target: str,
+    body: Any = None,
+    timeout_ms: float = 70_000,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, Any]:
     import base64
 
     from kelptrail.codec.http import HttpError
@@ -435,8 +526,13 @@
 
     errand = Errand(url.removeprefix("http://").rstrip("/"))
     try:
-        response = await errand.ask(method, target, body, timeout_ms, {
-            "authorization": "Basic " + base64.b64encode(auth.encode()).decode()} | (headers or {}))
+        response = await errand.ask(
+            method,
+            target,
+            body,
+            timeout_ms,
+            {"authorization": "Basic " + base64.b64encode(auth.encode()).decode()} | (headers or {}),
+        )
     except (OSError, HttpError) as cause:
         click.echo(f"{url}: {cause or type(cause).__name__}", err=True)
         sys.exit(FAILED)
@@ -457,16 +553,20 @@
     return 0 if status == 200 else FAILED
 
 
-@main.command(cls=_Examples, example="kelptrail invoke places/place-check '{\"family\": 7}' --url "
-              "http://127.0.0.1:8080 --auth UUID:KEY --blocking")
+@main.command(
+    cls=_Examples,
+    example="kelptrail invoke places/place-check '{\"family\": 7}' --url "
+    "http://127.0.0.1:8080 --auth UUID:KEY --blocking",
+)
 @click.argument("action")
 @click.argument("params", default="{}")
 @click.option("--blocking", is_flag=True, help="Wait for the final answer.")
 @click.option("--timeout", type=int, help="Longest wait in ms.")
 @click.option("--key", help="A mark against repeats (Idempotency-Key).")
 @_client
-def invoke(action: str, params: str, blocking: bool, timeout: int | None, key: str | None, url: str,
-           auth: str, namespace: str) -> None:
+def invoke(
+    action: str, params: str, blocking: bool, timeout: int | None, key: str | None, url: str, auth: str, namespace: str
+) -> None:
     """Call an action.  Exit 0 completed, 3 rejected, 4 aborted, 5 in hand."""
     try:
         body = msgspec.json.decode(params)
@@ -491,8 +591,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + within
         while True:
-            status, out = await _ask(url, auth, "GET",
-                                     f"/api/v1/namespaces/{namespace}/activations/{activation}")
+            status, out = await _ask(url, auth, "GET", f"/api/v1/namespaces/{namespace}/activations/{activation}")
             if _exit_of(status, out) != IN_HAND or loop.time() >= end:
                 return status, out
             await asyncio.sleep(0.1)
@@ -502,8 +601,9 @@
     sys.exit(_exit_of(status, out))
 
 
-@main.command("bad-day", cls=_Examples,
-              example="kelptrail bad-day examples/bad-days/first.sexp --seed 1 --out out/first")
+@main.command(
+    "bad-day", cls=_Examples, example="kelptrail bad-day examples/bad-days/first.sexp --seed 1 --out out/first"
+)
 @click.argument("script")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for report and captures.")
@@ -666,8 +766,17 @@
         _say(name=day.name, seed=seed, **row, **pace)
         return
     verdict = judge(events)
-    _say(name=day.name, seed=seed, **verdict.counts(), broken=verdict.broken, details=verdict.details[:20],
-         latency_ms=latencies(events), served_share=row["served_share"], recovery_s=row["recovery_s"], **pace)
+    _say(
+        name=day.name,
+        seed=seed,
+        **verdict.counts(),
+        broken=verdict.broken,
+        details=verdict.details[:20],
+        latency_ms=latencies(events),
+        served_share=row["served_share"],
+        recovery_s=row["recovery_s"],
+        **pace,
+    )
     sys.exit(BROKEN_RULE if verdict.broken else 0)
 
 
@@ -712,8 +821,11 @@
         _say(**asdict(difference))
 
 
-@main.command("load", cls=_Examples, example="kelptrail load examples/bad-days/steady.sexp --at 127.0.0.1:8080 "
-              "--processes 2 --out out/load")
+@main.command(
+    "load",
+    cls=_Examples,
+    example="kelptrail load examples/bad-days/steady.sexp --at 127.0.0.1:8080 --processes 2 --out out/load",
+)
 @click.argument("script")
 @click.option("--at", "addresses", multiple=True, required=True, help="A dispatcher's address; may be given again.")
 @click.option("--control", "controls", multiple=True, help="A dispatcher's control address: its sends and orders.")
@@ -721,11 +833,25 @@
 @click.option("--processes", default=2, show_default=True, type=click.IntRange(1, 64))
 @click.option("--seed", default=1, show_default=True)
 @click.option("--variant", default="as-is", show_default=True, help="Its name in comparisons.")
-@click.option("--churn", default=0.0, show_default=True, type=click.FloatRange(0, 1),
-              help="Share of calls that close their connection.")
+@click.option(
+    "--churn",
+    default=0.0,
+    show_default=True,
+    type=click.FloatRange(0, 1),
+    help="Share of calls that close their connection.",
+)
 @click.option("--connections", default=2000, show_default=True, help="At most, of a process to an address.")
-def load_(script: str, addresses: tuple[str, ...], controls: tuple[str, ...], out: Path, processes: int, seed: int,
-          variant: str, churn: float, connections: int) -> None:
+def load_(
+    script: str,
+    addresses: tuple[str, ...],
+    controls: tuple[str, ...],
+    out: Path,
+    processes: int,
+    seed: int,
+    variant: str,
+    churn: float,
+    connections: int,
+) -> None:
     """Drive running dispatchers with a SCRIPT's load; its troubles are not played.  Tables as the lab's."""
     from kelptrail.load.hand import HandSettings
     from kelptrail.load.tool import HandError, drive, keep
@@ -750,8 +876,16 @@
 @click.option("--seed", type=int)
 @click.option("--churn", type=float)
 @click.option("--connections", type=int)
-def load_hand(script: str, addresses: tuple[str, ...], start: float, number: int, of: int, seed: int, churn: float,
-              connections: int) -> None:
+def load_hand(
+    script: str,
+    addresses: tuple[str, ...],
+    start: float,
+    number: int,
+    of: int,
+    seed: int,
+    churn: float,
+    connections: int,
+) -> None:
     """One process of the load tool."""
     from kelptrail.load.hand import Hand, HandSettings, packed
 
@@ -783,8 +917,15 @@
 def _tell(issued: Any) -> None:
     from datetime import UTC, datetime
 
-    _say(name=issued.name, names=issued.names, use=issued.use, serial=issued.serial, begins=issued.begins.isoformat(),
-         ends=issued.ends.isoformat(), days_left=round(issued.days_left(datetime.now(UTC)), 1))
+    _say(
+        name=issued.name,
+        names=issued.names,
+        use=issued.use,
+        serial=issued.serial,
+        begins=issued.begins.isoformat(),
+        ends=issued.ends.isoformat(),
+        days_left=round(issued.days_left(datetime.now(UTC)), 1),
+    )
 
 
 @keys.command(cls=_Examples, example="kelptrail keys init keys --name north-authority")
@@ -886,8 +1027,16 @@
 @click.option("--of", type=int)
 @click.option("--seed", type=int)
 @click.option("--capture", type=click.Path(path_type=Path))
-def standin_clients(script: str, addresses: tuple[str, ...], second: tuple[str, ...], start: float, number: int,
-                    of: int, seed: int, capture: Path | None) -> None:
+def standin_clients(
+    script: str,
+    addresses: tuple[str, ...],
+    second: tuple[str, ...],
+    start: float,
+    number: int,
+    of: int,
+    seed: int,
+    capture: Path | None,
+) -> None:
     """One process of a bad day's clients."""
     import gc
 
@@ -900,8 +1049,14 @@
 
     async def go() -> None:
         name = f"clients-{number}"
-        made = Clients(deployment, list(addresses), Capture(capture / f"{name}.jsonl" if capture else None, name), seed,
-                       second=list(second), part=(number, of))
+        made = Clients(
+            deployment,
+            list(addresses),
+            Capture(capture / f"{name}.jsonl" if capture else None, name),
+            seed,
+            second=list(second),
+            part=(number, of),
+        )
         plan = made.plan(day.load, day.seconds)
         gc.collect()
         gc.freeze()
@@ -952,8 +1107,15 @@
 @click.option("--to", "targets", multiple=True, help="One that is connected to.")
 @click.option("--seed", default=1)
 @_standin
-def links(sources: tuple[str, ...], targets: tuple[str, ...], seed: int, host: str, port: int, capture: Path | None,
-          with_stdin: bool) -> None:
+def links(
+    sources: tuple[str, ...],
+    targets: tuple[str, ...],
+    seed: int,
+    host: str,
+    port: int,
+    capture: Path | None,
+    with_stdin: bool,
+) -> None:
     """A relay for the channel between dispatchers that cuts, slows and resets as told."""
     from kelptrail.standin.capture import Capture
     from kelptrail.standin.links import Links
@@ -990,8 +1152,11 @@
     _run(go())
 
 
-@standin.command(cls=_Examples, example="kelptrail standin worker examples/nursery.sexp --id worker-1 "
-                 "--store 127.0.0.1:7001 --roster 127.0.0.1:7000")
+@standin.command(
+    cls=_Examples,
+    example="kelptrail standin worker examples/nursery.sexp --id worker-1 "
+    "--store 127.0.0.1:7001 --roster 127.0.0.1:7000",
+)
 @click.argument("file")
 @click.option("--id", "id_", required=True)
 @click.option("--hall", default="")
@@ -1002,8 +1167,21 @@
 @click.option("--control-port", default=0)
 @click.option("--warm", is_flag=True, help="As if it had run for long.")
 @_standin
-def worker(file: str, id_: str, hall: str, cell: int, store_: str, roster_: str, seed: int, control_port: int,
-           warm: bool, host: str, port: int, capture: Path | None, with_stdin: bool) -> None:
+def worker(
+    file: str,
+    id_: str,
+    hall: str,
+    cell: int,
+    store_: str,
+    roster_: str,
+    seed: int,
+    control_port: int,
+    warm: bool,
+    host: str,
+    port: int,
+    capture: Path | None,
+    with_stdin: bool,
+) -> None:
     """One runner that holds copies of models."""
     deployment = _settings(file)
     from kelptrail.standin.capture import Capture
@@ -1014,8 +1192,7 @@
         made.server.listen(host, port)
         made.control.listen(host, control_port)
         await made.announce(made.server.address)
-        _say(ready=True, address=made.server.address, control=made.control.address,
-             incarnation=made.incarnation)
+        _say(ready=True, address=made.server.address, control=made.control.address, incarnation=made.incarnation)
         await _until_stopped(with_stdin)
 
     _run(go())
--- a/kelptrail/codec/feed.py
+++ b/kelptrail/codec/feed.py
@@ -63,8 +63,8 @@
         if len(buffer) < 4 + length:
             return None
         _, number, kind = _HEAD.unpack_from(buffer)
-        payload = bytes(buffer[_HEAD.size:4 + length])
-        del buffer[:4 + length]
+        payload = bytes(buffer[_HEAD.size : 4 + length])
+        del buffer[: 4 + length]
         if kind > CHANGES or len(payload) % _RECORD.size or (kind == NOTHING and payload):
             raise FeedError(f"an event of kind {kind} with {len(payload)} bytes")
         return Event(number, kind == WHOLE, None if kind == NOTHING else list(self._records(payload)))
@@ -73,8 +73,9 @@
         for id_, address, port, state, zone, kind, cell, weight, started in _RECORD.iter_unpack(payload):
             if state > GONE or zone >= self._zones or kind >= self._kinds or not (weight or state):
                 raise FeedError("a record out of range")
-            yield Record(f"s-{id_:08x}", ".".join(map(str, address)), port, state, zone, kind, cell, weight / 1000,
-                         started)
+            yield Record(
+                f"s-{id_:08x}", ".".join(map(str, address)), port, state, zone, kind, cell, weight / 1000, started
+            )
 
 
 def read_known(known: dict[str, Any], zones: list[str], kinds: list[str]) -> list[Event]:
@@ -88,8 +89,19 @@
                 state = _STATES[at["state"]]
                 if not (0 < size < 1e9 or state) or not address or not 0 < int(port) < 1 << 16:
                     raise FeedError(f"known events that cannot be read: {at['uid']} out of range")
-                records.append(Record(str(at["uid"]), address, int(port), state, zones.index(at["az"]),
-                                      kinds.index(at["model"]), int(at["pod_group"]), size, int(at["boot_ms"] or 0)))
+                records.append(
+                    Record(
+                        str(at["uid"]),
+                        address,
+                        int(port),
+                        state,
+                        zones.index(at["az"]),
+                        kinds.index(at["model"]),
+                        int(at["pod_group"]),
+                        size,
+                        int(at["boot_ms"] or 0),
+                    )
+                )
             out.append(Event(int(entry["pos"]), bool(entry["hosts"]["all"]), records))
     except FeedError:
         raise
--- a/kelptrail/codec/frames.py
+++ b/kelptrail/codec/frames.py
@@ -54,9 +54,9 @@
             return self._too_long(length, int.from_bytes(buffer[5:9], "big"))
         if len(buffer) < 4 + length:
             return None
-        payload = bytes(buffer[9:4 + length])
+        payload = bytes(buffer[9 : 4 + length])
         kind, stream = buffer[4], int.from_bytes(buffer[5:9], "big")
-        del buffer[:4 + length]
+        del buffer[: 4 + length]
         return kind, stream, payload
 
     @staticmethod
@@ -70,11 +70,11 @@
         count, at, fields = payload[0], 1, {}
         for _ in range(count):
             end = at + 1 + payload[at]
-            name = payload[at + 1:end].decode()
+            name = payload[at + 1 : end].decode()
             at = end + 2 + (payload[end] << 8 | payload[end + 1])
             if at > len(payload) or name in fields:
                 raise FrameError("fields beyond the payload" if at > len(payload) else f"field {name!r} twice")
-            fields[name] = payload[end + 2:at].decode()
+            fields[name] = payload[end + 2 : at].decode()
     except IndexError:
         raise FrameError("fields beyond the payload") from None
     except UnicodeDecodeError:
--- a/kelptrail/codec/grpc.py
+++ b/kelptrail/codec/grpc.py
@@ -44,8 +44,9 @@
 class GrpcError(Exception):
     """An answer other than the wanted one.  `retry_ms` tells when to come back; `reason` and `told` go into details."""
 
-    def __init__(self, code: Code, text: str, retry_ms: float | None = None, reason: str = "",
-                 told: dict[str, str] | None = None) -> None:
+    def __init__(
+        self, code: Code, text: str, retry_ms: float | None = None, reason: str = "", told: dict[str, str] | None = None
+    ) -> None:
         super().__init__(text)
         self.code, self.text, self.retry_ms, self.reason, self.told = code, text, retry_ms, reason, told or {}
 
@@ -91,15 +92,16 @@
             if len(self._buffer) - at < PREFIX.size + length:
                 break
             at += PREFIX.size
-            out.append(bytes(self._buffer[at:at + length]))
+            out.append(bytes(self._buffer[at : at + length]))
             at += length
         if at:
             del self._buffer[:at]
         return out
 
 
-def trailers(code: Code, text: str = "", retry_ms: float | None = None, reason: str = "",
-             told: dict[str, str] | None = None) -> list[tuple[bytes, bytes]]:
+def trailers(
+    code: Code, text: str = "", retry_ms: float | None = None, reason: str = "", told: dict[str, str] | None = None
+) -> list[tuple[bytes, bytes]]:
     """What ends a call.  The text is percent-encoded UTF-8; details travel as a `google.rpc.Status`."""
     out = [(b"grpc-status", str(int(code)).encode())]
     if text:
--- a/kelptrail/codec/http.py
+++ b/kelptrail/codec/http.py
@@ -114,9 +114,16 @@
             return
         keep = self._parser.should_keep_alive()
         self._closed = self._closed or not keep
-        self._done.append(Request(self._parser.get_method().decode("latin-1"),
-                                  self._target.decode("latin-1"), self._headers, bytes(self._body), keep,
-                                  self._parser.get_http_version()))
+        self._done.append(
+            Request(
+                self._parser.get_method().decode("latin-1"),
+                self._target.decode("latin-1"),
+                self._headers,
+                bytes(self._body),
+                keep,
+                self._parser.get_http_version(),
+            )
+        )
 
     def _weigh(self, count: int) -> None:
         self._named += count
@@ -178,8 +185,11 @@
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        self._flows = (self.on_piece is not None and self._parser.get_status_code() == 200
-                       and self._headers.get("content-type", "").startswith(EVENT_STREAM))
+        self._flows = (
+            self.on_piece is not None
+            and self._parser.get_status_code() == 200
+            and self._headers.get("content-type", "").startswith(EVENT_STREAM)
+        )
 
     def on_body(self, body: bytes) -> None:
         if self._flows and self.on_piece is not None:
@@ -194,8 +204,7 @@
         if self._response is not None:
             self.extra = True
             return
-        self._response = Response(status, self._headers, bytes(self._body),
-                                  self._parser.should_keep_alive())
+        self._response = Response(status, self._headers, bytes(self._body), self._parser.should_keep_alive())
 
     def feed(self, data: bytes | memoryview) -> Response | None:
         """The response once it is whole.  Raises `HttpError` for bytes that are no response or too many."""
@@ -211,8 +220,13 @@
         return response
 
 
-def encode_response(status: int, body: bytes, headers: Mapping[str, str] | None = None,
-                    keep_alive: bool = True, content_type: str = "application/json") -> bytes:
+def encode_response(
+    status: int,
+    body: bytes,
+    headers: Mapping[str, str] | None = None,
+    keep_alive: bool = True,
+    content_type: str = "application/json",
+) -> bytes:
     """A response with a length; status 204 has no body (RFC 9110 section 15.3.5)."""
     head = [b"HTTP/1.1 %d %s\r\n" % (status, PHRASES.get(status, b"Status"))]
     if status != 204:
@@ -228,8 +242,10 @@
 
 def encode_head(status: int, headers: Mapping[str, str] | None, content_type: str, keep_alive: bool) -> bytes:
     """The head of a response whose body comes in chunks (RFC 9112, section 7.1)."""
-    head = [f"HTTP/1.1 {status} {PHRASES.get(status, b'Status').decode()}\r\ncontent-type: {content_type}\r\n"
-            "transfer-encoding: chunked\r\n"]
+    head = [
+        f"HTTP/1.1 {status} {PHRASES.get(status, b'Status').decode()}\r\ncontent-type: {content_type}\r\n"
+        "transfer-encoding: chunked\r\n"
+    ]
     head.extend(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
     if not keep_alive:
         head.append("connection: close\r\n")
@@ -241,8 +257,9 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def encode_request(method: str, target: str, host: str, body: bytes = b"",
-                   headers: Mapping[str, str] | None = None) -> bytes:
+def encode_request(
+    method: str, target: str, host: str, body: bytes = b"", headers: Mapping[str, str] | None = None
+) -> bytes:
     """A request with a length."""
     lines = [f"{method} {target} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {len(body)}\r\n"]
     if body:
--- a/kelptrail/codec/infer.py
+++ b/kelptrail/codec/infer.py
@@ -81,9 +81,15 @@
 _loaded = msgspec.json.Decoder(LoadResponse).decode
 
 
-def infer_request(host: str, model: str, mark: str, payload: bytes,
-                  parameters: dict[str, str | int | float | bool], headers: dict[str, str],
-                  form: str = "json") -> bytes:
+def infer_request(
+    host: str,
+    model: str,
+    mark: str,
+    payload: bytes,
+    parameters: dict[str, str | int | float | bool],
+    headers: dict[str, str],
+    form: str = "json",
+) -> bytes:
     """A send, as bytes.  A caller's own parameters go along, but never in place of ours."""
     body: InferRequest | TensorsRequest
     if form == "tensors":
@@ -142,8 +148,14 @@
         if body.id != mark:  # an answer to something else proves nothing of this send
             raise MalformedError("an answer to another call")
         if form == "tensors":
-            result = _encode({"outputs": body.outputs} | ({"parameters": own} if (own := {
-                k: v for k, v in body.parameters.items() if k not in ("success", "final")}) else {}))
+            result = _encode(
+                {"outputs": body.outputs}
+                | (
+                    {"parameters": own}
+                    if (own := {k: v for k, v in body.parameters.items() if k not in ("success", "final")})
+                    else {}
+                )
+            )
         elif body.parameters.get("final") is True and not body.outputs:  # the end of a stream needs no result
             result = b"{}"
         else:
@@ -236,8 +248,12 @@
 def _only(tensors: list[Tensor], name: str) -> str:
     for tensor in tensors:
         if tensor.name == name:
-            if tensor.datatype != "BYTES" or tensor.shape != [1] or len(tensor.data) != 1 or (
-                    not isinstance(tensor.data[0], str)):
+            if (
+                tensor.datatype != "BYTES"
+                or tensor.shape != [1]
+                or len(tensor.data) != 1
+                or (not isinstance(tensor.data[0], str))
+            ):
                 raise MalformedError(f"tensor {name} is one BYTES element")
             return tensor.data[0]
     raise MalformedError(f"no tensor {name}")
--- a/kelptrail/codec/lines.py
+++ b/kelptrail/codec/lines.py
@@ -62,20 +62,19 @@
                     raise LineError("a line that does not end")
                 return None
             self._head, self._need = self._read(bytes(buffer[:end]))
-            del buffer[:end + 2]
+            del buffer[: end + 2]
         if len(buffer) < self._need + 2:
             return None
-        if buffer[self._need:self._need + 2] != b"\r\n":
+        if buffer[self._need : self._need + 2] != b"\r\n":
             raise LineError("a body that does not end where it should")
         answer, self._head = self._head, None
-        answer.body = bytes(buffer[:self._need])
-        del buffer[:self._need + 2]
+        answer.body = bytes(buffer[: self._need])
+        del buffer[: self._need + 2]
         return answer
 
     def _read(self, line: bytes) -> tuple[Answer, int]:
         words = line.split(b" ")
-        if len(words) != 4 or words[1] not in WORDS or not _ID.fullmatch(words[0]) or (
-                not _LENGTH.fullmatch(words[3])):
+        if len(words) != 4 or words[1] not in WORDS or not _ID.fullmatch(words[0]) or (not _LENGTH.fullmatch(words[3])):
             raise LineError("a line that is no answer")
         if (need := int(words[3])) > self._most:
             raise LineError(f"a body of {need} bytes")
--- a/kelptrail/codec/tensors.py
+++ b/kelptrail/codec/tensors.py
@@ -20,16 +20,30 @@
 # Datatype: how many bytes an element takes in raw form, the field of its typed contents, its numpy type.
 KINDS: dict[str, tuple[int, str, str]] = {
     "BOOL": (1, "bool_contents", "?"),
-    "UINT8": (1, "uint_contents", "<u1"), "UINT16": (2, "uint_contents", "<u2"), "UINT32": (4, "uint_contents", "<u4"),
+    "UINT8": (1, "uint_contents", "<u1"),
+    "UINT16": (2, "uint_contents", "<u2"),
+    "UINT32": (4, "uint_contents", "<u4"),
     "UINT64": (8, "uint64_contents", "<u8"),
-    "INT8": (1, "int_contents", "<i1"), "INT16": (2, "int_contents", "<i2"), "INT32": (4, "int_contents", "<i4"),
+    "INT8": (1, "int_contents", "<i1"),
+    "INT16": (2, "int_contents", "<i2"),
+    "INT32": (4, "int_contents", "<i4"),
     "INT64": (8, "int64_contents", "<i8"),
-    "FP16": (2, "", "<f2"), "FP32": (4, "fp32_contents", "<f4"), "FP64": (8, "fp64_contents", "<f8"),
+    "FP16": (2, "", "<f2"),
+    "FP32": (4, "fp32_contents", "<f4"),
+    "FP64": (8, "fp64_contents", "<f8"),
     "BYTES": (0, "bytes_contents", ""),
 }
 MOST_DIMENSIONS, MOST_ELEMENTS = 32, 1 << 28
-FIELDS = ("bool_contents", "int_contents", "int64_contents", "uint_contents", "uint64_contents", "fp32_contents",
-          "fp64_contents", "bytes_contents")
+FIELDS = (
+    "bool_contents",
+    "int_contents",
+    "int64_contents",
+    "uint_contents",
+    "uint64_contents",
+    "fp32_contents",
+    "fp64_contents",
+    "bytes_contents",
+)
 
 Scalar = str | int | float | bool
 
@@ -74,7 +88,7 @@
             (length,) = struct.unpack_from("<I", raw, at)
             if at + 4 + length > len(raw):
                 raise TensorError(f"tensor {name!r}: raw contents end within an element of {length} bytes")
-            out.append(raw[at + 4:at + 4 + length])
+            out.append(raw[at + 4 : at + 4 + length])
             at += 4 + length
             if len(out) > count:
                 break
@@ -136,8 +150,9 @@
             pass
     elif not datatype.startswith("FP") or all(map(math.isfinite, values)):
         return JsonTensor(name, datatype, shape, values, given)
-    return JsonTensor(name, datatype, shape, [base64.b64encode(_to_raw(datatype, values)).decode()],
-                      given | {"raw": True})
+    return JsonTensor(
+        name, datatype, shape, [base64.b64encode(_to_raw(datatype, values)).decode()], given | {"raw": True}
+    )
 
 
 def values_of(tensor: JsonTensor) -> list[Any]:
--- a/kelptrail/copies/driver.py
+++ b/kelptrail/copies/driver.py
@@ -76,8 +76,11 @@
 
     def acting(self, now: float) -> bool:
         """Whether what is in it may be acted on at this instant: the lease is looked at."""
-        return self.core.ready and not self.core.fenced and self._copies.leases.holds(
-            PREFIX + self.book) == self.core.token
+        return (
+            self.core.ready
+            and not self.core.fenced
+            and self._copies.leases.holds(PREFIX + self.book) == self.core.token
+        )
 
     def write(self, entry: Entry, waiter: Callable[[bool], None] | None = None, keep: bool = False) -> None:
         """Write an entry; `keep` is what an owner does anyway."""
@@ -98,15 +101,26 @@
     """One process's books: those it owns, and those it holds for others.  `own`: where the books of its own runs are,
     `others`: all others; one and the same where copies are on disk.  `members`: dispatchers that are known."""
 
-    def __init__(self, name: str, settings: CopySettings, take_ms: float, length_ms: float, peers: Peers,
-                 leases: Leases, own: Shelves, others: Shelves, members: Callable[[], list[Member]],
-                 log: Any) -> None:
+    def __init__(
+        self,
+        name: str,
+        settings: CopySettings,
+        take_ms: float,
+        length_ms: float,
+        peers: Peers,
+        leases: Leases,
+        own: Shelves,
+        others: Shelves,
+        members: Callable[[], list[Member]],
+        log: Any,
+    ) -> None:
         self.name, self.settings, self._take_ms, self._length_ms = name, settings, take_ms, length_ms
         self.leases, self._peers, self._members, self._log = leases, peers, members, log
         self._loop = asyncio.get_running_loop()
         self._own_shelves, self._other_shelves = own, others
-        self._disks = {id(shelves): JournalDriver(Journal(1_000_000), shelves, self.carry, log)
-                       for shelves in (own, others)}
+        self._disks = {
+            id(shelves): JournalDriver(Journal(1_000_000), shelves, self.carry, log) for shelves in (own, others)
+        }
         self.holder = Holder(own.books() | others.books(), lambda book: self._at(book).disk)
         self.books: dict[str, Held] = {}
         self.current: Held | None = None  # the book that new calls go to
@@ -213,8 +227,13 @@
 
     def _want(self, book: str) -> None:
         self.watch.wants(book)
-        self.leases.want(PREFIX + book, self._length_ms, partial(self._won, book), partial(self._lost, book),
-                         partial(self._noted, book))
+        self.leases.want(
+            PREFIX + book,
+            self._length_ms,
+            partial(self._won, book),
+            partial(self._lost, book),
+            partial(self._noted, book),
+        )
 
     def _leave(self, book: str, to: str = "") -> None:
         """Want it no more."""
@@ -235,8 +254,12 @@
             self._refuse(book, members)
             return
         held = self.books.get(book)
-        goes_on = held is not None and held.core.token.round > 0 and members.owner == self.name and (
-            self.holder.stands(book, held.core.token))
+        goes_on = (
+            held is not None
+            and held.core.token.round > 0
+            and members.owner == self.name
+            and (self.holder.stands(book, held.core.token))
+        )
         work = self.holder.own(book, token, self.name)
         if work is None:
             self._refuse(book, members)
@@ -244,8 +267,9 @@
         if held is not None and not goes_on:
             self._drop(held)
         if not goes_on or held is None:
-            held = self.books[book] = Held(self, Owner(book, self.name, self._at(book).disk, self.settings,
-                                                       partial(self._digests, book)))
+            held = self.books[book] = Held(
+                self, Owner(book, self.name, self._at(book).disk, self.settings, partial(self._digests, book))
+            )
         held.token = token
         self._released.discard(book)
         gone = {members.owner} - {self.name}
@@ -309,15 +333,22 @@
         for first in range(0, len(lives), AT_ONCE):
             if self.books.get(held.book) is not held:
                 return
-            self.on_taken(held, lives[first:first + AT_ONCE])
+            self.on_taken(held, lives[first : first + AT_ONCE])
             await asyncio.sleep(0.001)
         held.live = True
         self.watch.welcome(held.book)
         self.taken_up += len(lives)
         if self._born_here(held.book) and (self.current is None or self.books.get(self.current.book) is None):
             self.current, self._begin_pause = held, FIRST_PAUSE_MS
-        self._log.info("book-taken-up", book=held.book, token=str(token), calls=len(lives), before=before,
-                       damaged=reading.damaged, ms=round(now_ms() - began))
+        self._log.info(
+            "book-taken-up",
+            book=held.book,
+            token=str(token),
+            calls=len(lives),
+            before=before,
+            damaged=reading.damaged,
+            ms=round(now_ms() - began),
+        )
         self.on_acts(held)
         self.carry()
 
@@ -395,24 +426,31 @@
                 self._peers.send(sender, Found(message.what, HERE, self.leases.asker.who, self.own))
             else:
                 state = PENDING if self._pending(message.what) else NO
-                self._peers.send(sender, Found(message.what, state, self.leases.asker.who,
-                                               owners=self._owners(message.what)))
+                self._peers.send(
+                    sender, Found(message.what, state, self.leases.asker.who, owners=self._owners(message.what))
+                )
         else:
-            self._questions.answered(sender, message.what, message.state, message.at, message.by,
-                                     message.owners)
+            self._questions.answered(sender, message.what, message.state, message.at, message.by, message.owners)
         self.carry()
 
     def _may_have(self, what: str) -> list[str]:
         """Books here that may have it."""
-        return [book for book, shelf in self.holder.shelves.items() if shelf.owner
-                if what.startswith(KEY) or self.born(book.rpartition(".")[0], what)]
+        return [
+            book
+            for book, shelf in self.holder.shelves.items()
+            if shelf.owner
+            if what.startswith(KEY) or self.born(book.rpartition(".")[0], what)
+        ]
 
     def _pending(self, what: str) -> bool:
         """Whether it may be in a book that this dispatcher owns and has not taken up, or has let go, and nobody has
         said that it is his: a no of this run does not speak for that."""
-        return any(not self.books[book].live if book in self.books else
-                   self.holder.shelves[book].owner == self.name or book in self._released
-                   for book in self._may_have(what))
+        return any(
+            not self.books[book].live
+            if book in self.books
+            else self.holder.shelves[book].owner == self.name or book in self._released
+            for book in self._may_have(what)
+        )
 
     def _owners(self, what: str) -> tuple[str, ...]:
         """Of books that are held here and may have it."""
@@ -486,21 +524,29 @@
         elif not core.ready and core.token.round and now >= held.probe_at and self._others(held.book):
             held.probe_at = now + self.settings.again_ms  # who was told to hold the lease may not have acted
             core.probe(self.leases.asker.seen[PREFIX + held.book][0].who.partition("/")[0])
-        elif held is not self.current and held.live and core.ready and not core.waiting and not any(
-                self._digests(held.book)):
+        elif (
+            held is not self.current
+            and held.live
+            and core.ready
+            and not core.waiting
+            and not any(self._digests(held.book))
+        ):
             self._close(held)
 
     def _others(self, book: str) -> bool:
         """Whether another was last said to hold a book's lease."""
         seen = self.leases.asker.seen.get(PREFIX + book)
-        return seen is not None and not seen[0].who.startswith(f"{self.name}/") and (
-            (held := self.books.get(book)) is None or seen[0] > held.core.token)
+        return (
+            seen is not None
+            and not seen[0].who.startswith(f"{self.name}/")
+            and ((held := self.books.get(book)) is None or seen[0] > held.core.token)
+        )
 
     def _reach(self, heard: Iterable[str], ranking: tuple[str, ...]) -> None:
         """Keep links up: to all in a small fleet, else to whom the books go."""
         names = {m.name for m in self._members()}
         if len(names) > FEW:
-            names = {*ranking[:self.settings.count + 2], *(n for h in self.books.values() for n in h.core.members)}
+            names = {*ranking[: self.settings.count + 2], *(n for h in self.books.values() for n in h.core.members)}
         self.leases.reach(names, SPEAKS)
 
     def _shut(self, book: str) -> None:
@@ -557,8 +603,10 @@
             core.pump(now)
             while core.locals:
                 any_, batch = True, core.locals.popleft()
-                self._write(Work(held.book, tuple(batch.items), tuple(batch.drops), wall_ms=self.wall_ms()),
-                            partial(core.written, batch))
+                self._write(
+                    Work(held.book, tuple(batch.items), tuple(batch.drops), wall_ms=self.wall_ms()),
+                    partial(core.written, batch),
+                )
             while core.reads:
                 any_ = True
                 name, stream, bucket = core.reads.popleft()
@@ -582,14 +630,27 @@
         """What operators are shown."""
         now = now_ms()
         return {
-            "name": self.name, "copies": self.settings.count, "disk": self._own_shelves.disk,
+            "name": self.name,
+            "copies": self.settings.count,
+            "disk": self._own_shelves.disk,
             "retiring": self.retiring,
             "promising": self.current is not None and self.current.takes(),
-            "owned": {book: held.core.status(now) | {"current": held is self.current, "live": held.live}
-                      for book, held in sorted(self.books.items())},
-            "held": {book: {"owner": shelf.owner, "token": str(shelf.token), "safe": shelf.safe,
-                            "heard_ms": self.watch.since(now, shelf.owner)}
-                     for book, shelf in sorted(self.holder.shelves.items())
-                     if book not in self.books and shelf.owner},
-            "refused": self.holder.refused, "taken_up": self.taken_up, "let_go": self.let_go,
-            "disk_failing": any(disk.journal.failing for disk in self._disks.values())}
+            "owned": {
+                book: held.core.status(now) | {"current": held is self.current, "live": held.live}
+                for book, held in sorted(self.books.items())
+            },
+            "held": {
+                book: {
+                    "owner": shelf.owner,
+                    "token": str(shelf.token),
+                    "safe": shelf.safe,
+                    "heard_ms": self.watch.since(now, shelf.owner),
+                }
+                for book, shelf in sorted(self.holder.shelves.items())
+                if book not in self.books and shelf.owner
+            },
+            "refused": self.holder.refused,
+            "taken_up": self.taken_up,
+            "let_go": self.let_go,
+            "disk_failing": any(disk.journal.failing for disk in self._disks.values()),
+        }
--- a/kelptrail/copies/holder.py
+++ b/kelptrail/copies/holder.py
@@ -77,16 +77,31 @@
             return
         if message.token > shelf.token or message.stream > shelf.stream or shelf.number < 0:
             self.shelves[message.book] = Shelf(message.token, sender, message.stream, 0)
-            self.work.append(Work(message.book, fence=(message.token, sender), check=(0, -1), to=sender,
-                                  stream=message.stream))
+            self.work.append(
+                Work(message.book, fence=(message.token, sender), check=(0, -1), to=sender, stream=message.stream)
+            )
         elif shelf.safe == 0:  # its answer was lost
             self.work.append(Work(message.book, check=(0, -1), to=sender, stream=message.stream))
 
     def _put(self, sender: str, shelf: Shelf, put: Put) -> None:
         if put.number == shelf.number + 1 and shelf.number >= 0:
             shelf.number += 1
-            self.work.append(Work(put.book, put.items, put.drops, put.bucket, put.only, put.waited_ms, None,
-                                  put.check, False, sender, put.stream, put.number))
+            self.work.append(
+                Work(
+                    put.book,
+                    put.items,
+                    put.drops,
+                    put.bucket,
+                    put.only,
+                    put.waited_ms,
+                    None,
+                    put.check,
+                    False,
+                    sender,
+                    put.stream,
+                    put.number,
+                )
+            )
         elif put.number <= shelf.safe:
             self.out.append((sender, Kept(put.book, put.token, put.stream, shelf.safe)))
 
@@ -103,8 +118,20 @@
         if work.number:
             self.out.append((work.to, Kept(work.book, shelf.token, work.stream, shelf.safe)))
         if work.check != (0, 0):
-            self.out.append((work.to, Told(work.book, shelf.token, work.stream, work.number, work.check[0],
-                                           work.digests, self.disk(work.book))))
+            self.out.append(
+                (
+                    work.to,
+                    Told(
+                        work.book,
+                        shelf.token,
+                        work.stream,
+                        work.number,
+                        work.check[0],
+                        work.digests,
+                        self.disk(work.book),
+                    ),
+                )
+            )
 
     def stands(self, book: str, token: Token) -> bool:
         """Whether nobody has put anything into the book under a later token: guards against going on with what another
--- a/kelptrail/copies/model.py
+++ b/kelptrail/copies/model.py
@@ -62,7 +62,7 @@
                 del self.items[id_, kind]
         if work.check != (0, 0):
             upto = work.check[1] if work.check[1] >= 0 else BUCKETS
-            work.digests = pack_digests(self.digests()[work.check[0]:upto])
+            work.digests = pack_digests(self.digests()[work.check[0] : upto])
 
     def digests(self) -> list[int]:
         """Of all buckets."""
@@ -103,8 +103,13 @@
 class World:
     """A walk; `kinds`: cores, changed on purpose in tests."""
 
-    def __init__(self, seed: int, nodes: int = 4, faults: Faults | None = None,
-                 kinds: tuple[type[Owner], type[Holder]] = (Owner, Holder)) -> None:
+    def __init__(
+        self,
+        seed: int,
+        nodes: int = 4,
+        faults: Faults | None = None,
+        kinds: tuple[type[Owner], type[Holder]] = (Owner, Holder),
+    ) -> None:
         self.chance, self.faults, self.kinds = random.Random(seed), faults or Faults(), kinds
         self.now, self.calls = 0.0, 0
         self.nodes = {f"d{n}": Node(self, f"d{n}") for n in range(nodes)}
@@ -129,15 +134,20 @@
         node.believes = True
         gone = {members.owner} - {node.name}
         before = node.owner.token
-        goes_on = (before.round > 0 and members.owner == node.name and node.holder.stands(BOOK, before)
-                   and not node.owner.failed)
+        goes_on = (
+            before.round > 0
+            and members.owner == node.name
+            and node.holder.stands(BOOK, before)
+            and not node.owner.failed
+        )
         if (work := node.holder.own(BOOK, self.token, node.name)) is None:
             raise PropertyError(f"{node.name} has seen a later token than the lease's")
         if not goes_on:
             node.owner = node.fresh()
             node.calls = {}
-        node.work.append((work, partial(
-            self._owned, node, self.token, {n: d for n, d in members.disks.items() if n not in gone})))
+        node.work.append(
+            (work, partial(self._owned, node, self.token, {n: d for n, d in members.disks.items() if n not in gone}))
+        )
 
     def _owned(self, node: Node, token: Token, members: dict[str, str], safe: bool) -> None:
         if not node.believes or token != self.token:
@@ -248,8 +258,9 @@
             owner.seek(self.now, names, names)
             owner.tick(self.now)
             for batch in list(owner.locals):
-                node.work.append((Work(BOOK, tuple(batch.items), tuple(batch.drops)),
-                                  partial(self._local, node, owner, batch)))
+                node.work.append(
+                    (Work(BOOK, tuple(batch.items), tuple(batch.drops)), partial(self._local, node, owner, batch))
+                )
             owner.locals.clear()
             if owner.failed or owner.fenced:
                 self._lose(node)
@@ -320,5 +331,5 @@
             self.step(False)
         if self.broken or self._all_lost():
             return
-        if (lost := self.promised - self.finals.keys()):
+        if lost := self.promised - self.finals.keys():
             raise PropertyError(f"{sorted(lost)} were promised and have no final answer")
--- a/kelptrail/copies/owner.py
+++ b/kelptrail/copies/owner.py
@@ -89,8 +89,7 @@
 class Owner:
     """One book under its owner `me`.  `disk`: the name of its own, `digests`: what that has, asked when needed."""
 
-    def __init__(self, book: str, me: str, disk: str, settings: CopySettings,
-                 digests: Callable[[], list[int]]) -> None:
+    def __init__(self, book: str, me: str, disk: str, settings: CopySettings, digests: Callable[[], list[int]]) -> None:
         self.book, self.me, self.disk, self.settings, self._digests = book, me, disk, settings, digests
         self.token, self.members = NONE, dict[str, str]()
         self.ways: dict[str, Way] = {}
@@ -162,8 +161,13 @@
 
     def takes(self) -> bool:
         """Whether a new call can be promised."""
-        return self.ready and not self.failed and not self.fenced and self._bytes < self.settings.most_bytes and (
-            self.full or self.settings.short)
+        return (
+            self.ready
+            and not self.failed
+            and not self.fenced
+            and self._bytes < self.settings.most_bytes
+            and (self.full or self.settings.short)
+        )
 
     # What is written.
 
@@ -216,8 +220,7 @@
         need = {*self.members, *(self.noting or ()), *whole} - {self.me}
         while self._open and self.ready and not self.fenced:
             batch = self._open[0]
-            if not batch.local or any(
-                    name not in self.ways or self.ways[name].batch < batch.number for name in need):
+            if not batch.local or any(name not in self.ways or self.ways[name].batch < batch.number for name in need):
                 return
             self._open.popleft()
             self._bytes -= batch.size
@@ -278,7 +281,8 @@
         members = {self.me: self.disk}
         for name, way in sorted(self.ways.items()):
             if (way.stage is Stage.WHOLE and way.batch >= self._done) or (
-                    name in self.members and way.disk in ("", self.members[name])):
+                name in self.members and way.disk in ("", self.members[name])
+            ):
                 members[name] = way.disk or self.members[name]
         if members != self.members:
             self._note(members)
@@ -312,8 +316,9 @@
             self._kept(now, way, answer.number)
         elif way.stage is Stage.OPENING:
             mine = self._digests()
-            way.differs.extend(n for n, (a, b) in enumerate(
-                zip(mine, unpack_digests(answer.digests), strict=False)) if a != b)
+            way.differs.extend(
+                n for n, (a, b) in enumerate(zip(mine, unpack_digests(answer.digests), strict=False)) if a != b
+            )
             way.stage, way.since, way.disk = Stage.FILLING, now, answer.disk
             # What the own disk has is compared, and so filled up; the rest comes behind that.
             way.covered = max((b.number for b in self._open if b.local), default=self._done)
@@ -380,24 +385,35 @@
 
     def _compare(self, now: float, way: Way, told: Told) -> None:
         """What a holder's disk has beside the own.  Only while nothing is on its way: else both are right."""
-        mine = self._digests()[told.first:told.first + self.settings.check_step]
+        mine = self._digests()[told.first : told.first + self.settings.check_step]
         if told.number != way.number or any(not batch.local for batch in self._open):
             return
-        wrong = [told.first + n for n, (a, b) in enumerate(
-            zip(mine, unpack_digests(told.digests), strict=False)) if a != b]
+        wrong = [
+            told.first + n for n, (a, b) in enumerate(zip(mine, unpack_digests(told.digests), strict=False)) if a != b
+        ]
         if wrong:  # it said safe and is not: it is none of those that have the whole until it is filled up again
             self.mended += len(wrong)
             self._give_up(now, way)
             self._lost[way.name] = now
 
-    def _queue(self, now: float, way: Way, items: tuple[Item, ...], drops: tuple[str, ...], bucket: int = -1,
-               only: tuple[tuple[str, int], ...] = (), batch: int = 0, check: tuple[int, int] = (0, 0)) -> None:
+    def _queue(
+        self,
+        now: float,
+        way: Way,
+        items: tuple[Item, ...],
+        drops: tuple[str, ...],
+        bucket: int = -1,
+        only: tuple[tuple[str, int], ...] = (),
+        batch: int = 0,
+        check: tuple[int, int] = (0, 0),
+    ) -> None:
         way.number += 1
         size = sum(len(item.id) + len(item.data) for item in items)
         if not way.queue:
             way.since, way.again = now, now + self.settings.again_ms
-        way.queue.append((Put(self.book, self.token, way.stream, way.number, items, drops, bucket, only, check), size,
-                          batch, now))
+        way.queue.append(
+            (Put(self.book, self.token, way.stream, way.number, items, drops, bucket, only, check), size, batch, now)
+        )
         way.bytes += size
         self._send(now, way)
 
@@ -457,9 +473,25 @@
     def status(self, now: float) -> dict[str, Any]:
         """What operators are shown; times are ms."""
         since = self.short_since
-        return {"token": str(self.token), "members": sorted(self.members), "full": self.full, "ready": self.ready,
-                "waiting": self.waiting, "at_risk_ms": round(now - since) if since is not None and self.token.round
-                else 0, "risk_ms": round(self.risk_ms), "mended": self.mended, "batches": self.batches_safe,
-                "entries": self.entries_safe, "bytes_out": self.bytes_out, "holders": {
-                    way.name: {"stage": way.stage.value, "behind": way.number - way.kept, "bytes": way.bytes,
-                               "filled": way.filled} for way in self.ways.values()}}
+        return {
+            "token": str(self.token),
+            "members": sorted(self.members),
+            "full": self.full,
+            "ready": self.ready,
+            "waiting": self.waiting,
+            "at_risk_ms": round(now - since) if since is not None and self.token.round else 0,
+            "risk_ms": round(self.risk_ms),
+            "mended": self.mended,
+            "batches": self.batches_safe,
+            "entries": self.entries_safe,
+            "bytes_out": self.bytes_out,
+            "holders": {
+                way.name: {
+                    "stage": way.stage.value,
+                    "behind": way.number - way.kept,
+                    "bytes": way.bytes,
+                    "filled": way.filled,
+                }
+                for way in self.ways.values()
+            },
+        }
--- a/kelptrail/copies/place.py
+++ b/kelptrail/copies/place.py
@@ -64,8 +64,10 @@
     every = {m.name: m for m in members}
     first = spread(every.values(), count).get(owner, ())
     hall = every[owner].hall if owner in every else ""
-    rest = sorted((m for m in every.values() if m.name not in first and m.name != owner),
-                  key=lambda m: (m.hall == hall, _rank(owner, m.name)))
+    rest = sorted(
+        (m for m in every.values() if m.name not in first and m.name != owner),
+        key=lambda m: (m.hall == hall, _rank(owner, m.name)),
+    )
     return (*first, *(m.name for m in rest))
 
 
--- a/kelptrail/copies/shelves.py
+++ b/kelptrail/copies/shelves.py
@@ -33,7 +33,8 @@
        wall REAL NOT NULL) WITHOUT ROWID""",
     """CREATE TABLE entries (book TEXT NOT NULL, bucket INTEGER NOT NULL, id TEXT NOT NULL, kind INTEGER NOT NULL,
        since REAL NOT NULL, crc INTEGER NOT NULL, body BLOB NOT NULL, PRIMARY KEY (book, bucket, id, kind))
-       WITHOUT ROWID""")
+       WITHOUT ROWID""",
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -55,8 +56,9 @@
         self.digests: dict[str, list[int]] = {}  # as committed
         self._staged: dict[str, list[int]] = {}
         try:
-            self._db = apsw.Connection(str(file) if file is not None else ":memory:",
-                                       vfs=vfs if file is not None else None)
+            self._db = apsw.Connection(
+                str(file) if file is not None else ":memory:", vfs=vfs if file is not None else None
+            )
             self._db.set_busy_timeout(0)
             self._run("PRAGMA journal_mode=WAL")
             self._run("PRAGMA synchronous=FULL")
@@ -100,8 +102,10 @@
 
     def books(self) -> dict[str, tuple[Token, str]]:
         """Token and owner of each."""
-        return {book: (Token(round_, who), owner)
-                for book, round_, who, owner in self._run("SELECT book, round, who, owner FROM shelves")}
+        return {
+            book: (Token(round_, who), owner)
+            for book, round_, who, owner in self._run("SELECT book, round, who, owner FROM shelves")
+        }
 
     def ids(self) -> set[str]:
         """Activations in any book."""
@@ -125,14 +129,18 @@
         book = work.book
         if work.fence is not None:
             token, owner = work.fence
-            self._run("INSERT OR REPLACE INTO shelves VALUES (?, ?, ?, ?, ?)",
-                      (book, token.round, token.who, owner, work.wall_ms))
+            self._run(
+                "INSERT OR REPLACE INTO shelves VALUES (?, ?, ?, ?, ?)",
+                (book, token.round, token.who, owner, work.wall_ms),
+            )
         found = self._digest(book)
         for item in work.items:
             bucket, crc = bucket_of(item.id), crc32(item.data)
             self._drop(found, book, bucket, "id = ? AND kind = ?", (item.id, item.kind))
-            self._run("INSERT INTO entries VALUES (?, ?, ?, ?, ?, ?, ?)",
-                      (book, bucket, item.id, item.kind, work.wall_ms - item.age_ms - work.waited_ms, crc, item.data))
+            self._run(
+                "INSERT INTO entries VALUES (?, ?, ?, ?, ?, ?, ?)",
+                (book, bucket, item.id, item.kind, work.wall_ms - item.age_ms - work.waited_ms, crc, item.data),
+            )
             found[bucket] ^= digest(item.id, item.kind, crc)
         for id_ in work.drops:
             self._drop(found, book, bucket_of(id_), "id = ?", (id_,))
@@ -151,30 +159,36 @@
             self._staged.pop(book, None)
 
     def _drop(self, found: list[int], book: str, bucket: int, where: str, values: tuple[object, ...]) -> None:
-        for id_, kind, crc in self._run("DELETE FROM entries WHERE book = ? AND bucket = ? AND " + where
-                                        + " RETURNING id, kind, crc", (book, bucket, *values)):
+        for id_, kind, crc in self._run(
+            "DELETE FROM entries WHERE book = ? AND bucket = ? AND " + where + " RETURNING id, kind, crc",
+            (book, bucket, *values),
+        ):
             found[bucket] ^= digest(id_, kind, crc)
 
     def _looked_at(self, book: str, first: int, upto: int) -> list[int]:
         """Digests of some buckets from the rows as they are now."""
         out = [0] * (upto - first)
         for bucket, id_, kind, body in self._db.execute(
-                "SELECT bucket, id, kind, body FROM entries WHERE book = ? AND bucket >= ? AND bucket < ?",
-                (book, first, upto)):
+            "SELECT bucket, id, kind, body FROM entries WHERE book = ? AND bucket >= ? AND bucket < ?",
+            (book, first, upto),
+        ):
             out[bucket - first] ^= digest(id_, kind, crc32(body))
         return out
 
     def _read(self, reading: Reading) -> None:
         if reading.bucket >= 0:
             reading.items = tuple(
-                Item(id_, kind, max(0.0, reading.wall_ms - since), bytes(body)) for id_, kind, since, body in self._run(
+                Item(id_, kind, max(0.0, reading.wall_ms - since), bytes(body))
+                for id_, kind, since, body in self._run(
                     "SELECT id, kind, since, body FROM entries WHERE book = ? AND bucket = ? ORDER BY id, kind",
-                    (reading.book, reading.bucket)))
+                    (reading.book, reading.bucket),
+                )
+            )
             return
         life, shift = cast(Life | None, None), 0.0
         for id_, kind, since, crc, body in self._db.execute(
-                "SELECT id, kind, since, crc, body FROM entries WHERE book = ? ORDER BY bucket, id, kind",
-                (reading.book,)):
+            "SELECT id, kind, since, crc, body FROM entries WHERE book = ? ORDER BY bucket, id, kind", (reading.book,)
+        ):
             try:
                 entry = unpack(bytes(body), crc)
             except DamagedError:
--- a/kelptrail/copies/terms.py
+++ b/kelptrail/copies/terms.py
@@ -163,7 +163,7 @@
 
 def unpack_digests(data: bytes) -> list[int]:
     """As they were."""
-    return [int.from_bytes(data[n:n + DIGEST]) for n in range(0, len(data), DIGEST)]
+    return [int.from_bytes(data[n : n + DIGEST]) for n in range(0, len(data), DIGEST)]
 
 
 def digests_of(items: Iterable[Item]) -> list[int]:
@@ -193,4 +193,3 @@
     most_entry: int = 256 << 10  # bytes of one; a larger result is kept as its outcome alone
     check_ms: float = 1000.0
     check_step: int = 8
-
--- a/kelptrail/copies/watch.py
+++ b/kelptrail/copies/watch.py
@@ -70,10 +70,16 @@
         if now < self._shunned.get(book, (0.0, 0.0))[0]:
             return False
         # An owner that is heard and does not look at its book may have let it go, and nobody else may know.
-        return (owner == self._name or self.since(now, owner) >= self._take_ms
-                or self._quiet(now, book) >= self._take_ms + QUIET_MS)
+        return (
+            owner == self._name
+            or self.since(now, owner) >= self._take_ms
+            or self._quiet(now, book) >= self._take_ms + QUIET_MS
+        )
 
     def is_back(self, now: float, book: str, owner: str) -> bool:
         """Whether its owner is heard again, and looks at it, before anybody else has it."""
-        return (owner != self._name and self.since(now, owner) < self._take_ms / 2
-                and self._quiet(now, book) < self._take_ms)
+        return (
+            owner != self._name
+            and self.since(now, owner) < self._take_ms / 2
+            and self._quiet(now, book) < self._take_ms
+        )
--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -20,9 +20,18 @@
 class Gate:
     """The five rules, enforced where every send, order and final answer passes."""
 
-    def __init__(self, seed: int, parallel: bool, most_sends: int, tip: float, tip_ms: float,
-                 cold_share: float, cold_ms: float, ration: tuple[bool, float, float, float],
-                 connect_ms: float = 0.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        parallel: bool,
+        most_sends: int,
+        tip: float,
+        tip_ms: float,
+        cold_share: float,
+        cold_ms: float,
+        ration: tuple[bool, float, float, float],
+        connect_ms: float = 0.0,
+    ) -> None:
         self._seed, self._parallel, self._most_sends = seed, parallel, most_sends
         self._tip, self._tip_ms, self._cold_share, self._cold_ms = tip, tip_ms, cold_share, cold_ms
         self._loads, self._free, self._share, self._span = ration  # any orders; free ones, a share, a time
@@ -57,8 +66,10 @@
 
     def shuts(self, act: Activation) -> float:
         """When another run has a second effect, where the group that drops repeats is kept to."""
-        if act.type.effect is Effect.REPEATABLE or (
-                first := next((send for send in act.sends if send.may_have_run), None)) is None:
+        if (
+            act.type.effect is Effect.REPEATABLE
+            or (first := next((send for send in act.sends if send.may_have_run), None)) is None
+        ):
             return float("inf")
         return first.sent + act.type.remembered_ms - 20 if act.type.effect is Effect.DEDUPLICATED else 0.0
 
@@ -81,7 +92,8 @@
             return sum(at > now - span for at in sent) < budget
         turn = (now - (worker.started or 0.0)) / span + crc32(f"{self._seed} {worker.id}".encode()) / 2**32
         return not (sent and sent[-1] >= now - turn % 1 * span) and (
-            crc32(f"{self._seed} {worker.id} {int(turn)}".encode()) < 0.8 * budget * 2**32)  # two spans meet
+            crc32(f"{self._seed} {worker.id} {int(turn)}".encode()) < 0.8 * budget * 2**32
+        )  # two spans meet
 
     def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         if not self.may_send(now, act, copy.worker):
@@ -131,8 +143,10 @@
     def usable(self, now: float, worker: Worker, type_: Type, effect: Effect | None = None) -> bool:
         """A worker whose bar has run out is tried with one send at a time, of what may run again."""
         for view in (worker.whole, worker.views[type_]):
-            if now < view.barred_until or (view.bar_ms and (
-                    effect is Effect.ONCE_ONLY or any(s.sent >= view.barred_until for s in worker.sends))):
+            if now < view.barred_until or (
+                view.bar_ms
+                and (effect is Effect.ONCE_ONLY or any(s.sent >= view.barred_until for s in worker.sends))
+            ):
                 return False
         return worker.live
 
@@ -163,8 +177,11 @@
 
     def overdue(self, now: float, worker: Worker) -> list[Send]:
         """All there, if the silence is unusual for the worker's gaps; else one by one: answers get lost."""
-        usual = {s: s.act.function.usual_ms or s.act.type.target_ms for s in worker.sends
-                 if not s.lost and not s.act.bound}
+        usual = {
+            s: s.act.function.usual_ms or s.act.type.target_ms
+            for s in worker.sends
+            if not s.lost and not s.act.bound
+        }
         if not (late := [send for send, ms in usual.items() if now - send.sent > 4 * ms]):
             return late
         silence = now - max(worker.quiet_since, worker.whole.barred_until)
@@ -242,8 +259,12 @@
             worker = copy.worker
             if copy.sends >= copy.standing * act.function.lanes or len(worker.sends) >= worker.window * part:
                 continue
-            if worker in tried or now < copy.barred_until or not self._gate.may_send(now, act, worker) or (
-                    not self._health.usable(now, worker, act.type, act.type.effect)):
+            if (
+                worker in tried
+                or now < copy.barred_until
+                or not self._gate.may_send(now, act, worker)
+                or (not self._health.usable(now, worker, act.type, act.type.effect))
+            ):
                 continue
             load = self.load(now, worker, act.type) + 0.5 * (worker.zone != self._zone)
             if best is None or load < best_load:
@@ -263,8 +284,11 @@
         first = crc32(f"{self._seed} {self._draws}".encode()) % spread
         for worker in function.homes:
             copy = function.copies.get(worker)
-            if (copy and now < copy.barred_until) or len(worker.sends) >= max(2, worker.window / 2) or not (
-                    self._health.usable(now, worker, function.type) and self._gate.spare(now, worker)):
+            if (
+                (copy and now < copy.barred_until)
+                or len(worker.sends) >= max(2, worker.window / 2)
+                or not (self._health.usable(now, worker, function.type) and self._gate.spare(now, worker))
+            ):
                 continue
             load = self.load(now, worker, function.type) if worker.gap else self._mean
             held = bool(copy and (copy.standing or copy.order))
@@ -372,9 +396,18 @@
 
     beat_ms = 100.0
 
-    def __init__(self, gate: Gate, health: Health, placement: Placement, copies: Copies, queues: Queues,
-                 agenda: Agenda, cancels: bool, longest_return_ms: float,
-                 attempts: Attempts | None = None) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        health: Health,
+        placement: Placement,
+        copies: Copies,
+        queues: Queues,
+        agenda: Agenda,
+        cancels: bool,
+        longest_return_ms: float,
+        attempts: Attempts | None = None,
+    ) -> None:
         self._gate, self._health, self._placement = gate, health, placement
         self._attempts, self._parked = attempts or Attempts(), deque[Send]()
         self._copies, self._queues, self.agenda, self.workers = copies, queues, agenda, list[Worker]()
@@ -414,8 +447,17 @@
         self.agenda.add(deadline - 5, act)
         self._revoke(act, send)
 
-    def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool,
-                 warm: bool | None, company: int, report: dict[str, float] | None) -> None:
+    def answered(
+        self,
+        now: float,
+        send: Send,
+        outcome: Outcome,
+        over: bool,
+        load_failed: bool,
+        warm: bool | None,
+        company: int,
+        report: dict[str, float] | None,
+    ) -> None:
         """How a send ended; `company`: others of the function there; `warm`: None where it is not told."""
         send.outcome = outcome
         act, copy, worker, function = send.act, send.copy, send.copy.worker, send.copy.function
@@ -531,8 +573,12 @@
         for _ in range(min(16, len(self._ahead))):  # CPU: a plan of thousands is looked over in turns
             copy, worker = self._ahead[0], self._ahead[0].worker
             self._ahead.rotate(-1)
-            if copy.standing >= copy.wanted or copy.order or copy.function not in self._known or (
-                    now < max(copy.barred_until, worker.crammed_until)):
+            if (
+                copy.standing >= copy.wanted
+                or copy.order
+                or copy.function not in self._known
+                or (now < max(copy.barred_until, worker.crammed_until))
+            ):
                 continue
             if self._gate.warmth(now, worker) < 1 or not self._health.usable(now, worker, copy.function.type):
                 continue
@@ -588,7 +634,8 @@
 
     def _serve(self, now: float, function: Function) -> Decision | None:
         if not (function.arrivals or function.lag) and (
-                function.spread < 2 or now < function.looked + function.load_ms):
+            function.spread < 2 or now < function.looked + function.load_ms
+        ):
             function.lag_since = None  # CPU: most answers leave nothing to decide
             return None
         held = loading = count = homes = 0  # lanes held or loading; copies that stand or load, and where
@@ -637,8 +684,11 @@
 
     def _grow(self, now: float, function: Function, count: int) -> Decision | None:
         worker, room = self._planned_host(now, function) or self._placement.host(now, function, self.workers)
-        if worker is None or count >= self._queues.limit(now, function, room) or (
-                (copy := self._copies.at(function, worker)).order):
+        if (
+            worker is None
+            or count >= self._queues.limit(now, function, room)
+            or ((copy := self._copies.at(function, worker)).order)
+        ):
             return None
         new = bool(function.lag and not copy.standing and (function.stood or not function.refused))
         new = new and now >= copy.missed + function.load_ms
@@ -666,9 +716,12 @@
         """Where a plan has places left.  Guards against every dispatcher loading its own after a release."""
         if function.planned:
             for copy in function.copies.values():
-                if copy.standing < copy.wanted and not copy.order and now >= max(
-                        copy.barred_until, copy.worker.crammed_until) and (
-                        self._health.usable(now, copy.worker, function.type)):
+                if (
+                    copy.standing < copy.wanted
+                    and not copy.order
+                    and now >= max(copy.barred_until, copy.worker.crammed_until)
+                    and (self._health.usable(now, copy.worker, function.type))
+                ):
                     return copy.worker, True
         return None
 
@@ -691,9 +744,15 @@
     def _hedge(self, now: float, first: Send) -> Send | None:
         """A second send beside one that is out unusually long: only to a free lane, so it adds no lag."""
         act = first.act
-        if first.outcome or first.lost or act.queued or act.function.lag or not self._gate.open(now, act) or (
-                now >= self._queues.last(act) or (copy := self._placement.lane(now, act, True)) is None) or (
-                not self._attempts.spend()):
+        if (
+            first.outcome
+            or first.lost
+            or act.queued
+            or act.function.lag
+            or not self._gate.open(now, act)
+            or (now >= self._queues.last(act) or (copy := self._placement.lane(now, act, True)) is None)
+            or (not self._attempts.spend())
+        ):
             return None
         act.queued = True
         act.function.waiting.append(act)
