--- a/kelptrail/drill/instance.py
+++ b/kelptrail/drill/instance.py
@@ -41,10 +41,18 @@
 
     def taken(self, now: float, e: Fields) -> None:
         host, hint = self._host, e["cost_guess_us"]
-        host.taken(now, e["handle"], host.types[e["class"]],
-                   host.customers[e["project"] or 0] if host.customers else None, e["fn"],
-                   e["grace_us"] / 1000, e["memory_mb"], int(e["parallel"]), e["load_time_ms"],
-                   None if hint is None else hint / 1000)
+        host.taken(
+            now,
+            e["handle"],
+            host.types[e["class"]],
+            host.customers[e["project"] or 0] if host.customers else None,
+            e["fn"],
+            e["grace_us"] / 1000,
+            e["memory_mb"],
+            int(e["parallel"]),
+            e["load_time_ms"],
+            None if hint is None else hint / 1000,
+        )
 
     def answered(self, now: float, e: Fields) -> None:
         act = self._host.acts.get(e["handle"])
@@ -54,8 +62,9 @@
         if send.outcome is not None:
             return
         note = e["remark"] or 0
-        self._host.answered(now, send, OUTCOMES[e["ending"]], e["done_flag"], note % 8 == 4, note % 8 == 1,
-                            note // 8, e["stats"])
+        self._host.answered(
+            now, send, OUTCOMES[e["ending"]], e["done_flag"], note % 8 == 4, note % 8 == 1, note // 8, e["stats"]
+        )
 
     def left(self, now: float, e: Fields) -> None:
         act = self._host.acts.get(e["handle"])
@@ -79,10 +88,22 @@
             return
         if entries is None:
             raise MalformedError(f"Membership names a table that never came: {e['table']}")
-        self._host.listed(now, e["how"] != "D", [
-            Entry(entry["runner"], entry["az"], entry["shape"], entry["stripe"], STATES[entry["readiness"]],
-                  entry["capacity_hint"], entry["last_start_us"] / 1000 if entry["last_start_us"] else None)
-            for entry in entries])
+        self._host.listed(
+            now,
+            e["how"] != "D",
+            [
+                Entry(
+                    entry["runner"],
+                    entry["az"],
+                    entry["shape"],
+                    entry["stripe"],
+                    STATES[entry["readiness"]],
+                    entry["capacity_hint"],
+                    entry["last_start_us"] / 1000 if entry["last_start_us"] else None,
+                )
+                for entry in entries
+            ],
+        )
 
     def timer(self, now: float, e: Fields) -> None:
         if e["token"] == BEAT:
--- a/kelptrail/front/callers.py
+++ b/kelptrail/front/callers.py
@@ -31,8 +31,10 @@
 
     def __init__(self, deployment: Deployment) -> None:
         self._by_uuid = {n.uuid.lower(): n for n in deployment.namespaces.values()}
-        self._digests = {n.name: [h.digest.lower().encode() for h in n.key_hash]
-                         + ([digest(n.key).encode()] if n.key else []) for n in deployment.namespaces.values()}
+        self._digests = {
+            n.name: [h.digest.lower().encode() for h in n.key_hash] + ([digest(n.key).encode()] if n.key else [])
+            for n in deployment.namespaces.values()
+        }
         self._by_certificate = {c.name: n for n in deployment.namespaces.values() for c in n.certificate}
         self._known: dict[str, NamespaceSettings] = {}
 
--- a/kelptrail/front/inference/api.py
+++ b/kelptrail/front/inference/api.py
@@ -42,6 +42,7 @@
     "once-only": "it may have run; a repeat may have a second effect",
 }
 
+
 class _Result(msgspec.Struct):
     outputs: list[JsonTensor] = []
     parameters: dict[str, str | int | float | bool] = {}
@@ -173,14 +174,34 @@
                 waits.join(known, deferred)
                 return
         if deferred and self._deployment.most_promised and len(payload) > self._deployment.most_promised:
-            raise GrpcError(Code.RESOURCE_EXHAUSTED, f"A deferred call's tensors take at most "
-                            f"{self._deployment.most_promised} bytes here: they are held by others.")
+            raise GrpcError(
+                Code.RESOURCE_EXHAUSTED,
+                f"A deferred call's tensors take at most "
+                f"{self._deployment.most_promised} bytes here: they are held by others.",
+            )
         if deferred and not gateway.promises():
-            raise GrpcError(Code.UNAVAILABLE, "Deferred calls cannot be kept safe at the moment; the call was not "
-                            "taken.", 1000.0, "NOT_TAKEN")
+            raise GrpcError(
+                Code.UNAVAILABLE,
+                "Deferred calls cannot be kept safe at the moment; the call was not taken.",
+                1000.0,
+                "NOT_TAKEN",
+            )
         who = self.admit(caller, action, payload, key)
-        ivk = gateway.take(now_ms(), wall_ms(), caller.name, action, payload, key, self._trace(stream), waits.ended,
-                           deferred, digest, float("inf") if deferred else limit, "tensors", who=who)
+        ivk = gateway.take(
+            now_ms(),
+            wall_ms(),
+            caller.name,
+            action,
+            payload,
+            key,
+            self._trace(stream),
+            waits.ended,
+            deferred,
+            digest,
+            float("inf") if deferred else limit,
+            "tensors",
+            who=who,
+        )
         if deferred:
             self._driver.stir_soon(lambda: waits.promise(ivk))
             return
@@ -191,8 +212,9 @@
         """Refuse what is beyond a bound, or comes while the dispatcher closes, before anything is done for it.
         Returns by what its client's coming again is known."""
         if self.leaving:
-            raise GrpcError(Code.UNAVAILABLE, "This dispatcher is closing; the call was not taken.", 1000.0,
-                            "NOT_TAKEN")
+            raise GrpcError(
+                Code.UNAVAILABLE, "This dispatcher is closing; the call was not taken.", 1000.0, "NOT_TAKEN"
+            )
         who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
         refused = self._driver.gateway.door(now_ms(), caller.name, action.path, len(payload), who)
         if refused is not None:
@@ -207,8 +229,12 @@
         self._calls += 1
         span = f"{self._calls & (1 << 64) - 1:016x}"
         parts = stream.metadata.get("traceparent", "").strip().lower().split("-")
-        if (len(parts) == 4 and [len(p) for p in parts] == [2, 32, 16, 2] and parts[1] != "0" * 32
-                and all(c in "0123456789abcdef" for p in parts for c in p)):
+        if (
+            len(parts) == 4
+            and [len(p) for p in parts] == [2, 32, 16, 2]
+            and parts[1] != "0" * 32
+            and all(c in "0123456789abcdef" for p in parts for c in p)
+        ):
             return f"00-{parts[1]}-{span}-{parts[3]}"
         return f"00-{self._trace_salt}{span}-{span}-00"
 
@@ -230,8 +256,11 @@
         if key is not None and (not isinstance(key, str) or not 0 < len(key) <= 255):
             raise GrpcError(Code.INVALID_ARGUMENT, "parameter 'idempotency_key' is a text of 1 to 255 characters")
         outputs = [{"name": out.name} for out in request.outputs]
-        kept = Payload(msgspec.Raw(msgspec.json.encode(inputs)), msgspec.Raw(msgspec.json.encode(outputs)),
-                       {name: value for name, value in given.items() if name not in OURS})
+        kept = Payload(
+            msgspec.Raw(msgspec.json.encode(inputs)),
+            msgspec.Raw(msgspec.json.encode(outputs)),
+            {name: value for name, value in given.items() if name not in OURS},
+        )
         payload = msgspec.json.encode(kept)
         if len(payload) > self._front.message_bytes * 4:
             raise GrpcError(Code.RESOURCE_EXHAUSTED, "the tensors take too much room")
@@ -246,8 +275,12 @@
         if record is None:
             peer = gateway.members.asked_at(id_)
             told = {"asked_at": peer.address} if peer is not None else {}
-            raise GrpcError(Code.NOT_FOUND, "This dispatcher does not know the activation; whoever gave the id may.",
-                            reason="ELSEWHERE" if peer is not None else "UNKNOWN_ID", told=told)
+            raise GrpcError(
+                Code.NOT_FOUND,
+                "This dispatcher does not know the activation; whoever gave the id may.",
+                reason="ELSEWHERE" if peer is not None else "UNKNOWN_ID",
+                told=told,
+            )
         if isinstance(wait, bool) or not isinstance(wait, int | float) or wait < 0:
             raise GrpcError(Code.INVALID_ARGUMENT, "parameter 'wait_ms' is a number of milliseconds")
         waits = _Unary(self, stream, request.id, False)
@@ -265,17 +298,34 @@
         if stream.ended:
             return
         if at:
-            stream.fail(GrpcError(Code.NOT_FOUND, "Another dispatcher has the activation now.", reason="ELSEWHERE",
-                                  told={"asked_at": at}))
+            stream.fail(
+                GrpcError(
+                    Code.NOT_FOUND,
+                    "Another dispatcher has the activation now.",
+                    reason="ELSEWHERE",
+                    told={"asked_at": at},
+                )
+            )
         elif at is None:
-            stream.fail(GrpcError(Code.NOT_FOUND, "No dispatcher knows the activation: it never was, or is no longer "
-                                  "kept, or all that held it are lost.", reason="UNKNOWN_ID"))
+            stream.fail(
+                GrpcError(
+                    Code.NOT_FOUND,
+                    "No dispatcher knows the activation: it never was, or is no longer "
+                    "kept, or all that held it are lost.",
+                    reason="UNKNOWN_ID",
+                )
+            )
         else:
-            stream.fail(GrpcError(Code.UNAVAILABLE, "The activation is not known yet: whoever may have it is being "
-                                  "taken over, or cannot be heard.", 1000.0, "NOT_YET"))
-
-    def response(self, record: Record, id_: str, raw: bool, result: bytes,
-                 **more: str | int | float | bool) -> Any:
+            stream.fail(
+                GrpcError(
+                    Code.UNAVAILABLE,
+                    "The activation is not known yet: whoever may have it is being taken over, or cannot be heard.",
+                    1000.0,
+                    "NOT_YET",
+                )
+            )
+
+    def response(self, record: Record, id_: str, raw: bool, result: bytes, **more: str | int | float | bool) -> Any:
         """A record's result, or a part of one, as a response.  Raises `GrpcError` where a worker's tensors are none."""
         out = pb.ModelInferResponse(model_name=record.path, model_version="1", id=id_)
         parameters: dict[str, Any] = {"activation_id": record.id} | more
@@ -292,8 +342,12 @@
             elif result != b"{}" or not more.get("final_response"):
                 out.outputs.add(name="result", datatype="BYTES", shape=[1]).contents.bytes_contents.append(result)
         except (TensorError, msgspec.MsgspecError) as cause:
-            raise GrpcError(Code.INTERNAL, f"the model's answer is none: {cause}", reason="MODEL_ANSWER",
-                            told={"activation": record.id}) from None
+            raise GrpcError(
+                Code.INTERNAL,
+                f"the model's answer is none: {cause}",
+                reason="MODEL_ANSWER",
+                told={"activation": record.id},
+            ) from None
         write_scalars(out.parameters, parameters)
         return out
 
@@ -303,14 +357,24 @@
         if record.answer == "rejected":
             if record.repeat_within_ms:
                 told["repeat_within_ms"] = str(round(record.repeat_within_ms))
-            return GrpcError(Code.RESOURCE_EXHAUSTED, "The call was rejected before it had any effect that a repeat "
-                             "would double; try again later.", record.return_ms, "REJECTED", told)
+            return GrpcError(
+                Code.RESOURCE_EXHAUSTED,
+                "The call was rejected before it had any effect that a repeat would double; try again later.",
+                record.return_ms,
+                "REJECTED",
+                told,
+            )
         if record.answer == "aborted":
             text = msgspec.json.decode(record.result).get("error", "aborted")
             ran = record.sends > 0
             told["retrying"] = RISK[record.effect] if ran else "nothing of it ran"
-            return GrpcError(Code.DEADLINE_EXCEEDED if record.timed_out else Code.ABORTED, text, None,
-                             "MAY_HAVE_RUN" if ran else "NEVER_RAN", told)
+            return GrpcError(
+                Code.DEADLINE_EXCEEDED if record.timed_out else Code.ABORTED,
+                text,
+                None,
+                "MAY_HAVE_RUN" if ran else "NEVER_RAN",
+                told,
+            )
         text = record.result[:500].decode("utf-8", "replace")
         return GrpcError(Code.UNKNOWN, f"The model failed: {text}", None, "MODEL_FAILED", told)
 
@@ -337,11 +401,13 @@
 
         stream.on_gone = gone
         if stream.deadline is not None:
+
             def late() -> None:
                 gateway.part(ivk.record, self.ended)
                 stream.on_gone = _nothing
                 told = {"activation": ivk.record.id, "retrying": RISK[ivk.record.effect]}
                 stream.finish(Code.DEADLINE_EXCEEDED, "The client's deadline has come.", None, "MAY_HAVE_RUN", told)
+
             self._timer = self._api._loop.call_later(max(0.0, stream.deadline - now_ms()) / 1000, late)
 
     def _cancel(self) -> None:
@@ -365,8 +431,9 @@
 
         def late() -> None:
             gateway.part(ivk.record, self.ended)
-            self._stream.fail(GrpcError(Code.UNAVAILABLE, "The activation is in hand and has no result yet.", 1000.0,
-                                        "IN_HAND"))
+            self._stream.fail(
+                GrpcError(Code.UNAVAILABLE, "The activation is in hand and has no result yet.", 1000.0, "IN_HAND")
+            )
 
         def gone() -> None:
             self._cancel()
@@ -384,19 +451,26 @@
             self._api._driver.gateway.promise(ivk, lambda safe: self._promised(ivk, safe))
             self._api._driver.pump()
             if self._api.copies is not None:  # as on the first front
-                self._timer = self._api._loop.call_later(UNSURE * ivk.record.timeout_ms / 1000, self._promised, ivk,
-                                                         None)
+                self._timer = self._api._loop.call_later(
+                    UNSURE * ivk.record.timeout_ms / 1000, self._promised, ivk, None
+                )
 
     def _promised(self, ivk: Ivk, safe: bool | None) -> None:
         if safe:
             self.deferred(ivk.record)
         elif safe is None:
             if not self._stream.ended:
-                self._stream.fail(GrpcError(Code.UNKNOWN, "Another dispatcher has taken over; whether it has this call "
-                                            f"is not known here.  Ask for {ivk.record.id} before a repeat."))
+                self._stream.fail(
+                    GrpcError(
+                        Code.UNKNOWN,
+                        "Another dispatcher has taken over; whether it has this call "
+                        f"is not known here.  Ask for {ivk.record.id} before a repeat.",
+                    )
+                )
         elif not self._stream.ended:
-            self._stream.fail(GrpcError(Code.UNAVAILABLE, "The call could not be kept safe and was not taken.", 1000.0,
-                                        "NOT_TAKEN"))
+            self._stream.fail(
+                GrpcError(Code.UNAVAILABLE, "The call could not be kept safe and was not taken.", 1000.0, "NOT_TAKEN")
+            )
             self._api._driver.gateway.left(now_ms(), ivk)
             self._api._driver.stir_soon()
 
@@ -447,8 +521,9 @@
             raise GrpcError(Code.INVALID_ARGUMENT, f"no ModelInferRequest: {cause}") from None
         try:
             if len(self._out) >= api._front.stream_requests:
-                raise GrpcError(Code.RESOURCE_EXHAUSTED, "Too many requests are under way in this stream.", 1000.0,
-                                "NOT_TAKEN")
+                raise GrpcError(
+                    Code.RESOURCE_EXHAUSTED, "Too many requests are under way in this stream.", 1000.0, "NOT_TAKEN"
+                )
             given = scalars(request.parameters)
             if given.keys() & OURS:
                 raise GrpcError(Code.INVALID_ARGUMENT, "a streamed request is neither deferred, polled nor marked")
@@ -459,8 +534,22 @@
             return
         # Until its first part it has its type's time, then the time of a stream.
         limit = api._limit(self._stream)
-        ivk = api._driver.gateway.take(now_ms(), wall_ms(), self._caller.name, action, payload, None,
-                                       api._trace(self._stream), None, False, "", limit, "tensors", True, who)
+        ivk = api._driver.gateway.take(
+            now_ms(),
+            wall_ms(),
+            self._caller.name,
+            action,
+            payload,
+            None,
+            api._trace(self._stream),
+            None,
+            False,
+            "",
+            limit,
+            "tensors",
+            True,
+            who,
+        )
         ivk.stream_limit_ms = limit
         ivk.on_part = lambda part: self._part(ivk, part)
         ivk.waiters.append(lambda record: self._final(ivk, record))
@@ -512,8 +601,11 @@
         if activation:
             more["activation_id"] = activation
         write_scalars(out.parameters, more | dict(cause.told))
-        self._stream.send(pb.ModelStreamInferResponse(error_message=f"{cause.code.name}: {cause.text}",
-                                                      infer_response=out).SerializeToString())
+        self._stream.send(
+            pb.ModelStreamInferResponse(
+                error_message=f"{cause.code.name}: {cause.text}", infer_response=out
+            ).SerializeToString()
+        )
 
     def _ended(self) -> None:
         self._client_ended = True
@@ -541,8 +633,13 @@
         self._leave()
 
     def _late(self) -> None:
-        self._stream.finish(Code.DEADLINE_EXCEEDED, "The client's deadline has come.", None, "MAY_HAVE_RUN",
-                            {"under_way": str(len(self._out))})
+        self._stream.finish(
+            Code.DEADLINE_EXCEEDED,
+            "The client's deadline has come.",
+            None,
+            "MAY_HAVE_RUN",
+            {"under_way": str(len(self._out))},
+        )
         self._leave()
 
 
--- a/kelptrail/front/invoke/api.py
+++ b/kelptrail/front/invoke/api.py
@@ -96,8 +96,16 @@
             raise ApiError(404, "The requested resource does not exist.")
         if len(parts) == 2:
             self._only(request, "GET")
-            exchange.reply(200, views.encode({"description": "kelptrail invoke API", "api_version": "1.0.0",
-                                              "api_paths": ["/namespaces", "/actions", "/activations"]}))
+            exchange.reply(
+                200,
+                views.encode(
+                    {
+                        "description": "kelptrail invoke API",
+                        "api_version": "1.0.0",
+                        "api_paths": ["/namespaces", "/actions", "/activations"],
+                    }
+                ),
+            )
             return
         caller = self._caller(request, exchange)
         if parts[2] != "namespaces":
@@ -119,8 +127,7 @@
     @staticmethod
     def _only(request: Request, *methods: str) -> None:
         if request.method not in methods:
-            raise ApiError(405, f"Only {' and '.join(methods)} can be used here.",
-                           {"allow": ", ".join(methods)})
+            raise ApiError(405, f"Only {' and '.join(methods)} can be used here.", {"allow": ", ".join(methods)})
 
     def _caller(self, request: Request, exchange: Exchange) -> NamespaceSettings:
         """Who calls, by basic authentication (RFC 7617) with `uuid:key`."""
@@ -129,19 +136,19 @@
         if found is None and not header and exchange.identity:  # named by its certificate
             found = self._deployment.namespaces.get(exchange.identity)
         if found is None:
-            raise ApiError(401, "The supplied authentication is invalid.",
-                           {"www-authenticate": 'Basic realm="kelptrail"'})
+            raise ApiError(
+                401, "The supplied authentication is invalid.", {"www-authenticate": 'Basic realm="kelptrail"'}
+            )
         return found
 
     # Actions.
 
-    def _actions(self, request: Request, exchange: Exchange, caller: NamespaceSettings,
-                 rest: list[str]) -> None:
+    def _actions(self, request: Request, exchange: Exchange, caller: NamespaceSettings, rest: list[str]) -> None:
         if not rest or rest == [""]:
             self._only(request, "GET")
             limit, skip = self._page(request)
             found = [views.action(self._deployment, caller.name, a) for a in self._deployment.actions.values()]
-            exchange.reply(200, views.encode(found[skip:skip + limit]))
+            exchange.reply(200, views.encode(found[skip : skip + limit]))
             return
         self._only(request, "GET", "POST")
         path = "/".join(rest).removeprefix("default/")
@@ -160,26 +167,34 @@
             self._routes[request.method, request.target] = route
         self._invoke(request, exchange, caller, route)
 
-    def _key_looked_for(self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route,
-                        at: str | None) -> None:
+    def _key_looked_for(
+        self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route, at: str | None
+    ) -> None:
         """What others said of a client's key that is not known here."""
         code = f"{self._boot[:8]}{self._requests:x}"
         if exchange.replied or exchange.gone:
             return
         if at:
-            exchange.reply(307, views.error(f"The call under this key is at {at} now; ask there.", code),
-                           {"location": f"http://{at}{request.target}"})
+            exchange.reply(
+                307,
+                views.error(f"The call under this key is at {at} now; ask there.", code),
+                {"location": f"http://{at}{request.target}"},
+            )
         elif at is None:
             try:
                 self._invoke(request, exchange, caller, route, False)
             except ApiError as cause:
                 exchange.reply(cause.status, views.error(str(cause), code, **cause.more), cause.headers)
         else:
-            exchange.reply(503, views.error("Whether a call under this key was taken is not known yet; nothing was "
-                                            "done.", code), {"retry-after": "1"})
-
-    def _invoke(self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route,
-                first: bool = True) -> None:
+            exchange.reply(
+                503,
+                views.error("Whether a call under this key was taken is not known yet; nothing was done.", code),
+                {"retry-after": "1"},
+            )
+
+    def _invoke(
+        self, request: Request, exchange: Exchange, caller: NamespaceSettings, route: _Route, first: bool = True
+    ) -> None:
         action, blocking = route.action, route.blocking
         if self.leaving:
             raise ApiError(503, "This dispatcher is closing; the call was not taken.", {"retry-after": "1"})
@@ -206,43 +221,62 @@
         if not blocking and self._most_promised and len(payload) > self._most_promised:
             raise ApiError(413, f"A deferred call's body has at most {self._most_promised} bytes here: others hold it.")
         if not blocking and not gateway.promises():
-            raise ApiError(503, "Deferred calls cannot be kept safe at the moment; the call was not taken.",
-                           {"retry-after": "1"})
+            raise ApiError(
+                503, "Deferred calls cannot be kept safe at the moment; the call was not taken.", {"retry-after": "1"}
+            )
         if key is not None and not blocking and self.copies is not None and first:
             # The same key may have been promised elsewhere, by one that is lost.
-            self.copies.find(f"key:{caller.name}/{action.path}/{key}", partial(
-                self._key_looked_for, request, exchange, caller, route))
+            self.copies.find(
+                f"key:{caller.name}/{action.path}/{key}",
+                partial(self._key_looked_for, request, exchange, caller, route),
+            )
             return
         who = key or f"{zlib.crc32(payload):08x}{len(payload):x}"
         if (refused := gateway.door(now_ms(), caller.name, action.path, len(payload), who)) is not None:
             reason, back = refused
-            raise ApiError(429, WORDS[reason], {"retry-after": str(max(1, math.ceil(back / 1000)))}, answer="rejected",
-                           retry_after_ms=round(back, 3))
+            raise ApiError(
+                429,
+                WORDS[reason],
+                {"retry-after": str(max(1, math.ceil(back / 1000)))},
+                answer="rejected",
+                retry_after_ms=round(back, 3),
+            )
         if flows:
             self._flow(exchange, caller, action, payload, trace, route.bare, who)
             return
         wait = _Wait(self, exchange, route.bare)
-        ivk = gateway.take(now_ms(), wall_ms(), caller.name, action, payload, key, trace, wait.ended, not blocking,
-                           digest, who=who)
+        ivk = gateway.take(
+            now_ms(), wall_ms(), caller.name, action, payload, key, trace, wait.ended, not blocking, digest, who=who
+        )
         if blocking:
             exchange.on_gone = lambda: self._left(ivk, wait)
             wait.blocking(ivk, route.wait_ms)
         # A deferred call that is refused at once is answered 429, not 202: so decide first.
         self._driver.stir_soon(None if blocking else lambda: wait.promise(ivk))
 
-    def _flow(self, exchange: Exchange, caller: NamespaceSettings, action: ActionSettings, payload: bytes, trace: str,
-              bare: bool, who: str) -> None:
+    def _flow(
+        self,
+        exchange: Exchange,
+        caller: NamespaceSettings,
+        action: ActionSettings,
+        payload: bytes,
+        trace: str,
+        bare: bool,
+        who: str,
+    ) -> None:
         """A streamed answer as server-sent events: `part`s, then one `final` with the record."""
         driver = self._driver
-        ivk = driver.gateway.take(now_ms(), wall_ms(), caller.name, action, payload, None, trace, streamed=True,
-                                  who=who)
+        ivk = driver.gateway.take(
+            now_ms(), wall_ms(), caller.name, action, payload, None, trace, streamed=True, who=who
+        )
         held = False
 
         def part(data: bytes) -> None:
             nonlocal held
             if not exchange.replied:
-                exchange.begin(200, {"x-openwhisk-activation-id": ivk.record.id, "cache-control": "no-store"},
-                               EVENT_STREAM)
+                exchange.begin(
+                    200, {"x-openwhisk-activation-id": ivk.record.id, "cache-control": "no-store"}, EVENT_STREAM
+                )
             exchange.piece(encode_event(data, "part"))
             if not exchange.room and not held:  # a slow reader holds its worker back
                 held = True
@@ -304,9 +338,12 @@
             told = views.answer(record)
             if record.return_ms > 0:
                 headers["retry-after"] = str(max(1, math.ceil(record.return_ms / 1000)))
-            body = views.error("The call was rejected before it had any effect that a repeat would double; "
-                               "try again later.", f"{self._boot[:8]}{self._requests:x}",
-                               activationId=record.id, **told)
+            body = views.error(
+                "The call was rejected before it had any effect that a repeat would double; try again later.",
+                f"{self._boot[:8]}{self._requests:x}",
+                activationId=record.id,
+                **told,
+            )
             exchange.reply(429, body, headers)
             return
         status = 200 if record.code == 0 else 502
@@ -317,8 +354,7 @@
 
     # Activations.
 
-    def _activations(self, request: Request, exchange: Exchange, caller: NamespaceSettings,
-                     rest: list[str]) -> None:
+    def _activations(self, request: Request, exchange: Exchange, caller: NamespaceSettings, rest: list[str]) -> None:
         self._only(request, "GET", *(("DELETE",) if len(rest) == 1 and rest[0] else ()))
         records = self._driver.gateway.records
         query = request.query
@@ -365,15 +401,30 @@
             if exchange.replied or exchange.gone:
                 return
             if at:
-                exchange.reply(307, views.error(f"The activation is at {at} now; ask there.", code),
-                               {"location": f"http://{at}{request.target}"})
+                exchange.reply(
+                    307,
+                    views.error(f"The activation is at {at} now; ask there.", code),
+                    {"location": f"http://{at}{request.target}"},
+                )
             elif at is None:
-                exchange.reply(404, views.error("No dispatcher knows the activation: it never was, or is no longer "
-                                                "kept, or all that held it are lost.", code))
+                exchange.reply(
+                    404,
+                    views.error(
+                        "No dispatcher knows the activation: it never was, or is no longer "
+                        "kept, or all that held it are lost.",
+                        code,
+                    ),
+                )
             else:
-                exchange.reply(404, views.error("The activation is not known yet: whoever may have it is being taken "
-                                                "over, or cannot be heard.", code, known="not-yet"),
-                               {"retry-after": "1"})
+                exchange.reply(
+                    404,
+                    views.error(
+                        "The activation is not known yet: whoever may have it is being taken over, or cannot be heard.",
+                        code,
+                        known="not-yet",
+                    ),
+                    {"retry-after": "1"},
+                )
 
         assert self.copies is not None
         self.copies.find(id_, found)
@@ -385,8 +436,11 @@
         peer = self._driver.gateway.members.asked_at(id_)
         if peer is None:
             return ApiError(404, "This dispatcher does not know the activation; whoever gave the id may.")
-        return ApiError(307, f"The activation was given by {peer.name}; ask there.",
-                        {"location": f"http://{peer.address}{request.target}"})
+        return ApiError(
+            307,
+            f"The activation was given by {peer.name}; ask there.",
+            {"location": f"http://{peer.address}{request.target}"},
+        )
 
     def _long_poll(self, exchange: Exchange, ivk: Ivk, wait_ms: float, shown: Callable[[Record], Any]) -> None:
         """Answer when the final answer is there, at the latest after `wait_ms`."""
@@ -459,8 +513,9 @@
             self._api._driver.pump()
             if self._api.copies is not None and not self._exchange.replied:
                 # Nothing can be safe while no majority of voters is heard: its client hears so before it gives up.
-                self._timer = self._api._loop.call_later(UNSURE * ivk.record.timeout_ms / 1000, self._taken_over,
-                                                         ivk.record, 0)
+                self._timer = self._api._loop.call_later(
+                    UNSURE * ivk.record.timeout_ms / 1000, self._taken_over, ivk.record, 0
+                )
 
     def _promised(self, ivk: Ivk, safe: bool | None) -> None:
         if safe:
@@ -468,8 +523,9 @@
         elif safe is None:
             self._taken_over(ivk.record, LOOKS)
         elif not self._exchange.replied:
-            self._exchange.reply(503, views.error("The call could not be kept safe and was not taken.", "journal"),
-                                 {"retry-after": "1"})
+            self._exchange.reply(
+                503, views.error("The call could not be kept safe and was not taken.", "journal"), {"retry-after": "1"}
+            )
             self._api.cannot_promise(ivk)
 
     def _taken_over(self, record: Record, looks: int) -> None:
@@ -486,8 +542,11 @@
             if at:
                 self.deferred(record, f"http://{at}")
             elif at is None:  # nobody has it: whoever owns the book now has looked
-                self._exchange.reply(503, views.error("The call could not be kept safe and was not taken.", "journal"),
-                                     {"retry-after": "1"})
+                self._exchange.reply(
+                    503,
+                    views.error("The call could not be kept safe and was not taken.", "journal"),
+                    {"retry-after": "1"},
+                )
             else:
                 self._api._loop.call_later(LOOK_MS / 1000, self._taken_over, record, looks - 1)
 
@@ -500,8 +559,9 @@
         if not self._exchange.replied:
             headers = {"x-openwhisk-activation-id": record.id}
             if at or self._api.own:
-                headers["location"] = (f"{at or self._api.own}/api/v1/namespaces/{record.namespace}/activations/"
-                                       f"{record.id}")
+                headers["location"] = (
+                    f"{at or self._api.own}/api/v1/namespaces/{record.namespace}/activations/{record.id}"
+                )
             record.deferred = True
             self._exchange.reply(202, views.encode({"activationId": record.id}), headers)
 
@@ -523,8 +583,9 @@
 def _number(query: dict[str, str], name: str, low: float, high: float) -> float:
     text = query[name]
     if not text.isascii() or not text.isdigit() or not low <= int(text[:18]) <= high:
-        raise ApiError(400, f"The query parameter '{name}' is a whole number from {low:.0f} to {high:.0f}, "
-                       f"not '{text[:40]}'.")
+        raise ApiError(
+            400, f"The query parameter '{name}' is a whole number from {low:.0f} to {high:.0f}, not '{text[:40]}'."
+        )
     return float(text)
 
 
@@ -533,7 +594,9 @@
     if not request.body:
         return b"{}"
     if request.headers.get("content-type", "application/json").partition(";")[0].strip().lower() not in (
-            "application/json", "application/x-www-form-urlencoded"):
+        "application/json",
+        "application/x-www-form-urlencoded",
+    ):
         raise ApiError(415, "The body is application/json.")
     try:
         request.body.decode()
@@ -550,7 +613,12 @@
     span = f"{number & (1 << 64) - 1:016x}"
     if given is not None:
         parts = given.strip().lower().split("-")
-        if (len(parts) >= 4 and parts[0] != "ff" and [len(p) for p in parts[:4]] == [2, 32, 16, 2]
-                and all(c in "0123456789abcdef" for p in parts[:4] for c in p) and parts[1] != "0" * 32):
+        if (
+            len(parts) >= 4
+            and parts[0] != "ff"
+            and [len(p) for p in parts[:4]] == [2, 32, 16, 2]
+            and all(c in "0123456789abcdef" for p in parts[:4] for c in p)
+            and parts[1] != "0" * 32
+        ):
             return f"00-{parts[1]}-{span}-{parts[3]}"
     return f"00-{salt}{span}-{span}-00"
--- a/kelptrail/front/invoke/views.py
+++ b/kelptrail/front/invoke/views.py
@@ -85,8 +85,12 @@
 
 def result(record: Record) -> dict[str, Any]:
     """The `/result` of a record."""
-    return {"status": STATUS[record.code], "statusCode": record.code, "success": record.code == 0,
-            "result": msgspec.Raw(record.result)}
+    return {
+        "status": STATUS[record.code],
+        "statusCode": record.code,
+        "success": record.code == 0,
+        "result": msgspec.Raw(record.result),
+    }
 
 
 def action(deployment: Deployment, namespace: str, item: ActionSettings) -> dict[str, Any]:
--- a/kelptrail/gateway/build.py
+++ b/kelptrail/gateway/build.py
@@ -15,20 +15,35 @@
         place, rules = deployment.dispatcher, deployment.rules
         self.deployment = deployment
         self.types = {
-            t.name: NamespaceType(t.name, Effect(t.effect), t.target_ms, t.utility, t.late_share, t.scope,
-                                  t.remembered_ms, t.hedge)
-            for t in deployment.types.values()}
+            t.name: NamespaceType(
+                t.name, Effect(t.effect), t.target_ms, t.utility, t.late_share, t.scope, t.remembered_ms, t.hedge
+            )
+            for t in deployment.types.values()
+        }
         self.customers = {n.name: Customer(n.name, n.allowed_per_s) for n in deployment.namespaces.values()}
         self.zones = {name: number for number, name in enumerate(deployment.halls)}
         gate = self.gate = Gate(
-            seed, place.parallel, place.most_sends, rules.tip, rules.tip_ms, rules.cold_share, rules.cold_ms,
-            (rules.orders, rules.free_loads, rules.load_share, rules.load_span_ms))
+            seed,
+            place.parallel,
+            place.most_sends,
+            rules.tip,
+            rules.tip_ms,
+            rules.cold_share,
+            rules.cold_ms,
+            (rules.orders, rules.free_loads, rules.load_share, rules.load_span_ms),
+        )
         health, agenda = Health(), Agenda()
         self.dispatcher = Dispatcher(
-            gate, health, Placement(gate, health, self.zones.get(hall, 0), seed),
+            gate,
+            health,
+            Placement(gate, health, self.zones.get(hall, 0), seed),
             Copies(agenda, place.keep_ms),
             Queues(seed, list(self.types.values()), list(self.customers.values())),
-            agenda, place.cancels, place.longest_return_ms, Attempts(place.second_share, place.second_most))
+            agenda,
+            place.cancels,
+            place.longest_return_ms,
+            Attempts(place.second_share, place.second_most),
+        )
         self._functions: dict[str, Function] = {}
         self.paths = {action.model: path for path, action in deployment.actions.items()}
 
@@ -38,7 +53,8 @@
         if function is None:
             action = self.deployment.actions[path]
             function = self._functions[path] = Function(
-                action.model, self.types[action.type], action.memory_mb, action.lanes, action.load_ms)
+                action.model, self.types[action.type], action.memory_mb, action.lanes, action.load_ms
+            )
         return function
 
     def forget(self, function: Function) -> None:
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -111,13 +111,21 @@
 
 
 def _ended(record: Record) -> Ended:
-    return Ended(record.id, record.end, record.answer, record.code, record.result, record.return_ms,
-                 record.repeat_within_ms, record.sends)
+    return Ended(
+        record.id,
+        record.end,
+        record.answer,
+        record.code,
+        record.result,
+        record.return_ms,
+        record.repeat_within_ms,
+        record.sends,
+    )
 
 
 def _second(send: Send) -> bool:
     """Whether it went out beside, or after, one that may have run."""
-    return any(other.may_have_run for other in send.act.sends[:send.number])
+    return any(other.may_have_run for other in send.act.sends[: send.number])
 
 
 EffectOut = StartSend | GiveUp | PlaceOrder | Part | Final | Note
@@ -168,9 +176,11 @@
         self._joined: dict[str, Ivk] = {}  # calls in hand by id
         self._certain: deque[Activation] = deque()  # deferred calls whose records have become safe
         damping = world.deployment.storm
-        self.storm = Storm(StormSettings(damping.damp, longest_ms=damping.longest_return_ms,
-                                         most_known=damping.most_known), crc32(boot.encode()),
-                           {space.name: space.allowed_per_s for space in world.deployment.namespaces.values()})
+        self.storm = Storm(
+            StormSettings(damping.damp, longest_ms=damping.longest_return_ms, most_known=damping.most_known),
+            crc32(boot.encode()),
+            {space.name: space.allowed_per_s for space in world.deployment.namespaces.values()},
+        )
         self._most_useful = max(kind.utility for kind in world.deployment.types.values())
         self._cold_ms, self._next_count = world.deployment.rules.cold_ms, -1e18
         self._pace: Pace | None = None  # what a restart found, and since when it is resumed
@@ -191,23 +201,51 @@
 
     # Inputs.
 
-    def take(self, now: float, wall: float, namespace: str, action: ActionSettings, payload: bytes,
-             key: str | None = None, trace: str = "", waiter: Callable[[Record], None] | None = None,
-             deferred: bool = False, digest: str = "", limit_ms: float = float("inf"), form: str = "json",
-             streamed: bool = False, who: str = "") -> Ivk:
+    def take(
+        self,
+        now: float,
+        wall: float,
+        namespace: str,
+        action: ActionSettings,
+        payload: bytes,
+        key: str | None = None,
+        trace: str = "",
+        waiter: Callable[[Record], None] | None = None,
+        deferred: bool = False,
+        digest: str = "",
+        limit_ms: float = float("inf"),
+        form: str = "json",
+        streamed: bool = False,
+        who: str = "",
+    ) -> Ivk:
         """Take a call; `key` is the client's own mark against repeats.  `now`, `wall`: milliseconds.  `limit_ms`: what
         the client itself allows, where that is less than its type's time."""
         settings = self._world.deployment.types[action.type]
         self._number += 1
         id_ = f"{self._boot}{self._number:016x}"
-        record = Record(id_, namespace, action.path, action.type, settings.effect, wall, now,
-                        min(settings.timeout_ms, limit_ms), trace)
+        record = Record(
+            id_,
+            namespace,
+            action.path,
+            action.type,
+            settings.effect,
+            wall,
+            now,
+            min(settings.timeout_ms, limit_ms),
+            trace,
+        )
         # Guards against a herd of calls that came at one moment and must all be answered at one: so many answers take
         # their time, and the last of them would be late.
         margin = min(MOST_MARGIN * record.timeout_ms, self._margin_ms + self.answer_ms * len(self._ivks))
-        act = Activation(id_, self._world.types[action.type], self._world.function(action.path),
-                         self._world.customers[namespace], now, now + record.timeout_ms - max(self._margin_ms, margin),
-                         marked=key is not None)
+        act = Activation(
+            id_,
+            self._world.types[action.type],
+            self._world.function(action.path),
+            self._world.customers[namespace],
+            now,
+            now + record.timeout_ms - max(self._margin_ms, margin),
+            marked=key is not None,
+        )
         mark = f"{namespace}/{action.path}/{key}" if key is not None else id_
         if deferred and self.promising is not None:
             book = self.promising()
@@ -254,8 +292,11 @@
         `KeyConflictError` where the key came with another body.
         """
         record = self._keys.get((namespace, path, key))
-        if record is None or record.answer == "rejected" or (
-                record.answer == "aborted" and record.effect == Effect.REPEATABLE.value):
+        if (
+            record is None
+            or record.answer == "rejected"
+            or (record.answer == "aborted" and record.effect == Effect.REPEATABLE.value)
+        ):
             return None
         if record.digest != digest:
             raise KeyConflictError(f"the key belongs to activation {record.id}, which has another body")
@@ -266,8 +307,11 @@
         if not what.startswith("key:"):
             return self.records.has(what)
         namespace, _, rest = what.removeprefix("key:").partition("/")
-        return any((namespace, path, rest.removeprefix(f"{path}/")) in self._keys
-                   for path in self._world.deployment.actions if rest.startswith(f"{path}/"))
+        return any(
+            (namespace, path, rest.removeprefix(f"{path}/")) in self._keys
+            for path in self._world.deployment.actions
+            if rest.startswith(f"{path}/")
+        )
 
     def part(self, record: Record, waiter: Callable[[Record], None]) -> None:
         """Be told no more."""
@@ -307,14 +351,25 @@
             if need is Need.RECORD:
                 self.passes("accepted")
                 journal.write(
-                    Accepted(record.id, record.namespace, record.path, record.start, record.timeout_ms, ivk.payload,
-                             record.key or None, record.digest, record.trace, record.deferred, record.form),
-                    partial(self._recorded, ivk, journal))
+                    Accepted(
+                        record.id,
+                        record.namespace,
+                        record.path,
+                        record.start,
+                        record.timeout_ms,
+                        ivk.payload,
+                        record.key or None,
+                        record.digest,
+                        record.trace,
+                        record.deferred,
+                        record.form,
+                    ),
+                    partial(self._recorded, ivk, journal),
+                )
             elif need is Need.MAY_RUN:
                 first = next(send for send in ivk.act.sends if send.may_have_run)
                 sent = record.start + (first.sent - record.taken)
-                journal.write(MayRun(record.id, sent, first.copy.worker.id),
-                              partial(self._cleared, ivk, journal))
+                journal.write(MayRun(record.id, sent, first.copy.worker.id), partial(self._cleared, ivk, journal))
             else:
                 self.passes("answered")
                 if ivk.passage.owed:
@@ -402,8 +457,9 @@
         ivk.record.sends += 1
         self.counts.sends += 1
 
-    def answered(self, now: float, send: Send, outcome: Outcome, answer: Answer | None = None,
-                 went: bool = True) -> None:
+    def answered(
+        self, now: float, send: Send, outcome: Outcome, answer: Answer | None = None, went: bool = True
+    ) -> None:
         """How a send ended, as seen on its socket; `went` is False for one that was held and never went out."""
         if send.outcome is not None:
             raise ValueError(f"send {send.number} of {send.act.id} has ended already")
@@ -424,8 +480,7 @@
                 tally.completed += 1
                 tally.work_ms += now - send.sent
                 tally.late += now - act.taken > act.type.target_ms
-        self._dispatcher.answered(now, send, outcome, over, heard.load_failed, heard.found, heard.company,
-                                  heard.report)
+        self._dispatcher.answered(now, send, outcome, over, heard.load_failed, heard.found, heard.company, heard.report)
         if ivk is not None and not ivk.record.final and act.verdict == "completed":
             self._finish(now, ivk, "completed")
         self._settle(act)
@@ -607,8 +662,9 @@
                 record.return_ms = self.storm.turn(now, ivk.who, act.return_ms, record.namespace)
             if ran and act.type.effect is Effect.DEDUPLICATED:
                 record.repeat_within_ms = max(0.0, ran[0].sent + act.type.remembered_ms - now)
-            self.records.end(now, record, verdict, 3,
-                             b'{"error":"The activation was rejected; trying again is harmless."}')
+            self.records.end(
+                now, record, verdict, 3, b'{"error":"The activation was rejected; trying again is harmless."}'
+            )
         else:
             self.counts.aborted += 1
             record.timed_out = now >= act.deadline - self._margin_ms
@@ -665,8 +721,9 @@
 
     # After a restart.
 
-    def recover(self, now: float, wall: float, lives: Iterable[Life], least_ms: float, at_once: int,
-                book: Keeping | None = None) -> dict[str, int]:
+    def recover(
+        self, now: float, wall: float, lives: Iterable[Life], least_ms: float, at_once: int, book: Keeping | None = None
+    ) -> dict[str, int]:
         """Take up what a book tells: ended ones can be asked for, others are ended or resumed in time.  `book`: that of
         another run, or of another dispatcher; None: what this one's disk alone has."""
         found: list[Resume] = []
@@ -702,8 +759,17 @@
         """The record of one that had no final answer; its time goes on from where it was."""
         a = life.accepted
         kind = self._world.deployment.types[self._world.deployment.actions[a.path].type]
-        record = Record(a.id, a.namespace, a.path, kind.name, kind.effect, a.start,
-                        now - max(0.0, wall - a.start), a.timeout_ms, a.trace)
+        record = Record(
+            a.id,
+            a.namespace,
+            a.path,
+            kind.name,
+            kind.effect,
+            a.start,
+            now - max(0.0, wall - a.start),
+            a.timeout_ms,
+            a.trace,
+        )
         record.key, record.digest, record.deferred, record.form = a.key or "", a.digest, a.deferred, a.form
         record.book = book
         self.records.add(record)
@@ -714,8 +780,7 @@
     def _restore(self, now: float, wall: float, life: Life, ended: Ended, book: Keeping | None) -> None:
         record = self._record(now, wall, life, book)
         record.end, record.answer, record.code, record.result = ended.end, ended.answer, ended.code, ended.result
-        record.return_ms, record.repeat_within_ms, record.sends = (
-            ended.return_ms, ended.repeat_within_ms, ended.sends)
+        record.return_ms, record.repeat_within_ms, record.sends = (ended.return_ms, ended.repeat_within_ms, ended.sends)
         self.records.restore(now, record)
 
     def _end_lost(self, now: float, end: End) -> None:
@@ -755,14 +820,29 @@
         action = self._world.deployment.actions[a.path]
         kind, function = self._world.types[action.type], self._world.function(a.path)
         left = what.left_ms - (now - self._paced)
-        act = Activation(a.id, kind, function, self._world.customers[a.namespace], now, now + left - self._margin_ms,
-                         marked=a.key is not None)
+        act = Activation(
+            a.id,
+            kind,
+            function,
+            self._world.customers[a.namespace],
+            now,
+            now + left - self._margin_ms,
+            marked=a.key is not None,
+        )
         if ran is not None and what.again_ms is not None:  # an earlier send that may have run, at a lost worker
             sent = now + what.again_ms - (now - self._paced) - kind.remembered_ms
             act.sends.append(Send(act, Copy(function, Worker(ran.worker)), 0, sent, Outcome.SILENT))
         mark = f"{a.namespace}/{a.path}/{a.key}" if a.key is not None else a.id
-        ivk = Ivk(act, record, action, a.payload, mark,
-                  Passage.resumed(kind.effect is Effect.REPEATABLE, ran is not None), form=a.form, until=act.deadline)
+        ivk = Ivk(
+            act,
+            record,
+            action,
+            a.payload,
+            mark,
+            Passage.resumed(kind.effect is Effect.REPEATABLE, ran is not None),
+            form=a.form,
+            until=act.deadline,
+        )
         ivk.passage.queue()
         self._ivks[act] = self._joined[a.id] = ivk
         self._resumed[a.id] = None
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -34,10 +34,13 @@
 
 BEHIND_MS = 50.0  # a timer that rings so late is told of: the loop has too much to do
 MOST_ANSWER_MS = 2.0  # what one answer may be taken to cost: a stall is not the answers'
-GIVEN_UP = {"revoked": Outcome.REVOKED, "silent": Outcome.SILENT, "order-time": Outcome.SILENT,
-            "malformed": Outcome.BROKEN}
-ENDED = {Ending.UNREACHABLE: Outcome.UNREACHABLE, Ending.UNSENT: Outcome.UNSENT,
-         Ending.BROKEN: Outcome.BROKEN}
+GIVEN_UP = {
+    "revoked": Outcome.REVOKED,
+    "silent": Outcome.SILENT,
+    "order-time": Outcome.SILENT,
+    "malformed": Outcome.BROKEN,
+}
+ENDED = {Ending.UNREACHABLE: Outcome.UNREACHABLE, Ending.UNSENT: Outcome.UNSENT, Ending.BROKEN: Outcome.BROKEN}
 
 
 class Stream:
@@ -110,8 +113,9 @@
             if addresses.get(worker) != pool.address:
                 pool.close()
                 del self._pools[worker]
-        self._log.info("list", version=listing.version, workers=len(listing.workers),
-                       live=sum(w.live for w in gateway.members))
+        self._log.info(
+            "list", version=listing.version, workers=len(listing.workers), live=sum(w.live for w in gateway.members)
+        )
         self.stir()
 
     def answered(self, call: Call, ending: Ending, response: Response | None) -> None:
@@ -130,8 +134,14 @@
         else:
             outcome = ENDED[ending]
         if self.debug:
-            self._log.debug("send-ended", activation=send.act.id, trace=ivk.record.trace, send=send.number,
-                            worker=send.copy.worker.id, outcome=outcome.value)
+            self._log.debug(
+                "send-ended",
+                activation=send.act.id,
+                trace=ivk.record.trace,
+                send=send.number,
+                worker=send.copy.worker.id,
+                outcome=outcome.value,
+            )
         now = now_ms()
         self.sight.ended(now, outcome)
         self.gateway.answered(now, send, outcome, answer)
@@ -149,8 +159,13 @@
         else:
             outcome, standing = (GIVEN_UP[call.reason] if ending is Ending.GIVEN_UP else ENDED[ending]), 0
         if self.debug:
-            self._log.debug("order-ended", function=order.copy.function.id, worker=order.copy.worker.id,
-                            outcome=outcome.value, standing=standing)
+            self._log.debug(
+                "order-ended",
+                function=order.copy.function.id,
+                worker=order.copy.worker.id,
+                outcome=outcome.value,
+                standing=standing,
+            )
         now = now_ms()
         self.sight.ended(now, outcome)
         self.gateway.told(now, order, outcome, standing)
@@ -234,8 +249,9 @@
         pool = self._pools.get(worker)
         if pool is None:
             s = self._settings
-            pool = self._pools[worker] = WorkerPool(self.gateway.members.addresses[worker], s.connections,
-                                                    s.connect_ms, s.idle_ms, s.answer_bytes, self.tls)
+            pool = self._pools[worker] = WorkerPool(
+                self.gateway.members.addresses[worker], s.connections, s.connect_ms, s.idle_ms, s.answer_bytes, self.tls
+            )
         return pool
 
     def _start(self, ivk: Ivk, send: Send) -> None:
@@ -246,14 +262,24 @@
             return
         pool = self._pool(send.copy.worker)
         parameters: dict[str, str | int | float | bool] = {
-            "dispatcher": self.name, "activation": record.id, "send": send.number,
-            "limit_ms": round(send.act.deadline - send.sent, 1)}  # past it a worker does not begin
+            "dispatcher": self.name,
+            "activation": record.id,
+            "send": send.number,
+            "limit_ms": round(send.act.deadline - send.sent, 1),
+        }  # past it a worker does not begin
         if ivk.streamed:
             parameters["stream"] = True
         if ivk.form != "json":
             parameters["form"] = ivk.form
-        data = infer_request(pool.address, ivk.action.model, ivk.mark, ivk.payload, parameters,
-                             {"traceparent": record.trace} if record.trace else {}, ivk.form)
+        data = infer_request(
+            pool.address,
+            ivk.action.model,
+            ivk.mark,
+            ivk.payload,
+            parameters,
+            {"traceparent": record.trace} if record.trace else {},
+            ivk.form,
+        )
         if ivk.streamed:
             stream = Stream(self, ivk, send, self._settings.answer_bytes)
             call = pool.start(data, self.answered, (ivk, send), stream.piece)
@@ -264,23 +290,29 @@
         if ivk.passage.kept:
             self._loop.call_later(0.01, self.gateway.passes, "sent")
         if self.debug:
-            self._log.debug("send", activation=record.id, trace=record.trace, send=send.number,
-                            worker=send.copy.worker.id)
+            self._log.debug(
+                "send", activation=record.id, trace=record.trace, send=send.number, worker=send.copy.worker.id
+            )
 
     def _order(self, order: Order) -> None:
         pool = self._pool(order.copy.worker)
-        call = pool.start(load_request(pool.address, order.copy.function.id, order.count, self.name),
-                          self.told, order)
+        call = pool.start(load_request(pool.address, order.copy.function.id, order.count, self.name), self.told, order)
         self._orders[call] = self._loop.call_later(self._settings.order_ms / 1000, call.give_up, "order-time")
         if self.debug:
-            self._log.debug("order", function=order.copy.function.id, worker=order.copy.worker.id,
-                            count=order.count)
+            self._log.debug("order", function=order.copy.function.id, worker=order.copy.worker.id, count=order.count)
 
     def _final(self, ivk: Ivk) -> None:
         record = ivk.record
         if self.debug:
-            self._log.debug("final", activation=record.id, trace=record.trace, answer=record.answer,
-                            code=record.code, sends=record.sends, ms=round(record.end - record.start, 3))
+            self._log.debug(
+                "final",
+                activation=record.id,
+                trace=record.trace,
+                answer=record.answer,
+                code=record.code,
+                sends=record.sends,
+                ms=round(record.end - record.start, 3),
+            )
         waiters, ivk.waiters = ivk.waiters, []
         for waiter in waiters:
             waiter(record)
--- a/kelptrail/gateway/records.py
+++ b/kelptrail/gateway/records.py
@@ -134,8 +134,9 @@
 
     def trim(self, now: float) -> None:
         """Drop what is beyond the number, the size or the time."""
-        while self._ended and (len(self._ended) > self._most or self._bytes > self._most_bytes
-                               or now - self._ended[0][0] > self._keep_ms):
+        while self._ended and (
+            len(self._ended) > self._most or self._bytes > self._most_bytes or now - self._ended[0][0] > self._keep_ms
+        ):
             _, record = self._ended.popleft()
             self._bytes -= record.size
             self._by_id.pop(record.id, None)
@@ -164,12 +165,17 @@
         record = self._by_id.get(id_)
         return record if record is not None and record.namespace == namespace else None
 
-    def newest(self, namespace: str, name: str | None = None, since: float = 0.0,
-               upto: float = float("inf")) -> Iterator[Record]:
+    def newest(
+        self, namespace: str, name: str | None = None, since: float = 0.0, upto: float = float("inf")
+    ) -> Iterator[Record]:
         """Ended records of a namespace, last taken first; `name` is an action's path or bare name."""
         for record in reversed(self._by_id.values()):
-            if (record.namespace == namespace and record.shown and since <= record.start <= upto
-                    and (name is None or name in (record.path, record.name))):
+            if (
+                record.namespace == namespace
+                and record.shown
+                and since <= record.start <= upto
+                and (name is None or name in (record.path, record.name))
+            ):
                 yield record
 
     def untold(self, since: float) -> int:
--- a/kelptrail/gateway/storm.py
+++ b/kelptrail/gateway/storm.py
@@ -233,8 +233,9 @@
             before = self._rates.get(space, 0.0)
             self._rates[space] = before + 0.2 * (self._by_space.get(space, 0) - before)
         whole = sum(self._rates.values())
-        self._overs = {space for space, rate in self._rates.items()
-                       if rate > settings.over * self._shares.get(space, 1.0) * whole}
+        self._overs = {
+            space for space, rate in self._rates.items() if rate > settings.over * self._shares.get(space, 1.0) * whole
+        }
         if self._overs and harmed:
             self.allowed = max(0.05, 0.85 * self.allowed)
         else:
@@ -273,8 +274,11 @@
     def _signs(self) -> float:
         """The early signs of the window, from 0 to 1: connects beyond the usual, and misses while workers are cold."""
         settings, sign = self._settings, 0.0
-        if self._connects >= settings.least and self.usual_connects and (
-                self._connects > settings.connects * self.usual_connects):
+        if (
+            self._connects >= settings.least
+            and self.usual_connects
+            and (self._connects > settings.connects * self.usual_connects)
+        ):
             sign = 1 - self.usual_connects / self._connects
         if self._answers >= settings.least and self.cold_share >= settings.cold:
             sign = max(sign, self._misses / self._answers)
@@ -289,8 +293,16 @@
 
     def status(self) -> dict[str, object]:
         """What operators are shown."""
-        return {"stage": self.stage.value, "repeats": round(self.share, 3), "fresh_per_s": round(self.fresh_per_s, 1),
-                "done_per_s": round(self.done_per_s, 1), "told_to_return": self.turned, "came_early": self.early,
-                "known": len(self._known),
-                "alarm": round(self.alarm, 3), "held_back": self.held_back,
-                "over_share": sorted(self._overs), "allowed_of_those": round(self.allowed, 3)}
+        return {
+            "stage": self.stage.value,
+            "repeats": round(self.share, 3),
+            "fresh_per_s": round(self.fresh_per_s, 1),
+            "done_per_s": round(self.done_per_s, 1),
+            "told_to_return": self.turned,
+            "came_early": self.early,
+            "known": len(self._known),
+            "alarm": round(self.alarm, 3),
+            "held_back": self.held_back,
+            "over_share": sorted(self._overs),
+            "allowed_of_those": round(self.allowed, 3),
+        }
--- a/kelptrail/gateway/tally.py
+++ b/kelptrail/gateway/tally.py
@@ -18,5 +18,12 @@
 
     def plus(self, later: Tally) -> Tally:
         """Both together; the lag is the later one's."""
-        return Tally(self.taken + later.taken, self.completed + later.completed, self.rejected + later.rejected,
-                     self.missed + later.missed, self.late + later.late, later.lag, self.work_ms + later.work_ms)
+        return Tally(
+            self.taken + later.taken,
+            self.completed + later.completed,
+            self.rejected + later.rejected,
+            self.missed + later.missed,
+            self.late + later.late,
+            later.lag,
+            self.work_ms + later.work_ms,
+        )
--- a/kelptrail/host/host.py
+++ b/kelptrail/host/host.py
@@ -48,36 +48,73 @@
         self.types, self.customers, self.fields = told.types, told.customers, told.fields
         self.tells_warm = told.tells_warm
         agenda, health = Agenda(), Health()
-        gate = Gate(seed, told.parallel, told.most_sends, told.tip, told.tip_ms, told.cold_share, told.cold_ms,
-                    told.ration, told.connect_ms)
+        gate = Gate(
+            seed,
+            told.parallel,
+            told.most_sends,
+            told.tip,
+            told.tip_ms,
+            told.cold_share,
+            told.cold_ms,
+            told.ration,
+            told.connect_ms,
+        )
         self._dispatcher = Dispatcher(
-            gate, health, Placement(gate, health, told.zone, seed), Copies(agenda, told.keep_ms, told.loads),
-            Queues(seed, self.types, self.customers), agenda, told.cancels, told.longest_return_ms)
+            gate,
+            health,
+            Placement(gate, health, told.zone, seed),
+            Copies(agenda, told.keep_ms, told.loads),
+            Queues(seed, self.types, self.customers),
+            agenda,
+            told.cancels,
+            told.longest_return_ms,
+        )
         self.beat_ms = self._dispatcher.beat_ms
         self.next_due = agenda.next_due
         self.workers: dict[str, Worker] = {}
         self.functions: dict[str, Function] = {}
         self.acts: dict[str, Activation] = {}
 
-    def taken(self, now: float, id_: str, type_: NamespaceType, customer: Customer | None, function_id: str,
-              left_ms: float, memory_mb: float, lanes: int, load_ms: float | None,
-              effort_ms: float | None) -> Activation:
+    def taken(
+        self,
+        now: float,
+        id_: str,
+        type_: NamespaceType,
+        customer: Customer | None,
+        function_id: str,
+        left_ms: float,
+        memory_mb: float,
+        lanes: int,
+        load_ms: float | None,
+        effort_ms: float | None,
+    ) -> Activation:
         """An activation that is owed a final answer within `left_ms`."""
         function = self.functions.get(function_id)
         if function is None:
             function = self.functions[function_id] = Function(
-                function_id, type_, memory_mb, max(1, lanes), load_ms or 0.0)
+                function_id, type_, memory_mb, max(1, lanes), load_ms or 0.0
+            )
         act = Activation(id_, type_, function, customer, now, now + left_ms, effort_ms)
         self.acts[id_] = act
         self._dispatcher.taken(now, act)
         return act
 
-    def answered(self, now: float, send: Send, outcome: Outcome, over: bool, load_failed: bool = False,
-                 warm: bool | None = None, company: int = 0, report: Sequence[float] | None = None) -> None:
+    def answered(
+        self,
+        now: float,
+        send: Send,
+        outcome: Outcome,
+        over: bool,
+        load_failed: bool = False,
+        warm: bool | None = None,
+        company: int = 0,
+        report: Sequence[float] | None = None,
+    ) -> None:
         """How a send ended; `report` in the order of the settings' fields."""
         told = dict(zip(self.fields, report, strict=True)) if report else None
-        self._dispatcher.answered(now, send, outcome, over, load_failed, warm if self.tells_warm else None,
-                                  company, told)
+        self._dispatcher.answered(
+            now, send, outcome, over, load_failed, warm if self.tells_warm else None, company, told
+        )
         self.settle(send.act)
 
     def left(self, act: Activation) -> None:
--- a/kelptrail/host/settings.py
+++ b/kelptrail/host/settings.py
@@ -128,8 +128,10 @@
     types = [_type(each) for each in told.parts("classes")]
     if not types or len({type_.name for type_ in types}) < len(types):
         raise MalformedError(f"{told.at}.classes: none, or one name twice")
-    customers = [Customer(each.text("name"), each.number("allowance_per_s"))
-                 for each in (told.parts("customers") if told.has("customers") else ())]
+    customers = [
+        Customer(each.text("name"), each.number("allowance_per_s"))
+        for each in (told.parts("customers") if told.has("customers") else ())
+    ]
     if customers and not sum(customer.allowed_per_s for customer in customers):
         raise MalformedError(f"{told.at}.customers: none of them has an allowance_per_s over 0")
     return Deployment(
@@ -148,8 +150,12 @@
         cold_ms=rules.ms("cold_us"),
         keep_ms=extras.ms("idle_life_us"),
         loads=extras.has("not_loaded") and extras.one_of("not_loaded", {"load": True, "miss": False}),
-        ration=(extras.flag("load_control"), extras.number("free_loads"), extras.number("load_share"),
-                extras.ms("load_span_us")),
+        ration=(
+            extras.flag("load_control"),
+            extras.number("free_loads"),
+            extras.number("load_share"),
+            extras.ms("load_span_us"),
+        ),
         connect_ms=bounds.ms("connect_timeout_us", 1),
     )
 
@@ -158,9 +164,14 @@
     effect = told.one_of("effect", EFFECTS)
     guarded = effect is Effect.DEDUPLICATED
     return NamespaceType(
-        told.text("name"), effect, told.ms("aim_us", 1), told.number("gain", 1e-9), told.number("late_worth"),
+        told.text("name"),
+        effect,
+        told.ms("aim_us", 1),
+        told.number("gain", 1e-9),
+        told.number("late_worth"),
         told.one_of("key_scope", SCOPES) if guarded and told.has("key_scope") else "all",
-        told.ms("window_us") if guarded else 0.0)
+        told.ms("window_us") if guarded else 0.0,
+    )
 
 
 def _short(found: Any) -> str:
--- a/kelptrail/keys/authority.py
+++ b/kelptrail/keys/authority.py
@@ -65,8 +65,14 @@
     except x509.ExtensionNotFound:
         kind = "authority"
     der = certificate.public_bytes(serialization.Encoding.DER)
-    return Issued(name, names_in(der), kind, f"{certificate.serial_number:x}", certificate.not_valid_before_utc,
-                  certificate.not_valid_after_utc)
+    return Issued(
+        name,
+        names_in(der),
+        kind,
+        f"{certificate.serial_number:x}",
+        certificate.not_valid_before_utc,
+        certificate.not_valid_after_utc,
+    )
 
 
 def api_key() -> tuple[str, str]:
@@ -84,12 +90,17 @@
             self._certificate = read_certificate((folder / CERTIFICATE).read_bytes())
             key = serialization.load_pem_private_key((folder / KEY).read_bytes(), None)
         except OSError as cause:
-            raise AuthorityError(f"{folder} holds no authority: {cause.strerror}; `kelptrail keys init` makes one"
-                                 ) from None
+            raise AuthorityError(
+                f"{folder} holds no authority: {cause.strerror}; `kelptrail keys init` makes one"
+            ) from None
         except ValueError as cause:
             raise AuthorityError(f"{folder / KEY} is no key: {cause}") from None
-        if not isinstance(key, ec.EllipticCurvePrivateKey) or (
-                key.public_key().public_numbers() != self._certificate.public_key().public_numbers()):  # type: ignore[union-attr]
+        certified = self._certificate.public_key()
+        if (
+            not isinstance(key, ec.EllipticCurvePrivateKey)
+            or not isinstance(certified, ec.EllipticCurvePublicKey)
+            or key.public_key().public_numbers() != certified.public_numbers()
+        ):
             raise AuthorityError(f"{folder / KEY} does not belong to {folder / CERTIFICATE}")
         self._key = key
 
@@ -103,19 +114,32 @@
         key = ec.generate_private_key(ec.SECP256R1())
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         certificate = (
-            x509.CertificateBuilder().subject_name(subject).issuer_name(subject).public_key(key.public_key())
-            .serial_number(x509.random_serial_number()).not_valid_before(now - BACK_DATED)
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(subject)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - BACK_DATED)
             .not_valid_after(now + timedelta(days=days))
             .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
             .add_extension(_usage(authority=True), critical=True)
             .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
-            .sign(key, hashes.SHA256()))
+            .sign(key, hashes.SHA256())
+        )
         _write(folder / KEY, _private(key), 0o600)
         _write(folder / CERTIFICATE, certificate.public_bytes(serialization.Encoding.PEM), 0o644)
         return cls(folder)
 
-    def issue(self, name: str, others: Iterable[str], server: bool, client: bool, days: int, now: datetime,
-              again: bool = False) -> Issued:
+    def issue(
+        self,
+        name: str,
+        others: Iterable[str],
+        server: bool,
+        client: bool,
+        days: int,
+        now: datetime,
+        again: bool = False,
+    ) -> Issued:
         """A certificate for a name, with DNS names, URIs and addresses beside it.  Raises `AuthorityError` where there
         is one already, unless `again`."""
         _check(name)
@@ -128,21 +152,28 @@
         if ends <= now:
             raise AuthorityError("the authority itself has ended")
         key = ec.generate_private_key(ec.SECP256R1())
-        uses = [u for u, wanted in ((ExtendedKeyUsageOID.SERVER_AUTH, server),
-                                    (ExtendedKeyUsageOID.CLIENT_AUTH, client)) if wanted]
+        uses = [
+            u
+            for u, wanted in ((ExtendedKeyUsageOID.SERVER_AUTH, server), (ExtendedKeyUsageOID.CLIENT_AUTH, client))
+            if wanted
+        ]
         names = [_general(one) for one in dict.fromkeys([name, *others])]
         certificate = (
             x509.CertificateBuilder()
             .subject_name(x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)]))
-            .issuer_name(self._certificate.subject).public_key(key.public_key())
-            .serial_number(x509.random_serial_number()).not_valid_before(now - BACK_DATED).not_valid_after(ends)
+            .issuer_name(self._certificate.subject)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - BACK_DATED)
+            .not_valid_after(ends)
             .add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
             .add_extension(_usage(authority=False), critical=True)
             .add_extension(x509.ExtendedKeyUsage(uses), critical=False)
             .add_extension(x509.SubjectAlternativeName(names), critical=False)
             .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
             .add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(self._key.public_key()), critical=False)
-            .sign(self._key, hashes.SHA256()))
+            .sign(self._key, hashes.SHA256())
+        )
         _write(file, _private(key) + certificate.public_bytes(serialization.Encoding.PEM), 0o600)
         return shown(name, certificate)
 
@@ -154,8 +185,15 @@
         kept = file.read_bytes()
         before = shown(name, read_certificate(kept))
         _write(file.with_suffix(".pem.old"), kept, 0o600)
-        return self.issue(name, [n for n in before.names if n != name], "server" in before.use, "client" in before.use,
-                          days, now, again=True)
+        return self.issue(
+            name,
+            [n for n in before.names if n != name],
+            "server" in before.use,
+            "client" in before.use,
+            days,
+            now,
+            again=True,
+        )
 
     def show(self) -> list[Issued]:
         """The authority first, then what it issued, by name.  Raises `AuthorityError` with the file that is none."""
@@ -182,14 +220,23 @@
 
 
 def _usage(authority: bool) -> x509.KeyUsage:
-    return x509.KeyUsage(digital_signature=True, content_commitment=False, key_encipherment=False,
-                         data_encipherment=False, key_agreement=False, key_cert_sign=authority, crl_sign=authority,
-                         encipher_only=False, decipher_only=False)
+    return x509.KeyUsage(
+        digital_signature=True,
+        content_commitment=False,
+        key_encipherment=False,
+        data_encipherment=False,
+        key_agreement=False,
+        key_cert_sign=authority,
+        crl_sign=authority,
+        encipher_only=False,
+        decipher_only=False,
+    )
 
 
 def _private(key: ec.EllipticCurvePrivateKey) -> bytes:
-    return key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
-                             serialization.NoEncryption())
+    return key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
 
 
 def _write(file: Path, data: bytes, mode: int) -> None:
--- a/kelptrail/lab/compare.py
+++ b/kelptrail/lab/compare.py
@@ -11,8 +11,16 @@
 from scipy import stats
 
 # Figure: whether more of it is better.
-BETTER = {"served_share": True, "recovery_s": False, "p99_ms": False, "p50_ms": False, "rejected": False, "lost": False,
-          "sends": False, "loads": False}
+BETTER = {
+    "served_share": True,
+    "recovery_s": False,
+    "p99_ms": False,
+    "p50_ms": False,
+    "rejected": False,
+    "lost": False,
+    "sends": False,
+    "loads": False,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,28 +69,43 @@
     return out
 
 
-def report(folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]],
-           spread: list[dict[str, Any]]) -> Path:
+def report(
+    folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]], spread: list[dict[str, Any]]
+) -> Path:
     """`report.md` beside the data, with its plots."""
     name = runs[0]["experiment"]
     variants = list(dict.fromkeys(r["variant"] for r in runs))
     points = list(dict.fromkeys(r["point"] for r in runs))
-    lines = [f"# Experiment {name}", "", f"{len(runs)} runs: {len(variants)} variants, {len(points)} points, "
-             f"{len({r['seed'] for r in runs})} seeds.  All figures are emulated.", "",
-             "| variant | point | served in time | recovery s | p50 ms | p99 ms | rejected | lost | sends | loads |",
-             "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        f"# Experiment {name}",
+        "",
+        f"{len(runs)} runs: {len(variants)} variants, {len(points)} points, "
+        f"{len({r['seed'] for r in runs})} seeds.  All figures are emulated.",
+        "",
+        "| variant | point | served in time | recovery s | p50 ms | p99 ms | rejected | lost | sends | loads |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for variant in variants:
         for point in points:
             mine = [r for r in runs if r["variant"] == variant and r["point"] == point]
             if mine:
+
                 def mean(key: str, of: list[dict[str, Any]] = mine) -> float:
                     return float(np.mean([r[key] for r in of]))
-                lines.append(f"| {variant} | {point or '-'} | {mean('served_share'):.3f} | {mean('recovery_s'):.1f} | "
-                             f"{mean('p50_ms'):.0f} | {mean('p99_ms'):.0f} | {mean('rejected'):.0f} | "
-                             f"{mean('lost'):.0f} | {mean('sends'):.0f} | {mean('loads'):.0f} |")
+
+                lines.append(
+                    f"| {variant} | {point or '-'} | {mean('served_share'):.3f} | {mean('recovery_s'):.1f} | "
+                    f"{mean('p50_ms'):.0f} | {mean('p99_ms'):.0f} | {mean('rejected'):.0f} | "
+                    f"{mean('lost'):.0f} | {mean('sends'):.0f} | {mean('loads'):.0f} |"
+                )
     for other in variants[1:]:
-        lines += ["", f"## {other} beside {variants[0]}", "",
-                  "| figure | point | pairs | difference (95%) | verdict |", "| --- | --- | --- | --- | --- |"]
+        lines += [
+            "",
+            f"## {other} beside {variants[0]}",
+            "",
+            "| figure | point | pairs | difference (95%) | verdict |",
+            "| --- | --- | --- | --- | --- |",
+        ]
         both = [[r for r in runs if r["variant"] == v] for v in (variants[0], other)]
         for d in compare(*both):
             lines.append(f"| {d.figure} | {d.point or '-'} | {d.pairs} | {d.low:.3g} to {d.high:.3g} | {d.verdict} |")
@@ -90,8 +113,14 @@
     lines += ["", "![service over time](service.png)", ""]
     if len(points) > 1:
         lines += ["![recovery by point](recovery.png)", ""]
-    lines += ["![latency](latency.png)", "", "![give-ups by cause](give-ups.png)", "",
-              "![loads, orders, calls in hand, dispatchers that are not calm](work.png)", ""]
+    lines += [
+        "![latency](latency.png)",
+        "",
+        "![give-ups by cause](give-ups.png)",
+        "",
+        "![loads, orders, calls in hand, dispatchers that are not calm](work.png)",
+        "",
+    ]
     _draw_spread(folder, spread, variants, points)
     _draw_work(folder, seconds, variants, points)
     file = folder / "report.md"
@@ -99,8 +128,9 @@
     return file
 
 
-def _draw(folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]], variants: list[str],
-          points: list[str]) -> None:
+def _draw(
+    folder: Path, runs: list[dict[str, Any]], seconds: list[dict[str, Any]], variants: list[str], points: list[str]
+) -> None:
     import matplotlib
 
     matplotlib.use("Agg")
@@ -126,8 +156,10 @@
     if len(points) > 1:
         figure, axis = pyplot.subplots(figsize=(7, 4))
         for variant in variants:
-            values = [float(np.mean([r["recovery_s"] for r in runs if r["variant"] == variant and r["point"] == p]))
-                      for p in points]
+            values = [
+                float(np.mean([r["recovery_s"] for r in runs if r["variant"] == variant and r["point"] == p]))
+                for p in points
+            ]
             axis.plot(points, values, marker="o", label=variant)
         axis.set_ylabel("recovery, s")
         axis.legend(fontsize=8)
@@ -150,8 +182,12 @@
                 if row["variant"] == variant and row["name"] == kind and row["point"] == points[0]:
                     by[row["part"]].append(row["value"])
             parts = sorted(p for p in by if p < 100)
-            axis.plot([1 / (1 - p / 100) for p in parts], [float(np.mean(by[p])) for p in parts], marker=".",
-                      label=f"{variant} {kind}")
+            axis.plot(
+                [1 / (1 - p / 100) for p in parts],
+                [float(np.mean(by[p])) for p in parts],
+                marker=".",
+                label=f"{variant} {kind}",
+            )
     axis.set_xscale("log")
     axis.set_yscale("log")
     axis.set_xlabel("one call in so many takes longer")
@@ -166,8 +202,14 @@
     bars = [(variant, point) for variant in variants for point in points]
     bottom = np.zeros(len(bars))
     for cause in causes:
-        mine = [[r["value"] for r in spread if r["what"] == "give_ups" and r["name"] == cause and r["variant"] == v
-                 and r["point"] == p] for v, p in bars]
+        mine = [
+            [
+                r["value"]
+                for r in spread
+                if r["what"] == "give_ups" and r["name"] == cause and r["variant"] == v and r["point"] == p
+            ]
+            for v, p in bars
+        ]
         heights = np.array([float(np.mean(values)) if values else 0.0 for values in mine])
         axis.bar([f"{v}\n{p}" for v, p in bars], heights, bottom=bottom, label=cause)
         bottom += heights
--- a/kelptrail/lab/experiment.py
+++ b/kelptrail/lab/experiment.py
@@ -131,8 +131,9 @@
     return [Change(section, key.replace("-", "_"), read_as, place)]
 
 
-def changed(day: BadDay, deployment: Deployment, lab: LabSettings,
-            changes: list[Change]) -> tuple[BadDay, Deployment, LabSettings]:
+def changed(
+    day: BadDay, deployment: Deployment, lab: LabSettings, changes: list[Change]
+) -> tuple[BadDay, Deployment, LabSettings]:
     """The three with changes made.  Raises `ValueError` for a name that there is not, or a value of another kind."""
     for change in changes:
         section, key, value = change.section, change.key, change.value
@@ -182,8 +183,13 @@
     began = time.perf_counter()
     result = play(day, deployment, seed, lab)
     took = time.perf_counter() - began
-    who = {"experiment": experiment.name, "variant": variant, "point": str(point) if point is not None else "",
-           "value": float(point.value) if point is not None and isinstance(point.value, float) else 0.0, "seed": seed}
+    who = {
+        "experiment": experiment.name,
+        "variant": variant,
+        "point": str(point) if point is not None else "",
+        "value": float(point.value) if point is not None and isinstance(point.value, float) else 0.0,
+        "seed": seed,
+    }
     row = who | figures(day.seconds, day.ends, result) | {"took_s": took, "simulated_s_a_second": day.seconds / took}
     return [row], rows_of(who, day.seconds, result), spread_of(who, result)
 
--- a/kelptrail/lab/fleet.py
+++ b/kelptrail/lab/fleet.py
@@ -128,8 +128,19 @@
 class LabWorker:
     """One worker; `note` takes what the audit wants to know, or is None."""
 
-    def __init__(self, engine: Engine, deployment: Deployment, id_: str, hall: str, cell: int, store: LabStore,
-                 ledger: dict[tuple[str, str], float], seed: int, warm: bool, note: Note | None) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        deployment: Deployment,
+        id_: str,
+        hall: str,
+        cell: int,
+        store: LabStore,
+        ledger: dict[tuple[str, str], float],
+        seed: int,
+        warm: bool,
+        note: Note | None,
+    ) -> None:
         self._engine, self._deployment, self.id, self.hall, self.cell = engine, deployment, id_, hall, cell
         self._fleet, self._rules, self._store, self._ledger = deployment.fleet, deployment.rules, store, ledger
         self._chance = np.random.default_rng([seed, zlib.crc32(id_.encode())])
@@ -157,14 +168,22 @@
         self._busy_ms, self._since, self._util, self._shown = 0.0, self._engine.now, 0.0, (0.0, 0.0, 0.0)
         self._shown_at = -1e9
         if self._note is not None:
-            self._note("start", worker=self.id, incarnation=self.incarnation, started=self.started,
-                       cores=self._fleet.cores, cold_ms=self._rules.cold_ms, cold_share=self._rules.cold_share)
+            self._note(
+                "start",
+                worker=self.id,
+                incarnation=self.incarnation,
+                started=self.started,
+                cores=self._fleet.cores,
+                cold_ms=self._rules.cold_ms,
+                cold_share=self._rules.cold_share,
+            )
 
     @property
     def entry(self) -> Entry:
         """As the list tells of it."""
-        return Entry(self.id, self.id, self.state, self.incarnation, self._engine.now - self.started, self.hall,
-                     self.cell)
+        return Entry(
+            self.id, self.id, self.state, self.incarnation, self._engine.now - self.started, self.hall, self.cell
+        )
 
     def model(self, action: ActionSettings) -> _Model:
         """The worker's view of a model."""
@@ -184,23 +203,54 @@
     @property
     def idle_mb(self) -> float:
         """Memory of copies that stand and on which nothing runs."""
-        return sum((m.standing - min(m.standing, -(-m.busy // m.action.lanes))) * m.action.memory_mb
-                   for m in self._held.values())
+        return sum(
+            (m.standing - min(m.standing, -(-m.busy // m.action.lanes))) * m.action.memory_mb
+            for m in self._held.values()
+        )
 
     # Sends.
 
-    def send(self, action: ActionSettings, mark: str, activation: str, number: int, dispatcher: str, limit_ms: float,
-             reply: Reply, lag: float = 0.0) -> None:
+    def send(
+        self,
+        action: ActionSettings,
+        mark: str,
+        activation: str,
+        number: int,
+        dispatcher: str,
+        limit_ms: float,
+        reply: Reply,
+        lag: float = 0.0,
+    ) -> None:
         """A send is read, `lag` ms after it arrived."""
         if self._engine.now < self._paused:  # it waits in the socket
             wait = self._paused - self._engine.now
-            self._engine.at(self._paused, self.send, action, mark, activation, number, dispatcher, limit_ms - wait,
-                            reply, lag + wait)
+            self._engine.at(
+                self._paused,
+                self.send,
+                action,
+                mark,
+                activation,
+                number,
+                dispatcher,
+                limit_ms - wait,
+                reply,
+                lag + wait,
+            )
             return
         now, model = self._engine.now, self.model(action)
         if self._note is not None:
-            self._note("send", worker=self.id, model=action.model, mark=mark, lag=lag, dispatcher=dispatcher,
-                       activation=activation, send=number, incarnation=self.incarnation, work=action.work_ms)
+            self._note(
+                "send",
+                worker=self.id,
+                model=action.model,
+                mark=mark,
+                lag=lag,
+                dispatcher=dispatcher,
+                activation=activation,
+                send=number,
+                incarnation=self.incarnation,
+                work=action.work_ms,
+            )
         if self._push(now, action.work_ms) or "hang" in self.faults:
             return
         fast = self.faults.get("fail-fast")
@@ -213,8 +263,9 @@
             reply(Outcome.FULL, Answer("full", report=self._report()))
         else:
             company = min(30, model.busy + len(model.waiting))
-            model.waiting.append(_Job(model, mark, activation, number, reply, company, bool(model.standing),
-                                      now + limit_ms))
+            model.waiting.append(
+                _Job(model, mark, activation, number, reply, company, bool(model.standing), now + limit_ms)
+            )
             self._queue.append(model)
             self._pump()
 
@@ -286,8 +337,9 @@
             if not known:
                 self._ledger[group, job.mark] = now
         if not known and self._note is not None:
-            self._note("effect", worker=self.id, mark=job.mark, type=model.type.name, activation=job.activation,
-                       send=job.send)
+            self._note(
+                "effect", worker=self.id, mark=job.mark, type=model.type.name, activation=job.activation, send=job.send
+            )
         lost = self.faults.get("answers-lost")
         if "silent" not in self.faults and not (lost and self._chance.random() < lost.share):
             answer = Answer("completed", b"{}", True, False, job.found, job.company, self._report())
@@ -299,16 +351,24 @@
         if self._engine.now - self._shown_at > 200:
             self._shown_at = self._engine.now
             self._account()
-            busy = sum((min(m.standing, -(-m.busy // m.action.lanes)) + m.loading) * m.action.memory_mb
-                       for m in self._held.values())
+            busy = sum(
+                (min(m.standing, -(-m.busy // m.action.lanes)) + m.loading) * m.action.memory_mb
+                for m in self._held.values()
+            )
             self._shown = (self._util, self._loads + len(self._load_queue), busy / self._fleet.memory_mb)
         util, loads, memory = self._shown
         return {"util": util, "x1": loads, "x0": memory}
 
     # Copies.
 
-    def order(self, action: ActionSettings, copies: int, dispatcher: str, tell: Callable[[Outcome, int], None],
-              lag: float = 0.0) -> None:
+    def order(
+        self,
+        action: ActionSettings,
+        copies: int,
+        dispatcher: str,
+        tell: Callable[[Outcome, int], None],
+        lag: float = 0.0,
+    ) -> None:
         """A hold order is read, `lag` ms after it arrived."""
         if self._engine.now < self._paused:
             wait = self._paused - self._engine.now
@@ -348,11 +408,16 @@
         if self._memory + need <= most:
             return True
         now = self._engine.now
-        for other in [m for m in self._held.values()  # idle beyond its keep-alive: gone already
-                      if m.standing and not m.busy and now - m.used > self._fleet.keep_ms]:
+        for other in [
+            m
+            for m in self._held.values()  # idle beyond its keep-alive: gone already
+            if m.standing and not m.busy and now - m.used > self._fleet.keep_ms
+        ]:
             self._drop(other, other.standing)
-        idle = sorted((m for m in self._held.values() if m.standing and not m.busy and m is not model
-                       and not m.waiting), key=lambda m: m.used)
+        idle = sorted(
+            (m for m in self._held.values() if m.standing and not m.busy and m is not model and not m.waiting),
+            key=lambda m: m.used,
+        )
         while self._memory + need > most:
             if not idle:
                 return False
--- a/kelptrail/lab/leased.py
+++ b/kelptrail/lab/leased.py
@@ -57,8 +57,18 @@
 class LabLeases:
     """All nodes of a site.  `note` takes what a witness would see; `delay` tells how long a message takes."""
 
-    def __init__(self, engine: Engine, settings: LeaseSettings, length_ms: float, names: list[str], seed: int,
-                 sync_ms: float, network_ms: float, silent_ms: float, note: Callable[..., None] | None) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        settings: LeaseSettings,
+        length_ms: float,
+        names: list[str],
+        seed: int,
+        sync_ms: float,
+        network_ms: float,
+        silent_ms: float,
+        note: Callable[..., None] | None,
+    ) -> None:
         self._engine, self.settings, self._length_ms, self._seed = engine, settings, length_ms, seed
         self._network_ms, self._note = network_ms, note
         self._cut: Counter[tuple[str, str]] = Counter()
@@ -95,8 +105,12 @@
         """Have these nodes want the tasks, and act under them at a witness."""
         for node in (self.nodes[name] for name in names):
             for task in tasks:
-                self.want(node, task, lambda token, n=node, t=task: self._act(n, n.runs, t, token),  # type: ignore[misc]
-                          lambda: None)
+                self.want(
+                    node,
+                    task,
+                    lambda token, n=node, t=task: self._act(n, n.runs, t, token),  # type: ignore[misc]
+                    lambda: None,
+                )
 
     def holds(self, name: str, task: str) -> Token | None:
         """The token under which a node may act now."""
@@ -116,8 +130,14 @@
                 taken = token >= self._fence.get(task, NONE)
                 self._fence[task] = max(token, self._fence.get(task, NONE))
                 if self._note is not None:
-                    self._note("act", task=task, token=[token.round, token.who], by=node.name, looked=self._engine.now,
-                               taken=taken)
+                    self._note(
+                        "act",
+                        task=task,
+                        token=[token.round, token.who],
+                        by=node.name,
+                        looked=self._engine.now,
+                        taken=taken,
+                    )
         self._engine.after(ACT_MS, self._act, node, run, task, token)
 
     # Carrying out.
@@ -263,5 +283,7 @@
 
     def status(self) -> dict[str, Any]:
         """Counts."""
-        return {"told": {name: node.told for name, node in self.nodes.items()},
-                "acts": sum(node.acts for node in self.nodes.values())}
+        return {
+            "told": {name: node.told for name, node in self.nodes.items()},
+            "acts": sum(node.acts for node in self.nodes.values()),
+        }
--- a/kelptrail/lab/planned.py
+++ b/kelptrail/lab/planned.py
@@ -62,8 +62,9 @@
 
     def listed(self, listing: Listing) -> None:
         """A new list."""
-        self.core.listed(self._site.engine.now, hosts_of(self._site.deployment, listing),
-                         (listing.lineage, listing.version))
+        self.core.listed(
+            self._site.engine.now, hosts_of(self._site.deployment, listing), (listing.lineage, listing.version)
+        )
 
     def _tick(self, start: int) -> None:
         if start != self._starts or not self.up:
@@ -141,14 +142,21 @@
         if not self._dispatcher.up:
             return
         now, members = self._site.engine.now, self._dispatcher.gateway.members
-        report = self.follower.offer(now, Packet(FORMAT, plan.head, 0, age_ms, plan.wants), self._live(),
-                                     (members.lineage, members.version))
+        report = self.follower.offer(
+            now, Packet(FORMAT, plan.head, 0, age_ms, plan.wants), self._live(), (members.lineage, members.version)
+        )
         if report is None:
             self._led.at, self._kept = now, self.follower.plan
             self.apply()
         elif planner.up:
-            self._site.engine.after(self._site.settings.network_ms, planner.core.refused, now, self._dispatcher.name,
-                                    report.reason.value, self.follower.fence)
+            self._site.engine.after(
+                self._site.settings.network_ms,
+                planner.core.refused,
+                now,
+                self._dispatcher.name,
+                report.reason.value,
+                self.follower.fence,
+            )
 
     def _report(self, start: int) -> None:
         if start != self._dispatcher.starts or not self._dispatcher.up:
--- a/kelptrail/lab/shards.py
+++ b/kelptrail/lab/shards.py
@@ -70,8 +70,17 @@
 class RemoteWorker:
     """A worker of another shard: its state as troubles change it, and the way there."""
 
-    def __init__(self, shard: Shard, home: int, id_: str, hall: str, cell: int, engine: Engine, settings: LabSettings,
-                 cold_ms: float) -> None:
+    def __init__(
+        self,
+        shard: Shard,
+        home: int,
+        id_: str,
+        hall: str,
+        cell: int,
+        engine: Engine,
+        settings: LabSettings,
+        cold_ms: float,
+    ) -> None:
         self.id, self._hall, self._cell, self._cold_ms = id_, hall, cell, cold_ms
         self._shard, self._home, self._engine, self._settings = shard, home, engine, settings
         self.up, self.state, self.draining, self._starts = True, "live", False, 0
@@ -87,8 +96,9 @@
     @property
     def entry(self) -> Entry:
         """As the list tells of it."""
-        return Entry(self.id, self.id, self.state, self.incarnation, self._engine.now - self.started, self._hall,
-                     self._cell)
+        return Entry(
+            self.id, self.id, self.state, self.incarnation, self._engine.now - self.started, self._hall, self._cell
+        )
 
     def break_all(self) -> None:
         """The other shard tells those whose connections end."""
@@ -173,8 +183,17 @@
             site.engine.run(until)
             out, shard.out = shard.out, []
             pipe.send((site.engine.next_at(), out))
-        pipe.send((site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, site.by_space,
-                   site.events))
+        pipe.send(
+            (
+                site.seconds,
+                site.latency,
+                site.give_ups,
+                site.engine.events,
+                site.store.fetches,
+                site.by_space,
+                site.events,
+            )
+        )
     except (KeyboardInterrupt, EOFError, BrokenPipeError):
         pass
     except BaseException:
@@ -186,17 +205,24 @@
     """A shard's process failed; the text is its traceback."""
 
 
-def play_sharded(day: BadDay, deployment: Deployment, seed: int, settings: LabSettings, processes: int,
-                 capture: bool = False, progress: Callable[[float], None] | None = None,
-                 ) -> tuple[Result, list[dict[str, Any]]]:
+def play_sharded(
+    day: BadDay,
+    deployment: Deployment,
+    seed: int,
+    settings: LabSettings,
+    processes: int,
+    capture: bool = False,
+    progress: Callable[[float], None] | None = None,
+) -> tuple[Result, list[dict[str, Any]]]:
     """One run over several processes, and its events in order where `capture` asks for them.  The same for the same
     seed and number of processes.  Raises `ShardError`."""
     context = get_context("forkserver")
     pipes, children = list[Connection](), []
     for number in range(processes):
         mine, theirs = context.Pipe()
-        child = context.Process(target=_mind, daemon=True,
-                                args=(theirs, number, processes, (day, deployment, seed, settings), capture))
+        child = context.Process(
+            target=_mind, daemon=True, args=(theirs, number, processes, (day, deployment, seed, settings), capture)
+        )
         child.start()
         theirs.close()
         pipes.append(mine)
@@ -222,8 +248,13 @@
     return said
 
 
-def _conduct(pipes: list[Connection], day: BadDay, deployment: Deployment, settings: LabSettings,
-             progress: Callable[[float], None] | None) -> tuple[Result, list[dict[str, Any]]]:
+def _conduct(
+    pipes: list[Connection],
+    day: BadDay,
+    deployment: Deployment,
+    settings: LabSettings,
+    progress: Callable[[float], None] | None,
+) -> tuple[Result, list[dict[str, Any]]]:
     longest = max(t.timeout_ms for t in deployment.types.values())
     end = 200 + day.seconds * 1000 + longest + 5000
     mail: list[list[tuple[float, str, tuple[Any, ...]]]] = [[] for _ in pipes]
@@ -275,7 +306,8 @@
 
 def answer_remote(shard: Shard, engine: Engine, network_ms: float, to: int, number: int) -> Callable[..., None]:
     """What a worker or the store is given to reply with, for an asker in another shard; the first reply counts."""
+
     def reply(*words: Any) -> None:
         shard.post(engine.now + network_ms, to, "reply", number, words)
-    return reply
 
+    return reply
--- a/kelptrail/lab/site.py
+++ b/kelptrail/lab/site.py
@@ -104,8 +104,13 @@
         self.up = True
         if self.journal is not None and self._book:
             margin = 2 * site.deployment.dispatcher.answer_margin_ms
-            self.gateway.recover(self._engine.now, WALL + self._engine.now, self._book.values(), margin,
-                                 site.deployment.journal.resume_at_once)
+            self.gateway.recover(
+                self._engine.now,
+                WALL + self._engine.now,
+                self._book.values(),
+                margin,
+                site.deployment.journal.resume_at_once,
+            )
         if self.listing is not None:
             self.gateway.listed(self._engine.now, self.listing)
         self.stir()
@@ -133,8 +138,12 @@
             if self.edge is not None:
                 self.edge.listed()
             if self._site.note is not None:
-                self._site.note("list", to=self.who, version=listing.version,
-                                workers={w.id: [w.state, w.incarnation] for w in listing.workers})
+                self._site.note(
+                    "list",
+                    to=self.who,
+                    version=listing.version,
+                    workers={w.id: [w.state, w.incarnation] for w in listing.workers},
+                )
             self.stir()
 
     def do(self, what: Callable[..., None], *words: Any) -> None:
@@ -197,8 +206,16 @@
         self._site.second().sends += 1
         if isinstance(worker, RemoteWorker):
             if worker.up:
-                worker.go("send", lambda outcome, answer: over(outcome, answer), ivk.action.path, ivk.mark,
-                          ivk.record.id, send.number, self.who, send.act.deadline - send.sent)
+                worker.go(
+                    "send",
+                    lambda outcome, answer: over(outcome, answer),
+                    ivk.action.path,
+                    ivk.mark,
+                    ivk.record.id,
+                    send.number,
+                    self.who,
+                    send.act.deadline - send.sent,
+                )
             else:
                 self._engine.after(2 * net, lambda: over(Outcome.UNREACHABLE, None))
 
@@ -287,8 +304,15 @@
 class Site:
     """One run of a script.  `capture`: keep all events, so that the audit and the bad days' report can read them."""
 
-    def __init__(self, day: BadDay, deployment: Deployment, seed: int, settings: LabSettings | None = None,
-                 capture: bool = False, shard: Shard | None = None) -> None:
+    def __init__(
+        self,
+        day: BadDay,
+        deployment: Deployment,
+        seed: int,
+        settings: LabSettings | None = None,
+        capture: bool = False,
+        shard: Shard | None = None,
+    ) -> None:
         """`shard`: this process's part of a run over several."""
         part, self.shard = (shard.number, shard.of) if shard is not None else (0, 1), shard
         self._seed = seed
@@ -319,14 +343,17 @@
         for n in range(day.workers):
             id_, hall, cell = f"worker-{n}", halls[n % len(halls)], n // 2
             if shard is not None and shard.home(n) != shard.number:
-                self.workers[id_] = RemoteWorker(shard, shard.home(n), id_, hall, cell, self.engine, self.settings,
-                                                 deployment.rules.cold_ms)
+                self.workers[id_] = RemoteWorker(
+                    shard, shard.home(n), id_, hall, cell, self.engine, self.settings, deployment.rules.cold_ms
+                )
             else:
-                self.workers[id_] = _Worker(self.engine, deployment, id_, hall, cell, self.store, self._ledger, seed,
-                                            True, self.note)
+                self.workers[id_] = _Worker(
+                    self.engine, deployment, id_, hall, cell, self.store, self._ledger, seed, True, self.note
+                )
         self.dispatchers: list[LabDispatcher | RemoteDispatcher] = [
             LabDispatcher(self, n, halls[n % len(halls)]) if shard is None or shard.has(n) else RemoteDispatcher(n)
-            for n in range(day.dispatchers)]
+            for n in range(day.dispatchers)
+        ]
         self.listing: Listing | None = None
         self.planners: list[LabPlanner] = []
         self.leases: LabLeases | None = None
@@ -336,10 +363,17 @@
         self.planners = [LabPlanner(self, n, day.solver) for n in range(day.planners)]
         if deployment.leases is not None and shard is None:
             names = [d.name for d in self.own]
-            self.leases = LabLeases(self.engine, lease_settings(deployment.leases), deployment.leases.length_ms,
-                                    names + [p.name for p in self.planners], seed, self.settings.sync_ms,
-                                    self.settings.network_ms,
-                                    deployment.peers.silent_ms if deployment.peers is not None else 3000.0, self.note)
+            self.leases = LabLeases(
+                self.engine,
+                lease_settings(deployment.leases),
+                deployment.leases.length_ms,
+                names + [p.name for p in self.planners],
+                seed,
+                self.settings.sync_ms,
+                self.settings.network_ms,
+                deployment.peers.silent_ms if deployment.peers is not None else 3000.0,
+                self.note,
+            )
             self.leases.contend(day.tasks, names)
             for planner in self.planners:
                 self.leases.want(self.leases.nodes[planner.name], TASK, planner.led, planner.stood_down)
@@ -431,11 +465,20 @@
     def _wish(self, action: ActionSettings, load: Load, after: Callable[[], None] | None = None) -> None:
         self._tickets += 1
         chance = self._clients
-        space = self.deployment.namespaces.get(load.namespace) or (
-            self._spaces[int(np.searchsorted(self._shares, chance.random()))])
-        wish = Wish(f"t{self._mark}{self._tickets}", action, space, bool(chance.random() < load.deferred),
-                    habits_of(float(chance.random()), load.heed, load.half_heed), 1 + load.retries,
-                    first=self.engine.now, after=after)
+        space = (
+            self.deployment.namespaces.get(load.namespace)
+            or (self._spaces[int(np.searchsorted(self._shares, chance.random()))])
+        )
+        wish = Wish(
+            f"t{self._mark}{self._tickets}",
+            action,
+            space,
+            bool(chance.random() < load.deferred),
+            habits_of(float(chance.random()), load.heed, load.half_heed),
+            1 + load.retries,
+            first=self.engine.now,
+            after=after,
+        )
         self.by_space[space.name][0] += 1
         self._try(wish, None)
 
@@ -449,9 +492,17 @@
         second.calls += 1
         second.repeats += self.engine.now > wish.first
         if self.note is not None:
-            self.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
-                      dispatcher=self.own[wish.dispatcher].number, deferred=wish.deferred, limit_ms=kind.timeout_ms,
-                      front=False)
+            self.note(
+                "call",
+                call=wish.number,
+                ticket=wish.ticket,
+                action=wish.action.path,
+                type=kind.name,
+                dispatcher=self.own[wish.dispatcher].number,
+                deferred=wish.deferred,
+                limit_ms=kind.timeout_ms,
+                front=False,
+            )
         dispatcher = self.own[wish.dispatcher]
         wish.patience = self.engine.after(kind.timeout_ms + 500, self._patience, wish, wish.number)
         self.engine.after(self.settings.network_ms, self._arrive, dispatcher, wish, wish.number)
@@ -492,8 +543,18 @@
         if refused is not None:
             self._final(wish, "", "rejected", refused[1], None)
             return
-        ivk = gateway.take(now, WALL + now, wish.space.name, wish.action, b"{}", key, "",
-                           lambda record: self._waited(wish, number, record), wish.deferred, who=wish.ticket)
+        ivk = gateway.take(
+            now,
+            WALL + now,
+            wish.space.name,
+            wish.action,
+            b"{}",
+            key,
+            "",
+            lambda record: self._waited(wish, number, record),
+            wish.deferred,
+            who=wish.ticket,
+        )
         wish.ivk, wish.run = ivk, dispatcher.starts
         if wish.deferred:
             dispatcher.stir()
@@ -568,13 +629,22 @@
             self.note("no-answer", call=wish.number, ending=ending)
         self._again(wish, Heard.LOST)
 
-    def _final(self, wish: Wish, activation: str, answer: str, return_ms: float, within: float | None,
-               took: float | None = None, code: int = 0) -> None:
+    def _final(
+        self,
+        wish: Wish,
+        activation: str,
+        answer: str,
+        return_ms: float,
+        within: float | None,
+        took: float | None = None,
+        code: int = 0,
+    ) -> None:
         self._unwait(wish)
         kind, second = self.deployment.types[wish.action.type], self.second()
         if self.note is not None:
-            self.note("final", call=wish.number, activation=activation, answer=answer, status=0, lag=0.0, took=took,
-                      code=code)
+            self.note(
+                "final", call=wish.number, activation=activation, answer=answer, status=0, lag=0.0, took=took, code=code
+            )
         if answer == "completed":
             took = self.engine.now - wish.began if took is None else took
             second.completed += 1
@@ -596,8 +666,9 @@
         if wait is not None and heard is Heard.NOT_TAKEN and wish.tries > -20:
             self.engine.after(wait, self._try, wish, wish.dispatcher)
         elif wait is not None and heard is not Heard.NOT_TAKEN and wish.tries > 0:
-            self.engine.after(wait * float(self._clients.uniform(*wish.habits.spread)), self._try, wish,
-                              wish.dispatcher)
+            self.engine.after(
+                wait * float(self._clients.uniform(*wish.habits.spread)), self._try, wish, wish.dispatcher
+            )
         elif wish.after is not None:
             wish.after()
 
@@ -662,8 +733,9 @@
         victims_d = self.dispatchers
         if kind == "kill-dispatchers" or kind in (*ON_DISKS, *ON_PEERS):
             count = max(1, round(trouble.part * len(self.dispatchers)))
-            victims_d = [self.dispatchers[int(n)] for n in
-                         self._chance.choice(len(self.dispatchers), count, replace=False)]
+            victims_d = [
+                self.dispatchers[int(n)] for n in self._chance.choice(len(self.dispatchers), count, replace=False)
+            ]
         self._trouble(kind, trouble, [d.name for d in victims_d] if kind not in ON_STORE else [])
         if kind in ON_STORE:
             self.store.fault(kind.removeprefix("store-"), trouble.factor, trouble.last * 1000)
@@ -699,8 +771,11 @@
 
     def _on_planners(self, trouble: Trouble) -> None:
         count = max(1, round(trouble.part * len(self.planners))) if self.planners else 0
-        victims = [self.planners[int(n)] for n in self._chance.choice(len(self.planners), count, replace=False)] if (
-            count) else []
+        victims = (
+            [self.planners[int(n)] for n in self._chance.choice(len(self.planners), count, replace=False)]
+            if (count)
+            else []
+        )
         for planner in victims:
             if trouble.kind == "planners-slow":
                 planner.slow_ms = trouble.ms
@@ -710,13 +785,16 @@
                 self.engine.after(trouble.last * 1000, setattr, planner.core.demand, "factor", 1.0)
             elif trouble.kind in ("pause-planners", "cut-planners"):
                 assert self.leases is not None
-                self.leases.befall(trouble.as_kind({"pause-planners": "pause-dispatchers",
-                                                    "cut-planners": "cut-peers"}[trouble.kind]), [planner.name],
-                                   lambda: bool(self._chance.random() < 0.5))
+                self.leases.befall(
+                    trouble.as_kind({"pause-planners": "pause-dispatchers", "cut-planners": "cut-peers"}[trouble.kind]),
+                    [planner.name],
+                    lambda: bool(self._chance.random() < 0.5),
+                )
             else:
                 planner.kill()
-                self.engine.after(trouble.last * 1000 + self.settings.start_ms, planner.begin,
-                                  trouble.kind == "planners-forget")
+                self.engine.after(
+                    trouble.last * 1000 + self.settings.start_ms, planner.begin, trouble.kind == "planners-forget"
+                )
 
     def _trouble(self, kind: str, trouble: Trouble, of: list[str]) -> None:
         if self.note is not None and self._part[0] == 0:
@@ -781,6 +859,7 @@
             self._tell_lists()
             if again:
                 self.engine.after(self.settings.restart_ms, self._back_up, worker)
+
         self.engine.after(down, stop)
 
 
@@ -801,8 +880,11 @@
 def result_of(site: Site) -> Result:
     """What a run in one process came to."""
     served = {f"served_{name}": good / wanted for name, (wanted, good) in site.by_space.items() if wanted}
-    planned = {"plans": float(sum(p.plans for p in site.planners)), "moves": float(sum(p.moves for p in site.planners)),
-               "idle_mb": float(np.mean([s.idle_mb for s in site.seconds[:int(site.day.seconds)]]))}
+    planned = {
+        "plans": float(sum(p.plans for p in site.planners)),
+        "moves": float(sum(p.moves for p in site.planners)),
+        "idle_mb": float(np.mean([s.idle_mb for s in site.seconds[: int(site.day.seconds)]])),
+    }
     return Result(site.seconds, site.latency, site.give_ups, site.engine.events, site.store.fetches, served | planned)
 
 
--- a/kelptrail/lease/asker.py
+++ b/kelptrail/lease/asker.py
@@ -327,10 +327,16 @@
         """A copy that goes its own way."""
         twin = Asker.__new__(type(self))
         twin.__dict__.update(self.__dict__)
-        twin.wishes = {task: replace(
-            wish, questions={seq: Question(q.sent, set(q.granted)) for seq, q in wish.questions.items()},
-            asked=set(wish.asked), refused=dict(wish.refused), left=set(wish.left))
-            for task, wish in self.wishes.items()}
+        twin.wishes = {
+            task: replace(
+                wish,
+                questions={seq: Question(q.sent, set(q.granted)) for seq, q in wish.questions.items()},
+                asked=set(wish.asked),
+                refused=dict(wish.refused),
+                left=set(wish.left),
+            )
+            for task, wish in self.wishes.items()
+        }
         twin.rounds, twin.seen = dict(self.rounds), dict(self.seen)
         twin.out, twin.events = self.out.copy(), self.events.copy()
         return twin
--- a/kelptrail/lease/driver.py
+++ b/kelptrail/lease/driver.py
@@ -224,18 +224,35 @@
         """What operators are shown."""
         now, heard, voter = now_ms(), self._peers.heard(), self.voter
         return {
-            "name": self.name, "number": self.asker.number,
-            "voters": {name: None if name != self.name and name not in heard else round(heard.get(name, 0.0))
-                       for name in self.asker.voters},
-            "holds": {task: {"token": str(token), "left_ms": round(self.asker.left_ms(now, task))}
-                      for task in sorted(self.asker.wishes) if (token := self.asker.holds(now, task)) is not None},
+            "name": self.name,
+            "number": self.asker.number,
+            "voters": {
+                name: None if name != self.name and name not in heard else round(heard.get(name, 0.0))
+                for name in self.asker.voters
+            },
+            "holds": {
+                task: {"token": str(token), "left_ms": round(self.asker.left_ms(now, task))}
+                for task in sorted(self.asker.wishes)
+                if (token := self.asker.holds(now, task)) is not None
+            },
             "wants": sorted(self.asker.wishes),
-            "seen": {task: {"token": str(token), "left_ms": max(0, round(until - now))}
-                     for task, (token, until) in sorted(self.asker.seen.items())},
-            "vote": None if voter is None else {
-                "stage": voter.stage.value, "number": voter.number,
+            "seen": {
+                task: {"token": str(token), "left_ms": max(0, round(until - now))}
+                for task, (token, until) in sorted(self.asker.seen.items())
+            },
+            "vote": None
+            if voter is None
+            else {
+                "stage": voter.stage.value,
+                "number": voter.number,
                 "disk": "failing" if self._journal is not None and self._journal.journal.failing else "well",
-                "tasks": {task: {"token": str(seat.highest), "left_ms": max(0, round(seat.until - now)) if
-                                 not seat.released and seat.until > now else 0}
-                          for task, seat in sorted(voter.seats.items())}},
-            "messages": self.messages}
+                "tasks": {
+                    task: {
+                        "token": str(seat.highest),
+                        "left_ms": max(0, round(seat.until - now)) if not seat.released and seat.until > now else 0,
+                    }
+                    for task, seat in sorted(voter.seats.items())
+                },
+            },
+            "messages": self.messages,
+        }
--- a/kelptrail/lease/ledger.py
+++ b/kelptrail/lease/ledger.py
@@ -76,8 +76,10 @@
                 kept[MEMORY] = msgspec.msgpack.encode((memory.number, memory.stage.value, memory.was))
         try:
             self._run("BEGIN IMMEDIATE")
-            self._db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?, ?)",
-                                 [(name, crc32(body), body) for name, body in kept.items()])
+            self._db.executemany(
+                "INSERT OR REPLACE INTO kept VALUES (?, ?, ?)",
+                [(name, crc32(body), body) for name, body in kept.items()],
+            )
             self._run("COMMIT")
         except apsw.Error as cause:
             if self._db.in_transaction:
--- a/kelptrail/lease/model.py
+++ b/kelptrail/lease/model.py
@@ -157,26 +157,61 @@
 
     def key(self) -> Hashable:
         """What the future depends on; times count from now."""
-        out: list[Hashable] = [self.budget, tuple(sorted(self.flying, key=repr)), self.paused, self.fence, self.won,
-                               self.taken, self.left]
+        out: list[Hashable] = [
+            self.budget,
+            tuple(sorted(self.flying, key=repr)),
+            self.paused,
+            self.fence,
+            self.won,
+            self.taken,
+            self.left,
+        ]
         for name, voter in self.voters.items():
             now = self.local(name)
             seat = voter.seats.get(TASK)
-            out.append((voter.stage, voter.was, _ahead(voter.since, now), _ahead(voter.due(), now), voter._nonce,
-                        frozenset(voter._answers.items()), tuple(voter.writes), self.disks[name].memory,
-                        self.disks[name].rows.get(TASK)))
+            out.append(
+                (
+                    voter.stage,
+                    voter.was,
+                    _ahead(voter.since, now),
+                    _ahead(voter.due(), now),
+                    voter._nonce,
+                    frozenset(voter._answers.items()),
+                    tuple(voter.writes),
+                    self.disks[name].memory,
+                    self.disks[name].rows.get(TASK),
+                )
+            )
             if seat is not None:
-                out.append((seat.highest, seat.kept, seat.released, _ahead(seat.until, now), seat.next,
-                            _ahead(seat.next_until, now), seat.noted))
+                out.append(
+                    (
+                        seat.highest,
+                        seat.kept,
+                        seat.released,
+                        _ahead(seat.until, now),
+                        seat.next,
+                        _ahead(seat.next_until, now),
+                        seat.noted,
+                    )
+                )
         for name, asker in self.askers.items():
             now, wish = self.local(name), asker.wishes.get(TASK)
             out.append((name, asker.who, asker._seq, asker._draws, asker.rounds.get(TASK, 0)))
             if wish is not None:
                 out.append((wish.noted, wish.leaving, frozenset(wish.left)))
-                out.append((wish.state, wish.token, _ahead(wish.due, now), _ahead(wish.until, now), wish.first,
-                            wish.attempts, frozenset(wish.refused), frozenset(wish.asked),
-                            tuple((seq, _ahead(q.sent, now), frozenset(q.granted))
-                                  for seq, q in wish.questions.items())))
+                out.append(
+                    (
+                        wish.state,
+                        wish.token,
+                        _ahead(wish.due, now),
+                        _ahead(wish.until, now),
+                        wish.first,
+                        wish.attempts,
+                        frozenset(wish.refused),
+                        frozenset(wish.asked),
+                        tuple((seq, _ahead(q.sent, now), frozenset(q.granted)) for seq, q in wish.questions.items()),
+                    )
+                )
         return tuple(out)
 
     # Steps.
@@ -231,7 +266,7 @@
     def _deliver(self, number: int) -> World:
         twin = self.copy()
         flying = self.flying[number]
-        twin.flying = self.flying[:number] + self.flying[number + 1:]
+        twin.flying = self.flying[:number] + self.flying[number + 1 :]
         twin._hand(flying)
         twin._collect()
         return twin
@@ -249,7 +284,7 @@
 
     def _lose(self, number: int) -> World:
         twin = self._spend(drops=1)
-        twin.flying = self.flying[:number] + self.flying[number + 1:]
+        twin.flying = self.flying[:number] + self.flying[number + 1 :]
         return twin
 
     def _copied(self, number: int) -> World:
@@ -279,8 +314,9 @@
 
     def _boot(self, name: str) -> None:
         disk = self.disks[name]
-        self.voters[name] = self.make.voter(name, self.settings(name), self.local(name), disk.memory,
-                                            tuple(disk.rows.values()))
+        self.voters[name] = self.make.voter(
+            name, self.settings(name), self.local(name), disk.memory, tuple(disk.rows.values())
+        )
 
     def _take_up(self, name: str) -> World:
         """It starts anew with the next set of voters in its settings."""
@@ -295,8 +331,11 @@
     def _next(self) -> float | None:
         """When something is due next: a timer, or the end of a grant or of a belief."""
         cores: list[tuple[str, Voter | Asker]] = [*self.askers.items(), *self.voters.items()]
-        dues = [max(self.now, due / self.make.rate(name)) for name, core in cores
-                if name not in self.paused and (due := core.due()) is not None]
+        dues = [
+            max(self.now, due / self.make.rate(name))
+            for name, core in cores
+            if name not in self.paused and (due := core.due()) is not None
+        ]
         ends = [(name, seat.until) for name, voter in self.voters.items() for seat in voter.seats.values()]
         ends += [(name, wish.until) for name, asker in self.askers.items() for wish in asker.wishes.values()]
         dues += [end / self.make.rate(name) for name, end in ends if end / self.make.rate(name) > self.now]
--- a/kelptrail/lease/voter.py
+++ b/kelptrail/lease/voter.py
@@ -86,8 +86,9 @@
 class Voter:
     """One voter.  `memory` and `rows`: what its disk held; None: nothing that can be gone on from."""
 
-    def __init__(self, name: str, settings: LeaseSettings, now: float, memory: Memory | None,
-                 rows: tuple[Row, ...] = ()) -> None:
+    def __init__(
+        self, name: str, settings: LeaseSettings, now: float, memory: Memory | None, rows: tuple[Row, ...] = ()
+    ) -> None:
         self.name, self.settings = name, settings
         self.seats: dict[str, Seat] = {}
         self.out: deque[tuple[str, Message]] = deque()
@@ -230,7 +231,7 @@
         if message.to:
             seat.next, seat.next_until = message.to, now + self.settings.reserve_ms
         # Who was told to wait would come only when the lease would have ended.
-        if (to := message.to or next(iter(self.waiting.get(message.task, ())), "")):
+        if to := message.to or next(iter(self.waiting.get(message.task, ())), ""):
             self.out.append((to, Handed(message.task)))
         self._write((self._row(message.task),))
 
@@ -249,8 +250,9 @@
         seat = self.seats[task]
         return Row(task, seat.highest, seat.length_ms, seat.released, seat.noted)
 
-    def _write(self, rows: tuple[Row, ...], memory: Memory | None = None, to: str = "",
-               reply: Message | None = None) -> None:
+    def _write(
+        self, rows: tuple[Row, ...], memory: Memory | None = None, to: str = "", reply: Message | None = None
+    ) -> None:
         self._writes += 1
         self.writes.append(Write(self._writes, rows, memory, to, reply))
 
@@ -292,13 +294,14 @@
         if not self._passed(now):
             return
         if self.stage is Stage.FOUNDING:
-            if Stage.VOTING.value in stages or (
-                    len(stages) == len(others) and set(stages) <= {Stage.FOUNDING.value}):
+            if Stage.VOTING.value in stages or (len(stages) == len(others) and set(stages) <= {Stage.FOUNDING.value}):
                 self._vote(now)
         elif stages.count(Stage.VOTING.value) >= majority(self.settings.voters):
             self._vote(now)
-        elif all(name in self._answers and self._answers[name].stage in (Stage.EMPTY.value, Stage.FOUNDING.value)
-                 for name in {*others, *self.settings.before} - {self.name}):
+        elif all(
+            name in self._answers and self._answers[name].stage in (Stage.EMPTY.value, Stage.FOUNDING.value)
+            for name in {*others, *self.settings.before} - {self.name}
+        ):
             self._to(Stage.FOUNDING, False)
 
     def _passed(self, now: float) -> bool:
--- a/kelptrail/load/arrivals.py
+++ b/kelptrail/load/arrivals.py
@@ -1,13 +1,13 @@
 """When clients come: load models of open loops, drawn a piece at a time; free of I/O but for recorded traces.
 
-    poisson   independent clients at a steady rate
-    diurnal   the rate swings around its mean: `period` seconds from low to low, `swing` its share (thinning, Lewis and
-              Shedler 1979)
-    bursts    a two-state modulated Poisson process: `burst` seconds at `factor` times the quiet rate, `quiet` seconds
-              between, both exponential; the mean is the load's rate
-    heavy     gaps from a Lomax (Pareto II) distribution with tail index `tail`: long lulls, then crowds
-    trace     a recording: lines of `seconds[,action]`, repeated from its start when it ends
-    closed    no arrivals of its own: `clients` that each come again `think` seconds (exponential) after their answer
+poisson   independent clients at a steady rate
+diurnal   the rate swings around its mean: `period` seconds from low to low, `swing` its share (thinning, Lewis and
+          Shedler 1979)
+bursts    a two-state modulated Poisson process: `burst` seconds at `factor` times the quiet rate, `quiet` seconds
+          between, both exponential; the mean is the load's rate
+heavy     gaps from a Lomax (Pareto II) distribution with tail index `tail`: long lulls, then crowds
+trace     a recording: lines of `seconds[,action]`, repeated from its start when it ends
+closed    no arrivals of its own: `clients` that each come again `think` seconds (exponential) after their answer
 """
 
 from __future__ import annotations
--- a/kelptrail/load/habits.py
+++ b/kelptrail/load/habits.py
@@ -35,8 +35,15 @@
     return Habits(1.0 if draw < heed else 0.5 if draw < heed + half else 0.0)
 
 
-def again(habits: Habits, heard: Heard, effect: str, timeout_ms: float, told_ms: float = 0.0,
-          within_ms: float | None = None, since_ms: float = 0.0) -> float | None:
+def again(
+    habits: Habits,
+    heard: Heard,
+    effect: str,
+    timeout_ms: float,
+    told_ms: float = 0.0,
+    within_ms: float | None = None,
+    since_ms: float = 0.0,
+) -> float | None:
     """How long a client waits before it comes again, in ms; None: it does not.
 
     `told_ms`: the return time it was told, 0 for none; `within_ms`: how long a repeat is harmless, None for ever;
--- a/kelptrail/load/hand.py
+++ b/kelptrail/load/hand.py
@@ -85,12 +85,18 @@
         self._day, self._deployment, self._settings, self._start = day, deployment, settings, start
         self._chance = np.random.default_rng([settings.seed, 29, settings.number])
         self._loop = asyncio.get_running_loop()
-        self._pools = [WorkerPool(a, settings.connections, settings.connect_ms, 10_000.0, 1 << 22)
-                       for a in settings.addresses]
-        self._auth = {n.name: "Basic " + base64.b64encode(f"{n.uuid}:{n.key}".encode()).decode()
-                      for n in deployment.namespaces.values()}
-        self.tally = Tally([Second() for _ in range(int(day.seconds) + 60)],
-                           {name: histogram() for name in deployment.types}, histogram())
+        self._pools = [
+            WorkerPool(a, settings.connections, settings.connect_ms, 10_000.0, 1 << 22) for a in settings.addresses
+        ]
+        self._auth = {
+            n.name: "Basic " + base64.b64encode(f"{n.uuid}:{n.key}".encode()).decode()
+            for n in deployment.namespaces.values()
+        }
+        self.tally = Tally(
+            [Second() for _ in range(int(day.seconds) + 60)],
+            {name: histogram() for name in deployment.types},
+            histogram(),
+        )
         spaces = list(deployment.namespaces.values())
         shares = np.array([s.allowed_per_s for s in spaces])
         self._spaces, self._shares = spaces, np.cumsum(shares / shares.sum())
@@ -155,12 +161,23 @@
     def _wish(self, action: ActionSettings, load: Load, due: float, after: Callable[[], None] | None = None) -> None:
         self._tickets += 1
         chance, settings = self._chance, self._settings
-        space = self._deployment.namespaces.get(load.namespace) or (
-            self._spaces[int(np.searchsorted(self._shares, chance.random()))])
-        wish = _Wish(f"l{settings.seed}-{settings.number}-{self._tickets}", action, space, load,
-                     bool(chance.random() < load.deferred),
-                     habits_of(float(chance.random()), load.heed, load.half_heed), 1 + load.retries, due, due,
-                     int(chance.integers(len(self._pools))), after=after)
+        space = (
+            self._deployment.namespaces.get(load.namespace)
+            or (self._spaces[int(np.searchsorted(self._shares, chance.random()))])
+        )
+        wish = _Wish(
+            f"l{settings.seed}-{settings.number}-{self._tickets}",
+            action,
+            space,
+            load,
+            bool(chance.random() < load.deferred),
+            habits_of(float(chance.random()), load.heed, load.half_heed),
+            1 + load.retries,
+            due,
+            due,
+            int(chance.integers(len(self._pools))),
+            after=after,
+        )
         self._try(wish)
 
     # Tries.
@@ -182,11 +199,26 @@
         if self._settings.churn and self._chance.random() < self._settings.churn:
             headers["connection"] = "close"
         target = f"/api/v1/namespaces/_/actions/{wish.action.path}?blocking={str(not wish.deferred).lower()}"
-        self._ask("POST", target, msgspec.json.encode({"ticket": wish.ticket}), headers, wish, self._answered,
-                  kind.timeout_ms + PATIENCE_MS)
-
-    def _ask(self, method: str, target: str, body: bytes, headers: dict[str, str], wish: _Wish, done: Answers,
-             patience: float) -> None:
+        self._ask(
+            "POST",
+            target,
+            msgspec.json.encode({"ticket": wish.ticket}),
+            headers,
+            wish,
+            self._answered,
+            kind.timeout_ms + PATIENCE_MS,
+        )
+
+    def _ask(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: dict[str, str],
+        wish: _Wish,
+        done: Answers,
+        patience: float,
+    ) -> None:
         self._out += 1
         data = encode_request(method, target, self._settings.addresses[wish.dispatcher], body, headers)
         call = self._pools[wish.dispatcher].start(data, done, wish)
@@ -214,8 +246,15 @@
         if now_ms() - wish.due > kind.timeout_ms + POLL_FOR_MS:
             self._over(wish, Heard.LOST, "polled")
             return
-        self._ask("GET", f"/api/v1/namespaces/_/activations/{wish.activation}", b"",
-                  {"authorization": self._auth[wish.space.name]}, wish, self._polled, 2000.0)
+        self._ask(
+            "GET",
+            f"/api/v1/namespaces/_/activations/{wish.activation}",
+            b"",
+            {"authorization": self._auth[wish.space.name]},
+            wish,
+            self._polled,
+            2000.0,
+        )
 
     def _polled(self, call: Call, ending: Ending, response: Response | None) -> None:
         wish, timer = call.tag
@@ -244,19 +283,25 @@
                 record.record_value(max(1, int(took * 1000)))
             self._over(wish, Heard.COMPLETED, "")
         elif answer in ("rejected", "aborted"):
-            self._over(wish, Heard(answer), answer, float(told.get("retry_after_ms", 0.0)),
-                       told.get("repeat_within_ms"))
+            self._over(
+                wish, Heard(answer), answer, float(told.get("retry_after_ms", 0.0)), told.get("repeat_within_ms")
+            )
         else:
             self._over(wish, Heard.COMPLETED, answer)  # an error of the client's own, such as 401: no repeat mends it
 
-    def _over(self, wish: _Wish, heard: Heard, cause: str, told_ms: float = 0.0,
-              within_ms: float | None = None) -> None:
+    def _over(
+        self, wish: _Wish, heard: Heard, cause: str, told_ms: float = 0.0, within_ms: float | None = None
+    ) -> None:
         """A try has ended: count it, and let the client do as it does."""
         kind, second = self._deployment.types[wish.action.type], self._second()
         if cause:
             self.tally.give_ups[cause] = self.tally.give_ups.get(cause, 0) + 1
-        name = {Heard.REJECTED: "rejected", Heard.ABORTED: "aborted", Heard.LOST: "lost",
-                Heard.NOT_TAKEN: "not_taken"}.get(heard)
+        name = {
+            Heard.REJECTED: "rejected",
+            Heard.ABORTED: "aborted",
+            Heard.LOST: "lost",
+            Heard.NOT_TAKEN: "not_taken",
+        }.get(heard)
         if name is not None:
             setattr(second, name, getattr(second, name) + 1)
         wait = again(wish.habits, heard, kind.effect, kind.timeout_ms, told_ms, within_ms, now_ms() - wish.due)
@@ -277,5 +322,10 @@
 
 def packed(tally: Tally) -> dict[str, Any]:
     """A tally as it goes from process to process."""
-    return {"seconds": [msgspec.to_builtins(s) for s in tally.seconds], "give_ups": tally.give_ups, "made": tally.made,
-            "took": {name: h.encode().decode() for name, h in tally.took.items()}, "late": tally.late.encode().decode()}
+    return {
+        "seconds": [msgspec.to_builtins(s) for s in tally.seconds],
+        "give_ups": tally.give_ups,
+        "made": tally.made,
+        "took": {name: h.encode().decode() for name, h in tally.took.items()},
+        "late": tally.late.encode().decode(),
+    }
--- a/kelptrail/load/plan.py
+++ b/kelptrail/load/plan.py
@@ -64,31 +64,35 @@
         """Who comes."""
 
 
-LOAD = Shape({
-    "rate": number(0.01, 100_000),
-    "at": number(0, 86_400, default=0.0),
-    "for": number(0.01, 86_400, default=86_400.0),
-    "deferred": number(0, 1, default=0.2),
-    "zipf": number(0, 4, default=1.1),
-    "retries": number(0, 10, whole=True, default=1),
-    "heed": number(0, 1, default=1.0),
-    "half-heed": number(0, 1, default=0.0),
-    "one-off": word(("yes", "no"), "no"),
-    "grpc": number(0, 1, default=0.0),
-    "streams": number(0, 1, default=0.0),
-    "action": word(default=""),
-    "shape": word(SHAPES, "poisson"),
-    "period": number(0.1, 1e6, default=60.0),
-    "swing": number(0, 1, default=0.8),
-    "burst": number(0.01, 86_400, default=2.0),
-    "quiet": number(0.01, 86_400, default=8.0),
-    "factor": number(1, 1000, default=5.0),
-    "tail": number(1.05, 100, default=1.5),
-    "file": word(default=""),
-    "clients": number(1, 1_000_000, whole=True, default=100),
-    "think": number(0.001, 86_400, default=1.0),
-    "namespace": word(default=""),
-}, build=lambda **f: Load(**(f | {"one_off": f["one_off"] == "yes"})))
+LOAD = Shape(
+    {
+        "rate": number(0.01, 100_000),
+        "at": number(0, 86_400, default=0.0),
+        "for": number(0.01, 86_400, default=86_400.0),
+        "deferred": number(0, 1, default=0.2),
+        "zipf": number(0, 4, default=1.1),
+        "retries": number(0, 10, whole=True, default=1),
+        "heed": number(0, 1, default=1.0),
+        "half-heed": number(0, 1, default=0.0),
+        "one-off": word(("yes", "no"), "no"),
+        "grpc": number(0, 1, default=0.0),
+        "streams": number(0, 1, default=0.0),
+        "action": word(default=""),
+        "shape": word(SHAPES, "poisson"),
+        "period": number(0.1, 1e6, default=60.0),
+        "swing": number(0, 1, default=0.8),
+        "burst": number(0.01, 86_400, default=2.0),
+        "quiet": number(0.01, 86_400, default=8.0),
+        "factor": number(1, 1000, default=5.0),
+        "tail": number(1.05, 100, default=1.5),
+        "file": word(default=""),
+        "clients": number(1, 1_000_000, whole=True, default=100),
+        "think": number(0.001, 86_400, default=1.0),
+        "namespace": word(default=""),
+    },
+    build=lambda **f: Load(**(f | {"one_off": f["one_off"] == "yes"})),
+)
+
 
 def check_load(checker: Checker, place: Place, load: Load, folder: Path) -> None:
     """What goes beyond single fields; a recording's path is taken from the script's `folder`."""
--- a/kelptrail/load/results.py
+++ b/kelptrail/load/results.py
@@ -49,19 +49,33 @@
 
 def figures(length: float, trouble_ends: float, result: Result) -> dict[str, float]:
     """What one run came to.  Times in ms, `recovery_s` in seconds: see `recovery`."""
-    seconds = result.seconds[:int(length)]
+    seconds = result.seconds[: int(length)]
     calls = sum(s.calls for s in seconds) or 1
     wishes = calls - sum(s.repeats for s in seconds) or 1
-    every = np.concatenate([np.asarray(v) for v in result.latency.values()]) if any(
-        result.latency.values()) else np.zeros(1)
+    every = (
+        np.concatenate([np.asarray(v) for v in result.latency.values()])
+        if any(result.latency.values())
+        else np.zeros(1)
+    )
     good = sum(s.in_time for s in seconds)
-    return {"calls": calls, "wishes": wishes, "completed": sum(s.completed for s in seconds), "in_time": good,
-            "served_share": good / wishes, "rejected": sum(s.rejected for s in seconds),
-            "aborted": sum(s.aborted for s in seconds), "lost": sum(s.lost for s in seconds),
-            "not_taken": sum(s.not_taken for s in seconds), "sends": sum(s.sends for s in seconds),
-            "orders": sum(s.orders for s in seconds), "loads": result.loads,
-            "p50_ms": float(np.percentile(every, 50)), "p99_ms": float(np.percentile(every, 99)),
-            "recovery_s": recovery(length, trouble_ends, result), "events": result.events} | result.extra
+    return {
+        "calls": calls,
+        "wishes": wishes,
+        "completed": sum(s.completed for s in seconds),
+        "in_time": good,
+        "served_share": good / wishes,
+        "rejected": sum(s.rejected for s in seconds),
+        "aborted": sum(s.aborted for s in seconds),
+        "lost": sum(s.lost for s in seconds),
+        "not_taken": sum(s.not_taken for s in seconds),
+        "sends": sum(s.sends for s in seconds),
+        "orders": sum(s.orders for s in seconds),
+        "loads": result.loads,
+        "p50_ms": float(np.percentile(every, 50)),
+        "p99_ms": float(np.percentile(every, 99)),
+        "recovery_s": recovery(length, trouble_ends, result),
+        "events": result.events,
+    } | result.extra
 
 
 def recovery(length: float, trouble_ends: float, result: Result) -> float:
@@ -79,8 +93,10 @@
 
 def rows_of(who: dict[str, Any], length: float, result: Result) -> Rows:
     """A row a second."""
-    return [who | {"second": n} | {f.name: getattr(s, f.name) for f in fields(s)}
-            for n, s in enumerate(result.seconds[:int(length)])]
+    return [
+        who | {"second": n} | {f.name: getattr(s, f.name) for f in fields(s)}
+        for n, s in enumerate(result.seconds[: int(length)])
+    ]
 
 
 def spread_of(who: dict[str, Any], result: Result) -> Rows:
@@ -88,10 +104,14 @@
     out: Rows = []
     for kind, found in result.latency.items():
         if found:
-            out += [who | {"what": "latency_ms", "name": kind, "part": part, "value": float(v)}
-                    for part, v in zip(PARTS, np.percentile(np.asarray(found), PARTS), strict=True)]
-    return out + [who | {"what": "give_ups", "name": cause, "part": 0.0, "value": float(count)}
-                  for cause, count in result.give_ups.items()]
+            out += [
+                who | {"what": "latency_ms", "name": kind, "part": part, "value": float(v)}
+                for part, v in zip(PARTS, np.percentile(np.asarray(found), PARTS), strict=True)
+            ]
+    return out + [
+        who | {"what": "give_ups", "name": cause, "part": 0.0, "value": float(count)}
+        for cause, count in result.give_ups.items()
+    ]
 
 
 def write(folder: Path, runs: Rows, seconds: Rows, spread: Rows) -> None:
--- a/kelptrail/load/tool.py
+++ b/kelptrail/load/tool.py
@@ -32,12 +32,31 @@
 async def drive(script: str, day: Script, settings: HandSettings, controls: list[str]) -> list[dict[str, Any]]:
     """Run all processes; their tallies as they were packed, and the dispatchers' states each second as the last."""
     start = now_ms() + START_MS
-    words = [sys.executable, "-m", "kelptrail", "load-hand", script, "--start", str(start), "--of", str(settings.of),
-             "--seed", str(settings.seed), "--churn", str(settings.churn), "--connections", str(settings.connections)]
+    words = [
+        sys.executable,
+        "-m",
+        "kelptrail",
+        "load-hand",
+        script,
+        "--start",
+        str(start),
+        "--of",
+        str(settings.of),
+        "--seed",
+        str(settings.seed),
+        "--churn",
+        str(settings.churn),
+        "--connections",
+        str(settings.connections),
+    ]
     for address in settings.addresses:
         words += ["--at", address]
-    hands = await asyncio.gather(*(asyncio.create_subprocess_exec(
-        *words, "--number", str(n), stdout=asyncio.subprocess.PIPE, limit=1 << 26) for n in range(settings.of)))
+    hands = await asyncio.gather(
+        *(
+            asyncio.create_subprocess_exec(*words, "--number", str(n), stdout=asyncio.subprocess.PIPE, limit=1 << 26)
+            for n in range(settings.of)
+        )
+    )
     watch = asyncio.create_task(_watch(controls, start, day.seconds))
     outs = await asyncio.gather(*(hand.communicate() for hand in hands))
     states = await watch
@@ -110,12 +129,30 @@
     for name, found_h in took.items():
         every.add(found_h)
         if found_h.get_total_count():
-            spread += [who | {"what": "latency_ms", "name": name, "part": part,
-                              "value": found_h.get_value_at_percentile(part) / 1000} for part in PARTS]
-    spread += [who | {"what": "give_ups", "name": cause, "part": 0.0, "value": float(count)}
-               for cause, count in result.give_ups.items()]
-    row = who | figures(day.seconds, day.ends, result) | {
-        "p50_ms": every.get_value_at_percentile(50) / 1000, "p99_ms": every.get_value_at_percentile(99) / 1000,
-        "late_p99_ms": late.get_value_at_percentile(99) / 1000, "took_s": day.seconds, "simulated_s_a_second": 1.0}
+            spread += [
+                who
+                | {
+                    "what": "latency_ms",
+                    "name": name,
+                    "part": part,
+                    "value": found_h.get_value_at_percentile(part) / 1000,
+                }
+                for part in PARTS
+            ]
+    spread += [
+        who | {"what": "give_ups", "name": cause, "part": 0.0, "value": float(count)}
+        for cause, count in result.give_ups.items()
+    ]
+    row = (
+        who
+        | figures(day.seconds, day.ends, result)
+        | {
+            "p50_ms": every.get_value_at_percentile(50) / 1000,
+            "p99_ms": every.get_value_at_percentile(99) / 1000,
+            "late_p99_ms": late.get_value_at_percentile(99) / 1000,
+            "took_s": day.seconds,
+            "simulated_s_a_second": 1.0,
+        }
+    )
     write(out, [row], rows_of(who, day.seconds, result), spread)
     return row
--- a/kelptrail/net/client.py
+++ b/kelptrail/net/client.py
@@ -21,11 +21,16 @@
         self._sock: socket.socket | None = None
         self._reader = ResponseReader(answer_bytes)
 
-    async def ask(self, method: str, target: str, body: Any = None, timeout_ms: float = 5000.0,
-                  headers: dict[str, str] | None = None) -> Response:
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        timeout_ms: float = 5000.0,
+        headers: dict[str, str] | None = None,
+    ) -> Response:
         """One request and its response; a connection that the other side closed is made anew once."""
-        data = encode_request(method, target, self.address,
-                              b"" if body is None else msgspec.json.encode(body), headers)
+        data = encode_request(method, target, self.address, b"" if body is None else msgspec.json.encode(body), headers)
         async with asyncio.timeout(timeout_ms / 1000):
             try:
                 if self._sock is not None and not self._stale():
--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -59,9 +59,14 @@
 class Door:
     """Listening sockets of one server.  `came` gets each client that is let in, `early` each that comes too fast."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, came: Callable[[socket.socket, str], None],
-                 early: Callable[[socket.socket, str, float], None], note: Callable[..., None],
-                 pace: ConnectPace | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        came: Callable[[socket.socket, str], None],
+        early: Callable[[socket.socket, str, float], None],
+        note: Callable[..., None],
+        pace: ConnectPace | None = None,
+    ) -> None:
         self._loop, self._came, self._early, self._note, self._pace = loop, came, early, note, pace
         self._sockets: dict[socket.socket, asyncio.TimerHandle | None] = {}
         self._lingering: deque[socket.socket] = deque()
--- a/kelptrail/net/grpc_client.py
+++ b/kelptrail/net/grpc_client.py
@@ -53,8 +53,9 @@
 
     __slots__ = ("id", "on_end", "on_message", "reader", "rest", "timer", "written")
 
-    def __init__(self, message: bytes, on_message: Callable[[bytes], None], on_end: Callable[[Ended], None],
-                 most: int) -> None:
+    def __init__(
+        self, message: bytes, on_message: Callable[[bytes], None], on_end: Callable[[Ended], None], most: int
+    ) -> None:
         self.rest = encode_message(message)
         self.on_message, self.on_end, self.reader = on_message, on_end, MessageReader(most)
         self.id = 0
@@ -76,8 +77,13 @@
 class GrpcClient:
     """Calls to one address."""
 
-    def __init__(self, address: str, connect_ms: float = 500.0, message_bytes: int = 1 << 24,
-                 tls: Callable[[], ssl.SSLContext] | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        connect_ms: float = 500.0,
+        message_bytes: int = 1 << 24,
+        tls: Callable[[], ssl.SSLContext] | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.address, self._where, self._tls = address, (host.strip("[]"), int(port)), tls
         self._connect_ms, self._most = connect_ms, message_bytes
@@ -86,15 +92,30 @@
         self._connecting: asyncio.Task[_Link | None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def call(self, path: str, message: bytes, metadata: dict[str, str], on_message: Callable[[bytes], None],
-             on_end: Callable[[Ended], None], timeout_ms: float, patience_ms: float = 0.0) -> GrpcCall:
+    def call(
+        self,
+        path: str,
+        message: bytes,
+        metadata: dict[str, str],
+        on_message: Callable[[bytes], None],
+        on_end: Callable[[Ended], None],
+        timeout_ms: float,
+        patience_ms: float = 0.0,
+    ) -> GrpcCall:
         """Begin a call of one request message; `on_end` comes later, never from within.  Its server is told
         `timeout_ms`, and waited for so much longer."""
         call = GrpcCall(message, on_message, on_end, self._most)
         call.timer = self._loop.call_later((timeout_ms + patience_ms) / 1000, self._late, call)
-        headers = [(":method", "POST"), (":scheme", "https" if self._tls else "http"), (":path", path),
-                   (":authority", self.address), ("te", "trailers"), ("content-type", "application/grpc"),
-                   ("grpc-timeout", f"{max(1, round(timeout_ms))}m"), *metadata.items()]
+        headers = [
+            (":method", "POST"),
+            (":scheme", "https" if self._tls else "http"),
+            (":path", path),
+            (":authority", self.address),
+            ("te", "trailers"),
+            ("content-type", "application/grpc"),
+            ("grpc-timeout", f"{max(1, round(timeout_ms))}m"),
+            *metadata.items(),
+        ]
         task = self._loop.create_task(self._begin(call, headers))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -155,8 +176,9 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, wire: Wire) -> None:
         self._loop, self._wire = loop, wire
-        self._h2 = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8",
-                                                validate_outbound_headers=False))
+        self._h2 = H2Connection(
+            H2Configuration(client_side=True, header_encoding="utf-8", validate_outbound_headers=False)
+        )
         self._h2.local_settings.update({SettingCodes.ENABLE_PUSH: 0})
         self._h2.initiate_connection()
         self._h2.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: WINDOW})
--- a/kelptrail/net/grpc_server.py
+++ b/kelptrail/net/grpc_server.py
@@ -66,9 +66,28 @@
 class GrpcStream:
     """One call.  Callbacks come from the loop, never from within a method of this object."""
 
-    __slots__ = ("_connection", "_end", "_headed", "_held", "_pending", "_reader", "_waits_room", "blocked_since",
-                 "client_ended", "deadline", "ended", "id", "metadata", "on_end", "on_gone", "on_message", "on_room",
-                 "opened", "path", "taken")
+    __slots__ = (
+        "_connection",
+        "_end",
+        "_headed",
+        "_held",
+        "_pending",
+        "_reader",
+        "_waits_room",
+        "blocked_since",
+        "client_ended",
+        "deadline",
+        "ended",
+        "id",
+        "metadata",
+        "on_end",
+        "on_gone",
+        "on_message",
+        "on_room",
+        "opened",
+        "path",
+        "taken",
+    )
 
     def __init__(self, connection: GrpcConnection, id_: int, path: str, metadata: dict[str, str], now: float) -> None:
         self._connection, self.id, self.path, self.metadata = connection, id_, path, metadata
@@ -120,8 +139,14 @@
         self._connection.pump(self)
         return True
 
-    def finish(self, code: Code = Code.OK, text: str = "", retry_ms: float | None = None, reason: str = "",
-               told: dict[str, str] | None = None) -> bool:
+    def finish(
+        self,
+        code: Code = Code.OK,
+        text: str = "",
+        retry_ms: float | None = None,
+        reason: str = "",
+        told: dict[str, str] | None = None,
+    ) -> bool:
         """Give the one status, after what was sent; False where there is one already, or the client has gone."""
         if self.ended:
             return False
@@ -152,11 +177,23 @@
         self.server, self._wire, self.peer, self.identity = server, wire, peer, identity
         limits, now = server.limits, server.now()
         # Inbound names and values are checked: they come from anybody.  Outbound ones are our own.
-        self._h2 = H2Connection(H2Configuration(client_side=False, header_encoding=None, validate_inbound_headers=True,
-                                                validate_outbound_headers=False, normalize_outbound_headers=False))
-        self._h2.local_settings = Settings(client=False, initial_values={
-            SettingCodes.MAX_CONCURRENT_STREAMS: limits.streams, SettingCodes.MAX_HEADER_LIST_SIZE: limits.header_bytes,
-            SettingCodes.ENABLE_PUSH: 0})
+        self._h2 = H2Connection(
+            H2Configuration(
+                client_side=False,
+                header_encoding=None,
+                validate_inbound_headers=True,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
+        self._h2.local_settings = Settings(
+            client=False,
+            initial_values={
+                SettingCodes.MAX_CONCURRENT_STREAMS: limits.streams,
+                SettingCodes.MAX_HEADER_LIST_SIZE: limits.header_bytes,
+                SettingCodes.ENABLE_PUSH: 0,
+            },
+        )
         self._h2.decoder.max_header_list_size = limits.header_bytes  # from the first frame on, not once it is acked
         self._h2.initiate_connection()
         self._h2.increment_flow_control_window(limits.message_bytes)
@@ -487,9 +524,15 @@
 class GrpcServer:
     """Listens, holds connections, sees to their time limits."""
 
-    def __init__(self, handler: Callable[[GrpcStream], None], limits: GrpcLimits | None = None,
-                 note: Callable[..., None] | None = None, tls: Callable[[], ssl.SSLContext] | None = None,
-                 who: Callable[[bytes | None], str] | None = None, pace: ConnectPace | None = None) -> None:
+    def __init__(
+        self,
+        handler: Callable[[GrpcStream], None],
+        limits: GrpcLimits | None = None,
+        note: Callable[..., None] | None = None,
+        tls: Callable[[], ssl.SSLContext] | None = None,
+        who: Callable[[bytes | None], str] | None = None,
+        pace: ConnectPace | None = None,
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.handle, self.limits = handler, limits or GrpcLimits()
         self.note = note or (lambda *_args, **_fields: None)
@@ -575,8 +618,12 @@
         """Keep what is unread within its bound: the stream that has stood still for longest is ended."""
         self.owed += count
         while self.owed > self.limits.unread_bytes:
-            found = [(s.blocked_since, c, s) for c in self._connections for s in c.streams.values()
-                     if s.blocked_since is not None and s._held]
+            found = [
+                (s.blocked_since, c, s)
+                for c in self._connections
+                for s in c.streams.values()
+                if s.blocked_since is not None and s._held
+            ]
             if not found:
                 return
             _, connection, stream = min(found, key=lambda entry: entry[0])
--- a/kelptrail/net/link.py
+++ b/kelptrail/net/link.py
@@ -27,11 +27,33 @@
     """One open connection.  `got` takes bytes as they come; `ended` is called once, when the peer ended or the
     connection broke, and not after `close`."""
 
-    __slots__ = ("__weakref__", "_closing", "_ended", "_got", "_limit", "_loop", "_most", "_out", "_reader", "_waits",
-                 "_writing", "closed", "moved", "queued", "wire", "written")
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, got: Callable[[memoryview], None],
-                 ended: Callable[[], None], most_waiting: int) -> None:
+    __slots__ = (
+        "__weakref__",
+        "_closing",
+        "_ended",
+        "_got",
+        "_limit",
+        "_loop",
+        "_most",
+        "_out",
+        "_reader",
+        "_waits",
+        "_writing",
+        "closed",
+        "moved",
+        "queued",
+        "wire",
+        "written",
+    )
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        got: Callable[[memoryview], None],
+        ended: Callable[[], None],
+        most_waiting: int,
+    ) -> None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.wire, self._loop, self._got, self._ended, self._most = Wire(loop, sock), loop, got, ended, most_waiting
--- a/kelptrail/net/pool.py
+++ b/kelptrail/net/pool.py
@@ -92,12 +92,18 @@
 class WorkerPool:
     """The connections to one address.  Times are milliseconds."""
 
-    def __init__(self, address: str, most: int, connect_ms: float, idle_ms: float, answer_bytes: int,
-                 tls: Callable[[], ssl.SSLContext] | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        most: int,
+        connect_ms: float,
+        idle_ms: float,
+        answer_bytes: int,
+        tls: Callable[[], ssl.SSLContext] | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.address, self._where = address, (host.strip("[]"), int(port))
-        self._most, self._connect_ms, self._idle_ms, self._answer_bytes = (
-            most, connect_ms, idle_ms, answer_bytes)
+        self._most, self._connect_ms, self._idle_ms, self._answer_bytes = (most, connect_ms, idle_ms, answer_bytes)
         self._loop, self._tls = asyncio.get_running_loop(), tls
         self._idle: list[_Link] = []
         self._waiting: deque[asyncio.Future[None]] = deque()
@@ -111,8 +117,7 @@
         """Calls under way."""
         return len(self._calls)
 
-    def start(self, data: bytes, done: Done, tag: Any = None,
-              on_piece: Callable[[bytes], None] | None = None) -> Call:
+    def start(self, data: bytes, done: Done, tag: Any = None, on_piece: Callable[[bytes], None] | None = None) -> Call:
         """Begin a call; `done` comes later, never from within."""
         call = Call(data, done, tag, on_piece)
         self._calls.add(call)
@@ -156,8 +161,13 @@
             if link is not None:
                 link.reader.on_piece = None
             if link is not None:
-                self._give_back(link, ending is Ending.ANSWERED and response is not None
-                                and response.keep_alive and not link.reader.extra)
+                self._give_back(
+                    link,
+                    ending is Ending.ANSWERED
+                    and response is not None
+                    and response.keep_alive
+                    and not link.reader.extra,
+                )
             call._end(ending, response)
 
     async def _take(self) -> _Link | None:
--- a/kelptrail/net/server.py
+++ b/kelptrail/net/server.py
@@ -32,8 +32,9 @@
 from .wire import TlsWire, Wire
 
 FIRST_BUFFER, LARGEST_BUFFER = 8192, 262_144
-TOO_MANY = encode_response(503, b'{"error":"too many connections","code":"503"}', {"retry-after": "1"},
-                           keep_alive=False)
+TOO_MANY = encode_response(
+    503, b'{"error":"too many connections","code":"503"}', {"retry-after": "1"}, keep_alive=False
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,14 +78,19 @@
         """Whom the client's certificate names, by the server's own mapping; empty without one."""
         return self._connection.identity
 
-    def reply(self, status: int, body: bytes, headers: dict[str, str] | None = None,
-              close: bool = False, content_type: str = "application/json") -> bool:
+    def reply(
+        self,
+        status: int,
+        body: bytes,
+        headers: dict[str, str] | None = None,
+        close: bool = False,
+        content_type: str = "application/json",
+    ) -> bool:
         """Give the reply; False where the client has gone or one was given already."""
         if self.data is not None or self.gone:
             return False
         request = self.request
-        self.keep = (request is not None and request.keep_alive and not close
-                     and not self._connection.ends_with(self))
+        self.keep = request is not None and request.keep_alive and not close and not self._connection.ends_with(self)
         self.on_gone = None
         self.data = encode_response(status, body, headers, self.keep, content_type)
         self._connection.owes(len(self.data))
@@ -381,9 +387,15 @@
 class HttpServer:
     """Listens on loopback addresses, holds connections, sees to their time limits."""
 
-    def __init__(self, handler: Handler, limits: Limits | None = None,
-                 note: Callable[..., None] | None = None, tls: Callable[[], ssl.SSLContext] | None = None,
-                 who: Callable[[bytes | None], str] | None = None, pace: ConnectPace | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits | None = None,
+        note: Callable[..., None] | None = None,
+        tls: Callable[[], ssl.SSLContext] | None = None,
+        who: Callable[[bytes | None], str] | None = None,
+        pace: ConnectPace | None = None,
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self._tls, self._who = tls, who or (lambda _certificate: "")
         self._shaking = 0  # connections whose handshake is under way
@@ -408,8 +420,11 @@
         """
         self.owed += count
         while self.owed > self.limits.unread_bytes:
-            slow = min((c for c in self._connections if c.writing_since is not None and c.owed),
-                       key=lambda c: c.writing_since or 0.0, default=None)
+            slow = min(
+                (c for c in self._connections if c.writing_since is not None and c.owed),
+                key=lambda c: c.writing_since or 0.0,
+                default=None,
+            )
             if slow is None:
                 return
             self._note("slow-reader-cut", peer=slow.peer, bytes=slow.owed)
@@ -474,8 +489,17 @@
     def _early(self, client: socket.socket, peer: str, back_ms: float) -> None:
         """Somebody connects faster than the pace: told at once when to come back.  Over TLS it is only closed."""
         body = b'{"error":"Too many connect at once; come back later.","code":"503"}'
-        self.door.refuse(client, b"" if self._tls is not None else encode_response(
-            503, body, {"retry-after": str(max(1, round(back_ms / 1000))), "retry-after-ms": f"{back_ms:.0f}"}, False))
+        self.door.refuse(
+            client,
+            b""
+            if self._tls is not None
+            else encode_response(
+                503,
+                body,
+                {"retry-after": str(max(1, round(back_ms / 1000))), "retry-after-ms": f"{back_ms:.0f}"},
+                False,
+            ),
+        )
 
     def _welcome(self, client: socket.socket, peer: str) -> None:
         client.setblocking(False)
--- a/kelptrail/net/tls.py
+++ b/kelptrail/net/tls.py
@@ -54,8 +54,9 @@
 class TlsKeeper:
     """One side's context.  Raises `ValueError` at the first start where the files cannot be used."""
 
-    def __init__(self, files: TlsFiles, server_side: bool, alpn: list[str], log: Any,
-                 wall: Callable[[], float]) -> None:
+    def __init__(
+        self, files: TlsFiles, server_side: bool, alpn: list[str], log: Any, wall: Callable[[], float]
+    ) -> None:
         self._files, self._server_side, self._alpn, self._log, self._wall = files, server_side, alpn, log, wall
         self._seen: tuple[tuple[str, int, int], ...] = ()
         self._expiry = Expiry(files.warn_days)
@@ -87,8 +88,13 @@
     def status(self) -> dict[str, Any]:
         """What operators are shown; nothing of it is secret."""
         left = (self.ends - self._wall()) / DAY_MS if self.ends is not None else None
-        return {"names": self.names, "ends": self._day(), "days_left": round(left, 2) if left is not None else None,
-                "loads": self.loads, "failures": self.failures}
+        return {
+            "names": self.names,
+            "ends": self._day(),
+            "days_left": round(left, 2) if left is not None else None,
+            "loads": self.loads,
+            "failures": self.failures,
+        }
 
     def _day(self) -> str | None:
         return datetime.fromtimestamp(self.ends / 1000, UTC).isoformat() if self.ends is not None else None
@@ -123,8 +129,9 @@
             named = ", ".join(str(f) for f in (files.certificate, files.key, files.authority) if f is not None)
             raise ValueError(f"{named}: {cause}") from None
         if self._server_side:
-            context.verify_mode = {"none": ssl.CERT_NONE, "asked": ssl.CERT_OPTIONAL,
-                                   "required": ssl.CERT_REQUIRED}[files.peers]
+            context.verify_mode = {"none": ssl.CERT_NONE, "asked": ssl.CERT_OPTIONAL, "required": ssl.CERT_REQUIRED}[
+                files.peers
+            ]
         if self._alpn:
             context.set_alpn_protocols(self._alpn)
         self.loads += 1
--- a/kelptrail/net/wire.py
+++ b/kelptrail/net/wire.py
@@ -61,8 +61,14 @@
 
     __slots__ = ("_buffer", "_in", "_lock", "_loop", "_out", "_tls")
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, context: ssl.SSLContext,
-                 server_side: bool, name: str | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        context: ssl.SSLContext,
+        server_side: bool,
+        name: str | None = None,
+    ) -> None:
         super().__init__(loop, sock)
         self._loop, self._in, self._out = loop, ssl.MemoryBIO(), ssl.MemoryBIO()
         self._tls = context.wrap_bio(self._in, self._out, server_side, name)
@@ -120,7 +126,7 @@
         view, at = memoryview(data), 0
         while at < len(view):
             try:
-                at += self._tls.write(view[at:at + BUFFER])
+                at += self._tls.write(view[at : at + BUFFER])
             except ssl.SSLError as cause:
                 raise ConnectionResetError(str(cause)) from None
             await self._flush()
--- a/kelptrail/peers/driver.py
+++ b/kelptrail/peers/driver.py
@@ -95,11 +95,24 @@
 
     def status(self) -> dict[str, Any]:
         """What operators are shown."""
-        return {"address": self.address, "lost": self.lost, "links": {
-            name: {"heard_ms": round(now_ms() - link.heard), "version": link.version, "can": sorted(link.can),
-                   "came": link.came, "sent": link.sent, "waiting_bytes": link.waiting, "dropped": link.dropped,
-                   "flooded": link.flooded, "passed_over": link.passed_over}
-            for name, link in sorted(self._by_name.items())}}
+        return {
+            "address": self.address,
+            "lost": self.lost,
+            "links": {
+                name: {
+                    "heard_ms": round(now_ms() - link.heard),
+                    "version": link.version,
+                    "can": sorted(link.can),
+                    "came": link.came,
+                    "sent": link.sent,
+                    "waiting_bytes": link.waiting,
+                    "dropped": link.dropped,
+                    "flooded": link.flooded,
+                    "passed_over": link.passed_over,
+                }
+                for name, link in sorted(self._by_name.items())
+            },
+        }
 
     # Links.
 
--- a/kelptrail/peers/wire.py
+++ b/kelptrail/peers/wire.py
@@ -76,8 +76,8 @@
                 raise ChannelError(f"a frame of {size} bytes, at most {self._most}")
             if len(self._buffer) < 4 + size:
                 break
-            body = bytes(self._buffer[4:4 + size])
-            del self._buffer[:4 + size]
+            body = bytes(self._buffer[4 : 4 + size])
+            del self._buffer[: 4 + size]
             message = self._read(body)
             if message is None:
                 continue
--- a/kelptrail/planner/build.py
+++ b/kelptrail/planner/build.py
@@ -12,18 +12,24 @@
 def settings_of(deployment: Deployment) -> PlannerSettings:
     """A deployment's planner settings."""
     plan = deployment.planner
-    return PlannerSettings(deployment.name, plan.every_ms, plan.valid_ms, plan.down_ms, plan.moves_share,
-                           plan.moves_least)
+    return PlannerSettings(
+        deployment.name, plan.every_ms, plan.valid_ms, plan.down_ms, plan.moves_share, plan.moves_least
+    )
 
 
 def models_of(deployment: Deployment) -> dict[str, Model]:
     """What the settings say of functions."""
-    return {a.model: Model(a.memory_mb, a.lanes, a.load_ms, deployment.types[a.type].utility)
-            for a in deployment.actions.values()}
+    return {
+        a.model: Model(a.memory_mb, a.lanes, a.load_ms, deployment.types[a.type].utility)
+        for a in deployment.actions.values()
+    }
 
 
 def hosts_of(deployment: Deployment, listing: Listing) -> list[Host]:
     """The live workers of a list; what each holds is the settings' matter."""
     fleet, cold_ms = deployment.fleet, deployment.rules.cold_ms
-    return [Host(w.id, fleet.memory_mb, fleet.cores * w.size, w.age_ms < cold_ms) for w in listing.workers
-            if w.state == "live"]
+    return [
+        Host(w.id, fleet.memory_mb, fleet.cores * w.size, w.age_ms < cold_ms)
+        for w in listing.workers
+        if w.state == "live"
+    ]
--- a/kelptrail/planner/channel.py
+++ b/kelptrail/planner/channel.py
@@ -49,8 +49,9 @@
 class EdgeLink:
     """An edge's end of one connection to a planner; several links share one follower and one `Led`."""
 
-    def __init__(self, who: str, lineage: str, follower: Follower, led: Led, now: float,
-                 report_ms: float = 1000.0) -> None:
+    def __init__(
+        self, who: str, lineage: str, follower: Follower, led: Led, now: float, report_ms: float = 1000.0
+    ) -> None:
         self._follower, self._led, self._report_ms = follower, led, report_ms
         self.out: list[bytes] = [frame(Hello(VERSION, who, lineage, follower.fence))]
         self._counts: dict[str, Tally] = {}  # since the last report on this connection
@@ -102,9 +103,15 @@
         """Put a report into the output."""
         self._next = now + self._report_ms
         before = self._told
-        moved = standing if before is None else {
-            m: changes for m in before.keys() | standing.keys()
-            if (changes := _moved(before.get(m, {}), standing.get(m, {})))}
+        moved = (
+            standing
+            if before is None
+            else {
+                m: changes
+                for m in before.keys() | standing.keys()
+                if (changes := _moved(before.get(m, {}), standing.get(m, {})))
+            }
+        )
         self._told = standing
         counts, self._counts = self._counts, {}
         self.out.append(frame(Report(self._follower.fence, self._led.quiet_ms(now), counts, moved, before is None)))
--- a/kelptrail/planner/core.py
+++ b/kelptrail/planner/core.py
@@ -137,8 +137,9 @@
             for worker, count in at.items():
                 known[worker] = count, now
         self._fenced(order)
-        if self.role is Role.ACTING and any(m in self.wants for m in self.demand.asks(
-                now, edge, self._settings.asks_ms) - before):
+        if self.role is Role.ACTING and any(
+            m in self.wants for m in self.demand.asks(now, edge, self._settings.asks_ms) - before
+        ):
             self._dirty.add(edge)
 
     def refused(self, now: float, edge: str, reason: str, order: Order) -> None:
@@ -216,8 +217,13 @@
             asks = self.demand.asks(now, name, self._settings.asks_ms)
             wants = {m: at for m, at in self.wants.items() if m in asks}
             self._number += 1
-            plan = make(self._settings.lineage, (self.epoch, self.owner, self._number), self._settings.valid_ms,
-                        self.roster, wants)
+            plan = make(
+                self._settings.lineage,
+                (self.epoch, self.owner, self._number),
+                self._settings.valid_ms,
+                self.roster,
+                wants,
+            )
             out.append((name, plan))
         return out
 
@@ -240,8 +246,17 @@
                 continue
             rate = self.demand.ahead(model, hour)
             standing = {w: n for w, (n, at) in self._standing.get(model, {}).items() if n and now - at < 30_000}
-            need = Need(model, known.memory_mb, known.lanes, known.load_ms, mine.work_ms or 100.0, known.utility,
-                        rate if rate >= settings.least_rate else 0.0, standing, mine.planned)
+            need = Need(
+                model,
+                known.memory_mb,
+                known.lanes,
+                known.load_ms,
+                mine.work_ms or 100.0,
+                known.utility,
+                rate if rate >= settings.least_rate else 0.0,
+                standing,
+                mine.planned,
+            )
             # Up at once, down only after a while: two plans in a row never thrash.
             if need.copies >= mine.planned:
                 mine.calm_since = now
--- a/kelptrail/planner/edge.py
+++ b/kelptrail/planner/edge.py
@@ -41,8 +41,16 @@
 class PlanFollower:
     """One edge's planners.  `stir` is called when what the core knows has changed."""
 
-    def __init__(self, addresses: list[str], who: str, lineage: str, gateway: Gateway, stir: Callable[[], None],
-                 file: Path | None, log: Any) -> None:
+    def __init__(
+        self,
+        addresses: list[str],
+        who: str,
+        lineage: str,
+        gateway: Gateway,
+        stir: Callable[[], None],
+        file: Path | None,
+        log: Any,
+    ) -> None:
         self._addresses, self._who, self._lineage, self._gateway = addresses, who, lineage, gateway
         self._stir, self._file, self._log = stir, file, log
         self.follower, self.led = Follower(lineage), Led(now_ms())
@@ -139,11 +147,17 @@
     def status(self) -> dict[str, Any]:
         """What operators are shown."""
         follower, plan = self.follower, self.follower.plan
-        return {"planners": {link.planner: round(now_ms() - link.heard) for link in self._links},
-                "order": list(follower.fence), "taken": follower.taken, "left_ms": round(follower.left_ms(now_ms())),
-                "models": len(plan.wants) if plan is not None else 0,
-                "refused": {r.value: n for r, n in follower.refused.items() if n},
-                "bytes_in": self.bytes_in, "bytes_out": self.bytes_out, "reconnects": self.reconnects}
+        return {
+            "planners": {link.planner: round(now_ms() - link.heard) for link in self._links},
+            "order": list(follower.fence),
+            "taken": follower.taken,
+            "left_ms": round(follower.left_ms(now_ms())),
+            "models": len(plan.wants) if plan is not None else 0,
+            "refused": {r.value: n for r, n in follower.refused.items() if n},
+            "bytes_in": self.bytes_in,
+            "bytes_out": self.bytes_out,
+            "reconnects": self.reconnects,
+        }
 
     async def _follow(self, address: str) -> None:
         """Keep up one connection; what fails is tried again after a pause that grows."""
@@ -188,8 +202,11 @@
                     if what == "taken":
                         self.apply()
                     elif what:
-                        self._log.warning("plan-refused", planner=link.planner,
-                                          refused={r.value: n for r, n in self.follower.refused.items() if n})
+                        self._log.warning(
+                            "plan-refused",
+                            planner=link.planner,
+                            refused={r.value: n for r, n in self.follower.refused.items() if n},
+                        )
                 self._write(link)
         finally:
             if beats is not None:
--- a/kelptrail/planner/follow.py
+++ b/kelptrail/planner/follow.py
@@ -76,8 +76,9 @@
 
     def listed(self, now: float, live: Collection[str], roster: tuple[str, int]) -> Report | None:
         """The list has changed: a plan that waited for it is looked at again."""
-        if self._ahead is None or (self._ahead[1].head.roster[0] == roster[0]
-                                   and self._ahead[1].head.roster[1] > roster[1]):
+        if self._ahead is None or (
+            self._ahead[1].head.roster[0] == roster[0] and self._ahead[1].head.roster[1] > roster[1]
+        ):
             return None
         (until, plan), self._ahead = self._ahead, None
         if plan.head.order <= self.fence or now >= until:
--- a/kelptrail/planner/place.py
+++ b/kelptrail/planner/place.py
@@ -163,8 +163,15 @@
     return Placed(wants, cost, missing, moves, "greedy")
 
 
-def solve(hosts: list[Host], needs: list[Need], budget: int, nodes: int = 200, seconds: float = 20.0,
-          candidates: int = 4, most: int = 60_000) -> Placed:
+def solve(
+    hosts: list[Host],
+    needs: list[Need],
+    budget: int,
+    nodes: int = 200,
+    seconds: float = 20.0,
+    candidates: int = 4,
+    most: int = 60_000,
+) -> Placed:
     """The program's placement where it is better than the greedy one, else that.  A function's candidates are the
     workers where it stands, those of the greedy answer and a few that it prefers; past `most` variables, or past
     `seconds`, the greedy answer stands."""
@@ -208,8 +215,13 @@
     highest = np.concatenate([copies[fs], new_most, copies, np.full(nw, np.inf)])
     bounds = optimize.Bounds(np.zeros(2 * p + nf + nw), highest)
     whole = np.concatenate([np.ones(p), np.zeros(p + nf + nw)])
-    found = optimize.milp(cost, constraints=rows, bounds=bounds, integrality=whole,
-                          options={"node_limit": nodes, "time_limit": seconds, "mip_rel_gap": 0.005})
+    found = optimize.milp(
+        cost,
+        constraints=rows,
+        bounds=bounds,
+        integrality=whole,
+        options={"node_limit": nodes, "time_limit": seconds, "mip_rel_gap": 0.005},
+    )
     if found.x is None:
         return start
     wants: Wants = {}
--- a/kelptrail/planner/program.py
+++ b/kelptrail/planner/program.py
@@ -193,8 +193,9 @@
         if self._pool is None:
             self._pool = ProcessPoolExecutor(1, mp_context=get_context("forkserver"))
         try:
-            job = self._pool.submit(solve_one, self._options.solver, self.slow_ms, problem.hosts, problem.needs,
-                                    problem.budget)
+            job = self._pool.submit(
+                solve_one, self._options.solver, self.slow_ms, problem.hosts, problem.needs, problem.budget
+            )
             placed = await asyncio.wait_for(asyncio.wrap_future(job), self._options.solve_s)
         except TimeoutError:
             self._log.warning("plan-late", number=problem.number)
@@ -267,12 +268,24 @@
     def status(self) -> dict[str, Any]:
         """What operators are shown."""
         core = self.core
-        return {"role": core.role.value, "epoch": core.epoch, "edges": len(self._links), "workers": len(core.hosts),
-                "models": len(core.wants), "copies": sum(sum(at.values()) for at in core.wants.values()),
-                "plans": core.counts.plans, "same": core.counts.same, "by": core.counts.by, "moves": core.counts.moves,
-                "refusals": core.counts.refusals, "age_ms": round(core.age_ms(now_ms())),
-                "solve_ms": round(self.solve_ms, 1), "bytes_out": self.bytes_out, "bytes_in": self.bytes_in,
-                "background": self.background.scheduler.status()}
+        return {
+            "role": core.role.value,
+            "epoch": core.epoch,
+            "edges": len(self._links),
+            "workers": len(core.hosts),
+            "models": len(core.wants),
+            "copies": sum(sum(at.values()) for at in core.wants.values()),
+            "plans": core.counts.plans,
+            "same": core.counts.same,
+            "by": core.counts.by,
+            "moves": core.counts.moves,
+            "refusals": core.counts.refusals,
+            "age_ms": round(core.age_ms(now_ms())),
+            "solve_ms": round(self.solve_ms, 1),
+            "bytes_out": self.bytes_out,
+            "bytes_in": self.bytes_in,
+            "background": self.background.scheduler.status(),
+        }
 
     def _led(self, token: Token) -> None:
         self.core.lead(now_ms(), token.round, token.who)
--- a/kelptrail/platform/__main__.py
+++ b/kelptrail/platform/__main__.py
@@ -39,7 +39,10 @@
                 rereads.append(loop.call_later(again[0] / 1000, reload, again[1:]))
 
     acts: dict[int, Callable[[], None]] = {
-        signal.SIGHUP: reload, signal.SIGTERM: service.end, signal.SIGINT: service.end}
+        signal.SIGHUP: reload,
+        signal.SIGTERM: service.end,
+        signal.SIGINT: service.end,
+    }
     for number, act in acts.items():
         loop.add_signal_handler(number, act)
     came = held.release()
--- a/kelptrail/platform/config.py
+++ b/kelptrail/platform/config.py
@@ -86,9 +86,17 @@
         sockets = _sockets(Told(settings, "settings"))
         if before is not None:
             return replace(before, journal=journal)
-        return Config(told.text("name"), address(told, "listen"), _seed(told), limits.whole("sockets", 16),
-                      limits.number("memory_mb", 1), journal,
-                      read_known(told.find("known"), sockets.zones, sockets.kinds), sockets, settings)
+        return Config(
+            told.text("name"),
+            address(told, "listen"),
+            _seed(told),
+            limits.whole("sockets", 16),
+            limits.number("memory_mb", 1),
+            journal,
+            read_known(told.find("known"), sockets.zones, sockets.kinds),
+            sockets,
+            settings,
+        )
     except (MalformedError, FeedError) as cause:
         raise ConfigError(str(cause)) from None
 
@@ -99,10 +107,18 @@
     told.whole("my_zone", 0, len(zones) - 1)
     memories = Told({str(n): mb for n, mb in enumerate(extras.items("machine_mb"))}, f"{extras.at}.machine_mb")
     most_mb = max(memories.number(str(n), 1) for n in range(len(kinds)))
-    return Sockets(zones, kinds, {each.text("name"): each.ms("give_up_us", 1000) for each in told.parts("classes")},
-                   most_mb, extras.ms("answer_within_us", 1), bounds.ms("connect_timeout_us", 1),
-                   bounds.ms("idle_close_us", 1), bounds.whole("multiplex", 1),
-                   bounds.flag("may_cancel"), bounds.flag("parallel_tries"))
+    return Sockets(
+        zones,
+        kinds,
+        {each.text("name"): each.ms("give_up_us", 1000) for each in told.parts("classes")},
+        most_mb,
+        extras.ms("answer_within_us", 1),
+        bounds.ms("connect_timeout_us", 1),
+        bounds.ms("idle_close_us", 1),
+        bounds.whole("multiplex", 1),
+        bounds.flag("may_cancel"),
+        bounds.flag("parallel_tries"),
+    )
 
 
 def _seed(told: Told) -> int:
--- a/kelptrail/platform/feed.py
+++ b/kelptrail/platform/feed.py
@@ -23,8 +23,16 @@
 class Feed:
     """One follower; `told` gets each new event, in order and once.  A descriptor is kept for its next connection."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], number: int, reader: Callable[
-            [], FeedReader], told: Callable[[Event], None], note: Callable[..., None], connect_ms: float) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        number: int,
+        reader: Callable[[], FeedReader],
+        told: Callable[[Event], None],
+        note: Callable[..., None],
+        connect_ms: float,
+    ) -> None:
         self._loop, self._address, self._reader, self._told, self._note = loop, address, reader, told, note
         self.number, self._connect_ms = number, connect_ms
         self._link: Link | None = None
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -53,8 +53,14 @@
 
     __slots__ = ("customer", "id", "item", "key", "lanes", "left_ms", "load_ms", "memory_mb", "type", "work_ms")
 
-    def __init__(self, told: dict[str, str], types: Mapping[str, NamespaceType], longest: Mapping[str, float],
-                 customers: Mapping[str, Customer], most_mb: float) -> None:
+    def __init__(
+        self,
+        told: dict[str, str],
+        types: Mapping[str, NamespaceType],
+        longest: Mapping[str, float],
+        customers: Mapping[str, Customer],
+        most_mb: float,
+    ) -> None:
         self.id, self.item, self.key = told.get("txn", ""), told.get("item", ""), told.get("unique", "")
         if not _HEX16.fullmatch(self.id) or not _HEX16.fullmatch(self.item):
             raise UnusableError("an id or a function that is none")
@@ -63,8 +69,7 @@
         self.type, self.customer = type_, customers.get(told.get("team", ""))
         if customers and self.customer is None:
             raise UnusableError("an unknown tenant")
-        if (self.key and not _KEY.fullmatch(self.key)) or (
-                not self.key and type_.effect is Effect.DEDUPLICATED):
+        if (self.key and not _KEY.fullmatch(self.key)) or (not self.key and type_.effect is Effect.DEDUPLICATED):
             raise UnusableError("an idempotency key that is none")
         self.left_ms = _figure(told.get("limit", ""), 1, longest[type_.name])
         further = {}
@@ -120,9 +125,19 @@
     """All clients of one dispatcher.  `take` gets each request that can be used, `left` each that nobody waits for
     any more."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, sockets: Sockets, types: list[NamespaceType],
-                 customers: list[Customer], most: int, most_bytes: int, take: Callable[[Request, Asked], None],
-                 left: Callable[[Request], None], known: Callable[[str], bool], note: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sockets: Sockets,
+        types: list[NamespaceType],
+        customers: list[Customer],
+        most: int,
+        most_bytes: int,
+        take: Callable[[Request, Asked], None],
+        left: Callable[[Request], None],
+        known: Callable[[str], bool],
+        note: Callable[..., None],
+    ) -> None:
         self.loop, self.time, self._note = loop, loop.time, note
         self._types = {type_.name: type_ for type_ in types}
         self._customers = {customer.name: customer for customer in customers}
@@ -210,8 +225,11 @@
                 if client.begun is None and client.link.wire.quiet() is not None:  # else a request comes
                     self._drop(client)
         for client in self._clients:
-            if client.begun is not None and ((now - client.heard) * 1000 > FIRST_MS or (
-                    now - client.begun > self._longest_s)) and client.link.wire.quiet() is not None:
+            if (
+                client.begun is not None
+                and ((now - client.heard) * 1000 > FIRST_MS or (now - client.begun > self._longest_s))
+                and client.link.wire.quiet() is not None
+            ):
                 if client in self._fresh:  # it never said a whole frame
                     self._drop(client)
                 else:
