--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -62,8 +62,12 @@
     """What no part expected ends where it happened, with a line."""
     cause = context.get("exception")
     where = traceback.extract_tb(cause.__traceback__)[-1] if cause is not None and cause.__traceback__ else None
-    note("failed", problem=context.get("message"), cause=repr(cause),
-         at=f"{where.filename.rpartition('/')[2]}:{where.lineno}" if where else "-")
+    note(
+        "failed",
+        problem=context.get("message"),
+        cause=repr(cause),
+        at=f"{where.filename.rpartition('/')[2]}:{where.lineno}" if where else "-",
+    )
 
 
 class Service:
@@ -78,11 +82,29 @@
         # A third of the descriptors is the usual clients'; some more hold those that come too many.
         clients = config.descriptors * 5 // 12
         workers = max(4, config.descriptors - clients - min(OTHERS, config.descriptors // 8))
-        self._bounds = Bounds(sockets.connect_ms, sockets.idle_ms, sockets.streams, workers, frames.BODY * 8,
-                              sockets.cancels, sockets.parallel, max(sockets.longest_ms.values()), self._make_room)
-        self._front = Front(loop, sockets, self._host.types, self._host.customers, clients,
-                            int(config.memory_mb * (1 << 20) / 16), self._take, self._left,
-                            lambda id_: id_ in self._host.acts, note)
+        self._bounds = Bounds(
+            sockets.connect_ms,
+            sockets.idle_ms,
+            sockets.streams,
+            workers,
+            frames.BODY * 8,
+            sockets.cancels,
+            sockets.parallel,
+            max(sockets.longest_ms.values()),
+            self._make_room,
+        )
+        self._front = Front(
+            loop,
+            sockets,
+            self._host.types,
+            self._host.customers,
+            clients,
+            int(config.memory_mb * (1 << 20) / 16),
+            self._take,
+            self._left,
+            lambda id_: id_ in self._host.acts,
+            note,
+        )
         self._requests: dict[Activation, Request] = {}
         self._links: dict[Worker, WorkerLinks] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
@@ -98,8 +120,15 @@
         for event in config.known:
             self._listed(event)
         zones, kinds = len(sockets.zones), len(sockets.kinds)
-        self._feed = Feed(loop, config.journal, config.known[-1].number if config.known else 0,
-                          lambda: FeedReader(zones, kinds), self._listed, note, sockets.connect_ms)
+        self._feed = Feed(
+            loop,
+            config.journal,
+            config.known[-1].number if config.known else 0,
+            lambda: FeedReader(zones, kinds),
+            self._listed,
+            note,
+            sockets.connect_ms,
+        )
 
     @property
     def number(self) -> int:
@@ -154,8 +183,17 @@
 
     def _take(self, request: Request, asked: Asked) -> None:
         act = request.act = self._host.taken(
-            self._now(), asked.id, asked.type, asked.customer, asked.item, asked.left_ms, asked.memory_mb,
-            asked.lanes, asked.load_ms, asked.work_ms)
+            self._now(),
+            asked.id,
+            asked.type,
+            asked.customer,
+            asked.item,
+            asked.left_ms,
+            asked.memory_mb,
+            asked.lanes,
+            asked.load_ms,
+            asked.work_ms,
+        )
         self._requests[act] = request
         self._stir_soon()
 
@@ -185,24 +223,41 @@
             self._host.told(now, item, outcome, units)
         else:
             over = item.act.verdict is not None
-            if outcome is Outcome.COMPLETED and answer is not None and (
-                    request := self._requests.pop(item.act, None)) is not None:
+            if (
+                outcome is Outcome.COMPLETED
+                and answer is not None
+                and (request := self._requests.pop(item.act, None)) is not None
+            ):
                 self._front.answer(request, frames.SERVED, answer.body)
                 over = True
             said = answer or Answer("", "")
-            report = None if said.meter is None else [
-                said.meter.get(name, said.meter.get("cpu", 0.0) if name == "util" else 0.0)
-                for name in self._host.fields]
-            self._host.answered(now, item, outcome, over, said.tell == "crashed", said.tell == "up", said.ahead,
-                                report)
+            report = (
+                None
+                if said.meter is None
+                else [
+                    said.meter.get(name, said.meter.get("cpu", 0.0) if name == "util" else 0.0)
+                    for name in self._host.fields
+                ]
+            )
+            self._host.answered(now, item, outcome, over, said.tell == "crashed", said.tell == "up", said.ahead, report)
             if over:
                 self._take_back(item.act)
         self._stir_soon()
 
     def _listed(self, event: Event) -> None:
         now = self._now()
-        entries = [Entry(r.id, r.zone, r.kind, r.cell, STATES.get(r.state, State.DRAINING), r.size,
-                         r.started - self._wall_ms if r.started else None) for r in event.records or ()]
+        entries = [
+            Entry(
+                r.id,
+                r.zone,
+                r.kind,
+                r.cell,
+                STATES.get(r.state, State.DRAINING),
+                r.size,
+                r.started - self._wall_ms if r.started else None,
+            )
+            for r in event.records or ()
+        ]
         before = dict(self._host.workers)
         restarted = self._host.listed(now, event.whole, entries)
         for record in event.records or ():
@@ -260,15 +315,17 @@
         if send.until < act.deadline:
             self._due.add(send.until, send)
         limit = max(1, int(act.deadline - now))
-        self._links_to(send.copy.worker).send(send, call(
-            act.id, act.type.name, act.function.id, limit, request.key, request.body))
+        self._links_to(send.copy.worker).send(
+            send, call(act.id, act.type.name, act.function.id, limit, request.key, request.body)
+        )
 
     def _final(self, act: Activation) -> None:
         request = self._requests.pop(act, None)
         if request is not None:
             rejected = act.verdict == "rejected"
-            self._front.answer(request, frames.REFUSED if rejected else frames.FAILED,
-                               later_ms=round(act.return_ms) if rejected else 0)
+            self._front.answer(
+                request, frames.REFUSED if rejected else frames.FAILED, later_ms=round(act.return_ms) if rejected else 0
+            )
         self._take_back(act)
         for send in act.sends:
             if send.outcome is None:
@@ -283,8 +340,9 @@
     def _links_to(self, worker: Worker) -> WorkerLinks:
         links = self._links.get(worker)
         if links is None:
-            links = self._links[worker] = WorkerLinks(self._loop, worker.id, self._addresses[worker.id],
-                                                      self._bounds, self._ended, note)
+            links = self._links[worker] = WorkerLinks(
+                self._loop, worker.id, self._addresses[worker.id], self._bounds, self._ended, note
+            )
         return links
 
     def _make_room(self) -> bool:
@@ -296,12 +354,17 @@
     def _state(self) -> None:
         """What the module believes of load and health, beside the traffic on the sockets."""
         workers = self._host.workers.values()
-        note("state", in_hand=len(self._requests), clients=len(self._front),
-             believed_out=sum(len(worker.sends) for worker in workers),
-             open=sum(links.open for links in self._links.values()),
-             connections=sum(len(links) for links in self._links.values()),
-             barred=sum(self._now() < worker.whole.barred_until for worker in workers),
-             doubted=sum(worker.doubted for worker in workers), ends=dict(self._counts))
+        note(
+            "state",
+            in_hand=len(self._requests),
+            clients=len(self._front),
+            believed_out=sum(len(worker.sends) for worker in workers),
+            open=sum(links.open for links in self._links.values()),
+            connections=sum(len(links) for links in self._links.values()),
+            barred=sum(self._now() < worker.whole.barred_until for worker in workers),
+            doubted=sum(worker.doubted for worker in workers),
+            ends=dict(self._counts),
+        )
         self._counts.clear()
 
     # The one timer.
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -16,8 +16,13 @@
 from kelptrail.dispatch.terms import Order, Outcome, Send
 from kelptrail.net.link import Link, connect
 
-WORDS = {"OK": Outcome.COMPLETED, "MISS": Outcome.MISS, "BUSY": Outcome.FULL, "ERR": Outcome.ERROR,
-         "VOID": Outcome.UNSENT}
+WORDS = {
+    "OK": Outcome.COMPLETED,
+    "MISS": Outcome.MISS,
+    "BUSY": Outcome.FULL,
+    "ERR": Outcome.ERROR,
+    "VOID": Outcome.UNSENT,
+}
 WAITING = 1 << 20  # bytes that a worker may leave unread
 
 Item = Send | Order
@@ -31,11 +36,32 @@
     `longest_ms`: an id is of use for so long; `make_room`: closes an idle connection to any worker, and says whether
     there was one."""
 
-    __slots__ = ("answer_bytes", "cancels", "connect_ms", "held", "idle_ms", "longest_ms", "make_room", "most",
-                 "most_in_all", "parallel", "streams")
-
-    def __init__(self, connect_ms: float, idle_ms: float, streams: int, most_in_all: int, answer_bytes: int,
-                 cancels: bool, parallel: bool, longest_ms: float, make_room: Callable[[], bool]) -> None:
+    __slots__ = (
+        "answer_bytes",
+        "cancels",
+        "connect_ms",
+        "held",
+        "idle_ms",
+        "longest_ms",
+        "make_room",
+        "most",
+        "most_in_all",
+        "parallel",
+        "streams",
+    )
+
+    def __init__(
+        self,
+        connect_ms: float,
+        idle_ms: float,
+        streams: int,
+        most_in_all: int,
+        answer_bytes: int,
+        cancels: bool,
+        parallel: bool,
+        longest_ms: float,
+        make_room: Callable[[], bool],
+    ) -> None:
         self.connect_ms, self.idle_ms, self.streams, self.most = connect_ms, idle_ms, streams, 1
         self.most_in_all, self.held, self.make_room = most_in_all, 0, make_room
         self.answer_bytes, self.cancels, self.parallel, self.longest_ms = answer_bytes, cancels, parallel, longest_ms
@@ -44,8 +70,19 @@
 class Connection:
     """One connection and what is open on it."""
 
-    __slots__ = ("_loop", "_owner", "_reader", "_task", "_waiting", "doubtful", "heard", "link", "open", "spent",
-                 "used")
+    __slots__ = (
+        "_loop",
+        "_owner",
+        "_reader",
+        "_task",
+        "_waiting",
+        "doubtful",
+        "heard",
+        "link",
+        "open",
+        "spent",
+        "used",
+    )
 
     def __init__(self, owner: WorkerLinks, loop: asyncio.AbstractEventLoop) -> None:
         self._owner, self._loop = owner, loop
@@ -158,8 +195,15 @@
 class WorkerLinks:
     """The connections to one worker; `ended` is called once for each send and order that was not given up."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, id_: str, address: tuple[str, int], bounds: Bounds,
-                 ended: Ended, note: Callable[..., Any]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        id_: str,
+        address: tuple[str, int],
+        bounds: Bounds,
+        ended: Ended,
+        note: Callable[..., Any],
+    ) -> None:
         self._loop, self.id, self.address, self.bounds = loop, id_, address, bounds
         self._ended, self.note = ended, note
         self._connections: dict[Connection, None] = {}
@@ -219,7 +263,8 @@
                 self.note("worker stalled in an answer", worker=self.id)
                 connection.close()
             elif not connection.open and (
-                    connection.doubtful or (now - connection.used) * 1000 > 0.2 * self.bounds.idle_ms):
+                connection.doubtful or (now - connection.used) * 1000 > 0.2 * self.bounds.idle_ms
+            ):
                 connection.close()
             else:
                 connection.forget(now)
--- a/kelptrail/roster/client.py
+++ b/kelptrail/roster/client.py
@@ -25,8 +25,16 @@
 class RosterClient:
     """One source; `changed` is called with every new list.  Times are milliseconds."""
 
-    def __init__(self, address: str, who: str, changed: Callable[[Listing], None], last: Path | None,
-                 log: Any, wait_ms: float = 2000.0, pause_ms: float = 200.0) -> None:
+    def __init__(
+        self,
+        address: str,
+        who: str,
+        changed: Callable[[Listing], None],
+        last: Path | None,
+        log: Any,
+        wait_ms: float = 2000.0,
+        pause_ms: float = 200.0,
+    ) -> None:
         self._address, self._who, self._changed, self._last, self._log = address, who, changed, last, log
         self._wait_ms, self._pause_ms = wait_ms, pause_ms
         self.own = ""  # where this dispatcher can be asked for what it took
@@ -54,9 +62,13 @@
         while True:
             known = f"{self.listing.lineage}:{self.listing.version}" if self.listing else ""
             try:
-                response = await errand.ask("GET", f"/workers?who={self._who}&at={self.own}&channel={self.channel}"
-                                            f"&hall={self.hall}"
-                                            f"&known={known}&wait={self._wait_ms:g}", timeout_ms=self._wait_ms + 3000)
+                response = await errand.ask(
+                    "GET",
+                    f"/workers?who={self._who}&at={self.own}&channel={self.channel}"
+                    f"&hall={self.hall}"
+                    f"&known={known}&wait={self._wait_ms:g}",
+                    timeout_ms=self._wait_ms + 3000,
+                )
                 if response.status == 304:
                     continue
                 if response.status != 200:
--- a/kelptrail/service/build.py
+++ b/kelptrail/service/build.py
@@ -15,16 +15,34 @@
 
 def limits(front: FrontSettings) -> Limits:
     """The door's limits as the server takes them."""
-    return Limits(front.connections, front.header_bytes, front.body_bytes, front.pipelined, front.read_ms,
-                  front.write_ms, front.idle_ms, front.unread_mb * 1e6)
+    return Limits(
+        front.connections,
+        front.header_bytes,
+        front.body_bytes,
+        front.pipelined,
+        front.read_ms,
+        front.write_ms,
+        front.idle_ms,
+        front.unread_mb * 1e6,
+    )
 
 
 def grpc_limits(front: InferenceSettings) -> GrpcLimits:
     """The second door's limits as its server takes them."""
     return GrpcLimits(
-        front.connections, front.streams, front.header_bytes, front.message_bytes, front.partial_mb * 1e6,
-        front.unread_mb * 1e6, front.stream_bytes, front.read_ms, front.write_ms, front.idle_ms, front.handshake_ms,
-        GuardSettings(front.flood_at_once, front.flood_per_s, front.age_ms, front.grace_ms))
+        front.connections,
+        front.streams,
+        front.header_bytes,
+        front.message_bytes,
+        front.partial_mb * 1e6,
+        front.unread_mb * 1e6,
+        front.stream_bytes,
+        front.read_ms,
+        front.write_ms,
+        front.idle_ms,
+        front.handshake_ms,
+        GuardSettings(front.flood_at_once, front.flood_per_s, front.age_ms, front.grace_ms),
+    )
 
 
 def tls_keeper(deployment: Deployment, side: str, alpn: list[str], log: Any) -> TlsKeeper | None:
@@ -36,6 +54,13 @@
     def file(name: str) -> Path | None:
         return deployment.folder / name if name else None
 
-    files = TlsFiles(file(found.certificate), file(found.key), file(found.authority), found.peers, found.least,
-                     found.ciphers, found.warn_days)
+    files = TlsFiles(
+        file(found.certificate),
+        file(found.key),
+        file(found.authority),
+        found.peers,
+        found.least,
+        found.ciphers,
+        found.warn_days,
+    )
     return TlsKeeper(files, side != "to-workers", alpn, log, wall_ms)
--- a/kelptrail/service/control.py
+++ b/kelptrail/service/control.py
@@ -19,9 +19,16 @@
 class Control:
     """`GET /state`, `GET /vrrp`, `GET /leases`, `GET /usage`, `GET /copies`, `POST /retire`."""
 
-    def __init__(self, driver: Driver, front: HttpServer, second: GrpcServer, standing: Standing | None,
-                 keepers: dict[str, TlsKeeper] | None = None,
-                 more: dict[str, Callable[[], Any]] | None = None, retire: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        driver: Driver,
+        front: HttpServer,
+        second: GrpcServer,
+        standing: Standing | None,
+        keepers: dict[str, TlsKeeper] | None = None,
+        more: dict[str, Callable[[], Any]] | None = None,
+        retire: Callable[[], None] | None = None,
+    ) -> None:
         self._retire = retire
         self._keepers, self._more = keepers or {}, more or {}
         self._driver, self._front, self._second, self._standing = driver, front, second, standing
@@ -55,27 +62,49 @@
     def _state(self) -> dict[str, Any]:
         gateway = self._driver.gateway
         counts = gateway.counts
-        return {"in_hand": gateway.in_hand, "taken": counts.taken, "completed": counts.completed,
-                "rejected": counts.rejected, "aborted": counts.aborted, "sends": counts.sends,
-                "orders": counts.orders, "second_sends": counts.second_sends, "second_saved": counts.second_saved,
-                "journal": self._journal(), "connections": self._front.connections,
-                "unread_bytes": self._front.owed, "slow_readers_cut": self._front.cut,
-                "connected_early": self._front.early + self._second.early,
-                "grpc": {"connections": self._second.connections, "streams": self._second.streams,
-                         "unread_bytes": self._second.owed, "partial_bytes": self._second.partial,
-                         "cut": self._second.cut, "floods": self._second.floods, "faults": self._second.faults},
-                "storm": gateway.storm.status(),
-                "tls": {name: keeper.status() for name, keeper in self._keepers.items()},
-                "held_bytes": gateway.holdings.bytes,
-                "refused": dict(gateway.holdings.refused), "records": len(gateway.records),
-                "record_bytes": gateway.records.held_bytes,
-                "outcomes": {outcome.value: n for outcome, n in counts.outcomes.items()},
-                "workers": {w.id: w.state.value for w in gateway.members}} | {
-                    name: status() for name, status in self._more.items()}
+        return {
+            "in_hand": gateway.in_hand,
+            "taken": counts.taken,
+            "completed": counts.completed,
+            "rejected": counts.rejected,
+            "aborted": counts.aborted,
+            "sends": counts.sends,
+            "orders": counts.orders,
+            "second_sends": counts.second_sends,
+            "second_saved": counts.second_saved,
+            "journal": self._journal(),
+            "connections": self._front.connections,
+            "unread_bytes": self._front.owed,
+            "slow_readers_cut": self._front.cut,
+            "connected_early": self._front.early + self._second.early,
+            "grpc": {
+                "connections": self._second.connections,
+                "streams": self._second.streams,
+                "unread_bytes": self._second.owed,
+                "partial_bytes": self._second.partial,
+                "cut": self._second.cut,
+                "floods": self._second.floods,
+                "faults": self._second.faults,
+            },
+            "storm": gateway.storm.status(),
+            "tls": {name: keeper.status() for name, keeper in self._keepers.items()},
+            "held_bytes": gateway.holdings.bytes,
+            "refused": dict(gateway.holdings.refused),
+            "records": len(gateway.records),
+            "record_bytes": gateway.records.held_bytes,
+            "outcomes": {outcome.value: n for outcome, n in counts.outcomes.items()},
+            "workers": {w.id: w.state.value for w in gateway.members},
+        } | {name: status() for name, status in self._more.items()}
 
     def _journal(self) -> dict[str, Any] | None:
         journal = self._driver.gateway.journal
         if journal is None:
             return None
-        return {"commits": journal.commits, "entries": journal.entries, "failures": journal.failures,
-                "waiting": journal.waiting, "failing": journal.failing, "reason": journal.reason}
+        return {
+            "commits": journal.commits,
+            "entries": journal.entries,
+            "failures": journal.failures,
+            "waiting": journal.waiting,
+            "failing": journal.failing,
+            "reason": journal.reason,
+        }
--- a/kelptrail/service/fleet.py
+++ b/kelptrail/service/fleet.py
@@ -36,22 +36,39 @@
 
 def link_settings(plan: PeersPlan) -> LinkSettings:
     """The channel's figures as links take them."""
-    return LinkSettings(plan.beat_ms, plan.silent_ms, plan.connect_ms, int(plan.most_kb * 1024), plan.per_s,
-                        int(plan.most_kb * 1024))
+    return LinkSettings(
+        plan.beat_ms, plan.silent_ms, plan.connect_ms, int(plan.most_kb * 1024), plan.per_s, int(plan.most_kb * 1024)
+    )
 
 
 def lease_settings(plan: LeasesPlan) -> LeaseSettings:
     """The leases' figures as voters and askers take them."""
-    return LeaseSettings(plan.voters, plan.number, plan.before, plan.clock_bound, plan.longest_ms, plan.ask_ms,
-                         plan.retry_ms, plan.gap_ms, plan.reserve_ms, plan.first_round)
+    return LeaseSettings(
+        plan.voters,
+        plan.number,
+        plan.before,
+        plan.clock_bound,
+        plan.longest_ms,
+        plan.ask_ms,
+        plan.retry_ms,
+        plan.gap_ms,
+        plan.reserve_ms,
+        plan.first_round,
+    )
 
 
 def copy_settings(plan: PeersPlan) -> CopySettings:
     """The copies' figures as owners take them."""
-    return CopySettings(plan.copies, plan.copies_short == "promise", slow_ms=plan.slow_ms,
-                        again_ms=min(300.0, plan.slow_ms / 4), pause_ms=2 * plan.slow_ms,
-                        window_bytes=int(plan.most_kb * 1024) // 4, fill_per_ms=plan.fill_kb_per_s * 1.024,
-                        most_entry=int(plan.copies_kb * 1024))
+    return CopySettings(
+        plan.copies,
+        plan.copies_short == "promise",
+        slow_ms=plan.slow_ms,
+        again_ms=min(300.0, plan.slow_ms / 4),
+        pause_ms=2 * plan.slow_ms,
+        window_bytes=int(plan.most_kb * 1024) // 4,
+        fill_per_ms=plan.fill_kb_per_s * 1.024,
+        most_entry=int(plan.copies_kb * 1024),
+    )
 
 
 class Fleet:
@@ -89,8 +106,18 @@
             return
         if aside is not None:
             log.error("copies-set-aside", file=str(aside))
-        self.copies = Copies(options.name, copy_settings(plan), plan.take_ms, self.length_ms, self.peers, self.leases,
-                             own, others, self.members, log)
+        self.copies = Copies(
+            options.name,
+            copy_settings(plan),
+            plan.take_ms,
+            self.length_ms,
+            self.peers,
+            self.leases,
+            own,
+            others,
+            self.members,
+            log,
+        )
 
     def members(self) -> list[Member]:
         """Dispatchers that are known, and where they stand."""
--- a/kelptrail/service/planner.py
+++ b/kelptrail/service/planner.py
@@ -20,8 +20,13 @@
 from .fleet import Fleet, FleetOptions
 
 
-async def serve(deployment: Deployment, options: Options, log: Any,
-                ready: Callable[[str, str], None] | None = None, stop: asyncio.Event | None = None) -> None:
+async def serve(
+    deployment: Deployment,
+    options: Options,
+    log: Any,
+    ready: Callable[[str, str], None] | None = None,
+    stop: asyncio.Event | None = None,
+) -> None:
     """Run until SIGTERM, SIGINT or `stop`."""
     loop, stop = asyncio.get_running_loop(), stop or asyncio.Event()
     for sign in (signal.SIGTERM, signal.SIGINT):
--- a/kelptrail/service/serve.py
+++ b/kelptrail/service/serve.py
@@ -103,8 +103,14 @@
             gc.collect()
 
 
-async def serve(deployment: Deployment, options: Options, log: Any, debug: bool = False,
-                ready: Callable[[int, str, str, str], None] | None = None, stop: asyncio.Event | None = None) -> bool:
+async def serve(
+    deployment: Deployment,
+    options: Options,
+    log: Any,
+    debug: bool = False,
+    ready: Callable[[int, str, str, str], None] | None = None,
+    stop: asyncio.Event | None = None,
+) -> bool:
     """Run until SIGTERM, SIGINT or `stop`, then drain; True if all taken got its final answer."""
     loop = asyncio.get_running_loop()
     stop = stop or asyncio.Event()
@@ -112,8 +118,9 @@
         loop.add_signal_handler(sign, stop.set)
     # Ids tell which dispatcher gave them; the rest is new at each start, so that they never meet another run's.
     boot = id_prefix(options.name) + os.urandom(8).hex()[PREFIX:]
-    world = World(deployment, options.hall or deployment.dispatcher.hall or deployment.halls[0],
-                  zlib.crc32(boot.encode()))
+    world = World(
+        deployment, options.hall or deployment.dispatcher.hall or deployment.halls[0], zlib.crc32(boot.encode())
+    )
     settings, book = deployment.journal, None
     disk = HarmedDisk(options.harmed) if options.harmed is not None else None
     harmed_clock = HarmedClock(options.harmed_clock, log) if options.harmed_clock is not None else None
@@ -139,17 +146,25 @@
         gateway.passes = stand_still
     driver = Driver(gateway, f"{options.name}/{boot}", deployment.pool, log)
     driver.debug = debug
-    keepers = {name: keeper for name, side, alpn in (
-        ("front", "front", ["http/1.1"]), ("grpc", "front", ["h2"]), ("to-workers", "to-workers", ["http/1.1"]))
-        if (keeper := tls_keeper(deployment, side, alpn, log)) is not None}
+    keepers = {
+        name: keeper
+        for name, side, alpn in (
+            ("front", "front", ["http/1.1"]),
+            ("grpc", "front", ["h2"]),
+            ("to-workers", "to-workers", ["http/1.1"]),
+        )
+        if (keeper := tls_keeper(deployment, side, alpn, log)) is not None
+    }
     if "to-workers" in keepers:
         driver.tls = keepers["to-workers"].context
     http_tls, grpc_tls = (keepers[name].context if name in keepers else None for name in ("front", "grpc"))
     callers = Callers(deployment)
 
     def pace(door: FrontSettings | InferenceSettings) -> ConnectPace:
-        return ConnectPace(PaceSettings(door.connects_at_once, door.connects_per_s, deployment.storm.longest_return_ms),
-                           zlib.crc32(boot.encode()))
+        return ConnectPace(
+            PaceSettings(door.connects_at_once, door.connects_per_s, deployment.storm.longest_return_ms),
+            zlib.crc32(boot.encode()),
+        )
 
     def connected() -> None:
         gateway.storm.connected(now_ms())
@@ -158,14 +173,21 @@
     inference = InferenceApi(deployment, driver, callers)
 
     def first_door(handler: Handler) -> HttpServer:
-        made = HttpServer(handler, limits(deployment.front), log.warning, http_tls, callers.named,
-                          pace(deployment.front))
+        made = HttpServer(
+            handler, limits(deployment.front), log.warning, http_tls, callers.named, pace(deployment.front)
+        )
         made.door.on_connect = connected
         return made
 
     def second_door() -> GrpcServer:
-        made = GrpcServer(inference.handle, grpc_limits(deployment.inference), log.warning, grpc_tls, callers.named,
-                          pace(deployment.inference))
+        made = GrpcServer(
+            inference.handle,
+            grpc_limits(deployment.inference),
+            log.warning,
+            grpc_tls,
+            callers.named,
+            pace(deployment.inference),
+        )
         made.door.on_connect = connected
         return made
 
@@ -175,13 +197,22 @@
     fleet: Fleet | None = None
     if deployment.peers is not None:
         stated = {peer.name: peer.at for peer in deployment.peers.peer}.get(options.name)
-        fleet = Fleet(deployment, FleetOptions(
-            options.name, os.urandom(4).hex(), options.peers or stated or f"{options.host}:0", options.at,
-            options.state, disk.vfs_name if disk else None, options.hall), log)
+        fleet = Fleet(
+            deployment,
+            FleetOptions(
+                options.name,
+                os.urandom(4).hex(),
+                options.peers or stated or f"{options.host}:0",
+                options.at,
+                options.state,
+                disk.vfs_name if disk else None,
+                options.hall,
+            ),
+            log,
+        )
         if deployment.peers.copies:
             fleet.hold(deployment.peers, log)
-            carry_on(fleet.copies, gateway, driver, settings.resume_at_once,
-                     2 * deployment.dispatcher.answer_margin_ms)
+            carry_on(fleet.copies, gateway, driver, settings.resume_at_once, 2 * deployment.dispatcher.answer_margin_ms)
             api.copies = inference.copies = fleet.copies
     if book is not None and journal is not None:
         driver.journal = JournalDriver(journal, book, driver.stir_soon, log)
@@ -191,8 +222,9 @@
         # What moved on to a book with copies is found there.
         moved = fleet.copies.ids() if fleet is not None and fleet.copies is not None else set()
         lives = (life for life in book.lives() if life.accepted.id not in moved)
-        found = gateway.recover(began, wall_ms(), lives, 2 * deployment.dispatcher.answer_margin_ms,
-                                settings.resume_at_once)
+        found = gateway.recover(
+            began, wall_ms(), lives, 2 * deployment.dispatcher.answer_margin_ms, settings.resume_at_once
+        )
         log.info("recovered", ms=round(now_ms() - began), damaged=book.damaged, **found)
     listed = asyncio.Event()
     plans: PlanFollower | None = None
@@ -216,9 +248,16 @@
         if fleet.leases is not None and options.crash_at:
             fleet.leases.passes = gateway.passes
         if fleet.leases is not None and deployment.leases is not None and deployment.leases.usage_ms:
-            usage = Usage(fleet.leases, fleet.peers, boot, deployment.leases.usage_ms, fleet.length_ms,
-                          lambda: {space: (n[0], n[1], n[2]) for space, n in gateway.records.used.items()},
-                          fleet.names, log)
+            usage = Usage(
+                fleet.leases,
+                fleet.peers,
+                boot,
+                deployment.leases.usage_ms,
+                fleet.length_ms,
+                lambda: {space: (n[0], n[1], n[2]) for space, n in gateway.records.used.items()},
+                fleet.names,
+                log,
+            )
         fleet.start()
         if usage is not None:
             usage.start()
@@ -244,16 +283,27 @@
         background.add("certificates", partial(_look, keepers), 5, 1000.0)
     planners = list(options.planners)
     if deployment.planner.within and fleet is not None and fleet.leases is not None:
-        inner = PlannerProgram(deployment, PlannerOptions(
-            f"{options.name}-planner", "127.0.0.1", 0, options.roster, options.state), fleet.leases, fleet.length_ms,
-            log)
+        inner = PlannerProgram(
+            deployment,
+            PlannerOptions(f"{options.name}-planner", "127.0.0.1", 0, options.roster, options.state),
+            fleet.leases,
+            fleet.length_ms,
+            log,
+        )
         inner.restore()
         inner.listen()
         inner.start()
         planners.append(inner.address)
     if planners:
-        plans = PlanFollower(planners, options.name, deployment.name, gateway, driver.stir_soon,
-                             options.state / "plan.bin" if options.state is not None else None, log)
+        plans = PlanFollower(
+            planners,
+            options.name,
+            deployment.name,
+            gateway,
+            driver.stir_soon,
+            options.state / "plan.bin" if options.state is not None else None,
+            log,
+        )
         background.add("report", plans.report, 2, 250.0, 1500.0, 0.05)
         background.add("save-plan", plans.save, 6, 2000.0, 20_000.0)
         if plans.start_from_last():
@@ -270,9 +320,19 @@
     log.info("serving", address=server.address, grpc=second.address, boot=boot, from_last_list=had)
     standing: Standing | None = None
     if deployment.vrrp is not None and options.name in {i.name for i in deployment.vrrp.instance}:
-        standing = Standing(deployment.vrrp, options.name, options.state, driver, api, limits(deployment.front),
-                            deployment.front, log, lambda: roster.saved and not (journal and journal.failing),
-                            first_door, second_door)
+        standing = Standing(
+            deployment.vrrp,
+            options.name,
+            options.state,
+            driver,
+            api,
+            limits(deployment.front),
+            deployment.front,
+            log,
+            lambda: roster.saved and not (journal and journal.failing),
+            first_door,
+            second_door,
+        )
         standing.start()
     more: dict[str, Callable[[], Any]] = {"background": background.scheduler.status}
     if fleet is not None:
@@ -283,9 +343,18 @@
         more["plan"] = plans.status
     if inner is not None:
         more["planner"] = inner.status
-    control = HttpServer(Control(
-        driver, server, second, standing, keepers, more,
-        fleet.copies.retire if fleet is not None and fleet.copies is not None else None).handle, Limits(connections=64))
+    control = HttpServer(
+        Control(
+            driver,
+            server,
+            second,
+            standing,
+            keepers,
+            more,
+            fleet.copies.retire if fleet is not None and fleet.copies is not None else None,
+        ).handle,
+        Limits(connections=64),
+    )
     if options.control is not None:
         host, _, control_port = options.control.rpartition(":")
         control.listen(host, int(control_port))
@@ -330,6 +399,14 @@
     control.abort_all()
     follower.cancel()
     counts = gateway.counts
-    log.info("ended", clean=answered and closed, taken=counts.taken, completed=counts.completed,
-             rejected=counts.rejected, aborted=counts.aborted, sends=counts.sends, orders=counts.orders)
+    log.info(
+        "ended",
+        clean=answered and closed,
+        taken=counts.taken,
+        completed=counts.completed,
+        rejected=counts.rejected,
+        aborted=counts.aborted,
+        sends=counts.sends,
+        orders=counts.orders,
+    )
     return answered and closed
--- a/kelptrail/service/standing.py
+++ b/kelptrail/service/standing.py
@@ -29,10 +29,20 @@
 class Standing:
     """One dispatcher's part in the virtual routers of its deployment."""
 
-    def __init__(self, settings: VrrpSettings, name: str, state: Path | None, driver: Driver, api: InvokeApi,
-                 limits: Limits, front: FrontSettings, log: Any, journal: Callable[[], bool] = lambda: True,
-                 make: Callable[[Handler], HttpServer] | None = None,
-                 second: Callable[[], GrpcServer] | None = None) -> None:
+    def __init__(
+        self,
+        settings: VrrpSettings,
+        name: str,
+        state: Path | None,
+        driver: Driver,
+        api: InvokeApi,
+        limits: Limits,
+        front: FrontSettings,
+        log: Any,
+        journal: Callable[[], bool] = lambda: True,
+        make: Callable[[Handler], HttpServer] | None = None,
+        second: Callable[[], GrpcServer] | None = None,
+    ) -> None:
         mine = next(i for i in settings.instance if i.name == name)
         others = [i for i in settings.instance if i.name != name]
         primary = ip_address(split(mine.udp)[0])
@@ -42,10 +52,27 @@
             part = next((m for m in router.member if m.name == name), None)
             if part is not None:
                 vrid = int(router.vrid)
-                routers.append(RouterSettings(vrid, part.priority, (ip_address(router.address),),
-                                              router.interval_cs, router.preempt, router.accept))
-                self.addresses[vrid] = FrontAddress(router.address, router.port, api.handle, limits, log,
-                                                    front.linger_ms, make, second, router.grpc_port)
+                routers.append(
+                    RouterSettings(
+                        vrid,
+                        part.priority,
+                        (ip_address(router.address),),
+                        router.interval_cs,
+                        router.preempt,
+                        router.accept,
+                    )
+                )
+                self.addresses[vrid] = FrontAddress(
+                    router.address,
+                    router.port,
+                    api.handle,
+                    limits,
+                    log,
+                    front.linger_ms,
+                    make,
+                    second,
+                    router.grpc_port,
+                )
         sealer = opener = None
         if settings.key:
             if state is None:
@@ -53,16 +80,21 @@
             keys = tuple(Key(int(k.number), k.secret.encode()) for k in settings.key)
             sealer = Sealer(keys[0], next_epoch(state / "vrrp-epoch"), primary)
             opener = Opener(keys)
-        tracking = Tracking([TrackSettings(t.name, t.weight, t.fall_ms, t.rise_ms, t.release)
-                             for t in settings.track])
+        tracking = Tracking([TrackSettings(t.name, t.weight, t.fall_ms, t.rise_ms, t.release) for t in settings.track])
         instance = Instance(primary, tuple(peers), routers, tracking, sealer, opener, settings.pseudo_header)
         self._driver, self._log = driver, log
         self._loop = asyncio.get_running_loop()
         self._turned_away = 0
         self._journal = journal  # whether what must be kept on disk can be
         self._turn = 0
-        self.vrrp = VrrpDriver(instance, split(mine.udp), peers, lambda vrid: self.addresses[vrid].take(),
-                               lambda vrid: self.addresses[vrid].give_up(front.drain_ms), log)
+        self.vrrp = VrrpDriver(
+            instance,
+            split(mine.udp),
+            peers,
+            lambda vrid: self.addresses[vrid].take(),
+            lambda vrid: self.addresses[vrid].give_up(front.drain_ms),
+            log,
+        )
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
--- a/kelptrail/service/usage.py
+++ b/kelptrail/service/usage.py
@@ -113,8 +113,17 @@
 class Usage:
     """One dispatcher's part.  `counts` tells what it has counted, `names` whom it knows."""
 
-    def __init__(self, leases: Leases, peers: Peers, run: str, every_ms: float, length_ms: float,
-                 counts: Callable[[], Counts], names: Callable[[], set[str]], log: Any) -> None:
+    def __init__(
+        self,
+        leases: Leases,
+        peers: Peers,
+        run: str,
+        every_ms: float,
+        length_ms: float,
+        counts: Callable[[], Counts],
+        names: Callable[[], set[str]],
+        log: Any,
+    ) -> None:
         self._leases, self._peers, self._run, self._every_ms = leases, peers, run, every_ms
         self._length_ms, self._counts, self._names, self._log = length_ms, counts, names, log
         self._loop = asyncio.get_running_loop()
@@ -172,7 +181,14 @@
     def status(self) -> dict[str, Any]:
         """What operators are shown; rates are calls a second."""
         total = self.told.total
-        return {"collected_by": total.token.who.partition("/")[0], "token": str(total.token), "turn": total.turn,
-                "dispatchers": total.dispatchers, "refused": self.told.refused,
-                "namespaces": {space: {"completed": round(r[0], 2), "rejected": round(r[1], 2),
-                                       "aborted": round(r[2], 2)} for space, r in total.rates.items()}}
+        return {
+            "collected_by": total.token.who.partition("/")[0],
+            "token": str(total.token),
+            "turn": total.turn,
+            "dispatchers": total.dispatchers,
+            "refused": self.told.refused,
+            "namespaces": {
+                space: {"completed": round(r[0], 2), "rejected": round(r[1], 2), "aborted": round(r[2], 2)}
+                for space, r in total.rates.items()
+            },
+        }
--- a/kelptrail/settings/deployment.py
+++ b/kelptrail/settings/deployment.py
@@ -392,236 +392,309 @@
     return number(low, high) if default is ... else number(low, high, default=default)
 
 
-TYPE = Shape({
-    "effect": word(("repeatable", "deduplicated", "once-only")),
-    "target-ms": _ms(1, 3.6e6),
-    "timeout-ms": _ms(1, 3.6e6),
-    "utility": number(0.001, 1e6, default=1.0),
-    "late-share": number(0, 1, default=0.0),
-    "scope": word(("all", "zone", "cell"), "all"),
-    "remembered-ms": _ms(0, 3.6e6, 0.0),
-    "hedge": yes_no(False),
-    "stream-ms": _ms(1, 8.64e7, 600_000.0),
-    "stall-ms": _ms(1, 3.6e6, 10_000.0),
-}, ("name",), TypeSettings)
-
-NAMESPACE = Shape({
-    "uuid": word(), "key": word(default=""), "allowed-per-s": number(0.001, 1e7, default=1e6),
-    "key-hash": Many(Shape({}, ("digest",), KeyHash)),
-    "certificate": Many(Shape({}, ("name",), CertificateName)),
-}, ("name",), NamespaceSettings)
-
-ACTION = Shape({
-    "package": word(default=""),
-    "type": word(),
-    "model": word(default=""),
-    "memory-mb": number(0.001, 1e7),
-    "lanes": number(1, 4096, whole=True, default=1),
-    "load-ms": _ms(0, 3.6e6, 0.0),
-    "work-ms": _ms(0, 3.6e6, 50.0),
-    "count": number(1, 100_000, whole=True, default=1),
-}, ("name",), ActionSettings)
-
-RULES = Shape({
-    "drain-grace-ms": _ms(0, 60_000, 500.0),
-    "tip": number(1, 1000, default=3.0),
-    "tip-ms": _ms(1, 600_000, 3000.0),
-    "cold-share": number(0.01, 1, default=0.2),
-    "cold-ms": _ms(0, 600_000, 10_000.0),
-    "orders": yes_no(True),
-    "free-loads": number(0, 1e6, default=6.0),
-    "load-share": number(0, 1000, default=0.3),
-    "load-span-ms": _ms(0, 600_000, 10_000.0),
-}, build=RuleSettings)
-
-DISPATCHER = Shape({
-    "hall": word(default=""),
-    "parallel": yes_no(True),
-    "most-sends": number(1, 16, whole=True, default=6),
-    "cancels": yes_no(True),
-    "answer-margin-ms": _ms(0, 10_000, 100.0),
-    "longest-return-ms": _ms(0, 600_000, 1000.0),
-    "keep-ms": _ms(100, 3.6e6, 8000.0),
-    "records": number(1, 10_000_000, whole=True, default=20_000),
-    "records-mb": number(0.001, 100_000, default=64.0),
-    "record-ms": _ms(1000, 8.64e7, 600_000.0),
-    "held": number(1, 10_000_000, whole=True, default=20_000),
-    "held-mb": number(0.001, 100_000, default=256.0),
-    "held-each": number(1, 10_000_000, whole=True, default=20_000),
-    "second-share": number(0, 16, default=0.2),
-    "second-most": number(0, 1_000_000, default=60.0),
-}, build=DispatcherSettings)
-
-FRONT = Shape({
-    "connections": number(1, 1_000_000, whole=True, default=10_000),
-    "header-bytes": number(256, 1_048_576, whole=True, default=16_384),
-    "body-bytes": number(1, 1 << 30, whole=True, default=1_048_576),
-    "pipelined": number(1, 10_000, whole=True, default=32),
-    "longest-wait-ms": _ms(1, 3.6e6, 60_000.0),
-    "read-ms": _ms(10, 600_000, 10_000.0),
-    "write-ms": _ms(10, 600_000, 30_000.0),
-    "idle-ms": _ms(10, 3.6e6, 75_000.0),
-    "drain-ms": _ms(0, 600_000, 10_000.0),
-    "linger-ms": _ms(0, 60_000, 1000.0),
-    "unread-mb": number(0.001, 100_000, default=256.0),
-    "connects-at-once": number(1, 1_000_000, default=2000.0),
-    "connects-per-s": number(0, 1_000_000, default=1000.0),
-}, build=FrontSettings)
-
-INFERENCE = Shape({
-    "serve": yes_no(True),
-    "port": number(0, 65535, whole=True, default=0),
-    "connections": number(1, 1_000_000, whole=True, default=10_000),
-    "streams": number(1, 1_000_000, whole=True, default=1000),
-    "stream-requests": number(1, 100_000, whole=True, default=64),
-    "header-bytes": number(256, 1_048_576, whole=True, default=16_384),
-    "message-bytes": number(1, 1 << 30, whole=True, default=4_194_304),
-    "partial-mb": number(0.001, 100_000, default=256.0),
-    "unread-mb": number(0.001, 100_000, default=256.0),
-    "stream-bytes": number(1024, 1 << 30, whole=True, default=262_144),
-    "read-ms": _ms(10, 600_000, 10_000.0),
-    "write-ms": _ms(10, 600_000, 30_000.0),
-    "idle-ms": _ms(10, 8.64e7, 300_000.0),
-    "handshake-ms": _ms(10, 600_000, 5000.0),
-    "age-ms": _ms(0, 8.64e7, 0.0),
-    "grace-ms": _ms(0, 3.6e6, 10_000.0),
-    "flood-at-once": number(1, 1_000_000, whole=True, default=200),
-    "flood-per-s": number(0.01, 1_000_000, default=20.0),
-    "connects-at-once": number(1, 1_000_000, default=2000.0),
-    "connects-per-s": number(0, 1_000_000, default=1000.0),
-}, build=InferenceSettings)
-
-POOL = Shape({
-    "connections": number(1, 100_000, whole=True, default=128),
-    "connect-ms": _ms(1, 60_000, 250.0),
-    "idle-ms": _ms(10, 3.6e6, 15_000.0),
-    "order-ms": _ms(10, 600_000, 10_000.0),
-    "answer-bytes": number(64, 1 << 30, whole=True, default=4_194_304),
-}, build=PoolSettings)
-
-FLEET = Shape({
-    "workers": number(1, 10_000, whole=True, default=4),
-    "cores": number(1, 4096, whole=True, default=4),
-    "memory-mb": number(1, 1e8, default=8000.0),
-    "queue": number(0, 1_000_000, whole=True, default=64),
-    "connections": number(1, 1_000_000, whole=True, default=1024),
-    "loads": number(1, 1024, whole=True, default=4),
-    "keep-ms": _ms(100, 3.6e6, 8000.0),
-}, build=FleetSettings)
-
-STORE = Shape({
-    "fetches": number(1, 100_000, whole=True, default=8),
-    "most": number(1, 100_000, whole=True, default=64),
-    "fetch-share": number(0, 1, default=0.6),
-}, build=StoreSettings)
-
-VRRP = Shape({
-    "pseudo-header": yes_no(True),
-    "key": Many(Shape({}, ("number", "secret"), KeySettings)),
-    "instance": Many(Shape({"udp": word(), "via": word(default="")}, ("name",), InstanceSettings), 1),
-    "router": Many(Shape({
-        "address": word(),
-        "port": number(1, 65535, whole=True),
-        "interval-cs": number(1, 4095, whole=True, default=100),
-        "preempt": yes_no(True),
-        "accept": yes_no(True),
-        "grpc-port": number(0, 65535, whole=True, default=0),
-        "member": Many(Shape({"priority": number(1, 255, whole=True)}, ("name",), MemberSettings), 1),
-    }, ("vrid",), RouterPlan), 1),
-    "track": Many(Shape({
-        "weight": number(0, 254, whole=True),
-        "fall-ms": _ms(0, 600_000, 1000.0),
-        "rise-ms": _ms(0, 600_000, 3000.0),
-        "release": yes_no(False),
-    }, ("name",), TrackPlan)),
-}, build=VrrpSettings)
-
-JOURNAL = Shape({
-    "keep": yes_no(True),
-    "most-mb": number(0.1, 1e7, default=1024.0),
-    "resume-at-once": number(1, 100_000, whole=True, default=64),
-    "most-waiting": number(1, 10_000_000, whole=True, default=100_000),
-}, build=JournalSettings)
-
-PLANNER = Shape({
-    "within": yes_no(False),
-    "every-ms": _ms(100, 600_000, 5000.0),
-    "valid-ms": _ms(1000, 8.64e7, 60_000.0),
-    "down-ms": _ms(0, 8.64e7, 60_000.0),
-    "moves-share": number(0, 10, default=0.05),
-    "moves-least": number(0, 100_000, whole=True, default=8),
-}, build=PlannerPlan)
-
-PEERS = Shape({
-    "peer": Many(Shape({"at": word(default=""), "hall": word(default="")}, ("name",), PeerPlan)),
-    "beat-ms": _ms(50, 60_000, 500.0),
-    "silent-ms": _ms(100, 600_000, 3000.0),
-    "connect-ms": _ms(10, 60_000, 1000.0),
-    "most-kb": number(1, 1e6, default=1024.0),
-    "per-s": number(1, 1e6, default=2000.0),
-    "copies": number(0, 4, whole=True, default=0),
-    "copies-in": word(("disk", "memory"), "disk"),
-    "copies-short": word(("refuse", "promise"), "refuse"),
-    "copies-kb": number(1, 1e6, default=256.0),
-    "take-ms": _ms(100, 600_000, 1500.0),
-    "slow-ms": _ms(50, 600_000, 1500.0),
-    "fill-kb-per-s": number(1, 1e7, default=20_000.0),
-}, build=PeersPlan)
-
-LEASES = Shape({
-    "voters": some(word()),
-    "number": number(1, 1_000_000_000, whole=True, default=1),
-    "before": some(word(), ()),
-    "clock-bound": number(0, 0.2, default=0.01),
-    "length-ms": _ms(100, 600_000, 4000.0),
-    "longest-ms": _ms(100, 600_000, 4000.0),
-    "ask-ms": _ms(5, 60_000, 250.0),
-    "retry-ms": _ms(5, 60_000, 100.0),
-    "gap-ms": _ms(0, 60_000, 20.0),
-    "reserve-ms": _ms(0, 60_000, 1000.0),
-    "first-round": number(0, 1e15, whole=True, default=0),
-    "usage-ms": _ms(0, 3.6e6, 5000.0),
-}, build=LeasesPlan)
-
-STORM = Shape({
-    "damp": yes_no(True),
-    "longest-return-ms": _ms(100, 600_000, 12_000.0),
-    "most-known": number(1, 10_000_000, whole=True, default=200_000),
-}, build=StormPlan)
-
-TLS = Shape({
-    "certificate": word(default=""),
-    "key": word(default=""),
-    "authority": word(default=""),
-    "peers": word(("none", "asked", "required"), "none"),
-    "least": word(("tls-1.2", "tls-1.3"), "tls-1.2"),
-    "ciphers": word(default=""),
-    "warn-days": number(0, 3650, default=14.0),
-}, ("side",), TlsSettings)
+TYPE = Shape(
+    {
+        "effect": word(("repeatable", "deduplicated", "once-only")),
+        "target-ms": _ms(1, 3.6e6),
+        "timeout-ms": _ms(1, 3.6e6),
+        "utility": number(0.001, 1e6, default=1.0),
+        "late-share": number(0, 1, default=0.0),
+        "scope": word(("all", "zone", "cell"), "all"),
+        "remembered-ms": _ms(0, 3.6e6, 0.0),
+        "hedge": yes_no(False),
+        "stream-ms": _ms(1, 8.64e7, 600_000.0),
+        "stall-ms": _ms(1, 3.6e6, 10_000.0),
+    },
+    ("name",),
+    TypeSettings,
+)
+
+NAMESPACE = Shape(
+    {
+        "uuid": word(),
+        "key": word(default=""),
+        "allowed-per-s": number(0.001, 1e7, default=1e6),
+        "key-hash": Many(Shape({}, ("digest",), KeyHash)),
+        "certificate": Many(Shape({}, ("name",), CertificateName)),
+    },
+    ("name",),
+    NamespaceSettings,
+)
+
+ACTION = Shape(
+    {
+        "package": word(default=""),
+        "type": word(),
+        "model": word(default=""),
+        "memory-mb": number(0.001, 1e7),
+        "lanes": number(1, 4096, whole=True, default=1),
+        "load-ms": _ms(0, 3.6e6, 0.0),
+        "work-ms": _ms(0, 3.6e6, 50.0),
+        "count": number(1, 100_000, whole=True, default=1),
+    },
+    ("name",),
+    ActionSettings,
+)
+
+RULES = Shape(
+    {
+        "drain-grace-ms": _ms(0, 60_000, 500.0),
+        "tip": number(1, 1000, default=3.0),
+        "tip-ms": _ms(1, 600_000, 3000.0),
+        "cold-share": number(0.01, 1, default=0.2),
+        "cold-ms": _ms(0, 600_000, 10_000.0),
+        "orders": yes_no(True),
+        "free-loads": number(0, 1e6, default=6.0),
+        "load-share": number(0, 1000, default=0.3),
+        "load-span-ms": _ms(0, 600_000, 10_000.0),
+    },
+    build=RuleSettings,
+)
+
+DISPATCHER = Shape(
+    {
+        "hall": word(default=""),
+        "parallel": yes_no(True),
+        "most-sends": number(1, 16, whole=True, default=6),
+        "cancels": yes_no(True),
+        "answer-margin-ms": _ms(0, 10_000, 100.0),
+        "longest-return-ms": _ms(0, 600_000, 1000.0),
+        "keep-ms": _ms(100, 3.6e6, 8000.0),
+        "records": number(1, 10_000_000, whole=True, default=20_000),
+        "records-mb": number(0.001, 100_000, default=64.0),
+        "record-ms": _ms(1000, 8.64e7, 600_000.0),
+        "held": number(1, 10_000_000, whole=True, default=20_000),
+        "held-mb": number(0.001, 100_000, default=256.0),
+        "held-each": number(1, 10_000_000, whole=True, default=20_000),
+        "second-share": number(0, 16, default=0.2),
+        "second-most": number(0, 1_000_000, default=60.0),
+    },
+    build=DispatcherSettings,
+)
+
+FRONT = Shape(
+    {
+        "connections": number(1, 1_000_000, whole=True, default=10_000),
+        "header-bytes": number(256, 1_048_576, whole=True, default=16_384),
+        "body-bytes": number(1, 1 << 30, whole=True, default=1_048_576),
+        "pipelined": number(1, 10_000, whole=True, default=32),
+        "longest-wait-ms": _ms(1, 3.6e6, 60_000.0),
+        "read-ms": _ms(10, 600_000, 10_000.0),
+        "write-ms": _ms(10, 600_000, 30_000.0),
+        "idle-ms": _ms(10, 3.6e6, 75_000.0),
+        "drain-ms": _ms(0, 600_000, 10_000.0),
+        "linger-ms": _ms(0, 60_000, 1000.0),
+        "unread-mb": number(0.001, 100_000, default=256.0),
+        "connects-at-once": number(1, 1_000_000, default=2000.0),
+        "connects-per-s": number(0, 1_000_000, default=1000.0),
+    },
+    build=FrontSettings,
+)
+
+INFERENCE = Shape(
+    {
+        "serve": yes_no(True),
+        "port": number(0, 65535, whole=True, default=0),
+        "connections": number(1, 1_000_000, whole=True, default=10_000),
+        "streams": number(1, 1_000_000, whole=True, default=1000),
+        "stream-requests": number(1, 100_000, whole=True, default=64),
+        "header-bytes": number(256, 1_048_576, whole=True, default=16_384),
+        "message-bytes": number(1, 1 << 30, whole=True, default=4_194_304),
+        "partial-mb": number(0.001, 100_000, default=256.0),
+        "unread-mb": number(0.001, 100_000, default=256.0),
+        "stream-bytes": number(1024, 1 << 30, whole=True, default=262_144),
+        "read-ms": _ms(10, 600_000, 10_000.0),
+        "write-ms": _ms(10, 600_000, 30_000.0),
+        "idle-ms": _ms(10, 8.64e7, 300_000.0),
+        "handshake-ms": _ms(10, 600_000, 5000.0),
+        "age-ms": _ms(0, 8.64e7, 0.0),
+        "grace-ms": _ms(0, 3.6e6, 10_000.0),
+        "flood-at-once": number(1, 1_000_000, whole=True, default=200),
+        "flood-per-s": number(0.01, 1_000_000, default=20.0),
+        "connects-at-once": number(1, 1_000_000, default=2000.0),
+        "connects-per-s": number(0, 1_000_000, default=1000.0),
+    },
+    build=InferenceSettings,
+)
+
+POOL = Shape(
+    {
+        "connections": number(1, 100_000, whole=True, default=128),
+        "connect-ms": _ms(1, 60_000, 250.0),
+        "idle-ms": _ms(10, 3.6e6, 15_000.0),
+        "order-ms": _ms(10, 600_000, 10_000.0),
+        "answer-bytes": number(64, 1 << 30, whole=True, default=4_194_304),
+    },
+    build=PoolSettings,
+)
+
+FLEET = Shape(
+    {
+        "workers": number(1, 10_000, whole=True, default=4),
+        "cores": number(1, 4096, whole=True, default=4),
+        "memory-mb": number(1, 1e8, default=8000.0),
+        "queue": number(0, 1_000_000, whole=True, default=64),
+        "connections": number(1, 1_000_000, whole=True, default=1024),
+        "loads": number(1, 1024, whole=True, default=4),
+        "keep-ms": _ms(100, 3.6e6, 8000.0),
+    },
+    build=FleetSettings,
+)
+
+STORE = Shape(
+    {
+        "fetches": number(1, 100_000, whole=True, default=8),
+        "most": number(1, 100_000, whole=True, default=64),
+        "fetch-share": number(0, 1, default=0.6),
+    },
+    build=StoreSettings,
+)
+
+VRRP = Shape(
+    {
+        "pseudo-header": yes_no(True),
+        "key": Many(Shape({}, ("number", "secret"), KeySettings)),
+        "instance": Many(Shape({"udp": word(), "via": word(default="")}, ("name",), InstanceSettings), 1),
+        "router": Many(
+            Shape(
+                {
+                    "address": word(),
+                    "port": number(1, 65535, whole=True),
+                    "interval-cs": number(1, 4095, whole=True, default=100),
+                    "preempt": yes_no(True),
+                    "accept": yes_no(True),
+                    "grpc-port": number(0, 65535, whole=True, default=0),
+                    "member": Many(Shape({"priority": number(1, 255, whole=True)}, ("name",), MemberSettings), 1),
+                },
+                ("vrid",),
+                RouterPlan,
+            ),
+            1,
+        ),
+        "track": Many(
+            Shape(
+                {
+                    "weight": number(0, 254, whole=True),
+                    "fall-ms": _ms(0, 600_000, 1000.0),
+                    "rise-ms": _ms(0, 600_000, 3000.0),
+                    "release": yes_no(False),
+                },
+                ("name",),
+                TrackPlan,
+            )
+        ),
+    },
+    build=VrrpSettings,
+)
+
+JOURNAL = Shape(
+    {
+        "keep": yes_no(True),
+        "most-mb": number(0.1, 1e7, default=1024.0),
+        "resume-at-once": number(1, 100_000, whole=True, default=64),
+        "most-waiting": number(1, 10_000_000, whole=True, default=100_000),
+    },
+    build=JournalSettings,
+)
+
+PLANNER = Shape(
+    {
+        "within": yes_no(False),
+        "every-ms": _ms(100, 600_000, 5000.0),
+        "valid-ms": _ms(1000, 8.64e7, 60_000.0),
+        "down-ms": _ms(0, 8.64e7, 60_000.0),
+        "moves-share": number(0, 10, default=0.05),
+        "moves-least": number(0, 100_000, whole=True, default=8),
+    },
+    build=PlannerPlan,
+)
+
+PEERS = Shape(
+    {
+        "peer": Many(Shape({"at": word(default=""), "hall": word(default="")}, ("name",), PeerPlan)),
+        "beat-ms": _ms(50, 60_000, 500.0),
+        "silent-ms": _ms(100, 600_000, 3000.0),
+        "connect-ms": _ms(10, 60_000, 1000.0),
+        "most-kb": number(1, 1e6, default=1024.0),
+        "per-s": number(1, 1e6, default=2000.0),
+        "copies": number(0, 4, whole=True, default=0),
+        "copies-in": word(("disk", "memory"), "disk"),
+        "copies-short": word(("refuse", "promise"), "refuse"),
+        "copies-kb": number(1, 1e6, default=256.0),
+        "take-ms": _ms(100, 600_000, 1500.0),
+        "slow-ms": _ms(50, 600_000, 1500.0),
+        "fill-kb-per-s": number(1, 1e7, default=20_000.0),
+    },
+    build=PeersPlan,
+)
+
+LEASES = Shape(
+    {
+        "voters": some(word()),
+        "number": number(1, 1_000_000_000, whole=True, default=1),
+        "before": some(word(), ()),
+        "clock-bound": number(0, 0.2, default=0.01),
+        "length-ms": _ms(100, 600_000, 4000.0),
+        "longest-ms": _ms(100, 600_000, 4000.0),
+        "ask-ms": _ms(5, 60_000, 250.0),
+        "retry-ms": _ms(5, 60_000, 100.0),
+        "gap-ms": _ms(0, 60_000, 20.0),
+        "reserve-ms": _ms(0, 60_000, 1000.0),
+        "first-round": number(0, 1e15, whole=True, default=0),
+        "usage-ms": _ms(0, 3.6e6, 5000.0),
+    },
+    build=LeasesPlan,
+)
+
+STORM = Shape(
+    {
+        "damp": yes_no(True),
+        "longest-return-ms": _ms(100, 600_000, 12_000.0),
+        "most-known": number(1, 10_000_000, whole=True, default=200_000),
+    },
+    build=StormPlan,
+)
+
+TLS = Shape(
+    {
+        "certificate": word(default=""),
+        "key": word(default=""),
+        "authority": word(default=""),
+        "peers": word(("none", "asked", "required"), "none"),
+        "least": word(("tls-1.2", "tls-1.3"), "tls-1.2"),
+        "ciphers": word(default=""),
+        "warn-days": number(0, 3650, default=14.0),
+    },
+    ("side",),
+    TlsSettings,
+)
 SIDES = ("front", "to-workers", "runners")
 
 TRACKED = ("workers", "front", "journal")
 
-DEPLOYMENT = Shape({
-    "halls": some(word(), ("hall",)),
-    "type": Many(TYPE, 1),
-    "namespace": Many(NAMESPACE, 1),
-    "action": Many(ACTION, 1),
-    "rules": Group(RULES),
-    "dispatcher": Group(DISPATCHER),
-    "front": Group(FRONT),
-    "inference": Group(INFERENCE),
-    "pool": Group(POOL),
-    "fleet": Group(FLEET),
-    "store": Group(STORE),
-    "tls": Many(TLS),
-    "storm": Group(STORM),
-    "planner": Group(PLANNER),
-    "vrrp": Group(VRRP, optional=True),
-    "peers": Group(PEERS, optional=True),
-    "leases": Group(LEASES, optional=True),
-    "journal": Group(JOURNAL),
-}, ("name",))
+DEPLOYMENT = Shape(
+    {
+        "halls": some(word(), ("hall",)),
+        "type": Many(TYPE, 1),
+        "namespace": Many(NAMESPACE, 1),
+        "action": Many(ACTION, 1),
+        "rules": Group(RULES),
+        "dispatcher": Group(DISPATCHER),
+        "front": Group(FRONT),
+        "inference": Group(INFERENCE),
+        "pool": Group(POOL),
+        "fleet": Group(FLEET),
+        "store": Group(STORE),
+        "tls": Many(TLS),
+        "storm": Group(STORM),
+        "planner": Group(PLANNER),
+        "vrrp": Group(VRRP, optional=True),
+        "peers": Group(PEERS, optional=True),
+        "leases": Group(LEASES, optional=True),
+        "journal": Group(JOURNAL),
+    },
+    ("name",),
+)
 
 
 def load(path: str | Path) -> Deployment:
@@ -650,19 +723,37 @@
         for one in _spread(action):
             actions[one.path] = one
     return Deployment(
-        fields["name"], fields["halls"], {t.name: t for t in fields["type"]},
-        {n.name: n for n in fields["namespace"]}, actions, fields["rules"], fields["dispatcher"],
-        fields["front"], fields["inference"], fields["pool"], fields["fleet"], fields["store"], fields["vrrp"],
-        fields["journal"], {t.side: t for t in fields["tls"]}, fields["storm"], fields["planner"],
-        fields["peers"], fields["leases"], Path(file).parent)
+        fields["name"],
+        fields["halls"],
+        {t.name: t for t in fields["type"]},
+        {n.name: n for n in fields["namespace"]},
+        actions,
+        fields["rules"],
+        fields["dispatcher"],
+        fields["front"],
+        fields["inference"],
+        fields["pool"],
+        fields["fleet"],
+        fields["store"],
+        fields["vrrp"],
+        fields["journal"],
+        {t.side: t for t in fields["tls"]},
+        fields["storm"],
+        fields["planner"],
+        fields["peers"],
+        fields["leases"],
+        Path(file).parent,
+    )
 
 
 def _spread(action: ActionSettings) -> list[ActionSettings]:
     """`(count N)` stands for N actions, NAME-0 to NAME-(N-1), each with a model of its own."""
     if action.count == 1:
         return [replace(action, model=action.model or action.name)]
-    return [replace(action, name=f"{action.name}-{n}", model=f"{action.model or action.name}-{n}", count=1)
-            for n in range(action.count)]
+    return [
+        replace(action, name=f"{action.name}-{n}", model=f"{action.model or action.name}-{n}", count=1)
+        for n in range(action.count)
+    ]
 
 
 def _across(checker: Checker, whole: Form) -> None:
@@ -680,19 +771,26 @@
             if not _NAME.fullmatch(name):
                 checker.fault(form.place, name, "a name of letters, digits, _ @ . - that starts with no dot")
             if (form.head, full) in named:
-                checker.fault(form.place, f"{form.head} {full} again",
-                              f"another name; line {named[form.head, full].line} has it already")
+                checker.fault(
+                    form.place,
+                    f"{form.head} {full} again",
+                    f"another name; line {named[form.head, full].line} has it already",
+                )
             named[form.head, full] = form.place
         if form.head == "type":
             effect, kept = _value(form, "effect"), _value(form, "remembered-ms")
             if effect and effect[0] == "deduplicated" and not (kept and _number(kept[0]) > 0):
-                checker.fault(form.place, f"type {name} without (remembered-ms ...)",
-                              "for how long repeats of a deduplicated type are dropped, above 0")
+                checker.fault(
+                    form.place,
+                    f"type {name} without (remembered-ms ...)",
+                    "for how long repeats of a deduplicated type are dropped, above 0",
+                )
             if effect and effect[0] == "once-only" and (hedge := _value(form, "hedge")) and hedge[0] == "yes":
                 checker.fault(hedge[1], "hedge yes", "no: a once-only type is never sent beside a send that is out")
             target, timeout = _value(form, "target-ms"), _value(form, "timeout-ms")
-            margin = next((_number(m[0]) for f in parts if f.head == "dispatcher"
-                           and (m := _value(f, "answer-margin-ms"))), 100.0)
+            margin = next(
+                (_number(m[0]) for f in parts if f.head == "dispatcher" and (m := _value(f, "answer-margin-ms"))), 100.0
+            )
             if timeout and 0 < _number(timeout[0]) <= 2 * margin:
                 checker.fault(timeout[1], timeout[0], f"over twice the answer-margin-ms, {margin:g}")
             first, whole_ms = _value(form, "timeout-ms"), _value(form, "stream-ms")
@@ -708,8 +806,12 @@
             _across_tls(checker, form, name, named)
         if form.head == "vrrp":
             _across_vrrp(checker, form)
-        if form.head == "planner" and (within := _value(form, "within")) and within[0] == "yes" and not any(
-                f.head == "leases" for f in parts):
+        if (
+            form.head == "planner"
+            and (within := _value(form, "within"))
+            and within[0] == "yes"
+            and not any(f.head == "leases" for f in parts)
+        ):
             checker.fault(within[1], "within yes", "(leases ...) beside it: planners act under a lease")
         if form.head == "peers" and (copies := _value(form, "copies")) and _number(copies[0]):
             if not any(f.head == "leases" for f in parts):
@@ -724,10 +826,16 @@
             _across_leases(checker, form, next((f for f in parts if f.head == "peers"), None))
         if form.head == "namespace":
             hashes = [h for h in form.items if isinstance(h, Form) and h.head == "key-hash"]
-            if not hashes and not _value(form, "key") and not any(
-                    isinstance(c, Form) and c.head == "certificate" for c in form.items):
-                checker.fault(form.place, f"namespace {name} without credentials",
-                              "(key ...), (key-hash ...) or (certificate ...)")
+            if (
+                not hashes
+                and not _value(form, "key")
+                and not any(isinstance(c, Form) and c.head == "certificate" for c in form.items)
+            ):
+                checker.fault(
+                    form.place,
+                    f"namespace {name} without credentials",
+                    "(key ...), (key-hash ...) or (certificate ...)",
+                )
             if len(hashes) > 2:
                 checker.fault(hashes[2].place, "a third key-hash", "two at most: the old one and the new one")
             for one in hashes:
@@ -738,8 +846,7 @@
             if not _UUID.fullmatch(uuid[0]):
                 checker.fault(uuid[1], uuid[0], "a UUID, as 8-4-4-4-12 hex digits")
             if uuid[0].lower() in keys:
-                checker.fault(uuid[1], uuid[0],
-                              f"a UUID of its own; line {keys[uuid[0].lower()].line} has it already")
+                checker.fault(uuid[1], uuid[0], f"a UUID of its own; line {keys[uuid[0].lower()].line} has it already")
             keys[uuid[0].lower()] = uuid[1]
 
 
@@ -778,14 +885,18 @@
                     version = ip_address(address[0]).version
                 if version not in families.values():
                     checker.fault(address[1], address[0], "an IP address of the instances' family")
-            owners = [f for f in form.items if isinstance(f, Form) and f.head == "member"
-                      and (_value(f, "priority") or ("", None))[0] == "255.0"]
+            owners = [
+                f
+                for f in form.items
+                if isinstance(f, Form) and f.head == "member" and (_value(f, "priority") or ("", None))[0] == "255.0"
+            ]
             if len(owners) > 1:
                 checker.fault(owners[1].place, "a second priority 255", "one owner of the address at most")
             for member in (f for f in form.items if isinstance(f, Form) and f.head == "member"):
                 if _first(member) not in instances:
-                    checker.fault(member.place, _first(member), "an instance of this section: "
-                                  + ", ".join(sorted(instances)))
+                    checker.fault(
+                        member.place, _first(member), "an instance of this section: " + ", ".join(sorted(instances))
+                    )
         if form.head == "key" and (not name.isdigit() or not 0 <= int(name) <= 255):
             checker.fault(form.place, name, "a key number from 0 to 255")
         if form.head == "track" and name not in TRACKED:
@@ -802,15 +913,21 @@
         sets[str(item.head)] = names
         for atom, name in zip(item.items[1:], names, strict=True):
             if item.head == "voters" and name not in known:
-                checker.fault(atom.place, name, "a peer of this file, as (peers (peer NAME)): "
-                              + (", ".join(sorted(known)) or "there is none"))
+                checker.fault(
+                    atom.place,
+                    name,
+                    "a peer of this file, as (peers (peer NAME)): " + (", ".join(sorted(known)) or "there is none"),
+                )
         if len(names) not in (3, 5) or len(set(names)) < len(names):
             checker.fault(item.place, f"{len(names)} {item.head}: {' '.join(names)}", "three or five different names")
     voters, before = sets["voters"], sets["before"]
     stay, most = len(set(voters) & set(before)), max(len(voters), len(before))
     if before and stay < (most - 1 if len(voters) == len(before) else min(len(voters), len(before))):
-        checker.fault(form.place, f"from {' '.join(before)} to {' '.join(voters)}",
-                      "one voter replaced, or two more, or two fewer, at a time")
+        checker.fault(
+            form.place,
+            f"from {' '.join(before)} to {' '.join(voters)}",
+            "one voter replaced, or two more, or two fewer, at a time",
+        )
 
     def figure(key: str) -> float:
         field = LEASES.fields[key]
@@ -822,17 +939,23 @@
     if before and figure("number") < 2:
         checker.fault(number[1] if number else form.place, "number 1", "2 at least, where there is a set before")
     if not before and figure("number") > 1:
-        checker.fault(number[1] if number else form.place, f"number {figure('number'):g}",
-                      "(before NAME ...) beside it: the set before")
+        checker.fault(
+            number[1] if number else form.place,
+            f"number {figure('number'):g}",
+            "(before NAME ...) beside it: the set before",
+        )
     if figure("longest-ms") < figure("length-ms"):
         place = _value(form, "longest-ms") or _value(form, "length-ms") or ("", form.place)
         checker.fault(place[1], f"{figure('longest-ms'):g}", f"at least the length-ms, {figure('length-ms'):g}")
     held, least = figure("length-ms") * (1 - bound) / (1 + bound), 4 * figure("ask-ms")
     if held < least:
         length = _value(form, "length-ms")
-        checker.fault(length[1] if length else form.place, f"{figure('length-ms'):g}",
-                      f"a length of which at least four times the ask-ms is left, {least:g}: clocks take "
-                      f"{figure('length-ms') - held:.0f}")
+        checker.fault(
+            length[1] if length else form.place,
+            f"{figure('length-ms'):g}",
+            f"a length of which at least four times the ask-ms is left, {least:g}: clocks take "
+            f"{figure('length-ms') - held:.0f}",
+        )
 
 
 def _across_tls(checker: Checker, form: Form, side: str, named: dict[tuple[str, str], Place]) -> None:
--- a/kelptrail/settings/reader.py
+++ b/kelptrail/settings/reader.py
@@ -97,15 +97,23 @@
     try:
         tree = _parser().parse(text)
     except UnexpectedCharacters as cause:
-        raise SettingsError([Fault(Place(file, cause.line, cause.column), repr(cause.char),
-                                   "a word, a number, a closed string or a bracket")]) from None
+        raise SettingsError(
+            [
+                Fault(
+                    Place(file, cause.line, cause.column),
+                    repr(cause.char),
+                    "a word, a number, a closed string or a bracket",
+                )
+            ]
+        ) from None
     except UnexpectedEOF:
         raise SettingsError([_open_bracket(text, file)]) from None
     except UnexpectedToken as cause:
         if cause.token.type == "$END":
             raise SettingsError([_open_bracket(text, file)]) from None
-        raise SettingsError([Fault(Place(file, cause.line, cause.column), repr(str(cause.token)),
-                                   "no bracket that closes nothing")]) from None
+        raise SettingsError(
+            [Fault(Place(file, cause.line, cause.column), repr(str(cause.token)), "no bracket that closes nothing")]
+        ) from None
     return [_convert(child, file) for child in tree.children]
 
 
--- a/kelptrail/settings/shape.py
+++ b/kelptrail/settings/shape.py
@@ -130,15 +130,19 @@
             if spec is None:
                 near = difflib.get_close_matches(item.head, shape.fields, 1)
                 hint = f" (did you mean {near[0]}?)" if near else ""
-                self.fault(item.place, f"({item.head} ...)", f"a field of ({form.head} ...): "
-                           + ", ".join(sorted(shape.fields)) + hint)
+                self.fault(
+                    item.place,
+                    f"({item.head} ...)",
+                    f"a field of ({form.head} ...): " + ", ".join(sorted(shape.fields)) + hint,
+                )
                 continue
             if isinstance(spec, Many):
                 lists[item.head].append(self.form(item, spec.shape))
                 continue
             if item.head in seen:
-                self.fault(item.place, f"({item.head} ...) again", f"it once; it stands in line "
-                           f"{seen[item.head].line} already")
+                self.fault(
+                    item.place, f"({item.head} ...) again", f"it once; it stands in line {seen[item.head].line} already"
+                )
                 continue
             seen[item.head] = item.place
             out[item.head.replace("-", "_")] = self._field(item, spec)
--- a/kelptrail/standin/clients.py
+++ b/kelptrail/standin/clients.py
@@ -59,8 +59,16 @@
 class Clients:
     """All clients of one place."""
 
-    def __init__(self, deployment: Deployment, addresses: list[str], capture: Capture, seed: int,
-                 front: bool = False, second: list[str] | None = None, part: tuple[int, int] = (0, 1)) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        addresses: list[str],
+        capture: Capture,
+        seed: int,
+        front: bool = False,
+        second: list[str] | None = None,
+        part: tuple[int, int] = (0, 1),
+    ) -> None:
         self._part, self._mark = part, f"{part[0]}-" if part[1] > 1 else ""
         self._second = [GrpcClient(address) for address in second or ()]
         self._deployment, self._addresses, self._capture = deployment, addresses, capture
@@ -69,8 +77,10 @@
         self._loop = asyncio.get_running_loop()
         self._pools = [self._pool(a) for a in addresses]
         self._asked: dict[str, WorkerPool] = {}  # where deferred calls are asked for
-        self._auth = {n.name: "Basic " + base64.b64encode(f"{n.uuid}:{n.key}".encode()).decode()
-                      for n in deployment.namespaces.values()}
+        self._auth = {
+            n.name: "Basic " + base64.b64encode(f"{n.uuid}:{n.key}".encode()).decode()
+            for n in deployment.namespaces.values()
+        }
         self._tickets = self._calls = 0
         self.out = self.polling = 0  # requests out; deferred calls without their final answer
         self._lag = Lag()
@@ -87,16 +97,33 @@
         picks = self._chance.choice(len(actions), len(drawn), p=popularity(list(by_path), load))
         return [(t, by_path.get(named) or actions[int(n)]) for (t, named), n in zip(drawn, picks, strict=True)]
 
-    def wish(self, action: ActionSettings, deferred: float, heed: float, retries: int, grpc: float = 0.0,
-             streams: float = 0.0, half: float = 0.0, namespace: str = "") -> None:
+    def wish(
+        self,
+        action: ActionSettings,
+        deferred: float,
+        heed: float,
+        retries: int,
+        grpc: float = 0.0,
+        streams: float = 0.0,
+        half: float = 0.0,
+        namespace: str = "",
+    ) -> None:
         """One client comes; `grpc` and `streams` are the shares that call by the second front, and in streams there."""
         self._tickets += 1
         spaces = list(self._deployment.namespaces.values())
         shares = np.array([s.allowed_per_s for s in spaces])
-        space = self._deployment.namespaces.get(namespace) or (
-            spaces[int(self._chance.choice(len(spaces), p=shares / shares.sum()))])
-        wish = Wish(f"t{self._mark}{self._tickets}", action, space, bool(self._chance.random() < deferred),
-                    habits_of(float(self._chance.random()), heed, half), 1 + retries)
+        space = (
+            self._deployment.namespaces.get(namespace)
+            or (spaces[int(self._chance.choice(len(spaces), p=shares / shares.sum()))])
+        )
+        wish = Wish(
+            f"t{self._mark}{self._tickets}",
+            action,
+            space,
+            bool(self._chance.random() < deferred),
+            habits_of(float(self._chance.random()), heed, half),
+            1 + retries,
+        )
         if grpc:
             wish.grpc = bool(self._chance.random() < grpc)
             wish.streamed = wish.grpc and bool(self._chance.random() < streams)
@@ -113,9 +140,17 @@
         if wish.grpc and self._second:
             self._infer(wish, kind)
             return
-        self._capture.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
-                           dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=kind.timeout_ms,
-                           front=self._front)
+        self._capture.note(
+            "call",
+            call=wish.number,
+            ticket=wish.ticket,
+            action=wish.action.path,
+            type=kind.name,
+            dispatcher=wish.dispatcher,
+            deferred=wish.deferred,
+            limit_ms=kind.timeout_ms,
+            front=self._front,
+        )
         self._post(wish, self._pools[wish.dispatcher], self._addresses[wish.dispatcher])
 
     def _post(self, wish: Wish, pool: WorkerPool, address: str) -> None:
@@ -133,22 +168,39 @@
         """The same wish by the second front."""
         request = pb.ModelInferRequest(model_name=wish.action.path, id=wish.ticket)
         request.inputs.add(name="ticket", datatype="BYTES", shape=[1]).contents.bytes_contents.append(
-            wish.ticket.encode())
+            wish.ticket.encode()
+        )
         if kind.effect == "deduplicated" and not wish.streamed:
             request.parameters["idempotency_key"].string_param = wish.ticket
         if wish.deferred:
             request.parameters["deferred"].bool_param = True
         wish.parts = 0
         limit = kind.timeout_ms + (STREAM_MS if wish.streamed else 0.0)
-        self._capture.note("call", call=wish.number, ticket=wish.ticket, action=wish.action.path, type=kind.name,
-                           dispatcher=wish.dispatcher, deferred=wish.deferred, limit_ms=limit, front=self._front,
-                           grpc=True, streamed=wish.streamed)
+        self._capture.note(
+            "call",
+            call=wish.number,
+            ticket=wish.ticket,
+            action=wish.action.path,
+            type=kind.name,
+            dispatcher=wish.dispatcher,
+            deferred=wish.deferred,
+            limit_ms=limit,
+            front=self._front,
+            grpc=True,
+            streamed=wish.streamed,
+        )
         self.out += 1
         method = "ModelStreamInfer" if wish.streamed else "ModelInfer"
         message = self._streamed if wish.streamed else self._inferred
         self._second[wish.dispatcher].call(
-            SERVICE + method, request.SerializeToString(), {"authorization": self._auth[wish.namespace.name]},
-            lambda data: message(wish, data), lambda ended: self._over(wish, ended), limit, 500.0)
+            SERVICE + method,
+            request.SerializeToString(),
+            {"authorization": self._auth[wish.namespace.name]},
+            lambda data: message(wish, data),
+            lambda ended: self._over(wish, ended),
+            limit,
+            500.0,
+        )
 
     def _inferred(self, wish: Wish, data: bytes) -> None:
         response = pb.ModelInferResponse.FromString(data)
@@ -181,10 +233,19 @@
             answer = "rejected" if reason == "REJECTED" else "aborted" if reason in ABORTED else "failed"
             self._told(wish, answer, activation, float(retry) if retry is not None else 0.0)
 
-    def _told(self, wish: Wish, answer: str, activation: str, retry_ms: float = 0.0,
-              within_ms: float | None = None) -> None:
-        self._capture.note("final", call=wish.number, activation=activation, answer=answer, status=0,
-                           lag=self._lag.now(), took=None, code=0 if answer == "completed" else None)
+    def _told(
+        self, wish: Wish, answer: str, activation: str, retry_ms: float = 0.0, within_ms: float | None = None
+    ) -> None:
+        self._capture.note(
+            "final",
+            call=wish.number,
+            activation=activation,
+            answer=answer,
+            status=0,
+            lag=self._lag.now(),
+            took=None,
+            code=0 if answer == "completed" else None,
+        )
         if answer in ("rejected", "aborted"):
             self._again(wish, Heard(answer), retry_ms, within_ms)
 
@@ -199,17 +260,26 @@
             self._capture.note("no-answer", call=wish.number, ending=ended.text)
             self._again(wish, Heard.LOST)
         else:
-            answer = "rejected" if ended.reason == "REJECTED" else "aborted" if ended.reason in ABORTED else (
-                f"status-{ended.code.name}")
+            answer = (
+                "rejected"
+                if ended.reason == "REJECTED"
+                else "aborted"
+                if ended.reason in ABORTED
+                else (f"status-{ended.code.name}")
+            )
             within = ended.told.get("repeat_within_ms")
-            self._told(wish, answer, ended.told.get("activation", ""), ended.retry_ms or 0.0,
-                       float(within) if within is not None else None)
+            self._told(
+                wish,
+                answer,
+                ended.told.get("activation", ""),
+                ended.retry_ms or 0.0,
+                float(within) if within is not None else None,
+            )
 
     def _answered(self, call: Call, ending: Ending, response: Response | None) -> None:
         wish: Wish = call.tag
         self.out -= 1
-        if ending in (Ending.UNREACHABLE, Ending.UNSENT) or (
-                response is not None and response.status == 503):
+        if ending in (Ending.UNREACHABLE, Ending.UNSENT) or (response is not None and response.status == 503):
             self._capture.note("not-taken", call=wish.number)
             told = response.headers.get("retry-after-ms", "0") if response is not None else "0"
             self._again(wish, Heard.NOT_TAKEN, float(told))
@@ -236,10 +306,16 @@
         notes = {n["key"]: n["value"] for n in body.get("annotations", [])}
         told = notes.get("kelptrail", body)
         answer = told.get("answer", f"status-{status}")
-        self._capture.note("final", call=wish.number, activation=body.get("activationId", ""), answer=answer,
-                           status=status, lag=self._lag.now(),
-                           took=body.get("duration") if wish.deferred else None,
-                           code=body.get("response", {}).get("statusCode"))
+        self._capture.note(
+            "final",
+            call=wish.number,
+            activation=body.get("activationId", ""),
+            answer=answer,
+            status=status,
+            lag=self._lag.now(),
+            took=body.get("duration") if wish.deferred else None,
+            code=body.get("response", {}).get("statusCode"),
+        )
         if answer in ("rejected", "aborted"):
             self._again(wish, Heard(answer), float(told.get("retry_after_ms", 0.0)), told.get("repeat_within_ms"))
 
@@ -261,8 +337,13 @@
             self._capture.note("no-answer", call=wish.number, ending="polled")
             self.polling -= 1
             return
-        data = encode_request("GET", f"/api/v1/namespaces/_/activations/{wish.activation}", wish.asked_at, b"",
-                              {"authorization": self._auth[wish.namespace.name]})
+        data = encode_request(
+            "GET",
+            f"/api/v1/namespaces/_/activations/{wish.activation}",
+            wish.asked_at,
+            b"",
+            {"authorization": self._auth[wish.namespace.name]},
+        )
         self.out += 1
         if wish.asked_at not in self._asked:
             self._asked[wish.asked_at] = self._pool(wish.asked_at)
@@ -289,8 +370,22 @@
         out: list[tuple[float, Callable[[], None]]] = []
         for load in loads:
             for when, action in self.arrivals(load, min(seconds, load.at + load.last)):
-                out.append((when, partial(self.wish, action, load.deferred, load.heed, load.retries, load.grpc,
-                                          load.streams, load.half_heed, load.namespace)))
+                out.append(
+                    (
+                        when,
+                        partial(
+                            self.wish,
+                            action,
+                            load.deferred,
+                            load.heed,
+                            load.retries,
+                            load.grpc,
+                            load.streams,
+                            load.half_heed,
+                            load.namespace,
+                        ),
+                    )
+                )
         out.sort(key=lambda pair: pair[0])
         return out
 
--- a/kelptrail/standin/links.py
+++ b/kelptrail/standin/links.py
@@ -72,8 +72,10 @@
             await self._loop.sock_connect(far, (host, int(port)))
             for sock in (near, far):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            ways = [self._loop.create_task(self._carry(near, far, source, to)),
-                    self._loop.create_task(self._carry(far, near, to, source))]
+            ways = [
+                self._loop.create_task(self._carry(near, far, source, to)),
+                self._loop.create_task(self._carry(far, near, to, source)),
+            ]
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         except (OSError, KeyError):
             pass  # nobody there: the one who connects sees a closed connection
--- a/kelptrail/standin/place.py
+++ b/kelptrail/standin/place.py
@@ -43,8 +43,16 @@
 class Place:
     """Starts, minds and ends the processes of one deployment."""
 
-    def __init__(self, deployment: Deployment, file: str, out: Path | None, seed: int = 1,
-                 log_level: str = "info", logs: Path | None = None, quiet: bool = False) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        file: str,
+        out: Path | None,
+        seed: int = 1,
+        log_level: str = "info",
+        logs: Path | None = None,
+        quiet: bool = False,
+    ) -> None:
         self.deployment, self._file, self._out, self._seed = deployment, file, out, seed
         self._level, self._logs, self._quiet = log_level, logs, quiet
         self.store = self.roster = Child("", [])
@@ -56,8 +64,15 @@
         self.witness: Child | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self, workers: int, dispatchers: int, state: Path | None, planners: int = 0,
-                    solver: str = "program", tasks: tuple[str, ...] = ()) -> None:
+    async def start(
+        self,
+        workers: int,
+        dispatchers: int,
+        state: Path | None,
+        planners: int = 0,
+        solver: str = "program",
+        tasks: tuple[str, ...] = (),
+    ) -> None:
         """Start everything, in the order of need.  With planners the dispatchers are edges that follow them; where the
         settings have peers, their channels go through a relay; `tasks` are wanted by all dispatchers."""
         self.store = await self._child("store", ["standin", "store", self._file])
@@ -66,53 +81,133 @@
         vrrp = self.deployment.vrrp
         if vrrp is not None and any(i.via for i in vrrp.instance):
             self.relay = await self._child("relay", ["standin", "relay", self._file, "--seed", str(self._seed)])
-        self.workers = list(await asyncio.gather(*(
-            self._child(f"worker-{n}", [
-                "standin", "worker", self._file, "--id", f"worker-{n}", "--hall", halls[n % len(halls)],
-                "--cell", str(n // 2), "--store", self.store.said["address"],
-                "--roster", self.roster.said["address"], "--seed", str(self._seed), "--warm"])
-            for n in range(workers))))
+        self.workers = list(
+            await asyncio.gather(
+                *(
+                    self._child(
+                        f"worker-{n}",
+                        [
+                            "standin",
+                            "worker",
+                            self._file,
+                            "--id",
+                            f"worker-{n}",
+                            "--hall",
+                            halls[n % len(halls)],
+                            "--cell",
+                            str(n // 2),
+                            "--store",
+                            self.store.said["address"],
+                            "--roster",
+                            self.roster.said["address"],
+                            "--seed",
+                            str(self._seed),
+                            "--warm",
+                        ],
+                    )
+                    for n in range(workers)
+                )
+            )
+        )
         names = [f"dispatcher-{n}" for n in range(dispatchers)]
         if self.deployment.peers is not None:
             plans, leases = [f"planner-{n}" for n in range(planners)], self.deployment.leases
             every = leases is None or len(names) <= EVERY_PAIR
             to = names if every or leases is None else list(dict.fromkeys((*leases.voters, *leases.before)))
-            self.links = await self._child("links", [
-                "standin", "links", "--seed", str(self._seed), *(w for n in (*names, *plans) for w in ("--from", n)),
-                *(w for name in (*to, *plans) for w in ("--to", name))])
+            self.links = await self._child(
+                "links",
+                [
+                    "standin",
+                    "links",
+                    "--seed",
+                    str(self._seed),
+                    *(w for n in (*names, *plans) for w in ("--from", n)),
+                    *(w for name in (*to, *plans) for w in ("--to", name)),
+                ],
+            )
         if tasks:
             self.witness = await self._child("witness", ["standin", "witness"])
         logs = ["--log-level", self._level, "--log-form", "json" if self._logs else "auto"]
-        self.planners = list(await asyncio.gather(*(
-            self._child(f"planner-{n}", [
-                *logs, "planner", self._file, "--name", f"planner-{n}", "--roster", self.roster.said["address"],
-                "--control", "127.0.0.1:0", "--solver", solver,
-                *self.ways(f"planner-{n}"),
-                *(["--state", str(state / f"planner-{n}")] if state else [])])
-            for n in range(planners))))
+        self.planners = list(
+            await asyncio.gather(
+                *(
+                    self._child(
+                        f"planner-{n}",
+                        [
+                            *logs,
+                            "planner",
+                            self._file,
+                            "--name",
+                            f"planner-{n}",
+                            "--roster",
+                            self.roster.said["address"],
+                            "--control",
+                            "127.0.0.1:0",
+                            "--solver",
+                            solver,
+                            *self.ways(f"planner-{n}"),
+                            *(["--state", str(state / f"planner-{n}")] if state else []),
+                        ],
+                    )
+                    for n in range(planners)
+                )
+            )
+        )
         for planner in self.planners:
             await self._at(planner, planner.said["address"])
-        self.dispatchers = list(await asyncio.gather(*(
-            self._child(name, [
-                *logs, *(["edge", self._file, *self._follows(name)] if self.planners else ["serve", self._file]),
-                "--name", name, "--hall", halls[n % len(halls)],
-                "--roster", self.roster.said["address"], "--control", "127.0.0.1:0",
-                *self.ways(name), *self._acts(tasks),
-                *(["--state", str(state / name), "--harmed-disk", str(state / f"disk-{n}.json"),
-                   "--harmed-clock", str(state / f"clock-{n}.json")] if state else [])])
-            for n, name in enumerate(names))))
+        self.dispatchers = list(
+            await asyncio.gather(
+                *(
+                    self._child(
+                        name,
+                        [
+                            *logs,
+                            *(["edge", self._file, *self._follows(name)] if self.planners else ["serve", self._file]),
+                            "--name",
+                            name,
+                            "--hall",
+                            halls[n % len(halls)],
+                            "--roster",
+                            self.roster.said["address"],
+                            "--control",
+                            "127.0.0.1:0",
+                            *self.ways(name),
+                            *self._acts(tasks),
+                            *(
+                                [
+                                    "--state",
+                                    str(state / name),
+                                    "--harmed-disk",
+                                    str(state / f"disk-{n}.json"),
+                                    "--harmed-clock",
+                                    str(state / f"clock-{n}.json"),
+                                ]
+                                if state
+                                else []
+                            ),
+                        ],
+                    )
+                    for n, name in enumerate(names)
+                )
+            )
+        )
 
     def ways(self, name: str) -> list[str]:
         """How a process reaches others: through the relay."""
         routes = self.links.said["routes"] if self.links is not None else {}
-        return [word for pair, at in routes.items() if pair.startswith(f"{name}>") and ">planner" not in pair
-                for word in ("--peer", f"{pair.partition('>')[2]}={at}")]
+        return [
+            word
+            for pair, at in routes.items()
+            if pair.startswith(f"{name}>") and ">planner" not in pair
+            for word in ("--peer", f"{pair.partition('>')[2]}={at}")
+        ]
 
     def _follows(self, name: str) -> list[str]:
         """How an edge reaches the planners: through the relay, where there is one."""
         routes = self.links.said["routes"] if self.links is not None else {}
-        return [word for p in self.planners
-                for word in ("--planner", routes.get(f"{name}>{p.name}", p.said["address"]))]
+        return [
+            word for p in self.planners for word in ("--planner", routes.get(f"{name}>{p.name}", p.said["address"]))
+        ]
 
     async def _at(self, child: Child, address: str) -> None:
         """Tell the relay where a process listens."""
@@ -150,8 +245,16 @@
             silent = self._quiet or words[0] == "standin"
             err = subprocess.DEVNULL if silent else None
         child.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kelptrail", *words, "--with-stdin", stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE, stderr=err, start_new_session=True)
+            sys.executable,
+            "-m",
+            "kelptrail",
+            *words,
+            "--with-stdin",
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=err,
+            start_new_session=True,
+        )
         if self._logs is not None:
             err.close()
         assert child.process.stdout is not None
@@ -181,9 +284,12 @@
         for address in second:
             words += ["--second", address]
         capture = ["--capture", str(self._out)] if self._out is not None else []
-        children = [await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kelptrail", *words, "--number", str(n), *capture, start_new_session=True)
-            for n in range(count)]
+        children = [
+            await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "kelptrail", *words, "--number", str(n), *capture, start_new_session=True
+            )
+            for n in range(count)
+        ]
         try:
             codes = [await child.wait() for child in children]
         finally:
@@ -195,9 +301,14 @@
 
     async def tell_list(self, worker: Child, state: str) -> None:
         """Have the worker list say so of a worker."""
-        await ask(self.roster.said["address"], "POST", "/state",
-                  {"id": worker.name, "state": state, "incarnation": worker.said["incarnation"]}
-                  if state == "gone" else {"id": worker.name, "state": state})
+        await ask(
+            self.roster.said["address"],
+            "POST",
+            "/state",
+            {"id": worker.name, "state": state, "incarnation": worker.said["incarnation"]}
+            if state == "gone"
+            else {"id": worker.name, "state": state},
+        )
 
     async def fault(self, child: Child, **body: Any) -> None:
         """Turn a fault knob."""
@@ -257,8 +368,13 @@
     async def stop(self) -> bool:
         """End everything, dispatchers first so that what was taken is answered; True if all drained."""
         codes = await asyncio.gather(*(self.end(d) for d in self.dispatchers))
-        rest = [*self.planners, *self.workers, self.roster, self.store, *(
-            c for c in (self.relay, self.links, self.witness) if c is not None)]
+        rest = [
+            *self.planners,
+            *self.workers,
+            self.roster,
+            self.store,
+            *(c for c in (self.relay, self.links, self.witness) if c is not None),
+        ]
         await asyncio.gather(*(self.end(c, 3) for c in rest))
         if self._tasks:
             await asyncio.gather(*list(self._tasks), return_exceptions=True)
--- a/kelptrail/standin/relay.py
+++ b/kelptrail/standin/relay.py
@@ -79,6 +79,7 @@
         if "delay_ms" in body:
             self._delay = (float(body["delay_ms"][0]), float(body["delay_ms"][1]))
         self._weather.told(body)
-        self._capture.note("relay", loss=self._loss, copy=self._copy, delay_ms=self._delay,
-                           cut=sorted(self._weather.cut))
+        self._capture.note(
+            "relay", loss=self._loss, copy=self._copy, delay_ms=self._delay, cut=sorted(self._weather.cut)
+        )
         exchange.reply(200, b"{}")
--- a/kelptrail/standin/roster.py
+++ b/kelptrail/standin/roster.py
@@ -112,13 +112,23 @@
     def _tell(self, who: str, exchange: Exchange) -> None:
         now = now_ms()
         workers = [seen.entry | {"age_ms": now - seen.started} for seen in self._workers.values()]
-        self._capture.note("list", to=who, version=self._version,
-                           workers={w["id"]: [w["state"], w["incarnation"]] for w in workers})
-        exchange.reply(200, msgspec.json.encode({"version": self._version, "lineage": self._lineage,
-                                                 "workers": workers,
-                                                 "dispatchers": [
-                                                     {"name": name, "address": at, "channel": channel, "hall": hall}
-                                                     for name, (at, channel, hall) in self._dispatchers.items()]}))
+        self._capture.note(
+            "list", to=who, version=self._version, workers={w["id"]: [w["state"], w["incarnation"]] for w in workers}
+        )
+        exchange.reply(
+            200,
+            msgspec.json.encode(
+                {
+                    "version": self._version,
+                    "lineage": self._lineage,
+                    "workers": workers,
+                    "dispatchers": [
+                        {"name": name, "address": at, "channel": channel, "hall": hall}
+                        for name, (at, channel, hall) in self._dispatchers.items()
+                    ],
+                }
+            ),
+        )
 
     def _nothing(self, poll: _Poll) -> None:
         self._drop(poll)
--- a/kelptrail/standin/store.py
+++ b/kelptrail/standin/store.py
@@ -78,8 +78,7 @@
             self._effects[key] = (now, body["result"])
             if len(self._effects) > 100_000:
                 del self._effects[next(iter(self._effects))]
-        exchange.reply(200, msgspec.json.encode({"known": known is not None,
-                                                 "result": known[1] if known else ""}))
+        exchange.reply(200, msgspec.json.encode({"known": known is not None, "result": known[1] if known else ""}))
 
     def _fault(self, body: dict[str, Any]) -> None:
         kind, ms = body["kind"], float(body.get("for_ms", 0))
--- a/kelptrail/standin/witness.py
+++ b/kelptrail/standin/witness.py
@@ -32,6 +32,12 @@
         taken = body["token"] >= self._seen.get(body["task"], [0, ""])
         if taken:
             self._seen[body["task"]] = body["token"]
-        self._capture.note(request.segments[0], task=body["task"], token=body["token"], by=body["who"],
-                           looked=body["looked"], taken=taken)
+        self._capture.note(
+            request.segments[0],
+            task=body["task"],
+            token=body["token"],
+            by=body["who"],
+            looked=body["looked"],
+            taken=taken,
+        )
         exchange.reply(200, msgspec.json.encode({"taken": taken}))
--- a/kelptrail/standin/worker.py
+++ b/kelptrail/standin/worker.py
@@ -72,8 +72,18 @@
 class Runner:
     """One worker."""
 
-    def __init__(self, deployment: Deployment, id_: str, hall: str, cell: int, store: str, roster: str,
-                 capture: Capture, seed: int, warm: bool) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        id_: str,
+        hall: str,
+        cell: int,
+        store: str,
+        roster: str,
+        capture: Capture,
+        seed: int,
+        warm: bool,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._deployment, self.id, self._hall, self._cell = deployment, id_, hall, cell
         self._fleet, self._rules, self._capture = deployment.fleet, deployment.rules, capture
@@ -95,7 +105,8 @@
         self.incarnation = os.urandom(4).hex()
         self._started = now_ms() - (self._rules.cold_ms + 1 if warm else 0.0)
         self._models: dict[str, _Model] = {
-            a.model: _Model(a, self._deployment.types[a.type]) for a in self._deployment.actions.values()}
+            a.model: _Model(a, self._deployment.types[a.type]) for a in self._deployment.actions.values()
+        }
         self._running = self._loads = 0
         self._queue: deque[_Model] = deque()  # a model for each job that waits
         self._load_queue: deque[_Model] = deque()
@@ -106,11 +117,27 @@
         """Tell the list that this process runs."""
         self._address = address
         rules = self._rules
-        self._capture.note("start", worker=self.id, incarnation=self.incarnation, started=self._started,
-                           cores=self._fleet.cores, cold_ms=rules.cold_ms, cold_share=rules.cold_share)
-        await self._roster.json("POST", "/register", {
-            "id": self.id, "address": address, "incarnation": self.incarnation, "hall": self._hall,
-            "cell": self._cell, "age_ms": now_ms() - self._started})
+        self._capture.note(
+            "start",
+            worker=self.id,
+            incarnation=self.incarnation,
+            started=self._started,
+            cores=self._fleet.cores,
+            cold_ms=rules.cold_ms,
+            cold_share=rules.cold_share,
+        )
+        await self._roster.json(
+            "POST",
+            "/register",
+            {
+                "id": self.id,
+                "address": address,
+                "incarnation": self.incarnation,
+                "hall": self._hall,
+                "cell": self._cell,
+                "age_ms": now_ms() - self._started,
+            },
+        )
 
     async def _beat(self) -> None:
         swept = reported = now_ms()
@@ -139,8 +166,11 @@
         elif parts[1:3] == ["repository", "models"] and len(parts) == 5 and parts[4] in ("load", "unload"):
             self._order(parts[3], parts[4], request, exchange)
         elif parts[1:] == ["repository", "index"]:
-            index = [{"name": name, "state": "READY" if m.standing else "LOADING"}
-                     for name, m in self._models.items() if m.standing or m.loading]
+            index = [
+                {"name": name, "state": "READY" if m.standing else "LOADING"}
+                for name, m in self._models.items()
+                if m.standing or m.loading
+            ]
             exchange.raw(encode_response(200, msgspec.json.encode(index)))
         elif parts[1:] in (["health", "live"], ["health", "ready"]):
             exchange.raw(encode_response(200, b"{}"))
@@ -155,9 +185,18 @@
             return
         model, said = self._models.get(name), infer.parameters
         now = now_ms()
-        self._capture.note("send", worker=self.id, model=name, mark=infer.id, lag=self._lag(),
-                           dispatcher=said.get("dispatcher"), activation=said.get("activation"),
-                           send=said.get("send"), incarnation=self.incarnation, work=self._work(model))
+        self._capture.note(
+            "send",
+            worker=self.id,
+            model=name,
+            mark=infer.id,
+            lag=self._lag(),
+            dispatcher=said.get("dispatcher"),
+            activation=said.get("activation"),
+            send=said.get("send"),
+            incarnation=self.incarnation,
+            work=self._work(model),
+        )
         if self._push(now, model):
             return
         if "hang" in self._faults:
@@ -177,8 +216,16 @@
             return
         company = min(30, model.busy + len(model.waiting))
         limit = said.get("limit_ms")
-        job = _Job(model, infer, payload, exchange, company, bool(model.standing), self.incarnation,
-                   now + limit if isinstance(limit, int | float) else float("inf"))
+        job = _Job(
+            model,
+            infer,
+            payload,
+            exchange,
+            company,
+            bool(model.standing),
+            self.incarnation,
+            now + limit if isinstance(limit, int | float) else float("inf"),
+        )
         model.waiting.append(job)
         self._queue.append(model)
         self._pump()
@@ -265,8 +312,9 @@
         if job.request.parameters.get("form") == "tensors":  # its result is known by its mark alone
             result = "{}"
         else:
-            result = msgspec.json.encode({"by": job.model.action.model, "echo": msgspec.Raw(
-                job.payload.encode())}).decode()
+            result = msgspec.json.encode(
+                {"by": job.model.action.model, "echo": msgspec.Raw(job.payload.encode())}
+            ).decode()
         if job.model.type.effect == "deduplicated":
             self._ledger("commit", job, result, self._committed)
         else:
@@ -285,15 +333,21 @@
 
     def _effect(self, job: _Job) -> None:
         said = job.request.parameters
-        self._capture.note("effect", worker=self.id, mark=job.request.id, type=job.model.type.name,
-                           activation=said.get("activation"), send=said.get("send"))
+        self._capture.note(
+            "effect",
+            worker=self.id,
+            mark=job.request.id,
+            type=job.model.type.name,
+            activation=said.get("activation"),
+            send=said.get("send"),
+        )
 
     def _ledger(self, what: str, job: _Job, result: str, done: Any) -> None:
         group = {"all": "all", "zone": self._hall, "cell": f"cell-{self._cell}"}[job.model.type.scope]
-        body = msgspec.json.encode({"mark": job.request.id, "group": group, "result": result,
-                                    "remembered_ms": job.model.type.remembered_ms})
-        self._store.start(encode_request("POST", f"/effects/{what}", self._store.address, body), done,
-                          (job, result))
+        body = msgspec.json.encode(
+            {"mark": job.request.id, "group": group, "result": result, "remembered_ms": job.model.type.remembered_ms}
+        )
+        self._store.start(encode_request("POST", f"/effects/{what}", self._store.address, body), done, (job, result))
 
     def _end(self, job: _Job, result: str | None) -> None:
         if job.incarnation != self.incarnation:
@@ -341,8 +395,10 @@
         parts, gap = int(said.get("parts", 3)), float(said.get("gap_ms", 5.0))
         exchange, pad = job.exchange, int(said.get("pad", 0))
         exchange.begin(200, {LOAD_REPORT: self._report(1 if job.found else 0, job.company)}, CONTENT_TYPE)
-        fault = next((k for k in ("stall", "cut") if (f := self._faults.get(k))
-                      and self._chance.random() < f.get("share", 0.2)), "")
+        fault = next(
+            (k for k in ("stall", "cut") if (f := self._faults.get(k)) and self._chance.random() < f.get("share", 0.2)),
+            "",
+        )
         for number in range(parts):
             if fault and number == (parts + 1) // 2:
                 break
@@ -363,8 +419,10 @@
             self._pump()
 
     def _load(self) -> tuple[float, float, float]:
-        busy = sum((min(m.standing, -(-m.busy // m.action.lanes)) + m.loading) * m.action.memory_mb
-                   for m in self._models.values())
+        busy = sum(
+            (min(m.standing, -(-m.busy // m.action.lanes)) + m.loading) * m.action.memory_mb
+            for m in self._models.values()
+        )
         return self._util, self._loads + len(self._load_queue), busy / self._fleet.memory_mb
 
     _shown = (0.0, 0.0, 0.0)
@@ -390,8 +448,7 @@
         except MalformedError as cause:
             exchange.raw(error_response(400, str(cause)))
             return
-        self._capture.note("order", worker=self.id, model=name, copies=copies, dispatcher=dispatcher,
-                           lag=self._lag())
+        self._capture.note("order", worker=self.id, model=name, copies=copies, dispatcher=dispatcher, lag=self._lag())
         if "hang" in self._faults or "silent" in self._faults:
             return
         if self.draining:
@@ -416,8 +473,10 @@
     def _room(self, model: _Model) -> bool:
         """Make room for one more copy by unloading idle ones of others, the one idle longest first."""
         held = sum((m.standing + m.loading) * m.action.memory_mb for m in self._models.values())
-        idle = sorted((m for m in self._models.values() if m.standing and not m.busy and m is not model
-                       and not m.waiting), key=lambda m: m.used)
+        idle = sorted(
+            (m for m in self._models.values() if m.standing and not m.busy and m is not model and not m.waiting),
+            key=lambda m: m.used,
+        )
         while held + model.action.memory_mb > self._fleet.memory_mb:
             if not idle:
                 return False
@@ -436,7 +495,8 @@
         fetch_ms = model.action.load_ms * self._deployment.store.fetch_share
         call = self._store.start(
             encode_request("GET", f"/blobs/{model.action.model}?ms={fetch_ms:g}", self._store.address),
-            lambda _call, _ending, answer: None if fetched.done() else fetched.set_result(answer))
+            lambda _call, _ending, answer: None if fetched.done() else fetched.set_result(answer),
+        )
         timer = self._loop.call_later(30, call.give_up, "revoked")
         response = await fetched
         timer.cancel()
@@ -461,8 +521,11 @@
         if not model.standing and not model.loading:
             while model.waiting:
                 job = model.waiting.popleft()
-                job.exchange.raw(error_response(404, "the load failed", {
-                    NEVER_RAN: "miss", "load-failed": "1", LOAD_REPORT: self._report(0, 0)}))
+                job.exchange.raw(
+                    error_response(
+                        404, "the load failed", {NEVER_RAN: "miss", "load-failed": "1", LOAD_REPORT: self._report(0, 0)}
+                    )
+                )
         self._start_loads()
         self._pump()
 
@@ -472,9 +535,20 @@
         parts = request.segments
         if parts == ["state"]:
             held = {n: m.standing for n, m in self._models.items() if m.standing}
-            exchange.reply(200, msgspec.json.encode({
-                "running": self._running, "waiting": len(self._queue), "fallen": self.fallen, "copies": held,
-                "loads": self._loads, "draining": self.draining, "connections": self.server.connections}))
+            exchange.reply(
+                200,
+                msgspec.json.encode(
+                    {
+                        "running": self._running,
+                        "waiting": len(self._queue),
+                        "fallen": self.fallen,
+                        "copies": held,
+                        "loads": self._loads,
+                        "draining": self.draining,
+                        "connections": self.server.connections,
+                    }
+                ),
+            )
             return
         if parts == ["drain"]:
             self.draining = True
--- a/kelptrail/store/recovery.py
+++ b/kelptrail/store/recovery.py
@@ -97,8 +97,10 @@
 
     def add(self, found: list[Resume], since_ms: float) -> None:
         """More that was found, so long after `judge` was asked about the first."""
-        later = [replace(r, left_ms=r.left_ms + since_ms,
-                         again_ms=None if r.again_ms is None else r.again_ms + since_ms) for r in found]
+        later = [
+            replace(r, left_ms=r.left_ms + since_ms, again_ms=None if r.again_ms is None else r.again_ms + since_ms)
+            for r in found
+        ]
         self._left = deque(sorted([*self._left, *later], key=lambda r: -r.weight))
 
     def drop(self, ids: Iterable[str]) -> None:
--- a/kelptrail/vrrp/address.py
+++ b/kelptrail/vrrp/address.py
@@ -21,9 +21,18 @@
 class FrontAddress:
     """One address and the server on it, while it is held."""
 
-    def __init__(self, host: str, port: int, handler: Handler, limits: Limits, log: Any,
-                 linger_ms: float = 0.0, make: Callable[[Handler], HttpServer] | None = None,
-                 second: Callable[[], GrpcServer] | None = None, second_port: int = 0) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: Handler,
+        limits: Limits,
+        log: Any,
+        linger_ms: float = 0.0,
+        make: Callable[[Handler], HttpServer] | None = None,
+        second: Callable[[], GrpcServer] | None = None,
+        second_port: int = 0,
+    ) -> None:
         self._make = make or (lambda handler: HttpServer(handler, limits, log.warning))
         self._second, self._second_port = second, second_port
         self._grpc: GrpcServer | None = None
--- a/kelptrail/vrrp/driver.py
+++ b/kelptrail/vrrp/driver.py
@@ -54,8 +54,15 @@
 class VrrpDriver:
     """Runs an `Instance`; `take` and `give_up` move the address, with a router's identifier."""
 
-    def __init__(self, instance: Instance, here: Where, peers: dict[Address, Where], take: Callable[[int], None],
-                 give_up: Callable[[int], None], log: Any) -> None:
+    def __init__(
+        self,
+        instance: Instance,
+        here: Where,
+        peers: dict[Address, Where],
+        take: Callable[[int], None],
+        give_up: Callable[[int], None],
+        log: Any,
+    ) -> None:
         self.instance, self._peers, self._log = instance, peers, log
         self._take, self._give_up = take, give_up
         self._loop = asyncio.get_running_loop()
@@ -108,9 +115,15 @@
                 self.instance.counts["socket-error"] += 1
                 self._log.debug("vrrp-socket", reason=str(cause))
                 return
-            hops = next((struct.unpack("i", value[:4])[0] for level, kind, value in extra
-                         if (level, kind) in ((socket.IPPROTO_IP, socket.IP_TTL),
-                                              (socket.IPPROTO_IPV6, socket.IPV6_HOPLIMIT))), None)
+            hops = next(
+                (
+                    struct.unpack("i", value[:4])[0]
+                    for level, kind, value in extra
+                    if (level, kind)
+                    in ((socket.IPPROTO_IP, socket.IP_TTL), (socket.IPPROTO_IPV6, socket.IPV6_HOPLIMIT))
+                ),
+                None,
+            )
             self.instance.received(now_ms(), data, ip_address(source[0]), hops)
 
     def _ring(self) -> None:
@@ -134,8 +147,9 @@
             elif isinstance(output, GiveUp):
                 self._give_up(output.vrid)
             elif isinstance(output, Moved):
-                self._log.info("vrrp", router=output.vrid, before=output.before.value, after=output.after.value,
-                               cause=output.cause)
+                self._log.info(
+                    "vrrp", router=output.vrid, before=output.before.value, after=output.after.value, cause=output.cause
+                )
         if self._timer is not None:
             self._timer.cancel()
         now, due = now_ms(), self.instance.due()
@@ -148,24 +162,37 @@
         return {
             "primary": str(instance.primary),
             "peers": [str(peer) for peer in instance.peers],
-            "routers": [{
-                "vrid": r.settings.vrid,
-                "addresses": [str(a) for a in r.settings.addresses],
-                "state": r.state.value,
-                "for_ms": round(now - r.since),
-                "priority": r.priority,
-                "base_priority": r.settings.priority,
-                "preempt": r.settings.preempt,
-                "accept": r.settings.accept,
-                "interval_ms": r.interval_ms,
-                "learnt_interval_ms": r.learnt_cs * 10,
-                "skew_ms": round(r.skew_ms, 1),
-                "master_down_interval_ms": round(r.down_ms, 1),
-                "timers_ms": {name: round(left, 1) for name, left in r.timers(now).items()},
-            } for r in instance.routers.values()],
-            "tracked": {name: {"well": t.well, "failed": t.failed, "weight": t.settings.weight,
-                               "rise_ms": t.rise_ms} for name, t in instance.tracking.tracks.items()},
+            "routers": [
+                {
+                    "vrid": r.settings.vrid,
+                    "addresses": [str(a) for a in r.settings.addresses],
+                    "state": r.state.value,
+                    "for_ms": round(now - r.since),
+                    "priority": r.priority,
+                    "base_priority": r.settings.priority,
+                    "preempt": r.settings.preempt,
+                    "accept": r.settings.accept,
+                    "interval_ms": r.interval_ms,
+                    "learnt_interval_ms": r.learnt_cs * 10,
+                    "skew_ms": round(r.skew_ms, 1),
+                    "master_down_interval_ms": round(r.down_ms, 1),
+                    "timers_ms": {name: round(left, 1) for name, left in r.timers(now).items()},
+                }
+                for r in instance.routers.values()
+            ],
+            "tracked": {
+                name: {"well": t.well, "failed": t.failed, "weight": t.settings.weight, "rise_ms": t.rise_ms}
+                for name, t in instance.tracking.tracks.items()
+            },
             "counts": dict(sorted(instance.counts.items())),
-            "transitions": [{"router": m.vrid, "before": m.before.value, "after": m.after.value,
-                             "cause": m.cause, "ago_ms": round(now - m.at)} for m in instance.history],
+            "transitions": [
+                {
+                    "router": m.vrid,
+                    "before": m.before.value,
+                    "after": m.after.value,
+                    "cause": m.cause,
+                    "ago_ms": round(now - m.at),
+                }
+                for m in instance.history
+            ],
         }
--- a/kelptrail/vrrp/explore.py
+++ b/kelptrail/vrrp/explore.py
@@ -67,8 +67,13 @@
     def key(self) -> tuple[object, ...]:
         """What the future depends on."""
         flying = sorted((f.advert.priority, f.sender, f.to, f.age) for f in self.flying)
-        return (tuple(r.snapshot(self.now) for r in self.routers), tuple(flying), tuple(self.alive),
-                tuple(self.paused), self.budget)
+        return (
+            tuple(r.snapshot(self.now) for r in self.routers),
+            tuple(flying),
+            tuple(self.alive),
+            tuple(self.paused),
+            self.budget,
+        )
 
     def steps(self) -> Iterator[Step[World]]:
         """Every step that can follow."""
@@ -84,8 +89,9 @@
                 output = router.outputs.popleft()
                 if isinstance(output, Transmit):
                     sent += 1
-                    self.flying += tuple(Flying(output.advert, number, to) for to in range(len(self.routers))
-                                         if to != number)
+                    self.flying += tuple(
+                        Flying(output.advert, number, to) for to in range(len(self.routers)) if to != number
+                    )
                 elif isinstance(output, Take):
                     self.holds[number] = True
                 elif isinstance(output, GiveUp):
@@ -96,8 +102,10 @@
         """What must hold in every state."""
         for number, router in enumerate(self.routers):
             if self.alive[number] and self.holds[number] is not (router.state is State.MASTER):
-                raise PropertyError(f"router {number} is {router.state.value} and "
-                                    f"{'holds' if self.holds[number] else 'does not hold'} the address")
+                raise PropertyError(
+                    f"router {number} is {router.state.value} and "
+                    f"{'holds' if self.holds[number] else 'does not hold'} the address"
+                )
 
     def deliver(self, flying: Flying) -> None:
         """An advertisement arrives, or waits unread at a paused or dead one."""
@@ -107,8 +115,11 @@
 
     def next_due(self) -> float | None:
         """When the next timer of a running router is due."""
-        dues = [due for n, r in enumerate(self.routers)
-                if self.alive[n] and not self.paused[n] and (due := r.due()) is not None]
+        dues = [
+            due
+            for n, r in enumerate(self.routers)
+            if self.alive[n] and not self.paused[n] and (due := r.due()) is not None
+        ]
         return min(dues, default=None)
 
     def pass_time(self) -> bool:
@@ -143,7 +154,7 @@
     """Every state that can follow."""
     budget = world.budget
     for number, flying in enumerate(world.flying):
-        rest = world.flying[:number] + world.flying[number + 1:]
+        rest = world.flying[:number] + world.flying[number + 1 :]
         name = f"{flying.sender}>{flying.to} p{flying.advert.priority}"
         if not world.paused[flying.to]:
             twin = world.copy()
@@ -214,8 +225,11 @@
     if alive and len(masters) != 1:
         raise PropertyError(f"{len(masters)} masters {within_ms:g} ms after the network healed")
     best = max(alive, key=lambda n: (world.routers[n].priority, int(world.routers[n].primary)), default=None)
-    if best is not None and world.routers[best].settings.preempt and (
-            world.routers[masters[0]].priority < world.routers[best].priority):
+    if (
+        best is not None
+        and world.routers[best].settings.preempt
+        and (world.routers[masters[0]].priority < world.routers[best].priority)
+    ):
         raise PropertyError(f"router {masters[0]} is Master, {best} has the higher priority and preempts")
     return world
 
--- a/kelptrail/vrrp/instance.py
+++ b/kelptrail/vrrp/instance.py
@@ -26,9 +26,16 @@
 class Instance:
     """One instance; `peers` are the primary addresses of the others."""
 
-    def __init__(self, primary: Address, peers: tuple[Address, ...], routers: list[RouterSettings],
-                 tracking: Tracking | None = None, sealer: Sealer | None = None, opener: Opener | None = None,
-                 pseudo: bool = True) -> None:
+    def __init__(
+        self,
+        primary: Address,
+        peers: tuple[Address, ...],
+        routers: list[RouterSettings],
+        tracking: Tracking | None = None,
+        sealer: Sealer | None = None,
+        opener: Opener | None = None,
+        pseudo: bool = True,
+    ) -> None:
         self.primary, self.peers = primary, peers
         self.routers = {s.vrid: Router(s, primary) for s in routers}
         self.tracking = tracking or Tracking([])
--- a/kelptrail/vrrp/machine.py
+++ b/kelptrail/vrrp/machine.py
@@ -72,8 +72,19 @@
 class Router:
     """One virtual router at one instance; `primary` is the address that its advertisements come from."""
 
-    __slots__ = ("_adver_due", "_down_due", "_last", "_learnt_cs", "outputs", "primary", "priority", "settings",
-                 "since", "state", "strangers")
+    __slots__ = (
+        "_adver_due",
+        "_down_due",
+        "_last",
+        "_learnt_cs",
+        "outputs",
+        "primary",
+        "priority",
+        "settings",
+        "since",
+        "state",
+        "strangers",
+    )
 
     def __init__(self, settings: RouterSettings, primary: Address) -> None:
         if not 1 <= settings.priority <= OWNER:
@@ -188,7 +199,8 @@
             self._send(self.priority)  # (710)
             self._adver_due = now + self.interval_ms  # (715)
         elif advert.priority > self.priority or (  # (730)
-                advert.priority == self.priority and int(sender) > int(self.primary)):  # (740)
+            advert.priority == self.priority and int(sender) > int(self.primary)
+        ):  # (740)
             self._adver_due = None  # (745)
             self._learnt_cs = advert.interval_cs  # (750)
             self._down_due = now + self.down_ms  # (755 to 765)
@@ -224,8 +236,11 @@
         if now <= self._last:
             return self._last
         self._last = now
-        if self.state is State.MASTER and self._adver_due is not None and (
-                now - self._adver_due >= 2 * self.interval_ms):
+        if (
+            self.state is State.MASTER
+            and self._adver_due is not None
+            and (now - self._adver_due >= 2 * self.interval_ms)
+        ):
             self._adver_due, self._down_due = None, now + self.down_ms
             self._move(now, State.BACKUP, "slept")
         elif self.state is State.BACKUP and self._down_due is not None and now - self._down_due > self.down_ms:
--- a/kelptrail/vrrp/packet.py
+++ b/kelptrail/vrrp/packet.py
@@ -60,8 +60,18 @@
     """A TTL or hop limit other than 255 (sections 5.1.1.3, 5.1.2.3): it came from beyond the link."""
 
 
-ERRORS = (TooShortError, TooLongError, VersionError, TypeFieldError, VridError, CountError, IntervalError,
-          ChecksumError, AddressListError, HopsError)
+ERRORS = (
+    TooShortError,
+    TooLongError,
+    VersionError,
+    TypeFieldError,
+    VridError,
+    CountError,
+    IntervalError,
+    ChecksumError,
+    AddressListError,
+    HopsError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,15 +116,17 @@
 def encode(advert: Advertisement, source: Address, destination: Address, pseudo: bool = True) -> bytes:
     """An advertisement as bytes.  `pseudo`: the checksum covers a pseudo-header; IPv6 always has one."""
     body = b"".join(address.packed for address in advert.addresses)
-    head = HEAD.pack(VERSION << 4 | ADVERTISEMENT, advert.vrid, advert.priority, len(advert.addresses),
-                     advert.interval_cs, 0)
+    head = HEAD.pack(
+        VERSION << 4 | ADVERTISEMENT, advert.vrid, advert.priority, len(advert.addresses), advert.interval_cs, 0
+    )
     cover = pseudo_header(source, destination, len(head) + len(body)) if pseudo or source.version == 6 else b""
     value = checksum(cover + head + body)
     return head[:6] + struct.pack("!H", value) + body
 
 
-def decode(data: bytes, source: Address, destination: Address, hops: int | None = 255,
-           pseudo: bool = True) -> Advertisement:
+def decode(
+    data: bytes, source: Address, destination: Address, hops: int | None = 255, pseudo: bool = True
+) -> Advertisement:
     """Bytes as an advertisement, checked in the order of section 7.1.  Raises a `PacketError`.
 
     `hops` is the TTL or hop limit it came with, None where the transport does not tell.
@@ -142,5 +154,5 @@
         raise CountError("no address")
     if interval & 0x0FFF == 0:  # the upper four bits are reserved and ignored (section 5.2.6)
         raise IntervalError("interval 0")
-    addresses = tuple(ip_address(data[at:at + size]) for at in range(HEAD.size, len(data), size))
+    addresses = tuple(ip_address(data[at : at + size]) for at in range(HEAD.size, len(data), size))
     return Advertisement(vrid, priority, interval & 0x0FFF, addresses)
--- a/kelptrail/vrrp/seal.py
+++ b/kelptrail/vrrp/seal.py
@@ -75,9 +75,9 @@
 
     def open(self, data: bytes, sender: Address) -> bytes:
         """The message without its trailer.  Raises one of `SEAL_ERRORS`."""
-        if len(data) < TRAILER.size or data[-TRAILER.size:-TRAILER.size + 3] != MAGIC:
+        if len(data) < TRAILER.size or data[-TRAILER.size : -TRAILER.size + 3] != MAGIC:
             raise UnsealedError("no trailer")
-        _, number, epoch, count, mac = TRAILER.unpack(data[-TRAILER.size:])
+        _, number, epoch, count, mac = TRAILER.unpack(data[-TRAILER.size :])
         key = self._keys.get(number)
         if key is None:
             raise UnknownKeyError(f"key {number}")
@@ -86,4 +86,4 @@
         if (epoch, count) <= self._newest.get(sender, (-1, 0)):
             raise ReplayError(f"{sender} is past {epoch}:{count}")
         self._newest[sender] = (epoch, count)
-        return data[:-TRAILER.size]
+        return data[: -TRAILER.size]
--- a/kelptrail/vrrp/simulate.py
+++ b/kelptrail/vrrp/simulate.py
@@ -30,8 +30,14 @@
 class Sea:
     """Instances of one virtual router, as (primary address, priority), on a network."""
 
-    def __init__(self, seed: int, members: list[tuple[Address, int]], interval_cs: int = 100, preempt: bool = True,
-                 tracks: list[TrackSettings] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: list[tuple[Address, int]],
+        interval_cs: int = 100,
+        preempt: bool = True,
+        tracks: list[TrackSettings] | None = None,
+    ) -> None:
         self._chance = random.Random(seed)
         self._members, self._interval, self._preempt = members, interval_cs, preempt
         self._tracks = tracks or []
@@ -54,8 +60,14 @@
         self._epochs[address] += 1
         others = tuple(a for a, _ in self._members if a != address)
         settings = RouterSettings(1, priority, (self._members[0][0],), self._interval, self._preempt)
-        self.instances[address] = Instance(address, others, [settings], Tracking(list(self._tracks)),
-                                           Sealer(KEY, self._epochs[address], address), Opener((KEY,)))
+        self.instances[address] = Instance(
+            address,
+            others,
+            [settings],
+            Tracking(list(self._tracks)),
+            Sealer(KEY, self._epochs[address], address),
+            Opener((KEY,)),
+        )
         self._held[address] = False
         self.instances[address].startup(self.now)
         self._collect(address)
@@ -108,8 +120,9 @@
                     copies = 0
                 for _ in range(copies):
                     self._number += 1
-                    heappush(self._flying, (self.now + self._chance.uniform(*weather.delay), self._number, output,
-                                            address))
+                    heappush(
+                        self._flying, (self.now + self._chance.uniform(*weather.delay), self._number, output, address)
+                    )
 
     def run(self, ms: float) -> None:
         """Let time pass."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,7 +19,12 @@
 
 GATE = {
     "seed": 1,
-    "parallel": True, "most_sends": 4, "tip": 3.0, "tip_ms": 2000.0, "cold_share": 0.2, "cold_ms": 2000.0,
+    "parallel": True,
+    "most_sends": 4,
+    "tip": 3.0,
+    "tip_ms": 2000.0,
+    "cold_share": 0.2,
+    "cold_ms": 2000.0,
     "ration": (True, 5.0, 0.3, 5000.0),
 }
 
--- a/tests/program.py
+++ b/tests/program.py
@@ -77,8 +77,9 @@
 class ScriptedWorker:
     """A worker whose answer to each send is a line of the test; hold orders are granted unless told otherwise."""
 
-    def __init__(self, id_: str, script: Script | None = None, order: Script | None = None,
-                 shape: str = "live") -> None:
+    def __init__(
+        self, id_: str, script: Script | None = None, order: Script | None = None, shape: str = "live"
+    ) -> None:
         self.id, self.state = id_, shape
         self.script, self.order = script or answer, order or grant
         self.sends: list[tuple[str, dict[str, Any]]] = []  # mark and parameters of each
@@ -122,10 +123,12 @@
     """Nothing, ever."""
 
 
-def parts(count: int, gap_s: float = 0.0, end: str = "final", pad: int = 0,
-          gate: asyncio.Event | None = None) -> Script:
+def parts(
+    count: int, gap_s: float = 0.0, end: str = "final", pad: int = 0, gate: asyncio.Event | None = None
+) -> Script:
     """A streamed answer; `end`: "final", "cut" (the connection breaks), "stall" (nothing more comes).  Past its first
     part it waits for `gate`."""
+
     def script(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
         infer, _ = read_infer(request.body)
         model, tensors = request.segments[2], infer.parameters.get("form") == "tensors"
@@ -149,14 +152,18 @@
                 exchange.end()
             elif end == "cut":
                 exchange.drop()
+
         worker.tasks.append(asyncio.get_running_loop().create_task(flow()))
+
     return script
 
 
 def refuse(proof: str | None, status: int = 503) -> Script:
     """A refusal, with or without its proof that nothing ran."""
+
     def script(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
         exchange.reply(status, b'{"error":"no"}', {"never-ran": proof} if proof else None)
+
     return script
 
 
@@ -168,17 +175,28 @@
 class Dispatcher:
     """A dispatcher's program within this process."""
 
-    def __init__(self, workers: list[ScriptedWorker], deployment: Deployment | None = None,
-                 boot: str = "b" * 16) -> None:
+    def __init__(
+        self, workers: list[ScriptedWorker], deployment: Deployment | None = None, boot: str = "b" * 16
+    ) -> None:
         self.deployment = deployment or parse(DEPLOYMENT, "test")
         self.gateway = Gateway(World(self.deployment, "a", 1), boot)
         self.log = Silent()
         self.driver = Driver(self.gateway, f"d/{boot}", self.deployment.pool, self.log)
         front = self.deployment.front
         self.api = InvokeApi(self.deployment, self.driver, boot)
-        self.server = HttpServer(self.api.handle, Limits(
-            front.connections, front.header_bytes, front.body_bytes, front.pipelined, front.read_ms,
-            front.write_ms, front.idle_ms), self.log.warning)
+        self.server = HttpServer(
+            self.api.handle,
+            Limits(
+                front.connections,
+                front.header_bytes,
+                front.body_bytes,
+                front.pipelined,
+                front.read_ms,
+                front.write_ms,
+                front.idle_ms,
+            ),
+            self.log.warning,
+        )
         self.server.listen("127.0.0.1", 0)
         self.inference = InferenceApi(self.deployment, self.driver, Callers(self.deployment))
         self.grpc = GrpcServer(self.inference.handle, grpc_limits(self.deployment.inference), self.log.warning)
@@ -191,15 +209,29 @@
         self.version += 1
         self.driver.listed(Listing(self.version, [w.entry for w in workers] + list(more), "test"))
 
-    async def call(self, action: str, blocking: bool = True, body: Any = None, query: str = "",
-                   key: str | None = None, raw: bytes | None = None) -> tuple[int, dict[str, str], Any]:
+    async def call(
+        self,
+        action: str,
+        blocking: bool = True,
+        body: Any = None,
+        query: str = "",
+        key: str | None = None,
+        raw: bytes | None = None,
+    ) -> tuple[int, dict[str, str], Any]:
         """One call on a connection of its own."""
         extra = {"idempotency-key": key} if key else {}
-        return await self.ask("POST", f"/api/v1/namespaces/_/actions/{action}?blocking="
-                              f"{str(blocking).lower()}{query}", body, extra, raw)
-
-    async def ask(self, method: str, target: str, body: Any = None, headers: dict[str, str] | None = None,
-                  raw: bytes | None = None) -> tuple[int, dict[str, str], Any]:
+        return await self.ask(
+            "POST", f"/api/v1/namespaces/_/actions/{action}?blocking={str(blocking).lower()}{query}", body, extra, raw
+        )
+
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        raw: bytes | None = None,
+    ) -> tuple[int, dict[str, str], Any]:
         data = raw if raw is not None else (b"" if body is None else msgspec.json.encode(body))
         reply = await exchange(self.server.address, encode_request(method, target, "x", data, auth() | (headers or {})))
         return reply.status, reply.headers, msgspec.json.decode(reply.body) if reply.body else None
@@ -285,8 +317,11 @@
     def join(self, name: str, listen: str | None = None, at: str | None = None) -> Fleet:
         """One more, started."""
         (self.state / name).mkdir(parents=True, exist_ok=True)
-        made = Fleet(self.deployment, FleetOptions(name, str(len(self.fleets)), at or listen, self.at,
-                                                   self.state / name), self.log)
+        made = Fleet(
+            self.deployment,
+            FleetOptions(name, str(len(self.fleets)), at or listen, self.at, self.state / name),
+            self.log,
+        )
         made.start()
         if made.peers.address:
             self.at[name] = made.peers.address
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -13,22 +13,50 @@
 
 BOOT = "0123456789abcdef"
 WHO = f"d0/{BOOT}"
-WORLD = {"t": 0, "what": "world",
-         "types": [{"name": "check", "effect": "repeatable", "target_ms": 300},
-                   {"name": "activate", "effect": "deduplicated", "target_ms": 300},
-                   {"name": "grant", "effect": "once-only", "target_ms": 300}],
-         "rules": {"drain_grace_ms": 500, "tip": 3, "tip_ms": 1000, "free_loads": 2, "load_share": 0.5,
-                   "order_wait_ms": 100, "load_span_ms": 5000}}
+WORLD = {
+    "t": 0,
+    "what": "world",
+    "types": [
+        {"name": "check", "effect": "repeatable", "target_ms": 300},
+        {"name": "activate", "effect": "deduplicated", "target_ms": 300},
+        {"name": "grant", "effect": "once-only", "target_ms": 300},
+    ],
+    "rules": {
+        "drain_grace_ms": 500,
+        "tip": 3,
+        "tip_ms": 1000,
+        "free_loads": 2,
+        "load_share": 0.5,
+        "order_wait_ms": 100,
+        "load_span_ms": 5000,
+    },
+}
 
 
 def sound() -> list[dict[str, Any]]:
     """Two calls of each type, one worker that starts cold, one that drains, two orders."""
     events: list[dict[str, Any]] = [
         WORLD,
-        {"t": 1, "what": "start", "worker": "w0", "incarnation": "i0", "started": -1e6, "cores": 2, "cold_ms": 3000,
-         "cold_share": 0.2},
-        {"t": 1, "what": "start", "worker": "w1", "incarnation": "i1", "started": 1, "cores": 2, "cold_ms": 3000,
-         "cold_share": 0.2},
+        {
+            "t": 1,
+            "what": "start",
+            "worker": "w0",
+            "incarnation": "i0",
+            "started": -1e6,
+            "cores": 2,
+            "cold_ms": 3000,
+            "cold_share": 0.2,
+        },
+        {
+            "t": 1,
+            "what": "start",
+            "worker": "w1",
+            "incarnation": "i1",
+            "started": 1,
+            "cores": 2,
+            "cold_ms": 3000,
+            "cold_share": 0.2,
+        },
         {"t": 2, "what": "list", "to": WHO, "workers": {"w0": ["live", "i0"], "w1": ["live", "i1"]}},
         {"t": 3000, "what": "list", "to": WHO, "workers": {"w0": ["draining", "i0"], "w1": ["live", "i1"]}},
     ]
@@ -36,17 +64,47 @@
         t, id_ = 1000.0 + 400 * n, f"{BOOT}{n:016x}"
         worker = "w0" if n < 3 else "w1"
         events += [
-            {"t": t, "what": "call", "call": f"c{n}", "ticket": f"t{n}", "action": kind, "type": kind,
-             "dispatcher": 0, "deferred": n % 2 == 1, "limit_ms": 900},
+            {
+                "t": t,
+                "what": "call",
+                "call": f"c{n}",
+                "ticket": f"t{n}",
+                "action": kind,
+                "type": kind,
+                "dispatcher": 0,
+                "deferred": n % 2 == 1,
+                "limit_ms": 900,
+            },
             {"t": t + 1, "what": "order", "worker": worker, "dispatcher": WHO, "copies": int(n < 2), "lag": 0},
-            {"t": t + 5, "what": "send", "worker": worker, "incarnation": f"i{worker[1]}", "mark": f"m{n}",
-             "dispatcher": WHO, "activation": id_, "send": 0, "lag": 0, "work": 50},
+            {
+                "t": t + 5,
+                "what": "send",
+                "worker": worker,
+                "incarnation": f"i{worker[1]}",
+                "mark": f"m{n}",
+                "dispatcher": WHO,
+                "activation": id_,
+                "send": 0,
+                "lag": 0,
+                "work": 50,
+            },
             {"t": t + 55, "what": "effect", "worker": worker, "mark": f"m{n}", "type": kind, "activation": id_},
         ]
         if n % 2:
             events.append({"t": t + 2, "what": "accepted", "call": f"c{n}", "activation": id_})
-        events.append({"t": t + 60, "what": "final", "call": f"c{n}", "activation": id_, "answer": "completed",
-                       "status": 200, "lag": 0, "took": 58 if n % 2 else None, "code": 0})
+        events.append(
+            {
+                "t": t + 60,
+                "what": "final",
+                "call": f"c{n}",
+                "activation": id_,
+                "answer": "completed",
+                "status": 200,
+                "lag": 0,
+                "took": 58 if n % 2 else None,
+                "code": 0,
+            }
+        )
     return sorted(events, key=lambda e: e["t"])
 
 
@@ -123,13 +181,25 @@
     events.append(again)
 
 
-@pytest.mark.parametrize(("doctor", "name"), [
-    (send_after_part, "sends_after_part"),
-    (lose_final, "unanswered"), (late, "late_finals"), (late_deferred, "late_finals"), (two_finals, "finals_twice"),
-    (send_after, "sends_after_final"), (effect_twice, "effects_twice"), (once_only_twice, "effects_twice"),
-    (false_rejection, "false_rejections"), (send_to_drained, "drain_breaches"), (order_to_gone, "drain_breaches"),
-    (push_cold, "cold_breaches"), (fell, "cold_breaches"), (flood, "ration_breaches"),
-])
+@pytest.mark.parametrize(
+    ("doctor", "name"),
+    [
+        (send_after_part, "sends_after_part"),
+        (lose_final, "unanswered"),
+        (late, "late_finals"),
+        (late_deferred, "late_finals"),
+        (two_finals, "finals_twice"),
+        (send_after, "sends_after_final"),
+        (effect_twice, "effects_twice"),
+        (once_only_twice, "effects_twice"),
+        (false_rejection, "false_rejections"),
+        (send_to_drained, "drain_breaches"),
+        (order_to_gone, "drain_breaches"),
+        (push_cold, "cold_breaches"),
+        (fell, "cold_breaches"),
+        (flood, "ration_breaches"),
+    ],
+)
 def test_each_doctored_breach_is_caught(doctor, name: str) -> None:
     events = copy.deepcopy(sound())
     doctor(events)
@@ -159,8 +229,10 @@
 def test_calls_of_a_killed_dispatcher_are_no_longer_its_duty() -> None:
     events = sound()
     lose_final(events)
-    events += [{"t": 1810, "what": "kill", "dispatcher": 0},
-               {"t": 1812, "what": "no-answer", "call": "c2", "ending": "broken"}]
+    events += [
+        {"t": 1810, "what": "kill", "dispatcher": 0},
+        {"t": 1812, "what": "no-answer", "call": "c2", "ending": "broken"},
+    ]
     verdict = judge(sorted(events, key=lambda e: e["t"]))
     assert not verdict.broken and verdict.lost_with_dispatcher == 1
 
@@ -169,8 +241,11 @@
     events = copy.deepcopy(sound())
     events[0]["kept"] = True
     events.remove(pick(events, "final", call="c1"))
-    events += [{"t": 1410, "what": "kill", "dispatcher": 0}, {"t": 2400, "what": "restarted", "dispatcher": 0},
-               {"t": 6000, "what": "no-answer", "call": "c1", "ending": "polled"}]
+    events += [
+        {"t": 1410, "what": "kill", "dispatcher": 0},
+        {"t": 2400, "what": "restarted", "dispatcher": 0},
+        {"t": 6000, "what": "no-answer", "call": "c1", "ending": "polled"},
+    ]
     verdict = judge(sorted(events, key=lambda e: e["t"]))
     assert verdict.accepted_lost == 1 and verdict.broken
 
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -41,8 +41,13 @@
     chance, now = random.Random(seed), 0.0
     settings = SchedulerSettings(chance.uniform(0.05, 0.4), 0.5, 100.0)
     scheduler = Scheduler(settings, now)
-    jobs = [scheduler.add(now, job(f"j{n}", n, chance.choice([50.0, 300.0, 1000.0]), chance.uniform(500, 4000),
-                                   chance.uniform(0.02, 0.3))) for n in range(6)]
+    jobs = [
+        scheduler.add(
+            now,
+            job(f"j{n}", n, chance.choice([50.0, 300.0, 1000.0]), chance.uniform(500, 4000), chance.uniform(0.02, 0.3)),
+        )
+        for n in range(6)
+    ]
     spent, began, longest = 0.0, dict[Job, float](), 40.0
     while now < 120_000:
         busy = (now // 10_000) % 2 == 1
@@ -105,8 +110,11 @@
             last = now_ms()
         background.stop()
         status = background.scheduler.status()
-        assert status["broken"]["failures"] >= 3 and ("background-failed", {
-            "job": "broken", "reason": "RuntimeError: no"}) in log.lines
+        assert (
+            status["broken"]["failures"] >= 3
+            and ("background-failed", {"job": "broken", "reason": "RuntimeError: no"}) in log.lines
+        )
         assert seen.count("slow") >= 3 and status["slow"]["cpu_ms"] <= 0.3 * 800 + 50 + 40
         assert seen.count("late") <= 1 and sorted(gaps)[len(gaps) // 2] < 8, "most turns of the loop are the calls'"
+
     run(main())
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -16,9 +16,11 @@
     write_report,
 )
 
-STREAM = (encode_request("POST", "/a/b%20c?x=1&x=2", "h", b'{"k":1}', {"X-One": "1"})
-          + b"POST /chunks HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
-          + encode_request("GET", "/last", "h"))
+STREAM = (
+    encode_request("POST", "/a/b%20c?x=1&x=2", "h", b'{"k":1}', {"X-One": "1"})
+    + b"POST /chunks HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    + encode_request("GET", "/last", "h")
+)
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -27,32 +29,38 @@
     at = 0
     while at < len(STREAM):
         step = chance.choice((1, 3, 20, 500))
-        requests, fault = reader.feed(STREAM[at:at + step])
+        requests, fault = reader.feed(STREAM[at : at + step])
         assert fault is None
         found += requests
         at += step
     assert [(r.method, r.path, r.body) for r in found] == [
-        ("POST", "/a/b%20c", b'{"k":1}'), ("POST", "/chunks", b"abcde"), ("GET", "/last", b"")]
+        ("POST", "/a/b%20c", b'{"k":1}'),
+        ("POST", "/chunks", b"abcde"),
+        ("GET", "/last", b""),
+    ]
     assert found[0].segments == ["a", "b c"] and found[0].query == {"x": "2"} and found[0].headers["x-one"] == "1"
     assert not reader.partial
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"NONSENSE\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nbad header\r\n\r\n", 400),
-    (b"\x16\x03\x01\x02\x00\x01", 400),
-    (b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", 400),
-    (b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 99999\r\n\r\n", 413),
-    (b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nfff\r\n" + b"a" * 4095, 413),
-    (b"GET / HTTP/1.1\r\nx: " + b"a" * 3000 + b"\r\n\r\n", 431),
-    (b"GET /" + b"a" * 3000, 431),
-    (b"POST / HTTP/1.1\r\nhost: h\r\nexpect: miracles\r\ncontent-length: 1\r\n\r\n", 417),
-])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nbad header\r\n\r\n", 400),
+        (b"\x16\x03\x01\x02\x00\x01", 400),
+        (b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", 400),
+        (b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 99999\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nfff\r\n" + b"a" * 4095, 413),
+        (b"GET / HTTP/1.1\r\nx: " + b"a" * 3000 + b"\r\n\r\n", 431),
+        (b"GET /" + b"a" * 3000, 431),
+        (b"POST / HTTP/1.1\r\nhost: h\r\nexpect: miracles\r\ncontent-length: 1\r\n\r\n", 417),
+    ],
+)
 def test_malformed_and_oversized_requests_name_their_status(data: bytes, status: int) -> None:
     reader = RequestReader(2048, 1024)
     fault = None
     for at in range(0, len(data), 100):
-        _, fault = reader.feed(data[at:at + 100])
+        _, fault = reader.feed(data[at : at + 100])
         if fault is not None:
             break
     assert fault is not None and fault.status == status
@@ -92,22 +100,26 @@
     infer, payload = read_infer(request.body)
     assert infer.id == "mark" and payload == '{"ñ": 1}' and infer.parameters == {"send": 0}
     report = write_report(0.5, x1=2, x0=0.25, found=1, company=3)
-    got = read_answer(respond(200, infer_answer("m 1", "mark", payload, True), {"endpoint-load-metrics": report}),
-                      "mark")
+    got = read_answer(
+        respond(200, infer_answer("m 1", "mark", payload, True), {"endpoint-load-metrics": report}), "mark"
+    )
     assert (got.kind, got.result.decode(), got.found, got.company) == ("completed", payload, True, 3)
     assert got.report == {"util": 0.5, "x1": 2.0, "x0": 0.25}
 
 
-@pytest.mark.parametrize(("status", "body", "headers", "kind"), [
-    (200, b"not json", {}, "error"),
-    (200, infer_answer("m", "another", "{}", True), {}, "error"),
-    (200, infer_answer("m", "mark", "not json", True), {}, "error"),
-    (500, b"{}", {}, "error"),
-    (503, b"{}", {}, "error"),  # a refusal that does not prove anything
-    (503, b"{}", {"never-ran": "full"}, "full"),
-    (404, b"{}", {"never-ran": "miss"}, "miss"),
-    (404, b"{}", {"never-ran": "full"}, "error"),
-])
+@pytest.mark.parametrize(
+    ("status", "body", "headers", "kind"),
+    [
+        (200, b"not json", {}, "error"),
+        (200, infer_answer("m", "another", "{}", True), {}, "error"),
+        (200, infer_answer("m", "mark", "not json", True), {}, "error"),
+        (500, b"{}", {}, "error"),
+        (503, b"{}", {}, "error"),  # a refusal that does not prove anything
+        (503, b"{}", {"never-ran": "full"}, "full"),
+        (404, b"{}", {"never-ran": "miss"}, "miss"),
+        (404, b"{}", {"never-ran": "full"}, "error"),
+    ],
+)
 def test_only_a_marked_refusal_proves_that_nothing_ran(status, body, headers, kind) -> None:
     assert read_answer(respond(status, body, headers), "mark").kind == kind
 
@@ -124,7 +136,7 @@
     reader, data = RequestReader(2048, 1024), encode_request("GET", "/x", "h", b"", {"a": "b" * 500}) * 400
     count = 0
     for at in range(0, len(data), 8192):
-        requests, fault = reader.feed(data[at:at + 8192])
+        requests, fault = reader.feed(data[at : at + 8192])
         count += len(requests)
         assert fault is None
     assert count == 400
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -174,13 +174,23 @@
         super()._win(node)
 
 
-@pytest.mark.parametrize(("kinds", "world"), [
-    ((SafeOnItsOwnDisk, Holder), World), ((TakesFillingForWhole, Holder), World),
-    ((GoesOnWithoutNote, Holder), World), ((ActsWithoutItsNote, Holder), World),
-    ((ForgetsWhatIsBehind, Holder), World), ((SafeBeforeItsDisk, Holder), World),
-    ((Owner, AnswersFirst), World), ((Owner, TakesOlder), World), ((Owner, SkipsAhead), World),
-    ((Owner, Holder), ActsOnWhatItFinds), ((Owner, Holder), TakesEmptyForWhole),
-], ids=lambda found: found.__name__ if isinstance(found, type) else "-".join(kind.__name__ for kind in found))
+@pytest.mark.parametrize(
+    ("kinds", "world"),
+    [
+        ((SafeOnItsOwnDisk, Holder), World),
+        ((TakesFillingForWhole, Holder), World),
+        ((GoesOnWithoutNote, Holder), World),
+        ((ActsWithoutItsNote, Holder), World),
+        ((ForgetsWhatIsBehind, Holder), World),
+        ((SafeBeforeItsDisk, Holder), World),
+        ((Owner, AnswersFirst), World),
+        ((Owner, TakesOlder), World),
+        ((Owner, SkipsAhead), World),
+        ((Owner, Holder), ActsOnWhatItFinds),
+        ((Owner, Holder), TakesEmptyForWhole),
+    ],
+    ids=lambda found: found.__name__ if isinstance(found, type) else "-".join(kind.__name__ for kind in found),
+)
 def test_rules_broken_on_purpose_are_found(kinds: Any, world: type[World]) -> None:
     with pytest.raises(PropertyError):
         for seed in range(400):
@@ -328,8 +338,9 @@
     shelves, _ = open_shelves(tmp_path / "copies.sqlite")
     hour = 3_600_000.0
     ended = Ended("c1", CALL.start + 150.0, "completed", 0, b"{}")
-    shelves.commit([Work("b", items(CALL, MayRun("c1", 1100.0, "w1"), ended), fence=(ONE, "a"), waited_ms=50.0,
-                         wall_ms=hour)])
+    shelves.commit(
+        [Work("b", items(CALL, MayRun("c1", 1100.0, "w1"), ended), fence=(ONE, "a"), waited_ms=50.0, wall_ms=hour)]
+    )
     shelves.close()
     again, aside = open_shelves(tmp_path / "copies.sqlite")
     reading = Reading("b", wall_ms=hour + 500.0)
@@ -392,7 +403,7 @@
     plan = load(ROOT / "examples/copies.sexp").peers
     assert plan is not None and plan.copies == 2 and plan.copies_in == "disk"
     with pytest.raises(SettingsError, match=r"copies 2.*\(leases"):
-        parse(text[:text.index("\n  (leases")] + ")", "t")
+        parse(text[: text.index("\n  (leases")] + ")", "t")
     with pytest.raises(SettingsError, match=r"copies 2.*journal"):
         parse(text.rstrip()[:-1] + " (journal (keep no)))", "t")
     with pytest.raises(SettingsError, match="copies"):
@@ -402,14 +413,40 @@
 
 
 def test_the_audit_finds_promises_that_were_lost_or_denied() -> None:
-    world = {"what": "world", "t": 0.0, "types": [{"name": "k", "effect": "once-only", "target_ms": 1.0}],
-             "rules": {"drain_grace_ms": 0, "tip": 1, "tip_ms": 1, "order_wait_ms": 0, "free_loads": 1,
-                       "load_share": 0, "load_span_ms": 0.0}, "kept": True, "copies": 2, "names": ["d0"]}
-    call = {"what": "call", "t": 1.0, "call": "c1", "ticket": "t1", "action": "a", "type": "k", "dispatcher": 0,
-            "deferred": True, "limit_ms": 100.0}
+    world = {
+        "what": "world",
+        "t": 0.0,
+        "types": [{"name": "k", "effect": "once-only", "target_ms": 1.0}],
+        "rules": {
+            "drain_grace_ms": 0,
+            "tip": 1,
+            "tip_ms": 1,
+            "order_wait_ms": 0,
+            "free_loads": 1,
+            "load_share": 0,
+            "load_span_ms": 0.0,
+        },
+        "kept": True,
+        "copies": 2,
+        "names": ["d0"],
+    }
+    call = {
+        "what": "call",
+        "t": 1.0,
+        "call": "c1",
+        "ticket": "t1",
+        "action": "a",
+        "type": "k",
+        "dispatcher": 0,
+        "deferred": True,
+        "limit_ms": 100.0,
+    }
     accepted = {"what": "accepted", "t": 2.0, "call": "c1", "activation": "x"}
-    lost = [{"what": "kill", "t": 3.0, "dispatcher": 0}, {"what": "disk-lost", "t": 3.0, "dispatcher": 0},
-            {"what": "no-answer", "t": 9.0, "call": "c1", "ending": "polled"}]
+    lost = [
+        {"what": "kill", "t": 3.0, "dispatcher": 0},
+        {"what": "disk-lost", "t": 3.0, "dispatcher": 0},
+        {"what": "no-answer", "t": 9.0, "call": "c1", "ending": "polled"},
+    ]
     denied = {"what": "denied", "t": 4.0, "call": "c1", "activation": "x", "at": "d1"}
     assert judge([world, call, accepted, *lost]).accepted_lost == 1, "with copies a lost disk is no excuse"
     assert judge([world | {"copies": 0}, call, accepted, *lost]).lost_with_disk == 1
@@ -463,14 +500,36 @@
 
 @pytest.mark.processes
 def test_a_short_campaign_of_losses_between_real_processes_breaks_no_promise(tmp_path: Path) -> None:
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "campaign", str(ROOT / "examples" / "copies.sexp"),
-                           "--seeds", "3", "--at-once", "3", "--out", str(tmp_path)], cwd=ROOT, capture_output=True,
-                          text=True, timeout=180, check=False)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "campaign",
+            str(ROOT / "examples" / "copies.sexp"),
+            "--seeds",
+            "3",
+            "--at-once",
+            "3",
+            "--out",
+            str(tmp_path),
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=180,
+        check=False,
+    )
     found = json.loads(done.stdout)
     assert not found["failed"], done.stderr[-2000:]
     # Times are what a busy machine spoils; what was promised is not.
-    broken = found["breaches"].keys() & {"accepted_lost", "finals_twice", "effects_twice", "false_rejections",
-                                         "promises_denied"}
+    broken = found["breaches"].keys() & {
+        "accepted_lost",
+        "finals_twice",
+        "effects_twice",
+        "false_rejections",
+        "promises_denied",
+    }
     assert not broken and found["completed"] > 1000, (found, done.stderr[-2000:])
     rows = json.loads((tmp_path / "campaign.json").read_text())
     assert all(row["troubles"].count("lose-machines") == 2 and len(row["troubles"]) >= 6 for row in rows)
@@ -479,8 +538,14 @@
 @pytest.mark.rigs
 def test_a_dispatcher_lost_with_its_disk_at_a_step_is_carried_on() -> None:
     """One step of the matrix of bench/crash_points.py --lost, by id and by a repeat under the key."""
-    done = subprocess.run([sys.executable, "bench/crash_points.py", "--lost", "--steps", "cleared"], cwd=ROOT,
-                          capture_output=True, text=True, timeout=120, check=False)
+    done = subprocess.run(
+        [sys.executable, "bench/crash_points.py", "--lost", "--steps", "cleared"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
     found = [json.loads(line) for line in done.stdout.splitlines()]
     assert done.returncode == 0 and len(found) == 4, done.stdout + done.stderr[-1500:]
     assert {case.get("joined", True) for case in found if case["first"] == 202} == {True}
@@ -489,8 +554,13 @@
 @pytest.mark.rigs
 def test_a_dispatcher_that_stood_still_while_its_call_was_carried_on_adds_nothing() -> None:
     """One step of the matrix of bench/crash_points.py --paused: just before the first byte."""
-    done = subprocess.run([sys.executable, "bench/crash_points.py", "--paused", "--steps", "cleared"], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "bench/crash_points.py", "--paused", "--steps", "cleared"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     cases = [json.loads(line) for line in done.stdout.splitlines()]
     assert done.returncode == 0 and len(cases) == 2, done.stdout + done.stderr
     for case in cases:
@@ -511,8 +581,11 @@
                 while not (await ask(dispatcher.said["asked_at"], "GET", "/copies"))["promising"]:
                     await asyncio.sleep(0.1)
             first, *others = rig.dispatchers
-            key = {"authorization": auth("23bc46b1-71f6-4ed5-8c54-816aa4f8c502", "try-this-key-on-loopback-only")[
-                "authorization"]}
+            key = {
+                "authorization": auth("23bc46b1-71f6-4ed5-8c54-816aa4f8c502", "try-this-key-on-loopback-only")[
+                    "authorization"
+                ]
+            }
             ids = []
             for _ in range(6):
                 status, _, body = await http(first.said["address"], "POST", "actions/grant?blocking=false", key, b"{}")
@@ -520,8 +593,17 @@
                 ids.append(body["activationId"])
             for name, code in (("dispatcher-1", 1), ("dispatcher-0", 0)):
                 process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "kelptrail", "retire", name, first.said["asked_at"], "--within", "20",
-                    stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL)
+                    sys.executable,
+                    "-m",
+                    "kelptrail",
+                    "retire",
+                    name,
+                    first.said["asked_at"],
+                    "--within",
+                    "20",
+                    stdout=asyncio.subprocess.DEVNULL,
+                    stderr=asyncio.subprocess.DEVNULL,
+                )
                 assert await process.wait() == code, f"{name}: only the one that is there"
             status, _, _ = await http(first.said["address"], "POST", "actions/grant?blocking=false", key, b"{}")
             assert status == 503, "nothing new is promised there"
@@ -535,10 +617,12 @@
                 assert status == 200 and verdict(body)["answer"] == "completed"
         finally:
             await rig.stop()
+
     run(main(), 90)
 
 
-async def http(address: str, method: str, target: str, headers: dict[str, str],
-               body: bytes = b"") -> tuple[int, dict[str, str], Any]:
+async def http(
+    address: str, method: str, target: str, headers: dict[str, str], body: bytes = b""
+) -> tuple[int, dict[str, str], Any]:
     reply = await exchange(address, encode_request(method, f"/api/v1/namespaces/_/{target}", "x", body, headers))
     return reply.status, reply.headers, json.loads(reply.body)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -52,8 +52,14 @@
 
 def request(stream: int, body: bytes = b"hello", **other: str) -> bytes:
     """A request's bytes."""
-    told = {"verb": "t", "txn": f"{stream:016x}", "limit": "1500", "team": "acme", "item": f"{stream:016x}",
-            "info": "memory_mb:512;lanes:2"} | other
+    told = {
+        "verb": "t",
+        "txn": f"{stream:016x}",
+        "limit": "1500",
+        "team": "acme",
+        "item": f"{stream:016x}",
+        "info": "memory_mb:512;lanes:2",
+    } | other
     return frames.frame(frames.REQUEST, stream, frames.fields(told) + body)
 
 
@@ -240,8 +246,10 @@
         self._pipe = tmp_path / "pipe.json"
         os.mkfifo(self._pipe)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(self._pipe)},
-            stdout=subprocess.PIPE)
+            [sys.executable, "-m", "kelptrail.platform"],
+            env=os.environ | {"LB_CONFIG": str(self._pipe)},
+            stdout=subprocess.PIPE,
+        )
 
     def reading(self) -> int:
         """The pipe's other end, once the process reads."""
@@ -315,8 +323,9 @@
 def test_a_new_configuration_is_no_crash_at_any_moment_of_the_end(tmp_path: Path) -> None:
     file = tmp_path / "c.json"
     file.write_text(told(0))
-    process = subprocess.Popen([sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)},
-                               stdout=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)}, stdout=subprocess.PIPE
+    )
     try:
         read_until(process, "list number=1")
         time.sleep(0.2)
@@ -333,13 +342,14 @@
 def test_a_file_that_is_half_written_at_the_signal_is_read_again(tmp_path: Path) -> None:
     file = tmp_path / "c.json"
     file.write_text(told(0))
-    process = subprocess.Popen([sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)},
-                               stdout=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)}, stdout=subprocess.PIPE
+    )
     try:
         read_until(process, "list number=1")
         time.sleep(0.2)
         whole = json.dumps(configuration() | {"journal": "127.0.0.1:19"})
-        file.write_text(whole[:len(whole) // 2])
+        file.write_text(whole[: len(whole) // 2])
         process.send_signal(signal.SIGHUP)
         read_until(process, "configuration kept")
         file.write_text(whole)
@@ -362,8 +372,14 @@
 class Bare:
     """Links to one worker that reads when the test does, over small buffers."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, most: int = 1, in_all: int = 8, cancels: bool = True,
-                 parallel: bool = True) -> None:
+    def __init__(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        most: int = 1,
+        in_all: int = 8,
+        cancels: bool = True,
+        parallel: bool = True,
+    ) -> None:
         async def small(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within: float) -> socket.socket:
             sock = await connect(loop, address, within)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
@@ -377,8 +393,14 @@
         self.ended: list[tuple[Any, Outcome]] = []
         bounds = Bounds(150.0, 15_000.0, 100, in_all, 1 << 17, cancels, parallel, 2000.0, lambda: False)
         bounds.most = most
-        self.links = WorkerLinks(asyncio.get_running_loop(), "w", self.listening.getsockname(), bounds,
-                                 lambda item, outcome, _: self.ended.append((item, outcome)), silent)
+        self.links = WorkerLinks(
+            asyncio.get_running_loop(),
+            "w",
+            self.listening.getsockname(),
+            bounds,
+            lambda item, outcome, _: self.ended.append((item, outcome)),
+            silent,
+        )
 
     def send(self, id_: str, size: int = 16_000) -> Any:
         thing = Thing(id_)
@@ -413,14 +435,14 @@
         assert words[0] in (b"CALL", b"CANCEL", b"LOAD"), line
         if words[0] == b"CALL":
             size = int(words[-1])
-            assert data[size:size + 2] == b"\r\n"
-            data = data[size + 2:]
+            assert data[size : size + 2] == b"\r\n"
+            data = data[size + 2 :]
         found.append(b" ".join(words[:2]))
     return found
 
 
 def test_what_waits_behind_a_full_socket_is_taken_back_and_what_has_begun_goes_on(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> None:
         bare = Bare(monkeypatch)
@@ -464,6 +486,7 @@
 
 def test_a_cancel_has_left_before_a_further_send_can(monkeypatch: pytest.MonkeyPatch) -> None:
     """The further send's link may have been written to earlier in the turn: it would leave first."""
+
     async def main() -> None:
         first, second = Bare(monkeypatch, parallel=False), Bare(monkeypatch, parallel=False)
         thing, _ = first.send("a" * 16, 10), second.send("b" * 16, 10)
@@ -513,7 +536,7 @@
                 links.close()
             held = Held(monkeypatch)
             sock = raw(place.port)
-            sock.sendall(request(2, item=f"{0x7f3a9c21e0b4d655:016x}"))
+            sock.sendall(request(2, item=f"{0x7F3A9C21E0B4D655:016x}"))
             await until(lambda: held.waiting)
             if leaves == "cancel":
                 sock.sendall(frames.frame(frames.CANCEL, 2))
@@ -578,7 +601,8 @@
             place.service._host.taken = forget_the_first  # type: ignore[method-assign]
             stir = place.service._stir
             place.service._stir_soon = lambda: asyncio.get_running_loop().call_soon(  # type: ignore[method-assign]
-                asyncio.get_running_loop().call_soon, stir)
+                asyncio.get_running_loop().call_soon, stir
+            )
             failed: list[Any] = []
             asyncio.get_running_loop().set_exception_handler(lambda _, context: failed.append(context))
             client.ask(1)
@@ -623,8 +647,9 @@
             held, client = Held(monkeypatch), await place.client()
             client.ask(1)
             await until(lambda: held.waiting)
-            (port,) = {int(t["endpoint"].rpartition(":")[2])
-                       for t in place.told["known"]["entries"][0]["hosts"]["targets"]}
+            (port,) = {
+                int(t["endpoint"].rpartition(":")[2]) for t in place.told["known"]["entries"][0]["hosts"]["targets"]
+            }
             (old,) = place.service._links.values()
             connecting = list(old._connections)
             place.events = [event(2, 2, (0, port, 2)), event(3, 2, (7, port, 0))]
@@ -642,8 +667,9 @@
     async def main() -> None:
         async with Place(Runner(echo), Runner(echo)) as place:
             place.service._bounds.connect_ms = 5000.0
-            ports = [int(t["endpoint"].rpartition(":")[2])
-                     for t in place.told["known"]["entries"][0]["hosts"]["targets"]]
+            ports = [
+                int(t["endpoint"].rpartition(":")[2]) for t in place.told["known"]["entries"][0]["hosts"]["targets"]
+            ]
             held, client = Held(monkeypatch), await place.client()
             client.ask(1)
             await until(lambda: held.waiting)
@@ -662,8 +688,11 @@
 
 
 def test_a_repeat_that_waits_past_what_workers_remember_does_not_go_out(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"name": "k", "effect": "guarded", "key_scope": "all",
-                                                       "window_us": 300_000, "give_up_us": 2_000_000}])
+    monkeypatch.setitem(
+        SETTINGS,
+        "classes",
+        [CLASS | {"name": "k", "effect": "guarded", "key_scope": "all", "window_us": 300_000, "give_up_us": 2_000_000}],
+    )
     monkeypatch.setitem(SETTINGS, "bounds", SETTINGS["bounds"] | {"connect_timeout_us": 1_500_000})
 
     async def main() -> None:
@@ -719,7 +748,7 @@
 
 
 def test_a_slow_frame_that_goes_on_is_waited_for_and_one_that_stands_still_is_not(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"give_up_us": 5_000_000}])
 
@@ -806,5 +835,3 @@
             sock.close()
 
     run(main())
-
-
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -41,6 +41,7 @@
     async def main() -> None:
         def handle(request: Request, exchange: Exchange) -> None:
             exchange.reply(200, b"{}")
+
         server = HttpServer(handle, Limits(), Silent().warning, pace=ConnectPace(PaceSettings(10, 10.0, 3000.0), 1))
         server.listen("127.0.0.1", 0)
         replies = await asyncio.gather(*(exchange(server.address, CALL) for _ in range(40)))
@@ -51,14 +52,17 @@
         await asyncio.sleep(0.35)
         assert (await exchange(server.address, CALL)).status == 200, "a pace, not a ban"
         await server.drain(100)
+
     run(main())
 
 
 def test_nobody_who_has_connected_is_lost_as_the_door_closes() -> None:
     """Guards against a connection that `sock_accept` had taken and that was dropped with its task."""
+
     async def main() -> None:
         def handle(request: Request, exchange: Exchange) -> None:
             exchange.reply(200, b"{}")
+
         for turn in range(40):
             server = HttpServer(handle, Limits())
             server.listen("127.0.0.1", 0)
@@ -74,4 +78,5 @@
             assert await drained
             for sock in socks:
                 sock.close()
+
     run(main())
--- a/tests/test_door_fuzz.py
+++ b/tests/test_door_fuzz.py
@@ -13,7 +13,12 @@
 
 @pytest.mark.rigs
 def test_the_door_keeps_the_rules_through_random_signals_closes_and_answers() -> None:
-    done = subprocess.run([sys.executable, "bench/door_fuzz.py", "--days", "1", "--seconds", "5"], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "bench/door_fuzz.py", "--days", "1", "--seconds", "5"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 0, done.stdout + done.stderr
     assert "0 days with a problem" in done.stdout
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -5,27 +5,75 @@
 import sys
 from typing import Any
 
-CLASS = {"aim_us": 500000, "effect": "free", "gain": 2.0, "give_up_us": 5000000, "key_scope": "all",
-         "late_worth": 0.3, "name": "t", "streaming": False, "window_us": 0}
+CLASS = {
+    "aim_us": 500000,
+    "effect": "free",
+    "gain": 2.0,
+    "give_up_us": 5000000,
+    "key_scope": "all",
+    "late_worth": 0.3,
+    "name": "t",
+    "streaming": False,
+    "window_us": 0,
+}
 ENV = {
-    "balancers": 1, "counted_by": "request", "classes": [CLASS], "customers": [], "my_zone": 0,
-    "report": {"fields": [], "how": "off"}, "unheard_of": 1,
-    "bounds": {"connect_timeout_us": 250000, "max_attempts": 3, "max_retry_after_us": 500000, "may_cancel": True,
-               "parallel_tries": True, "retry_after": True},
+    "balancers": 1,
+    "counted_by": "request",
+    "classes": [CLASS],
+    "customers": [],
+    "my_zone": 0,
+    "report": {"fields": [], "how": "off"},
+    "unheard_of": 1,
+    "bounds": {
+        "connect_timeout_us": 250000,
+        "max_attempts": 3,
+        "max_retry_after_us": 500000,
+        "may_cancel": True,
+        "parallel_tries": True,
+        "retry_after": True,
+    },
     "rules": {"cold_us": 9000000, "fall_us": 2000000, "start_capacity": 0.2, "tip_multiple": 3.0},
-    "specifics": {"free_loads": 6.0, "idle_life_us": 8000000, "load_control": True, "load_share": 0.3,
-                  "load_span_us": 10000000, "not_loaded": "miss", "says_company": True, "says_warm": True},
+    "specifics": {
+        "free_loads": 6.0,
+        "idle_life_us": 8000000,
+        "load_control": True,
+        "load_share": 0.3,
+        "load_span_us": 10000000,
+        "not_loaded": "miss",
+        "says_company": True,
+        "says_warm": True,
+    },
+}
+ENTRY = {
+    "runner": "10.0.0.1:9",
+    "az": 0,
+    "shape": 0,
+    "stripe": 0,
+    "readiness": "live",
+    "capacity_hint": 1,
+    "last_start_us": None,
 }
-ENTRY = {"runner": "10.0.0.1:9", "az": 0, "shape": 0, "stripe": 0, "readiness": "live", "capacity_hint": 1,
-         "last_start_us": None}
 HELLO = [
     {"Hello": {"i": "dispatcher_0", "nonce64": 7, "env": ENV}},
     {"Manifest": {"table": 0, "records": [ENTRY]}},
     {"Membership": {"i": "dispatcher_0", "how": "C", "stamp": 1, "table": 0}},
 ]
-REQ = {"Req": {"i": "dispatcher_0", "handle": "t/a", "class": 0, "project": 0, "fn": "h:f",
-               "grace_us": 5000000, "cost_guess_us": None, "memory_mb": 384, "parallel": 2,
-               "load_time_ms": None, "again_by_client": False, "update": False}}
+REQ = {
+    "Req": {
+        "i": "dispatcher_0",
+        "handle": "t/a",
+        "class": 0,
+        "project": 0,
+        "fn": "h:f",
+        "grace_us": 5000000,
+        "cost_guess_us": None,
+        "memory_mb": 384,
+        "parallel": 2,
+        "load_time_ms": None,
+        "again_by_client": False,
+        "update": False,
+    }
+}
 
 
 def drill(*batches: tuple[int, list[dict[str, Any]]] | str) -> tuple[int, list[Any], str]:
@@ -42,8 +90,18 @@
 def test_an_activation_goes_from_arrival_to_answer() -> None:
     place = {"i": "dispatcher_0", "runner": "10.0.0.1:9"}
     ready = {"ReadyThere": place | {"fn": "h:f", "ending": "S", "latency_us": 900, "copies": 1}}
-    answer = {"Answer": place | {"handle": "t/a", "remark": 1, "shot": 0, "latency_us": 90000, "ending": "S",
-                                 "done_flag": True, "stats": None}}
+    answer = {
+        "Answer": place
+        | {
+            "handle": "t/a",
+            "remark": 1,
+            "shot": 0,
+            "latency_us": 90000,
+            "ending": "S",
+            "done_flag": True,
+            "stats": None,
+        }
+    }
     gone = {"Aborted": {"i": "dispatcher_0", "handle": "t/a"}}
     batches = (1000, []), (2000, HELLO), (3000, [REQ]), (4000, [ready]), (94000, [answer, gone])
     code, replies, _ = drill(*batches)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -22,8 +22,10 @@
 from kelptrail.settings.deployment import parse
 
 ROOT = Path(__file__).parent.parent
-FAST = DEPLOYMENT.replace("(pool (connect-ms 150))", "(pool (connect-ms 150))\n"
-                          f"  (planner (every-ms 300) (valid-ms 1500) (down-ms 500))\n{PEERS}")
+FAST = DEPLOYMENT.replace(
+    "(pool (connect-ms 150))",
+    f"(pool (connect-ms 150))\n  (planner (every-ms 300) (valid-ms 1500) (down-ms 500))\n{PEERS}",
+)
 
 
 async def until(what: object, within: float = 20.0) -> None:
@@ -47,9 +49,13 @@
     def planner(self, number: int, state: Path | None = None, port: int = 0) -> PlannerProgram:
         fleet = self.voters.join(f"planner-{number}")
         assert fleet.leases is not None
-        made = PlannerProgram(self.dispatcher.deployment, Options(
-            f"planner-{number}", "127.0.0.1", port, "", state or self.state / f"p{number}", None, "greedy"),
-            fleet.leases, fleet.length_ms, self.log)
+        made = PlannerProgram(
+            self.dispatcher.deployment,
+            Options(f"planner-{number}", "127.0.0.1", port, "", state or self.state / f"p{number}", None, "greedy"),
+            fleet.leases,
+            fleet.length_ms,
+            self.log,
+        )
         made.restore()
         made.listen()
         made.start()
@@ -57,9 +63,15 @@
         return made
 
     def follower(self) -> PlanFollower:
-        edge = PlanFollower([p.address for p in self.planners], "edge", self.dispatcher.deployment.name,
-                            self.dispatcher.gateway, self.dispatcher.driver.stir_soon, self.state / "plan.bin",
-                            self.log)
+        edge = PlanFollower(
+            [p.address for p in self.planners],
+            "edge",
+            self.dispatcher.deployment.name,
+            self.dispatcher.gateway,
+            self.dispatcher.driver.stir_soon,
+            self.state / "plan.bin",
+            self.log,
+        )
         edge.start_from_last()
         edge.start()
         return edge
@@ -108,6 +120,7 @@
         broken = pair.follower()
         assert broken.follower.plan is None and any(e == "last-plan-unusable" for e, _ in pair.log.lines)
         await broken.stop()
+
     run(main())
 
 
@@ -128,6 +141,7 @@
             await pair.calls(0.1)
         assert now_ms() - began < 6000
         await pair.stop()
+
     run(main())
 
 
@@ -148,8 +162,15 @@
 
         server = await asyncio.start_server(forger, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        edge = PlanFollower([f"127.0.0.1:{port}"], "edge", pair.dispatcher.deployment.name, pair.dispatcher.gateway,
-                            pair.dispatcher.driver.stir_soon, None, pair.log)
+        edge = PlanFollower(
+            [f"127.0.0.1:{port}"],
+            "edge",
+            pair.dispatcher.deployment.name,
+            pair.dispatcher.gateway,
+            pair.dispatcher.driver.stir_soon,
+            None,
+            pair.log,
+        )
         edge.start()
         await pair.calls(0.2)
         name, roster = pair.dispatcher.deployment.name, edge.roster
@@ -164,8 +185,10 @@
         before = pair.workers[1].orders, len(pair.workers[1].sends)
         await pair.calls(1.0)
         assert (pair.workers[1].orders, len(pair.workers[1].sends)) == before, "nothing to a drain, planned or not"
-        offers += [pack(make(name, (1, "forger", n), 9e5, roster, {"check": {w: 1}}), 0.0)
-                   for n, w in ((2, "w1"), (3, "nobody"), (1, "w0"))] + [pack(good, 0.0)[:-3], b"", b"\x28\xb5"]
+        offers += [
+            pack(make(name, (1, "forger", n), 9e5, roster, {"check": {w: 1}}), 0.0)
+            for n, w in ((2, "w1"), (3, "nobody"), (1, "w0"))
+        ] + [pack(good, 0.0)[:-3], b"", b"\x28\xb5"]
         await until(lambda: sum(isinstance(m, Reply) for m in said) >= 7)
         reasons = [m.reason for m in said if isinstance(m, Reply)]
         assert reasons == ["", "workers", "workers", "older", "digest", "digest", "digest"]
@@ -173,6 +196,7 @@
         await edge.stop()
         server.close()
         await pair.stop()
+
     run(main())
 
 
@@ -181,17 +205,30 @@
 def test_a_bad_day_of_planners_breaks_no_rule_and_calls_go_on(seed: int, tmp_path: Path) -> None:
     """Slow, killed, started with nothing, while workers drain and crash; the audit judges what passed."""
     script = (ROOT / "examples" / "bad-days" / "planned.sexp").read_text()
-    for old, new in (("(seconds 40)", "(seconds 14)"), ("(at 8)", "(at 5)"), ("(at 10) (for 8)", "(at 6) (for 2)"),
-                     ("(at 12) (for 4)", "(at 6) (for 3)"), ("(at 20) (for 3)", "(at 7) (for 1)"),
-                     ("(at 22) (for 2)", "(at 8) (for 1)"), ("(at 26) (for 2)", "(at 10) (for 1)"),
-                     ("(at 27)", "(at 11)"), ("(workers 8)", "(workers 5)"), ("(rate 120)", "(rate 80)"),
-                     ("../fleet.sexp", str(ROOT / "examples" / "fleet.sexp"))):
+    for old, new in (
+        ("(seconds 40)", "(seconds 14)"),
+        ("(at 8)", "(at 5)"),
+        ("(at 10) (for 8)", "(at 6) (for 2)"),
+        ("(at 12) (for 4)", "(at 6) (for 3)"),
+        ("(at 20) (for 3)", "(at 7) (for 1)"),
+        ("(at 22) (for 2)", "(at 8) (for 1)"),
+        ("(at 26) (for 2)", "(at 10) (for 1)"),
+        ("(at 27)", "(at 11)"),
+        ("(workers 8)", "(workers 5)"),
+        ("(rate 120)", "(rate 80)"),
+        ("../fleet.sexp", str(ROOT / "examples" / "fleet.sexp")),
+    ):
         assert old in script
         script = script.replace(old, new)
     file = tmp_path / "planned.sexp"
     file.write_text(script)
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "bad-day", str(file), "--seed", str(seed), "--out",
-                           str(tmp_path / "out")], capture_output=True, text=True, timeout=90, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "bad-day", str(file), "--seed", str(seed), "--out", str(tmp_path / "out")],
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
     assert done.returncode == 0, done.stderr[-2000:]
     report = json.loads(done.stdout)
     assert not report["broken"] and report["taken"] > 700 and report["unanswered"] == 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -50,9 +50,14 @@
     later = b"".join([frame(Hello(VERSION + 3, "new", "here", can=("lease", "more"))), frame(Later()), frame(SOME)])
     assert now.feed(1.0, later) == [SOME] and now.version == VERSION and now.passed_over == 1
     assert now.send(2.0, SOME, "lease")
-    for rubbish, word in ((b"\0\0\0\2{}", "no message"), (frame(Hello(2, "x", "there")), "lineage"),
-                          (frame(Later()), "no message"), (frame(Hello(2, "", "here")), "says who"),
-                          (b"\x7f\0\0\0", "a frame of"), (frame(Beat()), "hello must come first")):
+    for rubbish, word in (
+        (b"\0\0\0\2{}", "no message"),
+        (frame(Hello(2, "x", "there")), "lineage"),
+        (frame(Later()), "no message"),
+        (frame(Hello(2, "", "here")), "says who"),
+        (b"\x7f\0\0\0", "a frame of"),
+        (frame(Beat()), "hello must come first"),
+    ):
         with pytest.raises(ChannelError, match=word):
             link().feed(1.0, rubbish)
     seen = FrameReader(READ)
@@ -78,8 +83,12 @@
 
 
 def hold(leases: Leases, held: list[tuple[str, str]]) -> None:
-    leases.want("t", 1000.0, lambda token: held.append((leases.name, str(token))),
-                lambda token, reason: held.append((leases.name, reason)))
+    leases.want(
+        "t",
+        1000.0,
+        lambda token: held.append((leases.name, str(token))),
+        lambda token, reason: held.append((leases.name, reason)),
+    )
 
 
 @pytest.mark.processes
@@ -118,15 +127,22 @@
         rounds = [int(token.partition(".")[0]) for _, token in held if "." in token]
         assert rounds == sorted(set(rounds)), "tokens only grow, through restarts"
         await again.stop()
+
     run(main())
 
 
 @pytest.mark.processes
 def test_the_next_set_of_voters_takes_over_and_askers_of_the_old_file_learn_of_it(tmp_path: Path) -> None:
-    later = parse(DEPLOYMENT.replace("(pool (connect-ms 150))", "(pool (connect-ms 150))\n" + PEERS.replace(
-        "(peer v2)", "(peer v2) (peer v3)").replace("(voters v0 v1 v2)",
-                                                                 "(voters v0 v1 v3) (number 2) (before v0 v1 v2)")),
-        "later")
+    later = parse(
+        DEPLOYMENT.replace(
+            "(pool (connect-ms 150))",
+            "(pool (connect-ms 150))\n"
+            + PEERS.replace("(peer v2)", "(peer v2) (peer v3)").replace(
+                "(voters v0 v1 v2)", "(voters v0 v1 v3) (number 2) (before v0 v1 v2)"
+            ),
+        ),
+        "later",
+    )
 
     async def main() -> None:
         voters = Voters(FLEET, tmp_path)
@@ -155,6 +171,7 @@
         after = asker.holds("t")
         assert after is not None and after > between and asker.asker.voters == ("v0", "v1", "v3")
         await voters.stop()
+
     run(main())
 
 
@@ -168,10 +185,27 @@
         await voters.fleets.pop().stop()  # the third is a process of its own, which dies at its first grant
         (tmp_path / "v2" / "leases.sqlite").unlink()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kelptrail", "--log-level", "error", "serve", str(file), "--name", "v2", "--roster",
-            "127.0.0.1:1", "--state", str(tmp_path / "v2"), "--peers", voters.at["v2"], "--crash-at", "voted",
-            *(word for name in ("v0", "v1") for word in ("--peer", f"{name}={voters.at[name]}")), cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "--log-level",
+            "error",
+            "serve",
+            str(file),
+            "--name",
+            "v2",
+            "--roster",
+            "127.0.0.1:1",
+            "--state",
+            str(tmp_path / "v2"),
+            "--peers",
+            voters.at["v2"],
+            "--crash-at",
+            "voted",
+            *(word for name in ("v0", "v1") for word in ("--peer", f"{name}={voters.at[name]}")),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+        )
         asker = voters.join("x").leases
         assert asker is not None
         held: list[tuple[str, str]] = []
@@ -189,6 +223,7 @@
         for task, written in kept.items():
             assert again.voter.seats[task].highest == written, "what was on disk counts, though nobody heard of it"
         await voters.stop()
+
     run(main())
 
 
@@ -206,11 +241,13 @@
         server = HttpServer(answer)
         server.listen("127.0.0.1", 0)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kelptrail", "leases", server.address, stdout=asyncio.subprocess.PIPE, cwd=ROOT)
+            sys.executable, "-m", "kelptrail", "leases", server.address, stdout=asyncio.subprocess.PIPE, cwd=ROOT
+        )
         out = (await process.communicate())[0].decode()
         assert process.returncode == 0 and "t: held here under" in out and "votes here: voting, disk well" in out, out
         await server.drain(0)
         await voters.stop()
+
     run(main())
 
 
@@ -233,22 +270,35 @@
         voters = Voters.__new__(Voters)
         voters.deployment, voters.state, voters.at, voters.fleets = FLEET, tmp_path, {}, []
         from program import Silent
+
         voters.log = Silent()
         parts = []
         calls = [0, 0, 0]
         for n in range(3):
             fleet = voters.join(f"v{n}", "127.0.0.1:0")
             assert fleet.leases is not None
-            parts.append(Usage(fleet.leases, fleet.peers, f"r{n}", 100.0, 1000.0,
-                               lambda n=n: {"one": (calls[n], 0, 0)}, fleet.names, voters.log))
+            parts.append(
+                Usage(
+                    fleet.leases,
+                    fleet.peers,
+                    f"r{n}",
+                    100.0,
+                    1000.0,
+                    lambda n=n: {"one": (calls[n], 0, 0)},
+                    fleet.names,
+                    voters.log,
+                )
+            )
             parts[-1].start()
         end = time.monotonic() + 10
-        while time.monotonic() < end and not all(p.told.total.dispatchers == 3 and
-                                                 p.told.total.rates["one"][0] > 0 for p in parts):
+        while time.monotonic() < end and not all(
+            p.told.total.dispatchers == 3 and p.told.total.rates["one"][0] > 0 for p in parts
+        ):
             calls[:] = [c + 2 for c in calls]
             await asyncio.sleep(0.02)
         assert len({p.status()["collected_by"] for p in parts}) == 1 and parts[0].status()["dispatchers"] == 3
         await voters.stop()
+
     run(main())
 
 
@@ -258,9 +308,11 @@
     assert day.dispatchers == 7 and day.tasks == ("sweep", "tally", "ledger") and any(t.one_way for t in day.trouble)
     with pytest.raises(ValueError, match="different halls"):
         Player(day, parse(DEPLOYMENT.replace("(halls a b)", "(halls a)"), "one"), 1, tmp_path)
-    for old, new, word in (("(dispatchers 7)", "(dispatchers 4)", "5 dispatchers at least"),
-                           ("(part 0.28) (ms 300)", "(part 0.28) (ms -300)", "only clock-step goes back"),
-                           ("(one-way yes)", "(one-way perhaps)", "yes, no")):
+    for old, new, word in (
+        ("(dispatchers 7)", "(dispatchers 4)", "5 dispatchers at least"),
+        ("(part 0.28) (ms 300)", "(part 0.28) (ms -300)", "only clock-step goes back"),
+        ("(one-way yes)", "(one-way perhaps)", "yes, no"),
+    ):
         assert old in text
         file = tmp_path / "day.sexp"
         file.write_text(text.replace(old, new))
@@ -271,9 +323,26 @@
 
 @pytest.mark.processes
 def test_a_short_campaign_between_real_processes_breaks_nothing(tmp_path: Path) -> None:
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "campaign", str(ROOT / "examples" / "fleet.sexp"),
-                           "--seeds", "3", "--at-once", "3", "--out", str(tmp_path)], cwd=ROOT, capture_output=True,
-                          text=True, timeout=150, check=False)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "campaign",
+            str(ROOT / "examples" / "fleet.sexp"),
+            "--seeds",
+            "3",
+            "--at-once",
+            "3",
+            "--out",
+            str(tmp_path),
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=150,
+        check=False,
+    )
     found = json.loads(done.stdout)
     assert done.returncode == 0, (found, done.stderr[-2000:])
     assert found["seeds"] == 3 and found["acts"] > 300 and found["holders"] > 6
--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -7,9 +7,34 @@
 
 ROOT = Path(__file__).parent.parent / "kelptrail"
 FLOORS = (
-    "dispatch", "clock", "settings", "codec", "keys", "background", "audit", "search", "net", "store", "host", "drill",
-    "platform", "roster", "gateway", "peers", "lease", "copies", "planner", "vrrp", "front", "service", "load",
-    "standin", "badday", "lab", "cli")
+    "dispatch",
+    "clock",
+    "settings",
+    "codec",
+    "keys",
+    "background",
+    "audit",
+    "search",
+    "net",
+    "store",
+    "host",
+    "drill",
+    "platform",
+    "roster",
+    "gateway",
+    "peers",
+    "lease",
+    "copies",
+    "planner",
+    "vrrp",
+    "front",
+    "service",
+    "load",
+    "standin",
+    "badday",
+    "lab",
+    "cli",
+)
 
 
 def arrows() -> set[tuple[str, str, str]]:
@@ -18,8 +43,13 @@
     for file in ROOT.rglob("*.py"):
         here = file.relative_to(ROOT)
         for node in ast.walk(ast.parse(file.read_text())):
-            names = [node.module or ""] if isinstance(node, ast.ImportFrom) and not node.level else [
-                a.name for a in node.names] if isinstance(node, ast.Import) else []
+            names = (
+                [node.module or ""]
+                if isinstance(node, ast.ImportFrom) and not node.level
+                else [a.name for a in node.names]
+                if isinstance(node, ast.Import)
+                else []
+            )
             for name in names:
                 parts = name.split(".")
                 if parts[0] == "kelptrail" and len(parts) > 1 and len(here.parts) > 1:
