--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -58,6 +58,7 @@
             assert result == {"status": "success", "statusCode": 0, "success": True, "result": {}}
             assert (await dispatcher.ask("GET", f"{BASE}/activations/{id_}/logs"))[2] == {"logs": []}
             assert [p["dispatcher"] for _, p in worker.sends] == ["d/" + "b" * 16] * 3
+
     run(main())
 
 
@@ -80,6 +81,7 @@
             assert (await ask("GET", f"{BASE}/activations?count=true"))[2] == {"activations": 5}
             for bad in ("limit=-1", "limit=201", "skip=x", "docs=maybe", "since=1e3"):
                 assert (await ask("GET", f"{BASE}/activations?{bad}"))[0] == 400
+
     run(main())
 
 
@@ -90,13 +92,20 @@
             assert (await ask("GET", "/api/v1/namespaces"))[2] == ["one"]
             _, _, actions = await ask("GET", f"{BASE}/actions")
             assert [(a["namespace"], a["name"]) for a in actions] == [
-                ("one/p", "check"), ("one", "activate"), ("one", "grant")]
+                ("one/p", "check"),
+                ("one", "activate"),
+                ("one", "grant"),
+            ]
             assert (await ask("GET", f"{BASE}/actions?limit=1&skip=1"))[2][0]["name"] == "activate"
             assert (await ask("GET", f"{BASE}/actions/p/check"))[2]["limits"]["timeout"] == 900
             for method, target, status in (
-                    ("GET", f"{BASE}/actions/none", 404), ("POST", f"{BASE}/actions/check", 404),
-                    ("GET", "/api/v1/namespaces/two/actions", 403), ("GET", f"{BASE}/activations/nothing", 404),
-                    ("DELETE", f"{BASE}/actions/grant", 405), ("GET", "/elsewhere", 404)):
+                ("GET", f"{BASE}/actions/none", 404),
+                ("POST", f"{BASE}/actions/check", 404),
+                ("GET", "/api/v1/namespaces/two/actions", 403),
+                ("GET", f"{BASE}/activations/nothing", 404),
+                ("DELETE", f"{BASE}/actions/grant", 405),
+                ("GET", "/elsewhere", 404),
+            ):
                 got, _, body = await ask(method, target)
                 assert got == status and set(body) == {"error", "code"}, (method, target, got, body)
             for headers in ({"authorization": "Basic !!"}, auth(key="wrong"), auth(uuid="no"), {"authorization": ""}):
@@ -112,6 +121,7 @@
                 assert (await dispatcher.call("grant", raw=raw))[0] == 400
             for query in ("&timeout=0", "&timeout=99999999", "&result=yes"):
                 assert (await dispatcher.call("grant", query=query))[0] == 400
+
     run(main())
 
 
@@ -125,6 +135,7 @@
             record = await dispatcher.final(told["activationId"])
             assert verdict(record)["answer"] == "aborted" and record["end"] - record["start"] <= 900
             assert "may have run" in record["response"]["result"]["error"]
+
     run(main())
 
 
@@ -138,8 +149,12 @@
             timed = [h for h, b in told if b["retry_after_ms"]]
             assert timed and all(int(h["retry-after"]) >= 1 for h in timed)
             assert all(b["answer"] == "rejected" and b["code"] for _, b in told)
-            assert dispatcher.gateway.counts.taken == 60 == (
-                dispatcher.gateway.counts.rejected + dispatcher.gateway.counts.aborted)
+            assert (
+                dispatcher.gateway.counts.taken
+                == 60
+                == (dispatcher.gateway.counts.rejected + dispatcher.gateway.counts.aborted)
+            )
+
     run(main())
 
 
@@ -153,8 +168,12 @@
         async with place(later) as (dispatcher, (worker,)):
             sock = await connect(dispatcher.server.address)
             loop = asyncio.get_running_loop()
-            data = b"".join(encode_request("POST", f"{BASE}/actions/p/check?blocking=true&result=true", "x",
-                                           b'{"n":%d}' % n, auth()) for n in range(3))
+            data = b"".join(
+                encode_request(
+                    "POST", f"{BASE}/actions/p/check?blocking=true&result=true", "x", b'{"n":%d}' % n, auth()
+                )
+                for n in range(3)
+            )
             await loop.sock_sendall(sock, data + encode_request("GET", "/api/v1", "x"))
             while len(held) < 3:
                 await asyncio.sleep(0.01)
@@ -167,6 +186,7 @@
             places = [got.index(b'{"n":%d}' % n) for n in range(3)] + [got.index(b"invoke API")]
             assert places == sorted(places)
             sock.close()
+
     run(main())
 
 
@@ -181,7 +201,7 @@
             await loop.sock_sendall(sock, b'{"a":1}')
             assert (await read_reply(sock)).body == b'{"a":1}'
             await loop.sock_sendall(sock, f"{target}transfer-encoding: chunked\r\n\r\n".encode())
-            for chunk in (b"3\r\n{\"b\r\n", b"4\r\n\":2}\r\n", b"0\r\n\r\n"):
+            for chunk in (b'3\r\n{"b\r\n', b'4\r\n":2}\r\n', b"0\r\n\r\n"):
                 await asyncio.sleep(0.02)
                 await loop.sock_sendall(sock, chunk)
             assert (await read_reply(sock)).body == b'{"b":2}'
@@ -190,16 +210,20 @@
             assert reply.status == 413 and not reply.keep_alive
             assert await loop.sock_recv(sock, 100) == b""
             sock.close()
+
     run(main())
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"\x00\x01\x02\x03\r\n\r\n", 400),
-    (b"GET / HTTP/9.9\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab", 408),  # never the rest of it
-    (b"GET / HT", 408),
-    (b"GET /" + b"a" * 5000 + b" HTTP/1.1\r\n\r\n", 431),
-])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x00\x01\x02\x03\r\n\r\n", 400),
+        (b"GET / HTTP/9.9\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab", 408),  # never the rest of it
+        (b"GET / HT", 408),
+        (b"GET /" + b"a" * 5000 + b" HTTP/1.1\r\n\r\n", 431),
+    ],
+)
 def test_malformed_and_slow_requests_are_answered_and_closed(data: bytes, status: int) -> None:
     async def main() -> None:
         async with place(answer) as (dispatcher, _):
@@ -211,6 +235,7 @@
             assert await loop.sock_recv(sock, 100) == b""
             sock.close()
             assert (await dispatcher.call("grant"))[0] == 200
+
     run(main())
 
 
@@ -225,6 +250,7 @@
             assert (await read_reply(sock)).status == 400
             sock.close()
             assert dispatcher.gateway.counts.taken == 0
+
     run(main())
 
 
@@ -251,6 +277,7 @@
             answer(worker, *held[0])
             assert (await read_reply(half)).body == b'{"a":1}'
             half.close()
+
     run(main())
 
 
@@ -278,6 +305,7 @@
             sending.cancel()
             for sock in [*idle, slow]:
                 sock.close()
+
     run(main())
 
 
@@ -304,6 +332,7 @@
             await connect(dispatcher.server.address)
         kept.close()
         await worker.server.drain(0)
+
     run(main())
 
 
@@ -326,14 +355,18 @@
         assert status in (202, 429) and dispatcher.gateway.holdings.refused["namespace"] == 1, "there is room again"
         await dispatcher.server.drain(0)
         await worker.server.drain(0)
+
     run(main())
 
 
 def test_many_slow_readers_stay_within_the_bound_and_others_are_served() -> None:
     async def main() -> None:
         loop, noted = asyncio.get_running_loop(), []
-        server = HttpServer(lambda request, exchange: exchange.reply(200, b"x" * 500_000) and None,
-                            Limits(unread_bytes=5e6), lambda event, **_: noted.append(event))
+        server = HttpServer(
+            lambda request, exchange: exchange.reply(200, b"x" * 500_000) and None,
+            Limits(unread_bytes=5e6),
+            lambda event, **_: noted.append(event),
+        )
         server.listen("127.0.0.1", 0)
         ask, socks, most = encode_request("GET", "/", "x", b"") * 30, [], 0
         for _ in range(20):  # 300 MB asked for and not read; the system's own buffers take a part
@@ -354,6 +387,7 @@
         await asyncio.sleep(0.2)
         assert server.owed == 0, "nothing stays counted"
         await server.drain(0)
+
     run(main())
 
 
@@ -380,13 +414,17 @@
             await end.driver.drain(0)
             await end.server.drain(0)
         await worker.server.drain(0)
+
     run(main())
 
 
-@pytest.mark.parametrize(("action", "answered", "sends"), [("p/check", "completed", 2), ("activate", "completed", 2),
-                                                          ("grant", "aborted", 1)])
+@pytest.mark.parametrize(
+    ("action", "answered", "sends"),
+    [("p/check", "completed", 2), ("activate", "completed", 2), ("grant", "aborted", 1)],
+)
 def test_half_an_answer_may_have_run(action: str, answered: str, sends: int) -> None:
     """The worker's connection ends in the middle of its answer's body: what may not run twice is not sent again."""
+
     def half(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
         infer, payload = read_infer(request.body)
         if sum(len(w.sends) for w in workers) > 1:
@@ -407,7 +445,9 @@
             assert verdict(record)["answer"] == answered and (status == 200) == (answered == "completed")
             assert sum(len(w.sends) for w in made) == sends
             assert dispatcher.gateway.counts.outcomes == {Outcome.BROKEN: 1} | (
-                {Outcome.COMPLETED: 1} if sends == 2 else {})
+                {Outcome.COMPLETED: 1} if sends == 2 else {}
+            )
+
     run(main())
 
 
@@ -423,4 +463,5 @@
             await asyncio.sleep(0.05)
             again = (await dispatcher.ask("GET", f"{BASE}/activations/{record['activationId']}"))[2]
             assert again == record and len(worker.sends) == 1 and not dispatcher.gateway.in_hand
+
     run(main())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -60,8 +60,12 @@
         for due, order in [o for o in self.orders if o[0] <= now]:
             self.orders.remove((due, order))
             good = chance.random() < 0.8
-            gateway.told(now, order.order, Outcome.COMPLETED if good else chance.choice([Outcome.FULL, Outcome.SILENT]),
-                         order.order.count if good else 0)
+            gateway.told(
+                now,
+                order.order,
+                Outcome.COMPLETED if good else chance.choice([Outcome.FULL, Outcome.SILENT]),
+                order.order.count if good else 0,
+            )
         if chance.random() < 0.02 and self.taken:
             gateway.left(now, chance.choice(self.taken))
         if chance.random() < 0.01:
--- a/tests/test_inference.py
+++ b/tests/test_inference.py
@@ -47,8 +47,18 @@
 
 def test_the_generated_code_is_fresh(tmp_path: Path) -> None:
     folder = ROOT / "kelptrail" / "front" / "inference"
-    subprocess.run([sys.executable, "-m", "grpc_tools.protoc", f"-I{folder}", f"--python_out={tmp_path}",
-                    f"--pyi_out={tmp_path}", "inference.proto"], check=True)
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "grpc_tools.protoc",
+            f"-I{folder}",
+            f"--python_out={tmp_path}",
+            f"--pyi_out={tmp_path}",
+            "inference.proto",
+        ],
+        check=True,
+    )
     for name in ("inference_pb2.py", "inference_pb2.pyi"):
         assert (tmp_path / name).read_text() == (folder / name).read_text(), "run `make proto`"
 
@@ -59,9 +69,12 @@
 def test_messages_timeouts_and_trailers() -> None:
     reader = MessageReader(10)
     data = encode_message(b"abc") + encode_message(b"") + encode_message(b"0123456789")
-    assert [m for n in range(len(data)) for m in reader.feed(data[n:n + 1])] == [b"abc", b"", b"0123456789"]
-    for bad, code in ((b"\0\0\0\0\x0b", Code.RESOURCE_EXHAUSTED), (b"\x01\0\0\0\1x", Code.UNIMPLEMENTED),
-                      (b"\x07\0\0\0\1x", Code.INTERNAL)):
+    assert [m for n in range(len(data)) for m in reader.feed(data[n : n + 1])] == [b"abc", b"", b"0123456789"]
+    for bad, code in (
+        (b"\0\0\0\0\x0b", Code.RESOURCE_EXHAUSTED),
+        (b"\x01\0\0\0\1x", Code.UNIMPLEMENTED),
+        (b"\x07\0\0\0\1x", Code.INTERNAL),
+    ):
         with pytest.raises(GrpcError) as cause:
             MessageReader(10).feed(bad)
         assert cause.value.code is code
@@ -79,8 +92,13 @@
     return out
 
 
-SAMPLES = {"BOOL": [True, False], "BYTES": [b"a", b"\xff\0", b""], "FP32": [0.5, float("inf"), -1.0],
-           "FP64": [0.1, float("nan")], "FP16": [0.5, 2.0]}
+SAMPLES = {
+    "BOOL": [True, False],
+    "BYTES": [b"a", b"\xff\0", b""],
+    "FP32": [0.5, float("inf"), -1.0],
+    "FP64": [0.1, float("nan")],
+    "FP16": [0.5, 2.0],
+}
 
 
 @pytest.mark.parametrize("datatype", sorted(KINDS))
@@ -125,10 +143,12 @@
     for given, raw, text in [*faults, (wrong, None, "fp32_contents")]:
         with pytest.raises(TensorError, match=text):
             to_json(given, raw)
-    for kept, text in ((JsonTensor("t", "INT8", [1], ["1"]), "no INT8"),
-                       (JsonTensor("t", "BYTES", [1], [1]), "no text"),
-                       (JsonTensor("t", "FP32", [1], [[[1.0, 2.0]]]), "2 elements"),
-                       (JsonTensor("t", "FP32", [1], ["*"], {"raw": True}), "base64")):
+    for kept, text in (
+        (JsonTensor("t", "INT8", [1], ["1"]), "no INT8"),
+        (JsonTensor("t", "BYTES", [1], [1]), "no text"),
+        (JsonTensor("t", "FP32", [1], [[[1.0, 2.0]]]), "2 elements"),
+        (JsonTensor("t", "FP32", [1], ["*"], {"raw": True}), "base64"),
+    ):
         with pytest.raises(TensorError, match=text):
             values_of(kept)
     assert values_of(JsonTensor("t", "INT8", [2, 2], [[1, 2], [3, 4]])) == [1, 2, 3, 4], "nested lists are allowed"
@@ -137,8 +157,9 @@
 def test_seeded_garbage_ends_in_named_errors_only() -> None:
     chance = np.random.default_rng(5)
     inputs = [tensor("BYTES", [b"abc"]), tensor("FP32", [1.0, 2.0], name="u")]
-    whole = pb.ModelInferRequest(model_name="m", inputs=inputs,
-                                 raw_input_contents=[b"\0" * 7, b"\1\0\0\0x"]).SerializeToString()
+    whole = pb.ModelInferRequest(
+        model_name="m", inputs=inputs, raw_input_contents=[b"\0" * 7, b"\1\0\0\0x"]
+    ).SerializeToString()
     refused = taken = 0
     for _ in range(3000):
         data = bytearray(whole)
@@ -186,26 +207,39 @@
         self.metadata = list((auth() if who is None else who).items())
 
     def method(self, name: str, answers: Any) -> Any:
-        return self.channel.unary_unary(f"/inference.GRPCInferenceService/{name}",
-                                        lambda m: m.SerializeToString(), answers.FromString)
-
-    async def infer(self, model: str, inputs: list[Any] | None = None, timeout: float | None = None,
-                    raw: list[bytes] | None = None, id_: str = "1", **parameters: Any) -> Any:
+        return self.channel.unary_unary(
+            f"/inference.GRPCInferenceService/{name}", lambda m: m.SerializeToString(), answers.FromString
+        )
+
+    async def infer(
+        self,
+        model: str,
+        inputs: list[Any] | None = None,
+        timeout: float | None = None,
+        raw: list[bytes] | None = None,
+        id_: str = "1",
+        **parameters: Any,
+    ) -> Any:
         request = ask(model, inputs, raw, id_, **parameters)
         return await self.method("ModelInfer", pb.ModelInferResponse)(request, timeout=timeout, metadata=self.metadata)
 
     def stream(self, requests: AsyncIterator[Any] | list[Any], timeout: float | None = None) -> Any:
-        method = self.channel.stream_stream("/inference.GRPCInferenceService/ModelStreamInfer",
-                                            lambda m: m.SerializeToString(), pb.ModelStreamInferResponse.FromString)
+        method = self.channel.stream_stream(
+            "/inference.GRPCInferenceService/ModelStreamInfer",
+            lambda m: m.SerializeToString(),
+            pb.ModelStreamInferResponse.FromString,
+        )
 
         async def all_of() -> AsyncIterator[Any]:
             for request in requests:  # type: ignore[union-attr]
                 yield request
+
         return method(all_of() if isinstance(requests, list) else requests, timeout=timeout, metadata=self.metadata)
 
 
-def ask(model: str, inputs: list[Any] | None = None, raw: list[bytes] | None = None, id_: str = "1",
-        **parameters: Any) -> Any:
+def ask(
+    model: str, inputs: list[Any] | None = None, raw: list[bytes] | None = None, id_: str = "1", **parameters: Any
+) -> Any:
     request = pb.ModelInferRequest(model_name=model, id=id_, inputs=inputs or [], raw_input_contents=raw or [])
     for name, value in parameters.items():
         kind = {bool: "bool_param", int: "int64_param", str: "string_param", float: "double_param"}[type(value)]
@@ -220,8 +254,10 @@
     if packed is None:
         return cause.code().name, None, "", {}
     import base64
-    _, _, retry, reason, more = read_trailers({"grpc-status": str(cause.code().value[0]),
-                                               "grpc-status-details-bin": base64.b64encode(packed).decode()})
+
+    _, _, retry, reason, more = read_trailers(
+        {"grpc-status": str(cause.code().value[0]), "grpc-status-details-bin": base64.b64encode(packed).decode()}
+    )
     return cause.code().name, retry, reason, more
 
 
@@ -240,41 +276,49 @@
             assert out.id == "7" and out.model_name == "p/check" and not out.raw_output_contents
             assert list(out.outputs[0].contents.fp32_contents) == [0.5, 2.0]
             assert list(out.outputs[1].contents.bytes_contents) == [b"\xff"]
-            record = (await dispatcher.ask("GET", f"{BASE}/activations/{out.parameters['activation_id'].string_param}"))
+            record = await dispatcher.ask("GET", f"{BASE}/activations/{out.parameters['activation_id'].string_param}")
             assert record[0] == 200 and record[2]["name"] == "check", "the first front shows it, too"
             made = pb.ModelInferRequest.InferInputTensor(name="r", datatype="INT16", shape=[2, 1])
             out = await client.infer("p/check", [made], raw=[b"\1\0\2\0"], temperature=0.5)
             assert list(out.raw_output_contents) == [b"\1\0\2\0"] and list(out.outputs[0].shape) == [2, 1]
             assert worker.sends[-1][1]["temperature"] == 0.5, "a caller's own parameters go along"
             for name, request, kind, field in (
-                    ("ServerLive", pb.ServerLiveRequest(), pb.ServerLiveResponse, "live"),
-                    ("ServerReady", pb.ServerReadyRequest(), pb.ServerReadyResponse, "ready"),
-                    ("ModelReady", pb.ModelReadyRequest(name="grant"), pb.ModelReadyResponse, "ready"),
-                    ("ServerMetadata", pb.ServerMetadataRequest(), pb.ServerMetadataResponse, "name"),
-                    ("ModelMetadata", pb.ModelMetadataRequest(name="grant"), pb.ModelMetadataResponse, "inputs")):
+                ("ServerLive", pb.ServerLiveRequest(), pb.ServerLiveResponse, "live"),
+                ("ServerReady", pb.ServerReadyRequest(), pb.ServerReadyResponse, "ready"),
+                ("ModelReady", pb.ModelReadyRequest(name="grant"), pb.ModelReadyResponse, "ready"),
+                ("ServerMetadata", pb.ServerMetadataRequest(), pb.ServerMetadataResponse, "name"),
+                ("ModelMetadata", pb.ModelMetadataRequest(name="grant"), pb.ModelMetadataResponse, "inputs"),
+            ):
                 got = await client.method(name, kind)(request, metadata=client.metadata)
                 assert getattr(got, field), name
             for call, code in (
-                    (client.infer("nobody"), "NOT_FOUND"),
-                    (client.infer("grant", [tensor("INT8", [300])]), "INVALID_ARGUMENT"),
-                    (client.infer("grant", [tensor("INT8", [1]), tensor("INT8", [1])]), "INVALID_ARGUMENT"),
-                    (client.infer("grant", [tensor("INT8", [1])], raw=[b"", b""]), "INVALID_ARGUMENT"),
-                    (client.infer("grant", idempotency_key=""), "INVALID_ARGUMENT"),
-                    (client.infer("grant", deferred=3), "INVALID_ARGUMENT"),
-                    (client.method("ModelHop", pb.ModelInferResponse)(ask("grant"), metadata=client.metadata),
-                     "UNIMPLEMENTED"),
-                    (Client(dispatcher.grpc.address, {}).infer("grant"), "UNAUTHENTICATED"),
-                    (Client(dispatcher.grpc.address, auth(key="no")).infer("grant"), "UNAUTHENTICATED")):
+                (client.infer("nobody"), "NOT_FOUND"),
+                (client.infer("grant", [tensor("INT8", [300])]), "INVALID_ARGUMENT"),
+                (client.infer("grant", [tensor("INT8", [1]), tensor("INT8", [1])]), "INVALID_ARGUMENT"),
+                (client.infer("grant", [tensor("INT8", [1])], raw=[b"", b""]), "INVALID_ARGUMENT"),
+                (client.infer("grant", idempotency_key=""), "INVALID_ARGUMENT"),
+                (client.infer("grant", deferred=3), "INVALID_ARGUMENT"),
+                (
+                    client.method("ModelHop", pb.ModelInferResponse)(ask("grant"), metadata=client.metadata),
+                    "UNIMPLEMENTED",
+                ),
+                (Client(dispatcher.grpc.address, {}).infer("grant"), "UNAUTHENTICATED"),
+                (Client(dispatcher.grpc.address, auth(key="no")).infer("grant"), "UNAUTHENTICATED"),
+            ):
                 assert (await fails(call))[0] == code
             await client.channel.close()
+
     run(main())
 
 
-@pytest.mark.parametrize(("script", "action", "code", "reason"), [
-    (refuse("full"), "p/check", "RESOURCE_EXHAUSTED", "REJECTED"),
-    (reset, "grant", "ABORTED", "MAY_HAVE_RUN"),
-    (silent, "grant", "DEADLINE_EXCEEDED", "MAY_HAVE_RUN"),
-])
+@pytest.mark.parametrize(
+    ("script", "action", "code", "reason"),
+    [
+        (refuse("full"), "p/check", "RESOURCE_EXHAUSTED", "REJECTED"),
+        (reset, "grant", "ABORTED", "MAY_HAVE_RUN"),
+        (silent, "grant", "DEADLINE_EXCEEDED", "MAY_HAVE_RUN"),
+    ],
+)
 def test_the_three_final_answers_and_what_retrying_would_risk(script: Any, action: str, code: str, reason: str) -> None:
     async def main() -> None:
         async with place(script) as (dispatcher, _):
@@ -285,6 +329,7 @@
             if why == "MAY_HAVE_RUN":
                 assert "second effect" in more["retrying"] and more["effect"] == "once-only"
             await client.channel.close()
+
     run(main())
 
 
@@ -339,6 +384,7 @@
             other = Client(dispatcher.grpc.address, auth("00000000-0000-0000-0000-000000000002", "k2"))
             assert (await fails(other.infer("p/check", poll=id_)))[0] == "NOT_FOUND", "a namespace sees its own"
             await client.channel.close()
+
     run(main())
 
 
@@ -346,8 +392,11 @@
 
 
 def numbers(responses: list[Any]) -> list[int]:
-    return [r.infer_response.outputs[0].contents.int_contents[0] for r in responses
-            if not r.infer_response.parameters["final_response"].bool_param]
+    return [
+        r.infer_response.outputs[0].contents.int_contents[0]
+        for r in responses
+        if not r.infer_response.parameters["final_response"].bool_param
+    ]
 
 
 def test_streams_carry_many_parts_for_many_requests_at_once() -> None:
@@ -373,6 +422,7 @@
             assert bad.error_message.startswith("NOT_FOUND")
             assert bad.infer_response.parameters["final_response"].bool_param
             await client.channel.close()
+
     run(main())
 
 
@@ -395,17 +445,20 @@
         await dispatcher.driver.drain(0)
         for worker in workers:
             await worker.server.drain(0)
+
     run(main())
 
 
 def test_a_stream_cut_off_long_after_its_first_part_was_not_late() -> None:
     """Guards against telling a deadline where a worker broke off: a stream has a time of its own."""
+
     async def main() -> None:
         async with place(parts(12, 0.1, "cut")) as (dispatcher, _):  # 1.2 s, its type has 900 ms to the first part
             client = Client(dispatcher.grpc.address)
             out = [r async for r in client.stream([ask("grant")])]
             assert numbers(out[:-1]) == list(range(12)) and out[-1].error_message.startswith("ABORTED")
             await client.channel.close()
+
     run(main())
 
 
@@ -417,12 +470,14 @@
             def first_breaks(worker: Any, request: Any, exchange: Any) -> None:
                 sent.append(worker)
                 (reset if len(sent) == 1 else parts(2))(worker, request, exchange)
+
             for worker in workers:
                 worker.script = first_breaks
             client = Client(dispatcher.grpc.address)
             out = [r async for r in client.stream([ask("p/check")])]
             assert numbers(out) == [0, 1] and len(sent) == 2
             await client.channel.close()
+
     run(main())
 
 
@@ -445,6 +500,7 @@
             while dispatcher.gateway.in_hand:
                 await asyncio.sleep(0.01)
             await client.channel.close()
+
     run(main())
 
 
@@ -465,6 +521,7 @@
             assert len(out) == 400 and out[-1].infer_response.parameters["final_response"].bool_param, "399 and the end"
             assert dispatcher.gateway.counts.completed == 1
             await client.channel.close()
+
     run(main())
 
 
@@ -482,14 +539,18 @@
             assert worker.given <= given + 1 < 100 and not dispatcher.gateway.in_hand
             assert dispatcher.gateway.counts.aborted == 1
             await client.channel.close()
+
     run(main())
 
 
 @pytest.mark.processes
 def test_a_thousand_streams_at_once() -> None:
-    settings = parse(DEPLOYMENT.replace("(lanes 4)", "(lanes 2000)")
-                     .replace("(timeout-ms 900)", "(timeout-ms 55000) (stall-ms 55000)")
-                     .replace("(pool (connect-ms 150))", "(pool (connect-ms 9000) (connections 1200))"), "t")
+    settings = parse(
+        DEPLOYMENT.replace("(lanes 4)", "(lanes 2000)")
+        .replace("(timeout-ms 900)", "(timeout-ms 55000) (stall-ms 55000)")
+        .replace("(pool (connect-ms 150))", "(pool (connect-ms 9000) (connections 1200))"),
+        "t",
+    )
 
     async def main() -> None:
         all_open = asyncio.Event()  # no worker goes on past its first part before
@@ -520,6 +581,7 @@
         await dispatcher.driver.drain(0)
         for worker in workers:
             await worker.server.drain(0)
+
     run(main(), 60)
 
 
@@ -531,8 +593,9 @@
 
     def __init__(self, sock: Any) -> None:
         self.sock, self.events = sock, list[Any]()
-        self.h2 = h2.connection.H2Connection(H2Configuration(client_side=True, header_encoding="utf-8",
-                                                             validate_outbound_headers=False))
+        self.h2 = h2.connection.H2Connection(
+            H2Configuration(client_side=True, header_encoding="utf-8", validate_outbound_headers=False)
+        )
         self.h2.initiate_connection()
         self.loop = asyncio.get_running_loop()
 
@@ -557,11 +620,27 @@
                 self.events += self.h2.receive_data(bytes(buffer[:count]))
                 await self.flush()
 
-    def call(self, id_: int, path: str = "/inference.GRPCInferenceService/ServerLive", end: bool = True,
-             data: bytes | None = None, **headers: str) -> None:
-        self.h2.send_headers(id_, [(":method", "POST"), (":scheme", "http"), (":path", path), (":authority", "x"),
-                                   ("content-type", "application/grpc"), ("te", "trailers"), *auth().items(),
-                                   *headers.items()])
+    def call(
+        self,
+        id_: int,
+        path: str = "/inference.GRPCInferenceService/ServerLive",
+        end: bool = True,
+        data: bytes | None = None,
+        **headers: str,
+    ) -> None:
+        self.h2.send_headers(
+            id_,
+            [
+                (":method", "POST"),
+                (":scheme", "http"),
+                (":path", path),
+                (":authority", "x"),
+                ("content-type", "application/grpc"),
+                ("te", "trailers"),
+                *auth().items(),
+                *headers.items(),
+            ],
+        )
         if data is not None or end:
             self.h2.send_data(id_, encode_message(b"") if data is None else data, end_stream=end)
 
@@ -573,6 +652,7 @@
         def whole() -> None:
             stream.send(b"ok")
             stream.finish()
+
         stream.on_end = whole
 
     server = GrpcServer(handler or live, GrpcLimits(**limits), log.warning)
@@ -607,6 +687,7 @@
             assert server.connections == 0 and server.streams == 0
             raw.sock.close()
             await server.drain(0)
+
     run(main())
 
 
@@ -617,8 +698,9 @@
         raw.call(1, data=encode_message(b"x" * 1001), end=False)
         raw.call(3, data=b"\0\0\0\0\5ab")
         raw.call(5, end=False, data=b"\0\0\0")  # never whole
-        raw.h2.send_headers(7, [(":method", "GET"), (":scheme", "http"), (":path", "/"), (":authority", "x")],
-                            end_stream=True)
+        raw.h2.send_headers(
+            7, [(":method", "GET"), (":scheme", "http"), (":path", "/"), (":authority", "x")], end_stream=True
+        )
         raw.call(9, **{"grpc-timeout": "soon"})
         raw.call(11, **{"grpc-encoding": "gzip"})
         await raw.flush()
@@ -650,6 +732,7 @@
         assert await good.read(h2.events.TrailersReceived) is not None, "others are served"
         good.sock.close()
         await server.drain(0)
+
     run(main())
 
 
@@ -680,6 +763,7 @@
         assert b"\0\0\4\3\0\0\0\0\3\0\0\0\7" in frames, "RST_STREAM of stream 3 with REFUSED_STREAM"
         raw.sock.close()
         await server.drain(0)
+
     run(main())
 
 
@@ -713,6 +797,7 @@
         raw.sock.close()
         await server.drain(0)
         assert server.owed == 0
+
     run(main())
 
 
@@ -732,6 +817,7 @@
             answer(*held[0])
             assert (await call).outputs and await drain
             await client.channel.close()
+
     run(main())
 
 
@@ -745,6 +831,7 @@
         assert event.ping_data == b"abcdefgh"
         raw.sock.close()
         await server.drain(0)
+
     run(main())
 
 
@@ -784,6 +871,7 @@
             client = Client(dispatcher.grpc.address)
             assert (await client.infer("p/check", [tensor("INT8", [1])])).outputs
             await client.channel.close()
+
     run(main())
 
 
@@ -792,6 +880,7 @@
     """Processes of their own: a place, one dispatcher; a worker's faults are set while calls run."""
     from kelptrail.settings.deployment import load
     from kelptrail.standin.place import Place
+
     file = str(ROOT / "examples" / "streams.sexp")
 
     async def main() -> None:
@@ -830,4 +919,5 @@
             await client.channel.close()
         finally:
             assert await made.stop()
+
     run(main())
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -86,9 +86,11 @@
 
 def test_the_command_line_shows_no_key(tmp_path: Path) -> None:
     def go(*words: str) -> tuple[int, str]:
-        done = subprocess.run([sys.executable, "-m", "kelptrail", "keys", *words], capture_output=True, text=True,
-                              check=False)
+        done = subprocess.run(
+            [sys.executable, "-m", "kelptrail", "keys", *words], capture_output=True, text=True, check=False
+        )
         return done.returncode, done.stdout + done.stderr
+
     folder = str(tmp_path / "a")
     assert go("init", folder)[0] == 0 and go("init", folder)[0] == 1
     assert go("issue", folder, "front", "--server", "--also", "127.0.0.1")[0] == 0
@@ -113,10 +115,13 @@
     for bad, word in ((three, "third"), ('(key-hash "md5:1")', "64 hex"), ("", "credentials")):
         with pytest.raises(SettingsError, match=word):
             parse(DEPLOYMENT.replace('(key "k1")', bad), "t")
-    for bad, word in (('(tls back (certificate "x"))', "one of"), ("(tls front)", "without a certificate"),
-                      ('(tls front (certificate "x") (peers required))', "authority"),
-                      ("(tls to-workers)", "without an authority"),
-                      ('(tls front (certificate "x")) (tls front (certificate "x"))', "again")):
+    for bad, word in (
+        ('(tls back (certificate "x"))', "one of"),
+        ("(tls front)", "without a certificate"),
+        ('(tls front (certificate "x") (peers required))', "authority"),
+        ("(tls to-workers)", "without an authority"),
+        ('(tls front (certificate "x")) (tls front (certificate "x"))', "again"),
+    ):
         with pytest.raises(SettingsError, match=word):
             parse(DEPLOYMENT.rstrip().removesuffix(")") + bad + ")", "t")
 
@@ -126,8 +131,10 @@
 
     def __init__(self, folder: Path, script: Any = answer) -> None:
         self.deployment, self.log = secure(folder), Silent()
-        keep = {side: tls_keeper(self.deployment, side, alpn, self.log) for side, alpn in (
-            ("front", ["http/1.1"]), ("to-workers", ["http/1.1"]), ("runners", ["http/1.1"]))}
+        keep = {
+            side: tls_keeper(self.deployment, side, alpn, self.log)
+            for side, alpn in (("front", ["http/1.1"]), ("to-workers", ["http/1.1"]), ("runners", ["http/1.1"]))
+        }
         self.h2 = tls_keeper(self.deployment, "front", ["h2"], self.log)
         self.keep = keep
         self.worker = ScriptedWorker("w0", script)
@@ -136,11 +143,15 @@
         self.dispatcher.driver.tls = keep["to-workers"].context  # type: ignore[union-attr]
         self.dispatcher.list([self.worker])
         callers = Callers(self.deployment)
-        self.http = HttpServer(self.dispatcher.api.handle, None, self.log.warning,
-                               keep["front"].context, callers.named)  # type: ignore[union-attr]
+        self.http = HttpServer(self.dispatcher.api.handle, None, self.log.warning, keep["front"].context, callers.named)  # type: ignore[union-attr]
         self.http.listen("127.0.0.1", 0)
-        self.grpc = GrpcServer(self.dispatcher.inference.handle, grpc_limits(self.deployment.inference),
-                               self.log.warning, self.h2.context, callers.named)  # type: ignore[union-attr]
+        self.grpc = GrpcServer(
+            self.dispatcher.inference.handle,
+            grpc_limits(self.deployment.inference),
+            self.log.warning,
+            self.h2.context,
+            callers.named,
+        )  # type: ignore[union-attr]
         self.grpc.listen("127.0.0.1", 0)
 
     async def end(self) -> None:
@@ -165,8 +176,9 @@
     out = []
     try:
         for _ in range(times):
-            writer.write(encode_request("POST", f"{BASE}/actions/p/check?blocking=true&result=true", "x", b'{"a":1}',
-                                        headers))
+            writer.write(
+                encode_request("POST", f"{BASE}/actions/p/check?blocking=true&result=true", "x", b'{"a":1}', headers)
+            )
             parser = ResponseReader(1 << 20)
             while (response := parser.feed(await reader.read(65536))) is None:
                 pass
@@ -191,12 +203,16 @@
         root = (tmp_path / "authority.pem").read_bytes()
         pem = (tmp_path / "caller-one.pem").read_bytes()
         for creds, metadata, good in (
-                (grpc.ssl_channel_credentials(root), list(auth().items()), True),
-                (grpc.ssl_channel_credentials(root, pem, pem), [], True),
-                (grpc.ssl_channel_credentials(root), [], False)):
+            (grpc.ssl_channel_credentials(root), list(auth().items()), True),
+            (grpc.ssl_channel_credentials(root, pem, pem), [], True),
+            (grpc.ssl_channel_credentials(root), [], False),
+        ):
             channel = grpc.aio.secure_channel(one.grpc.address, creds)
-            call = channel.unary_unary("/inference.GRPCInferenceService/ModelInfer", lambda m: m.SerializeToString(),
-                                       pb.ModelInferResponse.FromString)
+            call = channel.unary_unary(
+                "/inference.GRPCInferenceService/ModelInfer",
+                lambda m: m.SerializeToString(),
+                pb.ModelInferResponse.FromString,
+            )
             request = pb.ModelInferRequest(model_name="p/check", inputs=[tensor("INT8", [5])])
             if good:
                 assert list((await call(request, metadata=metadata)).outputs[0].contents.int_contents) == [5]
@@ -223,6 +239,7 @@
         assert sum(event == "handshake-failed" for event, _ in one.log.lines) >= 3
         assert (await https(one.http.address, context(tmp_path), auth()))[0].status == 200
         await one.end()
+
     run(main())
 
 
@@ -238,6 +255,7 @@
         response = (await https(one.http.address, context(tmp_path), auth()))[0]
         assert response.status == 429 and not one.worker.sends, "unreachable, so it never ran"
         await one.end()
+
     run(main())
 
 
@@ -276,6 +294,7 @@
         assert "tls-reloaded" in events and "tls-unusable" in events
         assert not any("PRIVATE" in str(line) for line in one.log.lines)
         await one.end()
+
     run(main())
 
 
@@ -305,8 +324,18 @@
     try:
         assert roster.stdout is not None
         at = json.loads(roster.stdout.readline())["address"]
-        words = ["--log-level", "debug", "--log-form", "json", "serve", str(file), "--roster", at, "--state",
-                 str(tmp_path / "s")]
+        words = [
+            "--log-level",
+            "debug",
+            "--log-form",
+            "json",
+            "serve",
+            str(file),
+            "--roster",
+            at,
+            "--state",
+            str(tmp_path / "s"),
+        ]
         server = subprocess.Popen([*program, *words], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
         assert server.stdout is not None
         said = json.loads(server.stdout.readline())
@@ -315,9 +344,11 @@
             one = "00000000-0000-0000-0000-000000000001"
             for header in (auth(one, key), auth(one, key + "x"), {"authorization": f"Basic {key}"}):
                 from program import exchange
+
                 await exchange(said["address"], encode_request("POST", f"{BASE}/actions/p/check", "x", b"{}", header))
                 with pytest.raises(grpc.aio.AioRpcError):
                     await Client(said["grpc"], header).infer("p/check", timeout=2)
+
         run(calls())
         server.terminate()
         _, log = server.communicate(timeout=20)
@@ -333,19 +364,28 @@
 # Streams on the first front.
 
 
-async def flow(dispatcher: Dispatcher, headers: dict[str, str] | None = None, action: str = "p/check",
-               query: str = "blocking=true") -> tuple[int, list[tuple[str, Any]], dict[str, str]]:
+async def flow(
+    dispatcher: Dispatcher, headers: dict[str, str] | None = None, action: str = "p/check", query: str = "blocking=true"
+) -> tuple[int, list[tuple[str, Any]], dict[str, str]]:
     from program import connect
+
     sock = await connect(dispatcher.server.address)
     loop, buffer, seen = asyncio.get_running_loop(), bytearray(65536), bytearray()
-    await loop.sock_sendall(sock, encode_request(
-        "POST", f"{BASE}/actions/{action}?{query}", "x", b"{}",
-        auth() | {"accept": "text/event-stream"} | (headers or {})))
+    await loop.sock_sendall(
+        sock,
+        encode_request(
+            "POST",
+            f"{BASE}/actions/{action}?{query}",
+            "x",
+            b"{}",
+            auth() | {"accept": "text/event-stream"} | (headers or {}),
+        ),
+    )
     parser = ResponseReader(1 << 20)
     parser.on_piece = seen.extend
     try:
         async with asyncio.timeout(5):
-            while (response := parser.feed(bytes(buffer[:await loop.sock_recv_into(sock, buffer)]))) is None:
+            while (response := parser.feed(bytes(buffer[: await loop.sock_recv_into(sock, buffer)]))) is None:
                 pass
     finally:
         sock.close()
@@ -378,17 +418,23 @@
             assert (await flow(dispatcher, action="grant"))[0] == 502
             assert (await flow(dispatcher, {"idempotency-key": "k"}))[0] == 400
             assert (await flow(dispatcher, query="blocking=false"))[0] == 400
+
     run(main())
 
 
 def test_a_client_that_leaves_a_stream_calls_its_worker_off() -> None:
     async def main() -> None:
         from program import connect
+
         async with place(parts(1000, 0.01)) as (dispatcher, (worker,)):
             sock = await connect(dispatcher.server.address)
             loop = asyncio.get_running_loop()
-            await loop.sock_sendall(sock, encode_request("POST", f"{BASE}/actions/grant?blocking=true", "x", b"{}",
-                                                         auth() | {"accept": "text/event-stream"}))
+            await loop.sock_sendall(
+                sock,
+                encode_request(
+                    "POST", f"{BASE}/actions/grant?blocking=true", "x", b"{}", auth() | {"accept": "text/event-stream"}
+                ),
+            )
             await asyncio.sleep(0.2)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             sock.close()
@@ -396,13 +442,14 @@
             given = worker.given
             await asyncio.sleep(0.2)
             assert worker.given <= given + 1 and not dispatcher.gateway.in_hand
+
     run(main())
 
 
 def test_events_are_read_in_any_pieces_and_bounded() -> None:
     data = encode_event(b'{"a":1}', "part") + encode_event(b"x\ny") + b": a comment\n\n" + b"data:z\r\n\r\n"
     reader = EventReader(100)
-    assert [e for n in range(len(data)) for e in reader.feed(data[n:n + 1])] == [b'{"a":1}', b"x\ny", b"z"]
+    assert [e for n in range(len(data)) for e in reader.feed(data[n : n + 1])] == [b'{"a":1}', b"x\ny", b"z"]
     assert not reader.partial
     with pytest.raises(TooLongError):
         reader.feed(b"data: " + b"x" * 200)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -61,8 +61,9 @@
     engine = Engine()
     noted: list[tuple[str, dict[str, Any]]] = []
     store, ledger = LabStore(engine, deployment.store), dict[tuple[str, str], float]()
-    worker = LabWorker(engine, deployment, "w", "north", 0, store, ledger, 1, True,
-                       lambda what, **fields: noted.append((what, fields)))
+    worker = LabWorker(
+        engine, deployment, "w", "north", 0, store, ledger, 1, True, lambda what, **fields: noted.append((what, fields))
+    )
     action = deployment.actions["places/place-activate"]
     ends: list[Any] = []
     worker.send(action, "m", "a1", 0, "d", 1000.0, lambda outcome, _: ends.append(outcome))
@@ -183,17 +184,20 @@
     assert interval(np.array([3.0])) == (float("-inf"), float("inf"))
 
 
-@pytest.mark.parametrize(("text", "word"), [
-    ("(experiment x)", "no script"),
-    ('(experiment x (script "{d}") (variant v (set dispatcher.nothing 1)))', "a key"),
-    ('(experiment x (script "{d}") (variant v (set nothing.at-all 1)))', "a section"),
-    ('(experiment x (script "{d}") (variant v (set dispatcher.hall 1)))', "a value like"),
-    ('(experiment x (script "{d}") (variant v (seconds 1)))', "SECTION.KEY"),
-    ('(experiment x (script "{d}") (sweep load 1))', "SECTION.KEY"),
-    ('(experiment x (script "{d}") (seeds a))', "whole numbers"),
-    ('(experiment x (script "{d}") (hop 1))', "one of script"),
-    ("(trial x)", "one \\(experiment"),
-])
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("(experiment x)", "no script"),
+        ('(experiment x (script "{d}") (variant v (set dispatcher.nothing 1)))', "a key"),
+        ('(experiment x (script "{d}") (variant v (set nothing.at-all 1)))', "a section"),
+        ('(experiment x (script "{d}") (variant v (set dispatcher.hall 1)))', "a value like"),
+        ('(experiment x (script "{d}") (variant v (seconds 1)))', "SECTION.KEY"),
+        ('(experiment x (script "{d}") (sweep load 1))', "SECTION.KEY"),
+        ('(experiment x (script "{d}") (seeds a))', "whole numbers"),
+        ('(experiment x (script "{d}") (hop 1))', "one of script"),
+        ("(trial x)", "one \\(experiment"),
+    ],
+)
 def test_faults_of_experiments_are_named(text: str, word: str, tmp_path: Path) -> None:
     file = tmp_path / "x.sexp"
     file.write_text(text.replace("{d}", str(ROOT / "examples" / "bad-days" / "kills.sexp")))
@@ -215,8 +219,18 @@
     script said all of it (99th percentile 759 ms beside 2,640 on sockets)."""
     deployment = load(ROOT / "examples" / "nursery.sexp")
     engine, noted, ends = Engine(), list[tuple[str, dict[str, Any]]](), list[tuple[float, Any]]()
-    worker = LabWorker(engine, deployment, "w", "north", 0, LabStore(engine, deployment.store), {}, 1, True,
-                       lambda what, **fields: noted.append((what, fields)))
+    worker = LabWorker(
+        engine,
+        deployment,
+        "w",
+        "north",
+        0,
+        LabStore(engine, deployment.store),
+        {},
+        1,
+        True,
+        lambda what, **fields: noted.append((what, fields)),
+    )
     action = deployment.actions["places/place-check"]
     worker.order(action, 1, "d", lambda outcome, standing: None)
     engine.run(1000)
@@ -224,8 +238,9 @@
     pause = next(t for t in day.trouble if t.kind == "pause")  # 2 s
 
     def send(number: int) -> None:
-        worker.send(action, f"m{number}", f"a{number}", 0, "d", 5000.0,
-                    lambda outcome, _: ends.append((engine.now, outcome)))
+        worker.send(
+            action, f"m{number}", f"a{number}", 0, "d", 5000.0, lambda outcome, _: ends.append((engine.now, outcome))
+        )
 
     send(0)
     worker.fault("pause", pause)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -61,12 +61,20 @@
     last[0].heal(3000.0)
 
 
-@pytest.mark.parametrize(("budget", "faults", "length", "how"), [
-    (FULL, 0.12, 400, {}), (LATE, 0.3, 800, {}), (LOST, 0.3, 600, {}), (CHANGE, 0.1, 500, {"later": NEXT}),
-    (Budget(drops=5, delays=60, starts=3, runs=1), 0.1, 300, {"founded": False}),
-    (FULL, 0.12, 400, {"notes": True}), (LOST, 0.3, 600, {"notes": True}),
-    (CHANGE, 0.1, 500, {"later": NEXT, "notes": True}),
-], ids=["all", "late", "disk-lost", "set-changed", "founding", "notes", "notes-disk-lost", "notes-set-changed"])
+@pytest.mark.parametrize(
+    ("budget", "faults", "length", "how"),
+    [
+        (FULL, 0.12, 400, {}),
+        (LATE, 0.3, 800, {}),
+        (LOST, 0.3, 600, {}),
+        (CHANGE, 0.1, 500, {"later": NEXT}),
+        (Budget(drops=5, delays=60, starts=3, runs=1), 0.1, 300, {"founded": False}),
+        (FULL, 0.12, 400, {"notes": True}),
+        (LOST, 0.3, 600, {"notes": True}),
+        (CHANGE, 0.1, 500, {"later": NEXT, "notes": True}),
+    ],
+    ids=["all", "late", "disk-lost", "set-changed", "founding", "notes", "notes-disk-lost", "notes-set-changed"],
+)
 def test_walks_break_nothing_and_it_heals(budget: Budget, faults: float, length: int, how: dict[str, Any]) -> None:
     for seed in range(25):
         walk(seed, budget, faults, length, **how)
@@ -83,8 +91,9 @@
 
 
 class SaysBeforeDisk(Voter):
-    def _write(self, rows: tuple[Row, ...], memory: Memory | None = None, to: str = "",
-               reply: Message | None = None) -> None:
+    def _write(
+        self, rows: tuple[Row, ...], memory: Memory | None = None, to: str = "", reply: Message | None = None
+    ) -> None:
         super()._write(rows, memory, to)
         if reply is not None:
             self.out.append((to, reply))
@@ -98,8 +107,9 @@
 
 
 class VotesWithoutMemory(Voter):
-    def __init__(self, name: str, settings: LeaseSettings, now: float, memory: Memory | None,
-                 rows: tuple[Row, ...] = ()) -> None:
+    def __init__(
+        self, name: str, settings: LeaseSettings, now: float, memory: Memory | None, rows: tuple[Row, ...] = ()
+    ) -> None:
         super().__init__(name, settings, now, memory or Memory(settings.number, Stage.VOTING, False), rows)
 
 
@@ -151,17 +161,37 @@
 AGREE = ClocksAgree(("a", "b", "c"), **FIGURES)  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize(("budget", "faults", "length", "how"), [
-    (FULL, 0.12, 400, {"voter": GrantsWhatIsHeld}), (FULL, 0.12, 400, {"voter": SaysBeforeDisk}),
-    (FULL, 0.12, 400, {"voter": ForgetsGrants}), (LOST, 0.3, 600, {"voter": VotesWithoutMemory}),
-    (FULL, 0.12, 400, {"voter": GrantsOlder}),
-    (Budget(drops=20, delays=100), 0.2, 500, {"voter": ChangesAtOnce, "later": NEXT}),
-    (LATE, 0.3, 800, {"asker": CountsFromTheAnswer}), (LATE, 0.3, 800, {"asker": BelievesItsState}),
-    (FULL, 0.12, 400, {"asker": CountsOneVoterTwice}), (LATE, 0.3, 800, {"settings": AGREE}),
-    (Budget(releases=9, acts=40, delays=60), 0.1, 300, {"fenced": False}),
-    (FULL, 0.12, 400, {"asker": TakesOneForKept, "notes": True}),
-], ids=["held", "before-disk", "forgets", "no-memory", "older", "change", "from-answer", "state", "twice", "clocks",
-        "fence", "notes-one"])
+@pytest.mark.parametrize(
+    ("budget", "faults", "length", "how"),
+    [
+        (FULL, 0.12, 400, {"voter": GrantsWhatIsHeld}),
+        (FULL, 0.12, 400, {"voter": SaysBeforeDisk}),
+        (FULL, 0.12, 400, {"voter": ForgetsGrants}),
+        (LOST, 0.3, 600, {"voter": VotesWithoutMemory}),
+        (FULL, 0.12, 400, {"voter": GrantsOlder}),
+        (Budget(drops=20, delays=100), 0.2, 500, {"voter": ChangesAtOnce, "later": NEXT}),
+        (LATE, 0.3, 800, {"asker": CountsFromTheAnswer}),
+        (LATE, 0.3, 800, {"asker": BelievesItsState}),
+        (FULL, 0.12, 400, {"asker": CountsOneVoterTwice}),
+        (LATE, 0.3, 800, {"settings": AGREE}),
+        (Budget(releases=9, acts=40, delays=60), 0.1, 300, {"fenced": False}),
+        (FULL, 0.12, 400, {"asker": TakesOneForKept, "notes": True}),
+    ],
+    ids=[
+        "held",
+        "before-disk",
+        "forgets",
+        "no-memory",
+        "older",
+        "change",
+        "from-answer",
+        "state",
+        "twice",
+        "clocks",
+        "fence",
+        "notes-one",
+    ],
+)
 def test_rules_broken_on_purpose_are_found(budget: Budget, faults: float, length: int, how: dict[str, Any]) -> None:
     with pytest.raises(PropertyError, match=r"believe that they hold it|won under|was taken after|not told"):
         for seed in range(2000):
@@ -214,7 +244,7 @@
 def held(asker: Asker, now: float = 0.0) -> Token:
     asker.want(now, "t", 100.0)
     asker.tick(now)
-    while (questions := asked(asker)):
+    while questions := asked(asker):
         for to, ask in questions:
             asker.received(now, to, Granted("t", ask.token, ask.seq))
     won = asker.events.popleft()
@@ -367,17 +397,23 @@
 LAST = "dispatcher-3 dispatcher-4)\n"
 
 
-@pytest.mark.parametrize(("old", "new", "word"), [
-    (LAST, "dispatcher-3)\n", "three or five"),
-    (LAST, "dispatcher-3 dispatcher-9)\n", "a peer of this"),
-    (LAST, "dispatcher-3 dispatcher-3)\n", "different names"),
-    ("(longest-ms 2000)", "(longest-ms 1500)", "at least the length-ms"),
-    ("(length-ms 2000) (longest-ms 2000)", "(length-ms 500)", "four times the ask-ms"),
-    ("(ask-ms 150)", "(ask-ms 150) (number 2)", "(before NAME ...)"),
-    ("(ask-ms 150)", "(ask-ms 150) (number 2) (before dispatcher-0 dispatcher-1 dispatcher-2 other-3 other-4)",
-     "one voter replaced"),
-    ("(clock-bound 0.01)", "(clock-bound 0.5)", "from 0 to 0.2"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "word"),
+    [
+        (LAST, "dispatcher-3)\n", "three or five"),
+        (LAST, "dispatcher-3 dispatcher-9)\n", "a peer of this"),
+        (LAST, "dispatcher-3 dispatcher-3)\n", "different names"),
+        ("(longest-ms 2000)", "(longest-ms 1500)", "at least the length-ms"),
+        ("(length-ms 2000) (longest-ms 2000)", "(length-ms 500)", "four times the ask-ms"),
+        ("(ask-ms 150)", "(ask-ms 150) (number 2)", "(before NAME ...)"),
+        (
+            "(ask-ms 150)",
+            "(ask-ms 150) (number 2) (before dispatcher-0 dispatcher-1 dispatcher-2 other-3 other-4)",
+            "one voter replaced",
+        ),
+        ("(clock-bound 0.01)", "(clock-bound 0.5)", "from 0 to 0.2"),
+    ],
+)
 def test_settings_that_cannot_be_are_refused_with_their_line(old: str, new: str, word: str) -> None:
     assert old in FLEET
     with pytest.raises(SettingsError) as caught:
@@ -386,21 +422,39 @@
 
 
 def test_one_voter_may_be_replaced_and_two_may_come_or_go() -> None:
-    for before in ("dispatcher-0 dispatcher-1 dispatcher-2 dispatcher-3 dispatcher-9",
-                   "dispatcher-0 dispatcher-1 dispatcher-2"):
+    for before in (
+        "dispatcher-0 dispatcher-1 dispatcher-2 dispatcher-3 dispatcher-9",
+        "dispatcher-0 dispatcher-1 dispatcher-2",
+    ):
         made = parse(FLEET.replace("(ask-ms 150)", f"(ask-ms 150) (number 2) (before {before})"), "fleet.sexp")
         assert made.leases is not None and made.leases.number == 2
     assert load(ROOT / "examples" / "season.sexp").leases is not None
 
 
 def act(t: float, token: int, looked: float, by: str = "d", taken: bool = True, what: str = "act") -> dict[str, Any]:
-    return {"t": t, "who": "witness", "what": what, "task": "t", "token": [token, by], "by": by, "looked": looked,
-            "taken": taken}
+    return {
+        "t": t,
+        "who": "witness",
+        "what": what,
+        "task": "t",
+        "token": [token, by],
+        "by": by,
+        "looked": looked,
+        "taken": taken,
+    }
 
 
 def test_the_audit_sees_two_holders_and_old_tokens_in_captures_alone() -> None:
-    world = {"t": 0.0, "who": "player", "what": "world", "types": [], "kept": True, "names": [], "clock_bound": 0.01,
-             "rules": {"drain_grace_ms": 1, "tip": 1, "tip_ms": 1, "load_span_ms": 0}}
+    world = {
+        "t": 0.0,
+        "who": "player",
+        "what": "world",
+        "types": [],
+        "kept": True,
+        "names": [],
+        "clock_bound": 0.01,
+        "rules": {"drain_grace_ms": 1, "tip": 1, "tip_ms": 1, "load_span_ms": 0},
+    }
     good = [act(10, 1, 9), act(20, 1, 19, what="done"), act(30, 2, 29, "e"), act(40, 1, 19, taken=False)]
     verdict = judge([world, *good])
     assert not verdict.broken and verdict.old_tokens_refused == 1 and verdict.acts == 3
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -9,8 +9,20 @@
 
 from kelptrail.gateway.lifecycle import LEGAL, IllegalStepError, Need, Passage, Safe, Stage
 
-EVENTS = ("queue", "decide", "go", "drop", "back", "ask_record", "lasts", "finish", "show", "show-late", "forget",
-          *(f"{need.value}:{word}" for need, word in product(Need, ("safe", "failed"))))
+EVENTS = (
+    "queue",
+    "decide",
+    "go",
+    "drop",
+    "back",
+    "ask_record",
+    "lasts",
+    "finish",
+    "show",
+    "show-late",
+    "forget",
+    *(f"{need.value}:{word}" for need, word in product(Need, ("safe", "failed"))),
+)
 FIELDS = ("repeatable", "kept", "owed", "stage", "record", "may_run", "end", "held", "out", "sends")
 DEPTH, MOST_SENDS = 12, 2
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -52,6 +52,7 @@
 def test_shapes_keep_their_rate_and_have_their_shape(span: float) -> None:
     def counts(times: np.ndarray) -> np.ndarray:
         return np.histogram(times, np.arange(0, 2101))[0]
+
     plain = counts(drawn(shaped("poisson"), 2100, span=span))
     assert plain.mean() == pytest.approx(200, rel=0.02) and 0.85 < plain.var() / plain.mean() < 1.15
     wave = counts(drawn(shaped("diurnal", period=60.0, swing=0.8), 2100, span=span)).reshape(-1, 60).mean(axis=0)
@@ -88,17 +89,29 @@
     assert [again(h, Heard.REJECTED, "once-only", 900, 400) for h in (heeds, half, none)] == [400, 200, 0]
     assert again(heeds, Heard.REJECTED, "deduplicated", 900, 400, 1000) is None, "the mark would be forgotten"
     assert again(heeds, Heard.REJECTED, "deduplicated", 900, 400, 1400) == 400
-    for effect, heard, wait in (("repeatable", Heard.ABORTED, 100), ("deduplicated", Heard.ABORTED, None),
-                                ("once-only", Heard.LOST, None), ("repeatable", Heard.LOST, 200),
-                                ("once-only", Heard.NOT_TAKEN, 50), ("repeatable", Heard.COMPLETED, None)):
+    for effect, heard, wait in (
+        ("repeatable", Heard.ABORTED, 100),
+        ("deduplicated", Heard.ABORTED, None),
+        ("once-only", Heard.LOST, None),
+        ("repeatable", Heard.LOST, 200),
+        ("once-only", Heard.NOT_TAKEN, 50),
+        ("repeatable", Heard.COMPLETED, None),
+    ):
         assert again(Habits(), heard, effect, 900) == wait
     assert again(heeds, Heard.NOT_TAKEN, "repeatable", 900, 700) == 700
     assert again(heeds, Heard.NOT_TAKEN, "repeatable", 900, 700, since_ms=3000) is None
 
 
-@pytest.mark.parametrize(("text", "word"), [
-    ("(shape sawtooth)", "one of poisson"), ("(heed 0.8) (half-heed 0.3)", "1 at most"),
-    ("(shape trace)", "a recording"), ("(shape heavy) (tail 1)", "from 1.05"), ("(clients 0)", "from 1")])
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("(shape sawtooth)", "one of poisson"),
+        ("(heed 0.8) (half-heed 0.3)", "1 at most"),
+        ("(shape trace)", "a recording"),
+        ("(shape heavy) (tail 1)", "from 1.05"),
+        ("(clients 0)", "from 1"),
+    ],
+)
 def test_faults_of_loads_are_named(text: str, word: str, tmp_path: Path) -> None:
     file = tmp_path / "x.sexp"
     file.write_text(f'(bad-day x (deployment "{ROOT}/examples/nursery.sexp") (seconds 5) (load (rate 5) {text}))')
@@ -121,6 +134,7 @@
 def test_the_tool_counts_a_stall_against_every_call_that_came_due_in_it(tmp_path: Path) -> None:
     """Coordinated omission: one connection, a worker that stalls once; a tool that measured from the send would show
     a single slow call."""
+
     async def main() -> None:
         stalls = [0.5]
 
@@ -129,13 +143,19 @@
                 asyncio.get_running_loop().call_later(stalls.pop(), answer, worker, request, exchange)
             else:
                 answer(worker, request, exchange)
+
         dispatcher = Dispatcher([ScriptedWorker("w", script)])
         day = BadDay("x", "", 1.5, 1, 1, 1, 0, "program", [shaped("poisson", 60.0, action="p/check", deferred=0.2)], [])
-        hand = Hand(day, dispatcher.deployment, HandSettings((dispatcher.server.address,), 0, 1, 5, 0.3, 1),
-                    now_ms() + 50)
+        hand = Hand(
+            day, dispatcher.deployment, HandSettings((dispatcher.server.address,), 0, 1, 5, 0.3, 1), now_ms() + 50
+        )
         tally = await hand.play()
-        slow = sum(1 for item in tally.took["check"].get_recorded_iterator()
-                   for _ in range(item.count_at_value_iterated_to) if item.value_iterated_to > 100_000)
+        slow = sum(
+            1
+            for item in tally.took["check"].get_recorded_iterator()
+            for _ in range(item.count_at_value_iterated_to)
+            if item.value_iterated_to > 100_000
+        )
         assert slow >= 10, "some 30 came due in the stall"
         assert tally.made > 5, "calls that close their connection"
         found = [msgspec.json.decode(msgspec.json.encode(packed(tally))) for _ in range(2)]
@@ -150,4 +170,5 @@
         assert {r["name"] for r in read(tmp_path, "spread")} >= {"check"}
         await dispatcher.server.drain(500)
         await dispatcher.driver.drain(500)
+
     run(main())
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -25,18 +25,28 @@
 
 
 def start(*words: str) -> tuple[subprocess.Popen[str], dict[str, Any]]:
-    process = subprocess.Popen([sys.executable, "-m", "kelptrail", *words], cwd=ROOT, text=True,
-                               stdout=subprocess.PIPE, stderr=subprocess.PIPE, start_new_session=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "kelptrail", *words],
+        cwd=ROOT,
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        start_new_session=True,
+    )
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())
 
 
 def ask(ready: dict[str, Any], method: str, target: str, body: Any = None) -> tuple[int, Any]:
     request = urllib.request.Request(
-        f"{ready['invoke']}/api/v1/namespaces/_/{target}", method=method,
+        f"{ready['invoke']}/api/v1/namespaces/_/{target}",
+        method=method,
         data=None if body is None else json.dumps(body).encode(),
-        headers={"authorization": "Basic " + base64.b64encode(ready["auth"].encode()).decode(),
-                 "content-type": "application/json"})
+        headers={
+            "authorization": "Basic " + base64.b64encode(ready["auth"].encode()).decode(),
+            "content-type": "application/json",
+        },
+    )
     try:
         with urllib.request.urlopen(request, timeout=10) as reply:
             return reply.status, json.loads(reply.read())
@@ -47,8 +57,7 @@
 def test_the_demo_serves_every_effect_and_drains_what_it_took() -> None:
     process, ready = start("demo", "--quiet-logs")
     try:
-        assert ready["ready"] and {a["effect"] for a in ready["actions"]} == {
-            "repeatable", "deduplicated", "once-only"}
+        assert ready["ready"] and {a["effect"] for a in ready["actions"]} == {"repeatable", "deduplicated", "once-only"}
         first = {a["effect"]: a for a in reversed(ready["actions"])}
         for action in first.values():
             path = f"{action['package']}/{action['name']}" if action["package"] else action["name"]
@@ -56,8 +65,19 @@
             assert status == 200 and record["response"]["result"]["echo"] == {"family": 7}
         status, told = ask(ready, "POST", "actions/grant", {"family": 8})
         assert status == 202
-        command = [sys.executable, "-m", "kelptrail", "poll", told["activationId"], "--within", "5",
-                   "--url", ready["invoke"], "--auth", ready["auth"]]
+        command = [
+            sys.executable,
+            "-m",
+            "kelptrail",
+            "poll",
+            told["activationId"],
+            "--within",
+            "5",
+            "--url",
+            ready["invoke"],
+            "--auth",
+            ready["auth"],
+        ]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
         assert done.returncode == 0 and json.loads(done.stdout)["activationId"] == told["activationId"]
     finally:
@@ -105,8 +125,14 @@
     """Some 200 calls are in hand or deferred at the killed dispatcher's end; it starts with its last list only."""
     script, out = tmp_path / "short.sexp", tmp_path / "out"
     script.write_text(SCRIPT.format(root=ROOT))
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)], cwd=ROOT,
-                          capture_output=True, text=True, timeout=90, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
     assert done.returncode == 0, done.stdout + done.stderr
     report = json.loads((out / "report.json").read_text())
     assert report["taken"] > 800 and not report["broken"] and report["unanswered"] == 0
@@ -126,8 +152,14 @@
 def test_a_dispatcher_killed_with_two_hundred_calls_in_hand_serves_again_from_its_last_list(tmp_path: Path) -> None:
     script, out = tmp_path / "killed.sexp", tmp_path / "out"
     script.write_text(KILLED.format(root=ROOT))
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)], cwd=ROOT,
-                          capture_output=True, text=True, timeout=90, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
     report = json.loads((out / "report.json").read_text())
     assert done.returncode == 0 and not report["broken"], report["details"]
     assert report["lost_with_dispatcher"] >= 150, "in hand when it was killed"
@@ -139,19 +171,44 @@
 def test_settings_with_faults_end_in_exit_2_with_each_named(tmp_path: Path) -> None:
     bad = tmp_path / "bad.sexp"
     bad.write_text("(deployment d\n (type t (effect never))\n (what 1))")
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "check", str(bad)], cwd=ROOT, capture_output=True,
-                          text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "check", str(bad)], cwd=ROOT, capture_output=True, text=True, check=False
+    )
     assert done.returncode == 2 and f"{bad}:2:" in done.stderr and f"{bad}:3:" in done.stderr
 
 
-ENV = {"balancers": 2, "failure_domains": ["a", "b"], "customers": [{"name": "c", "allowance_per_s": 10.0}],
-       "classes": [{"name": "t", "effect": "free", "aim_us": 500000, "give_up_us": 5000000, "gain": 2.0,
-                    "late_worth": 0.3, "key_scope": "all", "window_us": 0}],
-       "rules": {"stop_sending_within_us": 500000, "tip_multiple": 3.0, "fall_us": 3000000, "start_capacity": 0.2,
-                 "cold_us": 17000000},
-       "specifics": {"machine_mb": [4000.0], "free_loads": 6.0, "load_share": 0.3, "load_span_us": 10000000,
-                     "idle_life_us": 8000000},
-       "bounds": {"parallel_tries": True, "max_attempts": 6, "may_cancel": True, "max_retry_after_us": 500000}}
+ENV = {
+    "balancers": 2,
+    "failure_domains": ["a", "b"],
+    "customers": [{"name": "c", "allowance_per_s": 10.0}],
+    "classes": [
+        {
+            "name": "t",
+            "effect": "free",
+            "aim_us": 500000,
+            "give_up_us": 5000000,
+            "gain": 2.0,
+            "late_worth": 0.3,
+            "key_scope": "all",
+            "window_us": 0,
+        }
+    ],
+    "rules": {
+        "stop_sending_within_us": 500000,
+        "tip_multiple": 3.0,
+        "fall_us": 3000000,
+        "start_capacity": 0.2,
+        "cold_us": 17000000,
+    },
+    "specifics": {
+        "machine_mb": [4000.0],
+        "free_loads": 6.0,
+        "load_share": 0.3,
+        "load_span_us": 10000000,
+        "idle_life_us": 8000000,
+    },
+    "bounds": {"parallel_tries": True, "max_attempts": 6, "may_cancel": True, "max_retry_after_us": 500000},
+}
 
 
 def tap(file: Path) -> None:
@@ -164,15 +221,44 @@
     entry = {"az": 0, "shape": 0, "stripe": 0, "readiness": "live", "capacity_hint": 1, "last_start_us": None}
     table = {"Manifest": {"table": 0, "records": [{"runner": f"w{n}", **entry} for n in range(3)]}}
     for name in ("d0", "d1"):
-        batch(100, {"Hello": {"i": name, "nonce64": 1, "env": ENV}}, table,
-              {"Membership": {"i": name, "how": "C", "stamp": 1, "table": 0}})
+        batch(
+            100,
+            {"Hello": {"i": name, "nonce64": 1, "env": ENV}},
+            table,
+            {"Membership": {"i": name, "how": "C", "stamp": 1, "table": 0}},
+        )
     for n in range(600):
         at, worker = 100 + n / 30, f"w{n % 3}"
         ending = "T" if worker == "w0" and 5 <= n / 30 < 9 else "E" if worker == "w1" and 12 <= n / 30 < 16 else "S"
-        batch(at, {"Req": {"i": "d0", "handle": f"r{n}", "class": 0, "project": 0, "fn": f"f{n % 7 % 5}",
-                           "grace_us": 5000000, "memory_mb": 300, "parallel": 2, "again_by_client": False}},
-              {"Answer": {"i": "d0", "handle": f"r{n}", "runner": worker, "remark": 1, "shot": 0,
-                          "latency_us": 40000, "ending": ending, "done_flag": True, "stats": None}})
+        batch(
+            at,
+            {
+                "Req": {
+                    "i": "d0",
+                    "handle": f"r{n}",
+                    "class": 0,
+                    "project": 0,
+                    "fn": f"f{n % 7 % 5}",
+                    "grace_us": 5000000,
+                    "memory_mb": 300,
+                    "parallel": 2,
+                    "again_by_client": False,
+                }
+            },
+            {
+                "Answer": {
+                    "i": "d0",
+                    "handle": f"r{n}",
+                    "runner": worker,
+                    "remark": 1,
+                    "shot": 0,
+                    "latency_us": 40000,
+                    "ending": ending,
+                    "done_flag": True,
+                    "stats": None,
+                }
+            },
+        )
         if n == 300:
             batch(at, {"Exit": {"i": "d1"}})
         if n == 390:
@@ -180,7 +266,7 @@
     with open(file, "w") as sink:
         for one in batches:
             text = json.dumps(one)
-            sink.write(f">> process 0, {len(text)} bytes\n{text}\n<< process 0, 14 bytes\n{{\"actions\":[]}}\n")
+            sink.write(f'>> process 0, {len(text)} bytes\n{text}\n<< process 0, 14 bytes\n{{"actions":[]}}\n')
 
 
 def test_a_tap_turns_into_a_script_with_its_troubles(tmp_path: Path) -> None:
@@ -211,8 +297,14 @@
     """The twin of the long runs of examples/bad-days."""
     script, out = tmp_path / "both.sexp", tmp_path / "out"
     script.write_text(BOTH_FRONTS.format(root=ROOT))
-    done = subprocess.run([sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)], cwd=ROOT,
-                          capture_output=True, text=True, timeout=90, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kelptrail", "bad-day", str(script), "--out", str(out)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
     report = json.loads((out / "report.json").read_text())
     assert done.returncode == 0 and not report["broken"], report["details"]
     assert report["taken"] > 600 and report["accepted_lost"] == 0
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -28,8 +28,15 @@
 ROSTER = ("list", 5)
 
 
-def plan_of(number: int = 1, epoch: int = 1, owner: str = "p", wants: Wants | None = None, lineage: str = "here",
-            valid: float = 10_000.0, roster: tuple[str, int] = ROSTER) -> Plan:
+def plan_of(
+    number: int = 1,
+    epoch: int = 1,
+    owner: str = "p",
+    wants: Wants | None = None,
+    lineage: str = "here",
+    valid: float = 10_000.0,
+    roster: tuple[str, int] = ROSTER,
+) -> Plan:
     return make_plan(lineage, (epoch, owner, number), valid, roster, {"m": {"w1": 1}} if wants is None else wants)
 
 
@@ -49,7 +56,7 @@
     for _ in range(400):
         broken = bytearray(whole)
         if chance.random() < 0.5:
-            del broken[chance.randrange(len(broken)):]
+            del broken[chance.randrange(len(broken)) :]
         else:
             broken[chance.randrange(len(broken))] ^= 1 << chance.randrange(8)
         follower = Follower("here")
@@ -64,8 +71,14 @@
 def test_an_edge_takes_a_plan_whole_or_not_at_all_and_says_why() -> None:
     follower = Follower("here")
 
-    def offer(plan: Plan, now: float = 0.0, age: float = 0.0, before: Plan | None = None,
-              live: set[str] | None = None, roster: tuple[str, int] = ROSTER) -> Refusal | None:
+    def offer(
+        plan: Plan,
+        now: float = 0.0,
+        age: float = 0.0,
+        before: Plan | None = None,
+        live: set[str] | None = None,
+        roster: tuple[str, int] = ROSTER,
+    ) -> Refusal | None:
         found = follower.offer(now, unpack(pack(plan, age, before)), LIVE if live is None else live, roster)
         return found.reason if found is not None else None
 
@@ -108,14 +121,27 @@
 
 def world(seed: int, workers: int, models: int, tight: float = 1.0) -> tuple[list[Host], list[Need], int]:
     chance = np.random.default_rng(seed)
-    hosts = [Host(f"w{n}", float(chance.choice([1500, 3000])) * tight, 4, bool(chance.random() < 0.15))
-             for n in range(workers)]
+    hosts = [
+        Host(f"w{n}", float(chance.choice([1500, 3000])) * tight, 4, bool(chance.random() < 0.15))
+        for n in range(workers)
+    ]
     needs = []
     for n in range(models):
-        standing = {f"w{w}": 1 for w in chance.choice(workers + 2, min(workers, 2), replace=False)
-                    if chance.random() < 0.5}
-        needs.append(Need(f"m{n}", float(chance.choice([200, 500, 900])), 2, 1000.0, 100.0,
-                          float(chance.choice([1, 3, 6])), float(chance.exponential(12.0)), standing))
+        standing = {
+            f"w{w}": 1 for w in chance.choice(workers + 2, min(workers, 2), replace=False) if chance.random() < 0.5
+        }
+        needs.append(
+            Need(
+                f"m{n}",
+                float(chance.choice([200, 500, 900])),
+                2,
+                1000.0,
+                100.0,
+                float(chance.choice([1, 3, 6])),
+                float(chance.exponential(12.0)),
+                standing,
+            )
+        )
     return hosts, needs, int(chance.integers(1, 2 * models))
 
 
@@ -138,15 +164,27 @@
     """All placements of three functions on three workers, by brute force."""
     chance = np.random.default_rng(seed)
     hosts = [Host(f"w{n}", 1250.0, 2) for n in range(3)]  # 1,000 MB may be used
-    needs = [Need(f"m{n}", float(chance.choice([300, 450])), 2, 1000.0, 100.0, float(chance.choice([1, 4])),
-                  float(chance.uniform(5, 30)), {f"w{int(chance.integers(3))}": 1}) for n in range(3)]
+    needs = [
+        Need(
+            f"m{n}",
+            float(chance.choice([300, 450])),
+            2,
+            1000.0,
+            100.0,
+            float(chance.choice([1, 4])),
+            float(chance.uniform(5, 30)),
+            {f"w{int(chance.integers(3))}": 1},
+        )
+        for n in range(3)
+    ]
     best = float("inf")
     each = list(itertools.product(range(3), repeat=3))
     for counts in itertools.product(each, repeat=3):
         wants = {n.model: {f"w{w}": c for w, c in enumerate(at) if c} for n, at in zip(needs, counts, strict=True)}
         wants = {m: at for m, at in wants.items() if at}
         if all(sum(at.values()) <= n.copies for n in needs if (at := wants.get(n.model, {}))) and not valid(
-                wants, hosts, needs, 4):
+            wants, hosts, needs, 4
+        ):
             best = min(best, price(wants, hosts, needs)[0])
     assert solve(hosts, needs, 4).price <= best * 1.01 + 0.01
     assert greedy(hosts, needs, 4).price >= best - 1e-9, "nothing valid is better than the best"
@@ -179,8 +217,9 @@
 HOSTS = [Host(f"w{n}", 8000.0, 8) for n in range(6)]
 
 
-def led(planner: Planner, now: float, rate: int, edge: str = "e", order: tuple[int, str, int] = FIRST,
-        steps: int = 30) -> float:
+def led(
+    planner: Planner, now: float, rate: int, edge: str = "e", order: tuple[int, str, int] = FIRST, steps: int = 30
+) -> float:
     """Reports of one function, a second each, with all that the planner wants done."""
     for _ in range(steps):
         now += 1000
@@ -266,15 +305,24 @@
 
 
 def test_frames_are_read_in_any_pieces_and_faults_are_named() -> None:
-    messages = [Hello(VERSION, "e", "here", (3, "p", 1)), Beat(True, 4), Offer(b"x" * 100), Reply((1, "p", 2), "older"),
-                Report(FIRST, 5.0, {"m": Tally(1)}, {"m": {"w": 1}}, True)]
+    messages = [
+        Hello(VERSION, "e", "here", (3, "p", 1)),
+        Beat(True, 4),
+        Offer(b"x" * 100),
+        Reply((1, "p", 2), "older"),
+        Report(FIRST, 5.0, {"m": Tally(1)}, {"m": {"w": 1}}, True),
+    ]
     data = b"".join(frame(m) for m in messages)
     for size in (1, 3, 7, len(data)):
         reader = FrameReader(READ)
-        assert [m for n in range(0, len(data), size) for m in reader.feed(data[n:n + size])] == messages
-    for bad, word in ((frame(Beat()), "hello must come first"), (frame(messages[0]) * 2, "one hello"),
-                      (frame(Hello(0, "e", "here")), "version 0"), (b"\xff\xff\xff\xff", "a frame of"),
-                      (frame(messages[0]) + b"\0\0\0\3abc", "no message")):
+        assert [m for n in range(0, len(data), size) for m in reader.feed(data[n : n + size])] == messages
+    for bad, word in (
+        (frame(Beat()), "hello must come first"),
+        (frame(messages[0]) * 2, "one hello"),
+        (frame(Hello(0, "e", "here")), "version 0"),
+        (b"\xff\xff\xff\xff", "a frame of"),
+        (frame(messages[0]) + b"\0\0\0\3abc", "no message"),
+    ):
         with pytest.raises(ChannelError, match=word):
             FrameReader(READ).feed(bad)
     chance = np.random.default_rng(1)
@@ -418,8 +466,14 @@
             dispatcher.taken(now, activation(function, now, number))
             taken.append(now)
         elif act < 0.45:
-            dispatcher.planned({f: {w: chance.randint(0, 3) for w in chance.sample(dispatcher.workers, 5)}
-                                for f in chance.sample(functions, 4)} if chance.random() < 0.8 else {})
+            dispatcher.planned(
+                {
+                    f: {w: chance.randint(0, 3) for w in chance.sample(dispatcher.workers, 5)}
+                    for f in chance.sample(functions, 4)
+                }
+                if chance.random() < 0.8
+                else {}
+            )
         elif act < 0.47:
             worker = chance.choice(dispatcher.workers)
             worker.state = State.DRAINING if worker.live else State.LIVE
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -30,11 +30,15 @@
 ITEM = "7f3a9c21e0b4d655"
 CLASS = ENV["classes"][0]
 SETTINGS = ENV | {
-    "failure_domains": ["a", "b"], "models": ["m"], "customers": [{"name": "acme", "allowance_per_s": 100.0}],
-    "classes": [CLASS | {"give_up_us": 2000000},
-                CLASS | {"name": "k", "effect": "guarded", "window_us": 2000000, "give_up_us": 2000000}],
-    "bounds": ENV["bounds"] | {"connect_timeout_us": 150000, "idle_close_us": 15000000, "multiplex": 100,
-                              "max_attempts": 12},
+    "failure_domains": ["a", "b"],
+    "models": ["m"],
+    "customers": [{"name": "acme", "allowance_per_s": 100.0}],
+    "classes": [
+        CLASS | {"give_up_us": 2000000},
+        CLASS | {"name": "k", "effect": "guarded", "window_us": 2000000, "give_up_us": 2000000},
+    ],
+    "bounds": ENV["bounds"]
+    | {"connect_timeout_us": 150000, "idle_close_us": 15000000, "multiplex": 100, "max_attempts": 12},
     "specifics": ENV["specifics"] | {"answer_within_us": 3000000, "machine_mb": [50000.0]},
 }
 Script = Callable[["Runner", bytes, bytes, asyncio.StreamWriter], None]
@@ -83,12 +87,29 @@
     async def __aenter__(self) -> Place:
         server = await asyncio.start_server(self._feed, "127.0.0.1", 0)
         self.journal = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        targets = [{"uid": f"s-{n:08x}", "endpoint": f"127.0.0.1:{await runner.open()}", "az": "a", "model": "m",
-                    "pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0}
-                   for n, runner in enumerate(self.runners)]
+        targets = [
+            {
+                "uid": f"s-{n:08x}",
+                "endpoint": f"127.0.0.1:{await runner.open()}",
+                "az": "a",
+                "model": "m",
+                "pod_group": 0,
+                "state": "in_service",
+                "capacity_hint": 1,
+                "boot_ms": 0,
+            }
+            for n, runner in enumerate(self.runners)
+        ]
         known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": True, "targets": targets}}]}
-        self.told = told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "limits": self.limits,
-                            "journal": self.journal, "known": known, "settings": SETTINGS}
+        self.told = told = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "seed": "0f",
+            "limits": self.limits,
+            "journal": self.journal,
+            "known": known,
+            "settings": SETTINGS,
+        }
         self.service = Service(asyncio.get_running_loop(), config.parse(json.dumps(told)))
         self.port = self.service.open()
         return self
@@ -117,8 +138,14 @@
         self.reader, self.writer, self._read = reader, writer, frames.FrameReader(1 << 20)
 
     def ask(self, stream: int = 1, body: bytes = b"hello", **other: str | None) -> None:
-        told = {"verb": "t", "txn": f"{stream:016x}", "limit": "1500", "team": "acme", "item": ITEM,
-                "info": "memory_mb:512;lanes:2"} | other
+        told = {
+            "verb": "t",
+            "txn": f"{stream:016x}",
+            "limit": "1500",
+            "team": "acme",
+            "item": ITEM,
+            "info": "memory_mb:512;lanes:2",
+        } | other
         fields = frames.fields({name: value for name, value in told.items() if value is not None})
         self.writer.write(frames.frame(frames.REQUEST, stream, fields + body))
 
@@ -164,10 +191,26 @@
     run(main())
 
 
-@pytest.mark.parametrize("other", [
-    {"txn": None}, {"txn": "xyz"}, {"verb": "none"}, {"team": "nobody"}, {"limit": "-5"}, {"limit": "1e9"},
-    {"limit": "99999999"}, {"limit": "nan"}, {"item": "a b\r\nCALL"}, {"verb": "k"}, {"verb": "k", "unique": "a,b=c"},
-    {"info": "memory_mb:-1;lanes:2"}, {"info": "lanes:2"}, {"info": None}, {"info": "memory_mb:1e99;lanes:0"}])
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"txn": None},
+        {"txn": "xyz"},
+        {"verb": "none"},
+        {"team": "nobody"},
+        {"limit": "-5"},
+        {"limit": "1e9"},
+        {"limit": "99999999"},
+        {"limit": "nan"},
+        {"item": "a b\r\nCALL"},
+        {"verb": "k"},
+        {"verb": "k", "unique": "a,b=c"},
+        {"info": "memory_mb:-1;lanes:2"},
+        {"info": "lanes:2"},
+        {"info": None},
+        {"info": "memory_mb:1e99;lanes:0"},
+    ],
+)
 def test_what_cannot_be_used_is_answered_and_reaches_nobody(other: dict[str, str | None]) -> None:
     async def main() -> None:
         async with Place(Runner(echo)) as place:
@@ -181,10 +224,19 @@
     run(main())
 
 
-@pytest.mark.parametrize("bad", [
-    struct.pack(">IBI", 4, 65, 1), struct.pack(">IBI", 60_000_000, 65, 1), struct.pack(">IBI", 0xffffffff, 65, 1),
-    struct.pack(">IBI", 5, 66, 1), frames.frame(65, 0, b"\0"), frames.frame(65, 1, b"\5"),
-    frames.frame(65, 1, b"\1\1\xff\0\1a"), frames.frame(65, 1, b"\0" + b"x" * 20_000)])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        struct.pack(">IBI", 4, 65, 1),
+        struct.pack(">IBI", 60_000_000, 65, 1),
+        struct.pack(">IBI", 0xFFFFFFFF, 65, 1),
+        struct.pack(">IBI", 5, 66, 1),
+        frames.frame(65, 0, b"\0"),
+        frames.frame(65, 1, b"\5"),
+        frames.frame(65, 1, b"\1\1\xff\0\1a"),
+        frames.frame(65, 1, b"\0" + b"x" * 20_000),
+    ],
+)
 def test_what_cannot_be_read_is_told_and_closed(bad: bytes) -> None:
     async def main() -> None:
         async with Place(Runner(echo)) as place:
@@ -238,8 +290,16 @@
 
 
 def test_spoilt_answers_break_their_connection_and_the_rest_goes_on() -> None:
-    spoilt = [b"noise\r\n", b"%b OK - 3000000000\r\n", b"%b OK - 2\r\nabcd\r\n", b"%b OK ahead=x 0\r\n\r\n",
-              b"x" * 5000, b"%b OK - 50\r\nabc", b"%b SURE - 0\r\n\r\n", b"%b OK meter=cpu:nan 0\r\n\r\n"]
+    spoilt = [
+        b"noise\r\n",
+        b"%b OK - 3000000000\r\n",
+        b"%b OK - 2\r\nabcd\r\n",
+        b"%b OK ahead=x 0\r\n\r\n",
+        b"x" * 5000,
+        b"%b OK - 50\r\nabc",
+        b"%b SURE - 0\r\n\r\n",
+        b"%b OK meter=cpu:nan 0\r\n\r\n",
+    ]
 
     async def main() -> None:
         left = list(spoilt)
@@ -280,8 +340,10 @@
 
 
 def event(number: int, kind: int, *records: tuple[int, int, int]) -> bytes:
-    told = b"".join(struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), port, state, 0, 0, 0, 1000, 0)
-                    for id_, port, state in records)
+    told = b"".join(
+        struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), port, state, 0, 0, 0, 1000, 0)
+        for id_, port, state in records
+    )
     return struct.pack(">IQB", 9 + len(told), number, kind) + told
 
 
@@ -361,16 +423,39 @@
 
 
 def test_a_process_starts_without_heavy_libraries_serves_and_ends_when_told(tmp_path: Path) -> None:
-    heavy = ["numpy", "scipy", "h2", "apsw", "click", "structlog", "cryptography", "google", "matplotlib", "lark",
-             "msgspec", "kelptrail.front", "kelptrail.gateway", "kelptrail.store", "kelptrail.clock", "kelptrail.peers",
-             "kelptrail.lease", "kelptrail.copies", "kelptrail.rollout", "kelptrail.planner", "kelptrail.vrrp",
-             "kelptrail.service", "kelptrail.lab", "kelptrail.badday"]
+    heavy = [
+        "numpy",
+        "scipy",
+        "h2",
+        "apsw",
+        "click",
+        "structlog",
+        "cryptography",
+        "google",
+        "matplotlib",
+        "lark",
+        "msgspec",
+        "kelptrail.front",
+        "kelptrail.gateway",
+        "kelptrail.store",
+        "kelptrail.clock",
+        "kelptrail.peers",
+        "kelptrail.lease",
+        "kelptrail.copies",
+        "kelptrail.rollout",
+        "kelptrail.planner",
+        "kelptrail.vrrp",
+        "kelptrail.service",
+        "kelptrail.lab",
+        "kelptrail.badday",
+    ]
     code = f"import sys, kelptrail.platform.__main__; sys.exit(any(m in sys.modules for m in {heavy}))"
     assert subprocess.run([sys.executable, "-c", code], timeout=30).returncode == 0
     command = [sys.executable, "-m", "kelptrail.platform"]
     (tmp_path / "bad.json").write_text("{")
-    bad = subprocess.run(command, env=os.environ | {"LB_CONFIG": str(tmp_path / "bad.json")}, capture_output=True,
-                         text=True, timeout=30)
+    bad = subprocess.run(
+        command, env=os.environ | {"LB_CONFIG": str(tmp_path / "bad.json")}, capture_output=True, text=True, timeout=30
+    )
     assert bad.returncode == 2 and bad.stderr.count("\n") == 1 and "bad.json" in bad.stderr
 
     async def main() -> None:
@@ -378,7 +463,8 @@
             place.told["listen"] = "127.0.0.1:0"
             (tmp_path / "c.json").write_text(json.dumps(place.told))
             process = await asyncio.create_subprocess_exec(
-                *command, env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")}, stdout=asyncio.subprocess.PIPE)
+                *command, env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")}, stdout=asyncio.subprocess.PIPE
+            )
             assert process.stdout is not None and b"list number=1" in await process.stdout.readline()
             await asyncio.sleep(0.2)
             process.send_signal(signal.SIGHUP)
@@ -392,7 +478,8 @@
             (tmp_path / "c.json").write_text(json.dumps(place.told))
             read, write = os.pipe()
             process = await asyncio.create_subprocess_exec(
-                *command, env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")}, stdout=write)
+                *command, env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")}, stdout=write
+            )
             os.close(write)
             assert b"list" in os.read(read, 100)
             os.close(read)  # whoever read the log has gone
@@ -405,14 +492,21 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.integers(1, 2**32 - 1), st.dictionaries(st.text(max_size=20), st.text(max_size=60),
-                                                                     max_size=5), st.binary(max_size=200))),
-       st.lists(st.integers(1, 60), min_size=1))
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 2**32 - 1),
+            st.dictionaries(st.text(max_size=20), st.text(max_size=60), max_size=5),
+            st.binary(max_size=200),
+        )
+    ),
+    st.lists(st.integers(1, 60), min_size=1),
+)
 def test_frames_come_back_from_any_split(sent: list[tuple[int, dict[str, str], bytes]], cuts: list[int]) -> None:
     data = b"".join(frames.frame(65, stream, frames.fields(told) + body) for stream, told, body in sent)
     reader, found, at, n = frames.FrameReader(), [], 0, 0
     while at < len(data):
-        reader.feed(data[at:at + cuts[n % len(cuts)]])
+        reader.feed(data[at : at + cuts[n % len(cuts)]])
         at, n = at + cuts[n % len(cuts)], n + 1
         while (frame := reader.next()) is not None:
             told, end = frames.read_fields(frame[2])
@@ -426,7 +520,7 @@
     reader, found, at = lines.LineReader(1000), [], 0
     while at < len(good):
         step = chance.randrange(1, 40)
-        reader.feed(good[at:at + step])
+        reader.feed(good[at : at + step])
         at += step
         while (answer := reader.next()) is not None:
             found.append(answer)
@@ -435,8 +529,11 @@
         spoilt = bytearray(good[:200])
         for _ in range(chance.randrange(1, 6)):
             spoilt[chance.randrange(200)] = chance.randrange(256)
-        for made, error in ((lines.LineReader(1000), lines.LineError), (frames.FrameReader(), frames.FrameError),
-                            (feed.FeedReader(2, 1), feed.FeedError)):
+        for made, error in (
+            (lines.LineReader(1000), lines.LineError),
+            (frames.FrameReader(), frames.FrameError),
+            (feed.FeedReader(2, 1), feed.FeedError),
+        ):
             made.feed(bytes(spoilt))
             with contextlib.suppress(error):
                 while made.next() is not None:
@@ -444,33 +541,69 @@
 
 
 def configuration() -> dict[str, Any]:
-    target = {"uid": "s-00000000", "endpoint": "127.0.0.1:9", "az": "a", "model": "m", "pod_group": 0,
-              "state": "in_service", "capacity_hint": 1, "boot_ms": 0}
+    target = {
+        "uid": "s-00000000",
+        "endpoint": "127.0.0.1:9",
+        "az": "a",
+        "model": "m",
+        "pod_group": 0,
+        "state": "in_service",
+        "capacity_hint": 1,
+        "boot_ms": 0,
+    }
     known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": True, "targets": [target]}}]}
-    return {"name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "journal": "127.0.0.1:9", "known": known,
-            "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": copy.deepcopy(SETTINGS)}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "seed": "0f",
+        "journal": "127.0.0.1:9",
+        "known": known,
+        "limits": {"cores": 1, "memory_mb": 64, "sockets": 256},
+        "settings": copy.deepcopy(SETTINGS),
+    }
 
 
 SPOILT: list[tuple[str, list[Any]]] = [  # a place, and what may not stand there
-    ("name", [3]), ("listen", ["127.0.0.1", "127.0.0.1:65536", "127.0.0.1:\u0663"]), ("seed", ["", "xyz", 5]),
-    ("journal", [":9", 9]), ("limits.sockets", [0, 2.5, True]), ("limits.memory_mb", [0, "64", float("nan")]),
-    ("settings.my_zone", [-1, 2, "a"]), ("settings.failure_domains", [[], "a", [1]]), ("settings.models", [[], [""]]),
-    ("settings.report.fields", ["cpu", [None]]), ("settings.classes", [[], {}, [3], [CLASS, CLASS]]),
-    ("settings.classes.0.name", ["", 3]), ("settings.classes.0.aim_us", [0, float("inf"), 10**400]),
-    ("settings.classes.0.gain", [0, -1]), ("settings.classes.0.effect", ["sometimes"]),
-    ("settings.classes.0.give_up_us", [0]), ("settings.classes.0.late_worth", ["0.3"]),
-    ("settings.classes.1.window_us", [-1]), ("settings.customers.0.allowance_per_s", [-1, "5"]),
+    ("name", [3]),
+    ("listen", ["127.0.0.1", "127.0.0.1:65536", "127.0.0.1:\u0663"]),
+    ("seed", ["", "xyz", 5]),
+    ("journal", [":9", 9]),
+    ("limits.sockets", [0, 2.5, True]),
+    ("limits.memory_mb", [0, "64", float("nan")]),
+    ("settings.my_zone", [-1, 2, "a"]),
+    ("settings.failure_domains", [[], "a", [1]]),
+    ("settings.models", [[], [""]]),
+    ("settings.report.fields", ["cpu", [None]]),
+    ("settings.classes", [[], {}, [3], [CLASS, CLASS]]),
+    ("settings.classes.0.name", ["", 3]),
+    ("settings.classes.0.aim_us", [0, float("inf"), 10**400]),
+    ("settings.classes.0.gain", [0, -1]),
+    ("settings.classes.0.effect", ["sometimes"]),
+    ("settings.classes.0.give_up_us", [0]),
+    ("settings.classes.0.late_worth", ["0.3"]),
+    ("settings.classes.1.window_us", [-1]),
+    ("settings.customers.0.allowance_per_s", [-1, "5"]),
     ("settings.customers", [{}, [{"name": "a", "allowance_per_s": 0}]]),
-    ("settings.bounds.max_attempts", [0, 1.5, False]), ("settings.bounds.parallel_tries", [1, "true"]),
-    ("settings.bounds.may_cancel", [0]), ("settings.bounds.retry_after", ["no"]),
-    ("settings.bounds.max_retry_after_us", [-1]), ("settings.bounds.connect_timeout_us", [0]),
-    ("settings.bounds.idle_close_us", [0]), ("settings.bounds.multiplex", [0]),
-    ("settings.rules.tip_multiple", [-3]), ("settings.rules.fall_us", [0]),
-    ("settings.rules.start_capacity", [1.5, -0.1]), ("settings.rules.cold_us", ["9"]),
-    ("settings.specifics.says_warm", [None, 1]), ("settings.specifics.idle_life_us", [-1]),
-    ("settings.specifics.load_control", ["yes"]), ("settings.specifics.free_loads", [-6]),
-    ("settings.specifics.load_share", [[]]), ("settings.specifics.load_span_us", [-1]),
-    ("settings.specifics.answer_within_us", [0]), ("settings.specifics.machine_mb", [[], [0], ["big"], 5]),
+    ("settings.bounds.max_attempts", [0, 1.5, False]),
+    ("settings.bounds.parallel_tries", [1, "true"]),
+    ("settings.bounds.may_cancel", [0]),
+    ("settings.bounds.retry_after", ["no"]),
+    ("settings.bounds.max_retry_after_us", [-1]),
+    ("settings.bounds.connect_timeout_us", [0]),
+    ("settings.bounds.idle_close_us", [0]),
+    ("settings.bounds.multiplex", [0]),
+    ("settings.rules.tip_multiple", [-3]),
+    ("settings.rules.fall_us", [0]),
+    ("settings.rules.start_capacity", [1.5, -0.1]),
+    ("settings.rules.cold_us", ["9"]),
+    ("settings.specifics.says_warm", [None, 1]),
+    ("settings.specifics.idle_life_us", [-1]),
+    ("settings.specifics.load_control", ["yes"]),
+    ("settings.specifics.free_loads", [-6]),
+    ("settings.specifics.load_share", [[]]),
+    ("settings.specifics.load_span_us", [-1]),
+    ("settings.specifics.answer_within_us", [0]),
+    ("settings.specifics.machine_mb", [[], [0], ["big"], 5]),
 ]
 
 
@@ -508,9 +641,14 @@
     assert config.parse(json.dumps(told)).sockets.zones == ["a", "b"]
 
 
-@pytest.mark.parametrize(("effect", "fields", "customers"), [
-    ("free", ["active", "waiting", "x0"], [{"name": "muelle-a", "allowance_per_s": 7.0}]),
-    ("guarded", [], None), ("single_shot", ["rps"], [{"name": "muelle-a", "allowance_per_s": 7.0}])])
+@pytest.mark.parametrize(
+    ("effect", "fields", "customers"),
+    [
+        ("free", ["active", "waiting", "x0"], [{"name": "muelle-a", "allowance_per_s": 7.0}]),
+        ("guarded", [], None),
+        ("single_shot", ["rps"], [{"name": "muelle-a", "allowance_per_s": 7.0}]),
+    ],
+)
 def test_another_deployment_with_every_name_and_figure_changed_is_served(
     effect: str, fields: list[str], customers: list[dict[str, Any]] | None
 ) -> None:
@@ -521,24 +659,67 @@
     async def main() -> None:
         runner, told = Runner(answers), configuration()
         target = told["known"]["entries"][0]["hosts"]["targets"][0]
-        target |= {"uid": "s-0badcafe", "endpoint": f"127.0.0.1:{await runner.open()}", "az": "quay",
-                   "model": "crane-9", "pod_group": 41, "capacity_hint": 0.37}
+        target |= {
+            "uid": "s-0badcafe",
+            "endpoint": f"127.0.0.1:{await runner.open()}",
+            "az": "quay",
+            "model": "crane-9",
+            "pod_group": 41,
+            "capacity_hint": 0.37,
+        }
         settings = told["settings"]
-        settings |= {"failure_domains": ["pier", "quay", "mole"], "my_zone": 2, "models": ["cart", "crane-9"],
-                     "customers": customers, "report": {"fields": fields}, "classes": [
-                         {"name": "berth", "effect": effect, "aim_us": 77_000, "gain": 0.3, "late_worth": 0.9,
-                          "give_up_us": 900_000, "key_scope": "all", "window_us": 450_000}]}
+        settings |= {
+            "failure_domains": ["pier", "quay", "mole"],
+            "my_zone": 2,
+            "models": ["cart", "crane-9"],
+            "customers": customers,
+            "report": {"fields": fields},
+            "classes": [
+                {
+                    "name": "berth",
+                    "effect": effect,
+                    "aim_us": 77_000,
+                    "gain": 0.3,
+                    "late_worth": 0.9,
+                    "give_up_us": 900_000,
+                    "key_scope": "all",
+                    "window_us": 450_000,
+                }
+            ],
+        }
         settings["rules"] |= {"tip_multiple": 1.5, "fall_us": 700_000, "start_capacity": 0.9, "cold_us": 300_000}
-        settings["bounds"] |= {"parallel_tries": False, "may_cancel": False, "max_attempts": 2, "retry_after": False,
-                               "connect_timeout_us": 90_000, "idle_close_us": 1_000_000, "multiplex": 3}
-        settings["specifics"] |= {"says_warm": False, "idle_life_us": 900_000, "load_control": False, "free_loads": 0,
-                                  "load_share": 0, "load_span_us": 0, "answer_within_us": 800_000,
-                                  "machine_mb": [10.0, 900.0], "not_loaded": "load"}
+        settings["bounds"] |= {
+            "parallel_tries": False,
+            "may_cancel": False,
+            "max_attempts": 2,
+            "retry_after": False,
+            "connect_timeout_us": 90_000,
+            "idle_close_us": 1_000_000,
+            "multiplex": 3,
+        }
+        settings["specifics"] |= {
+            "says_warm": False,
+            "idle_life_us": 900_000,
+            "load_control": False,
+            "free_loads": 0,
+            "load_share": 0,
+            "load_span_us": 0,
+            "answer_within_us": 800_000,
+            "machine_mb": [10.0, 900.0],
+            "not_loaded": "load",
+        }
         service = Service(asyncio.get_running_loop(), config.parse(json.dumps(told)))
         client = Client(*await asyncio.open_connection("127.0.0.1", service.open()))
         for n in range(1, 9):
-            client.ask(n, b"%d" % n, verb="berth", team="muelle-a" if customers else None, limit="850",
-                       info="lanes:1;memory_mb:899.5", unique=f"key:{n}" if effect == "guarded" else None)
+            client.ask(
+                n,
+                b"%d" % n,
+                verb="berth",
+                team="muelle-a" if customers else None,
+                limit="850",
+                info="lanes:1;memory_mb:899.5",
+                unique=f"key:{n}" if effect == "guarded" else None,
+            )
             assert await client.next() == (frames.ANSWER, n, b"\0\0%d" % n)
         client.ask(9, verb="t", team="acme")  # what the first deployment calls them is unknown here
         assert await client.code() == frames.FAILED and len(runner.calls) == 8
@@ -564,8 +745,18 @@
         config.read(str(tmp_path / "c.json"))
 
 
-@pytest.mark.parametrize("spoilt", [{"endpoint": "127.0.0.1"}, {"endpoint": ":5"}, {"az": "c"}, {"capacity_hint": 0},
-                                    {"capacity_hint": float("nan")}, {"state": "odd"}, {"boot_ms": [1]}])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        {"endpoint": "127.0.0.1"},
+        {"endpoint": ":5"},
+        {"az": "c"},
+        {"capacity_hint": 0},
+        {"capacity_hint": float("nan")},
+        {"state": "odd"},
+        {"boot_ms": [1]},
+    ],
+)
 def test_a_worker_told_of_at_the_start_must_be_one(spoilt: dict[str, Any]) -> None:
     told = configuration()
     told["known"]["entries"][0]["hosts"]["targets"][0].update(spoilt)
@@ -585,7 +776,8 @@
         async with Place(Runner(echo)) as place:
             file.write_text(json.dumps(place.told))
             process = await asyncio.create_subprocess_exec(
-                *command, env=os.environ | {"LB_CONFIG": str(file)}, stdout=asyncio.subprocess.PIPE)
+                *command, env=os.environ | {"LB_CONFIG": str(file)}, stdout=asyncio.subprocess.PIPE
+            )
             assert process.stdout is not None and b"list number=1" in await process.stdout.readline()
             await asyncio.sleep(0.2)
             file.write_text(json.dumps(place.told | {"settings": spoilt["settings"], "journal": "127.0.0.1:1"}))
--- a/tests/test_platform_load.py
+++ b/tests/test_platform_load.py
@@ -23,9 +23,11 @@
 
 pytestmark = pytest.mark.processes  # one at a time: they measure time
 
-TYPES = [CLASS | {"give_up_us": 2000000, "aim_us": 300000},
-         CLASS | {"name": "k", "effect": "guarded", "window_us": 700000, "give_up_us": 2000000},
-         CLASS | {"name": "o", "effect": "single_shot", "give_up_us": 2000000}]
+TYPES = [
+    CLASS | {"give_up_us": 2000000, "aim_us": 300000},
+    CLASS | {"name": "k", "effect": "guarded", "window_us": 700000, "give_up_us": 2000000},
+    CLASS | {"name": "o", "effect": "single_shot", "give_up_us": 2000000},
+]
 SLACK_S = 0.25  # for a machine that is busy with other tests
 
 
@@ -52,7 +54,8 @@
         self.seen[id_].append(does)
         good = b"%b OK tell=up,ahead=1 %d\r\n%b\r\n" % (id_, len(body), body)
         says = {"good": good, "twice": good + good, "noise": b"\0\xff nonsense\r\n", "silent": b"", "break": b""}.get(
-            does, b"%b %b - 0\r\n\r\n" % (id_, does.encode()))
+            does, b"%b %b - 0\r\n\r\n" % (id_, does.encode())
+        )
 
         def say() -> None:
             with contextlib.suppress(RuntimeError):
@@ -75,8 +78,15 @@
     def ask(self, n: int, kind: str, limit_ms: int) -> None:
         now = asyncio.get_running_loop().time()
         self.asked[n] = now, now + limit_ms / 1000, kind
-        self.client.ask(n, b"%d" % (self.base + n), verb=kind, txn=f"{self.base + n:016x}", limit=str(limit_ms),
-                        item=f"{n % 7:016x}", unique=f"u{self.base + n}" if kind == "k" else None)
+        self.client.ask(
+            n,
+            b"%d" % (self.base + n),
+            verb=kind,
+            txn=f"{self.base + n:016x}",
+            limit=str(limit_ms),
+            item=f"{n % 7:016x}",
+            unique=f"u{self.base + n}" if kind == "k" else None,
+        )
 
     @property
     def open(self) -> int:
@@ -90,7 +100,7 @@
                     self.more = False
                 elif kind == frames.ANSWER:
                     _, end = frames.read_fields(payload[1:])
-                    self.got[stream].append((asyncio.get_running_loop().time(), payload[0], payload[1 + end:]))
+                    self.got[stream].append((asyncio.get_running_loop().time(), payload[0], payload[1 + end :]))
 
     def close(self) -> None:
         self._reader.cancel()
@@ -115,8 +125,21 @@
                     if caller.open < 24:
                         caller.ask(n, chance.choice("ttko"), chance.choice((400, 800, 1500)))
                 if n == 60:  # one worker drains, and the feed tells so
-                    place.events = [event(2, 2, (3, int(place.told["known"]["entries"][0]["hosts"]["targets"][3][
-                        "endpoint"].rpartition(":")[2]), 1))]
+                    place.events = [
+                        event(
+                            2,
+                            2,
+                            (
+                                3,
+                                int(
+                                    place.told["known"]["entries"][0]["hosts"]["targets"][3]["endpoint"].rpartition(
+                                        ":"
+                                    )[2]
+                                ),
+                                1,
+                            ),
+                        )
+                    ]
                     place.service.reload(place.service.config)
                     drained = loop.time()
                 await asyncio.sleep(0.03)
@@ -154,8 +177,12 @@
             file = tmp_path / "c.json"
             file.write_text(json.dumps(place.told | {"listen": f"127.0.0.1:{port}"}))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "kelptrail.platform", env=os.environ | {"LB_CONFIG": str(file)},
-                stdout=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "kelptrail.platform",
+                env=os.environ | {"LB_CONFIG": str(file)},
+                stdout=asyncio.subprocess.PIPE,
+            )
             assert process.stdout is not None and b"list number=1" in await process.stdout.readline()
             callers: list[Caller] = []
             while len(callers) < 6:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -39,15 +39,20 @@
         with socket.socket() as free:  # an address of its own: nobody else takes its ports
             free.bind((f"127.23.{os.getpid() % 250}.{n + 1}", 0))
             addresses.append(free.getsockname())
-        (tmp_path / f"c{n}.json").write_text(json.dumps(configuration() | {
-            "name": f"n{n}", "listen": f"{addresses[n][0]}:{addresses[n][1]}"}))
+        (tmp_path / f"c{n}.json").write_text(
+            json.dumps(configuration() | {"name": f"n{n}", "listen": f"{addresses[n][0]}:{addresses[n][1]}"})
+        )
     began = time.monotonic()
     try:
         for n in range(MANY):
-            processes.append(subprocess.Popen(
-                [sys.executable, "-m", "kelptrail.platform"], stdout=subprocess.DEVNULL,
-                env=os.environ | {"LB_CONFIG": str(tmp_path / f"c{n}.json")},
-                preexec_fn=lambda: os.sched_setaffinity(0, cores)))
+            processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "kelptrail.platform"],
+                    stdout=subprocess.DEVNULL,
+                    env=os.environ | {"LB_CONFIG": str(tmp_path / f"c{n}.json")},
+                    preexec_fn=lambda: os.sched_setaffinity(0, cores),
+                )
+            )
         while len(took) < MANY and time.monotonic() < began + 3 * WITHIN_S:
             for address in addresses:
                 if address not in took and ready(address):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -173,9 +173,7 @@
         ("order", lambda self, now, copy, count, spare=0.0: Order(copy, count, now), "rationed|drains kept"),
     ],
 )
-def test_a_missing_guard_is_seen(
-    monkeypatch: pytest.MonkeyPatch, guard: str, instead: Any, message: str
-) -> None:
+def test_a_missing_guard_is_seen(monkeypatch: pytest.MonkeyPatch, guard: str, instead: Any, message: str) -> None:
     monkeypatch.setattr(Gate, guard, instead)
     with pytest.raises(AssertionError, match=message):
         for seed in range(4):
@@ -203,9 +201,7 @@
     dispatcher.answered(now, send, Outcome.COMPLETED, True, False, True, 0, None)
 
 
-def take(
-    dispatcher: Dispatcher, function: Function, now: float, count: int, ms: float = 3000.0
-) -> list[Decision]:
+def take(dispatcher: Dispatcher, function: Function, now: float, count: int, ms: float = 3000.0) -> list[Decision]:
     for n in range(count):
         dispatcher.taken(now, activation(function, now, n, ms))
     return pull(dispatcher, now)
@@ -381,8 +377,9 @@
     dispatcher = make(8, shared=0.5, ration=PLENTY)
     for n, took in enumerate([0.0] * 4 + [900.0] * 12):
         dispatcher.taken(2000.0 * n, activation(model(f"f{n}"), 2000.0 * n))
-        (first,) = (d for d in pull(dispatcher, 2000.0 * n) if isinstance(d, Send | Order) and (
-            d.copy.function.id == f"f{n}"))
+        (first,) = (
+            d for d in pull(dispatcher, 2000.0 * n) if isinstance(d, Send | Order) and (d.copy.function.id == f"f{n}")
+        )
         if isinstance(first, Send):
             found = Outcome.MISS if took else Outcome.COMPLETED
             dispatcher.answered(2000.0 * n + 1, first, found, not took, False, None, 0, None)
@@ -538,7 +535,7 @@
             count = sum(at - tip_ms < other <= at for other in times)
             share = least + (1 - least) * ((at + max(start, at - tip_ms)) / 2 - start) / cold_ms  # on the mean
             budget = tip * share * per_s / warm * tip_ms / 1000
-            over += count > budget + 2 * budget ** 0.5 + 2
+            over += count > budget + 2 * budget**0.5 + 2
             spans += 1
     assert not over, f"{over} of {spans} spans"
     assert sent > (6 if many < 100 else 2) * 0.15 * tip * least * per_s / warm * 8, "it is used all the same"
@@ -895,8 +892,19 @@
     return 4980.0, [act], "aborted"
 
 
-WAYS = [past_the_bound, impatient, out_of_sends, once_only_broke, remembered_no_more, too_late_to_send_again,
-        nobody_can_load, overload_felt, time_is_up, hopeless_behind_others, forgotten_behind_others]
+WAYS = [
+    past_the_bound,
+    impatient,
+    out_of_sends,
+    once_only_broke,
+    remembered_no_more,
+    too_late_to_send_again,
+    nobody_can_load,
+    overload_felt,
+    time_is_up,
+    hopeless_behind_others,
+    forgotten_behind_others,
+]
 
 
 @pytest.mark.parametrize("longest", [500.0, 0.0])
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -51,17 +51,33 @@
 """
     found = faults(text)
     for line, words in (
-            (3, "twice"), (3, "at least the target"), (3, "answer-margin-ms"), (4, "t again"), (4, "remembered-ms"),
-            (4, "-1"), (5, "a UUID"), (6, "a type of this file: t"), (6, "(colour ...)"), (7, "no (memory-mb ...)"),
-            (8, "a whole number"), (8, "again"), (9, "did you mean workers"), (10, "oops"), (11, "nothing beside it")):
+        (3, "twice"),
+        (3, "at least the target"),
+        (3, "answer-margin-ms"),
+        (4, "t again"),
+        (4, "remembered-ms"),
+        (4, "-1"),
+        (5, "a UUID"),
+        (6, "a type of this file: t"),
+        (6, "(colour ...)"),
+        (7, "no (memory-mb ...)"),
+        (8, "a whole number"),
+        (8, "again"),
+        (9, "did you mean workers"),
+        (10, "oops"),
+        (11, "nothing beside it"),
+    ):
         assert any(f.startswith(f"x.sexp:{line}:") and words in f for f in found), (line, words, found)
 
 
-@pytest.mark.parametrize(("text", "line", "words"), [
-    ("(a (b 1)", 1, "a ) for this bracket"),
-    ("(a\n (b\n  1))\n)", 4, "closes nothing"),
-    ('(a "open\n)', 1, "a closed string"),
-])
+@pytest.mark.parametrize(
+    ("text", "line", "words"),
+    [
+        ("(a (b 1)", 1, "a ) for this bracket"),
+        ("(a\n (b\n  1))\n)", 4, "closes nothing"),
+        ('(a "open\n)', 1, "a closed string"),
+    ],
+)
 def test_brackets_and_quotes(text: str, line: int, words: str) -> None:
     with pytest.raises(SettingsError) as caught:
         read(text, "x")
@@ -92,8 +108,14 @@
 
 def test_a_vrrp_section_names_its_faults() -> None:
     found = faults(GOOD.rstrip()[:-1] + VRRP + ")")
-    for line, words in ((5, "key number"), (6, "an address and a port"), (7, "from 1 to 255"),
-                        (7, "an instance of this section"), (8, "instances' family"), (8, "one owner"),
-                        (9, "one of workers, front, journal")):
+    for line, words in (
+        (5, "key number"),
+        (6, "an address and a port"),
+        (7, "from 1 to 255"),
+        (7, "an instance of this section"),
+        (8, "instances' family"),
+        (8, "one owner"),
+        (9, "one of workers, front, journal"),
+    ):
         assert any(f.startswith(f"x.sexp:{line}:") and words in f for f in found), (line, words, found)
     assert parse(Path("examples/shared-address.sexp").read_text(), "x").vrrp is not None
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -25,8 +25,19 @@
 
 
 def trouble(kind: str, at: float, seconds: float, part: float) -> Trouble:
-    return Trouble(kind, at, **{"for": seconds}, part=part, share=1.0, factor=4.0, ms=100.0, type="", count=1, hall="",
-                   one_way=False)
+    return Trouble(
+        kind,
+        at,
+        **{"for": seconds},
+        part=part,
+        share=1.0,
+        factor=4.0,
+        ms=100.0,
+        type="",
+        count=1,
+        hall="",
+        one_way=False,
+    )
 
 
 def test_a_run_over_processes_is_the_same_each_time_and_close_to_one_in_a_single_process() -> None:
@@ -45,16 +56,22 @@
 
 def test_troubles_fall_on_all_shards_alike_and_no_rule_breaks() -> None:
     """Effects are told apart by mark, sends by activation: one shard that believed in other workers would show."""
-    troubles = [trouble("crash", 2, 1.5, 0.2), trouble("rolling-deploy", 3, 2, 0.2),
-                trouble("kill-dispatchers", 4, 0.5, 0.3), trouble("hang", 5, 1.5, 0.2),
-                trouble("store-slow", 2, 2, 1), trouble("restart-cold", 1, 0, 0.2)]
+    troubles = [
+        trouble("crash", 2, 1.5, 0.2),
+        trouble("rolling-deploy", 3, 2, 0.2),
+        trouble("kill-dispatchers", 4, 0.5, 0.3),
+        trouble("hang", 5, 1.5, 0.2),
+        trouble("store-slow", 2, 2, 1),
+        trouble("restart-cold", 1, 0, 0.2),
+    ]
     day, deployment = day_of(troubles), load(ROOT / "examples" / "nursery.sexp")
     _, events = play_sharded(day, deployment, 5, SETTINGS, 3, capture=True)
     verdict = judge(events)
     assert not verdict.broken, verdict.details
     assert verdict.taken > 800 and verdict.unanswered == 0 and verdict.completed > 0.8 * verdict.taken
     assert [e["kind"] for e in events if e["what"] == "trouble"] == sorted(
-        (t.kind for t in troubles), key=lambda kind: next(t.at for t in troubles if t.kind == kind))
+        (t.kind for t in troubles), key=lambda kind: next(t.at for t in troubles if t.kind == kind)
+    )
     senders = {(e["dispatcher"].split("/")[0], e["worker"]) for e in events if e["what"] == "send"}
     across = [(d, w) for d, w in senders if int(d[11:]) % 3 != int(w[7:]) // 2 % 3]
     assert len(across) > len(senders) / 2, "sends cross shards"
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -24,6 +24,7 @@
 
     def script(worker: ScriptedWorker, request: Request, exchange: Exchange) -> None:
         (left.pop(0) if len(left) > 1 else left[0])(worker, request, exchange)
+
     return script
 
 
@@ -50,6 +51,7 @@
             await asyncio.sleep(0.2)
             assert sends(workers) == count, "nothing is sent after the final answer"
             assert dispatcher.gateway.in_hand == 0
+
     run(main())
 
 
@@ -58,6 +60,7 @@
         async with place(silent) as (dispatcher, _):
             status, _, body = await dispatcher.call("activate", body={})
             assert status == 502 and verdict(body)["answer"] == "aborted"
+
     run(main())
 
 
@@ -72,15 +75,19 @@
             else:
                 assert status == 200 and len(worker.sends) == 2
                 assert len({mark for mark, _ in worker.sends}) == 1, "one mark for all sends"
+
     run(main())
 
 
-@pytest.mark.parametrize(("script", "outcome", "again"), [
-    (refuse("full"), Outcome.FULL, True),
-    (refuse("miss", 404), Outcome.MISS, True),
-    (refuse(None), Outcome.ERROR, False),
-    (refuse(None, 500), Outcome.ERROR, False),
-])
+@pytest.mark.parametrize(
+    ("script", "outcome", "again"),
+    [
+        (refuse("full"), Outcome.FULL, True),
+        (refuse("miss", 404), Outcome.MISS, True),
+        (refuse(None), Outcome.ERROR, False),
+        (refuse(None, 500), Outcome.ERROR, False),
+    ],
+)
 def test_a_once_only_call_goes_on_only_after_a_proven_refusal(script, outcome: Outcome, again: bool) -> None:
     async def main() -> None:
         async with place(then(script, answer), then(script, answer)) as (dispatcher, workers):
@@ -90,6 +97,7 @@
                 assert status == 200 and sends(workers) >= 2
             else:
                 assert status == 502 and sends(workers) == 1 and verdict(body)["answer"] == "aborted"
+
     run(main())
 
 
@@ -104,6 +112,7 @@
                     status, _, _ = await dispatcher.call("grant" if n % 2 else "activate", body={"n": n})
                     assert status == 200
                 assert Outcome.BROKEN not in dispatcher.gateway.counts.outcomes
+
     run(main())
 
 
@@ -131,6 +140,7 @@
             kept = await dispatcher.final(body["activationId"])
             assert verdict(kept)["answer"] == "aborted", "the first final answer stands"
             assert dispatcher.gateway.counts.completed == 4
+
     run(main())
 
 
@@ -150,6 +160,7 @@
         assert not dispatcher.driver._calls
         await dispatcher.server.drain(0)
         await worker.server.drain(0)
+
     run(main())
 
 
@@ -173,6 +184,7 @@
             assert [status for status, _, _ in answers] == [200] * 3
             assert len(worker.sends) == before and worker.orders == asked and len(other.sends) == 3
             await other.server.drain(0)
+
     run(main())
 
 
@@ -186,11 +198,13 @@
             await asyncio.sleep(0.2)
             assert dispatcher.gateway.counts.outcomes == {Outcome.REVOKED: 1}
             assert worker.exchanges[0].gone, "its connection is closed"
+
     run(main())
 
 
 def test_pool_endings() -> None:
     """What a call's ending proves: unsent and unreachable only where nothing was written."""
+
     async def main() -> None:
         loop = asyncio.get_running_loop()
         ends: list[Ending] = []
@@ -238,6 +252,7 @@
         for sock in [*fill, mute]:
             sock.close()
         pool.close()
+
     run(main())
 
 
@@ -258,4 +273,5 @@
         await asyncio.sleep(0.1)
         assert ends == [Ending.BROKEN]
         listener.close()
+
     run(main())
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -76,6 +76,7 @@
             sock.close()
         for d in (dispatcher, other):
             await d.server.drain(0)
+
     run(main())
 
 
@@ -98,6 +99,7 @@
         await front.left()
         sock.close()
         await dispatcher.server.drain(0)
+
     run(main())
 
 
@@ -119,8 +121,18 @@
         both, standings = [Dispatcher(workers, deployment) for _ in range(2)], []
         for name, dispatcher in zip("ab", both, strict=True):
             (tmp_path / name).mkdir()
-            standings.append(Standing(deployment.vrrp, name, tmp_path / name, dispatcher.driver, dispatcher.api,
-                                      Limits(), deployment.front, dispatcher.log))
+            standings.append(
+                Standing(
+                    deployment.vrrp,
+                    name,
+                    tmp_path / name,
+                    dispatcher.driver,
+                    dispatcher.api,
+                    Limits(),
+                    deployment.front,
+                    dispatcher.log,
+                )
+            )
         for standing in standings:
             standing.start()
 
@@ -157,6 +169,7 @@
         for dispatcher in both:
             await dispatcher.server.drain(0)
         await workers[0].server.drain(0)
+
     run(main())
 
 
@@ -173,6 +186,7 @@
         for dispatcher in both:
             await dispatcher.server.drain(0)
         await worker.server.drain(0)
+
     run(main())
 
 
@@ -205,9 +219,25 @@
         text = text.replace(port, str(free_port(kind)))
     settings = tmp_path / "shared.sexp"
     settings.write_text(text)
-    done = subprocess.run([sys.executable, "bench/vrrp_failover.py", "--failovers", "2", "--out", str(tmp_path),
-                           "--rate", "30", "--settings", str(settings)],
-                          cwd=ROOT, capture_output=True, text=True, timeout=80, check=False)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "bench/vrrp_failover.py",
+            "--failovers",
+            "2",
+            "--out",
+            str(tmp_path),
+            "--rate",
+            "30",
+            "--settings",
+            str(settings),
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=80,
+        check=False,
+    )
     assert done.returncode == 0, done.stdout[-2000:] + done.stderr[-2000:]
     report = json.loads((tmp_path / "report.json").read_text())
     assert report["taken_over"] == 2 and report["completed"] > 100 and not report["broken"]
@@ -218,13 +248,24 @@
 def test_a_front_address_carries_the_second_front_and_leaves_it_by_goaway() -> None:
     async def main() -> None:
         held: list[tuple[ScriptedWorker, Request, Exchange]] = []
-        one, two = Dispatcher([ScriptedWorker("w", lambda *line: held.append(line))]), Dispatcher(
-            [ScriptedWorker("v", answer)])
+        one, two = (
+            Dispatcher([ScriptedWorker("w", lambda *line: held.append(line))]),
+            Dispatcher([ScriptedWorker("v", answer)]),
+        )
         port, second = free_port(), free_port()
 
         def address(of: Dispatcher) -> FrontAddress:
-            return FrontAddress("127.0.0.1", port, of.api.handle, Limits(), Silent(), 0.0, None,
-                                lambda: GrpcServer(of.inference.handle), second)
+            return FrontAddress(
+                "127.0.0.1",
+                port,
+                of.api.handle,
+                Limits(),
+                Silent(),
+                0.0,
+                None,
+                lambda: GrpcServer(of.inference.handle),
+                second,
+            )
 
         old, new = address(one), address(two)
         old.take()
@@ -249,4 +290,5 @@
             await end.grpc.drain(0)
             await end.driver.drain(0)
             await end.server.drain(0)
+
     run(main())
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -130,7 +130,7 @@
         place = tmp_path / f"torn-{n}"
         place.mkdir()
         (place / "b").write_bytes(base)
-        (place / "b-wal").write_bytes(wal[:chance.randrange(len(wal))])
+        (place / "b-wal").write_bytes(wal[: chance.randrange(len(wal))])
         torn, aside = open_book(place / "b")
         lives = [life.accepted.start for life in torn.lives()]
         assert aside is None and lives == [float(i) for i in range(len(lives))], "a prefix, whole"
@@ -150,8 +150,10 @@
 
 def test_format_1_is_read(tmp_path: Path) -> None:
     old = apsw.Connection(str(tmp_path / "b"))
-    old.execute("CREATE TABLE rows (id TEXT NOT NULL, kind INTEGER NOT NULL, start REAL NOT NULL, crc INTEGER NOT NULL,"
-                " body BLOB NOT NULL, PRIMARY KEY (id, kind)) WITHOUT ROWID; PRAGMA user_version=1")
+    old.execute(
+        "CREATE TABLE rows (id TEXT NOT NULL, kind INTEGER NOT NULL, start REAL NOT NULL, crc INTEGER NOT NULL,"
+        " body BLOB NOT NULL, PRIMARY KEY (id, kind)) WITHOUT ROWID; PRAGMA user_version=1"
+    )
     data, crc = pack(ACCEPTED)
     old.execute("INSERT INTO rows VALUES (?, 0, ?, ?, ?)", (ACCEPTED.id, ACCEPTED.start, crc, data))
     old.close()
@@ -176,7 +178,7 @@
             small.commit([Accepted(f"{n:032x}", "one", "grant", float(n), 900.0, os.urandom(4000))])
     kept = small.count()
     assert 0 < kept < 200
-    small.forget([life.accepted.id for life in small.lives()][:kept // 2])
+    small.forget([life.accepted.id for life in small.lives()][: kept // 2])
     small.commit([ACCEPTED])  # there is room again
     with pytest.raises(BookError):
         Book(tmp_path / "no-such-folder" / "b")
@@ -186,17 +188,32 @@
 # Recovery.
 
 
-RULES = {"repeatable": Rule("repeatable", "all", 0, 2), "deduplicated": Rule("deduplicated", "all", 2000, 5),
-         "zone": Rule("deduplicated", "zone", 2000, 5), "once-only": Rule("once-only", "all", 0, 6)}
-
-
-@pytest.mark.parametrize(("effect", "ran", "later", "what"), [
-    ("repeatable", False, 100, "resume"), ("repeatable", True, 100, "resume"), ("repeatable", True, 5000, "rejected"),
-    ("deduplicated", False, 100, "resume"), ("deduplicated", True, 100, "resume"),
-    ("deduplicated", True, 1950, "aborted"), ("zone", True, 100, "aborted"), ("zone", False, 100, "resume"),
-    ("once-only", False, 100, "resume"), ("once-only", True, 100, "aborted"), ("once-only", False, 5000, "rejected"),
-    ("once-only", False, -50, "rejected"), ("once-only", True, -50, "aborted"),
-])
+RULES = {
+    "repeatable": Rule("repeatable", "all", 0, 2),
+    "deduplicated": Rule("deduplicated", "all", 2000, 5),
+    "zone": Rule("deduplicated", "zone", 2000, 5),
+    "once-only": Rule("once-only", "all", 0, 6),
+}
+
+
+@pytest.mark.parametrize(
+    ("effect", "ran", "later", "what"),
+    [
+        ("repeatable", False, 100, "resume"),
+        ("repeatable", True, 100, "resume"),
+        ("repeatable", True, 5000, "rejected"),
+        ("deduplicated", False, 100, "resume"),
+        ("deduplicated", True, 100, "resume"),
+        ("deduplicated", True, 1950, "aborted"),
+        ("zone", True, 100, "aborted"),
+        ("zone", False, 100, "resume"),
+        ("once-only", False, 100, "resume"),
+        ("once-only", True, 100, "aborted"),
+        ("once-only", False, 5000, "rejected"),
+        ("once-only", False, -50, "rejected"),
+        ("once-only", True, -50, "aborted"),
+    ],
+)
 def test_what_becomes_of_one_by_effect_sends_and_time(effect: str, ran: bool, later: float, what: str) -> None:
     accepted = Accepted("x", "one", "p", 1000.0, 2500.0, b"{}")
     life = Life(accepted, MayRun("x", 1000.0, "w") if ran else None)
@@ -273,8 +290,9 @@
             self.kinds[ivk.record.id] = ivk.record.effect
             self.pull()
             if not ivk.record.final:
-                gateway.promise(ivk, lambda safe: self.promised.add(ivk.record.id) if safe
-                                else gateway.left(self.now, ivk))
+                gateway.promise(
+                    ivk, lambda safe: self.promised.add(ivk.record.id) if safe else gateway.left(self.now, ivk)
+                )
         for due, send in [e for e in self.out if e[0] <= self.now]:
             self.out.remove((due, send))
             if send.outcome is None:
@@ -417,6 +435,7 @@
         assert listed["activationId"] == told["activationId"]
         await second.end()
         await worker.server.drain(0)
+
     run(main())
 
 
@@ -446,6 +465,7 @@
         disk.fault = {}
         await one.end()
         await worker.server.drain(0)
+
     run(main())
 
 
@@ -463,20 +483,30 @@
             assert verdict(record)["answer"] == "aborted"
         await one.end()
         await worker.server.drain(0)
+
     run(main())
 
 
 @pytest.mark.rigs
 def test_a_dispatcher_killed_at_a_step_keeps_what_it_had_promised() -> None:
     """Two steps of the matrix of bench/crash_points.py, every effect, deferred and keyed, with real processes."""
-    done = subprocess.run([sys.executable, "bench/crash_points.py", "--steps", "cleared,ended"], cwd=ROOT,
-                          capture_output=True, text=True, timeout=90, check=False)
+    done = subprocess.run(
+        [sys.executable, "bench/crash_points.py", "--steps", "cleared,ended"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
     found = [json.loads(line) for line in done.stdout.splitlines()]
     assert done.returncode == 0, done.stdout + done.stderr[-1500:]
     assert len(found) == 10 and not any(case["broken"] for case in found)
     # A deferred one may die before its 202 has left: then nothing was promised, and nobody asks.
-    assert {case["answer"] for case in found if case["step"] == "cleared" and case["effect"] == "once-only"
-            and "answer" in case} == {"aborted"}
+    assert {
+        case["answer"]
+        for case in found
+        if case["step"] == "cleared" and case["effect"] == "once-only" and "answer" in case
+    } == {"aborted"}
 
 
 def test_compaction_goes_in_slices_and_commits_go_between_them(tmp_path: Path) -> None:
@@ -498,4 +528,5 @@
             await asyncio.sleep(0.002)
         assert book.count() == 1
         await driver.close(1000)
+
     run(main())
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -8,8 +8,16 @@
 from kelptrail.gateway.storm import Stage, Storm, StormSettings
 
 
-def rush(storm: Storm, start: float, seconds: float, per_s: float, turned: float, done: float, seed: int = 1,
-         again: float = 0.0) -> tuple[float, list[float]]:
+def rush(
+    storm: Storm,
+    start: float,
+    seconds: float,
+    per_s: float,
+    turned: float,
+    done: float,
+    seed: int = 1,
+    again: float = 0.0,
+) -> tuple[float, list[float]]:
     """Comers at a rate, of whom a part is turned away and a part completed; `again`: the share that comes again at
     once.  Returns when it ends, and the return times told."""
     chance, now, told, waiting = random.Random(seed), start, list[float](), list[str]()
@@ -136,8 +144,12 @@
     held, passed, number, told = {"quiet": 0, "loud": 0}, {"quiet": 0, "loud": 0}, 0, list[tuple[float, str, str]]()
     while now < 30_000:
         now += 1
-        comers = [(space, f"{space}-{number}-{n}") for space, odds in (("quiet", 0.2), ("loud", 0.2 + (now > 8000)))
-                  for n in range(1) if chance.random() < odds]
+        comers = [
+            (space, f"{space}-{number}-{n}")
+            for space, odds in (("quiet", 0.2), ("loud", 0.2 + (now > 8000)))
+            for n in range(1)
+            if chance.random() < odds
+        ]
         while told and told[0][0] <= now:
             comers.append(heappop(told)[1:])
         for space, who in comers:
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -83,13 +83,22 @@
     return data[:6] + struct.pack("!H", checksum(pseudo_header(A, B, len(bare)) + bare)) + data[8:]
 
 
-@pytest.mark.parametrize(("change", "error"), [
-    (lambda d: b"", VersionError), (lambda d: d[:5], TooShortError), (lambda d: d[:-1], TooShortError),
-    (lambda d: d + b"\0", TooLongError), (lambda d: b"\x21" + d[1:], VersionError),
-    (lambda d: b"\x32" + d[1:], TypeFieldError), (lambda d: d[:-1] + b"\x09", ChecksumError),
-    (lambda d: resum(d[:1] + b"\0" + d[2:]), VridError), (lambda d: resum(d[:3] + b"\0" + d[4:8]), CountError),
-    (lambda d: resum(d[:4] + b"\xf0\0" + d[6:]), IntervalError), (lambda d: d[:3] + b"\x09" + d[4:], TooShortError),
-])
+@pytest.mark.parametrize(
+    ("change", "error"),
+    [
+        (lambda d: b"", VersionError),
+        (lambda d: d[:5], TooShortError),
+        (lambda d: d[:-1], TooShortError),
+        (lambda d: d + b"\0", TooLongError),
+        (lambda d: b"\x21" + d[1:], VersionError),
+        (lambda d: b"\x32" + d[1:], TypeFieldError),
+        (lambda d: d[:-1] + b"\x09", ChecksumError),
+        (lambda d: resum(d[:1] + b"\0" + d[2:]), VridError),
+        (lambda d: resum(d[:3] + b"\0" + d[4:8]), CountError),
+        (lambda d: resum(d[:4] + b"\xf0\0" + d[6:]), IntervalError),
+        (lambda d: d[:3] + b"\x09" + d[4:], TooShortError),
+    ],
+)
 def test_each_malformed_field_is_an_error_of_its_own(change, error) -> None:
     with pytest.raises(PacketError) as caught:
         decode(change(encode(advert(), A, B)), A, B)
@@ -106,7 +115,7 @@
     ends = (SIX, SIX2) if six else (A, B)
     sound = bytearray(encode(Advertisement(1, 100, 100, (SIX,) if six else FRONT), *ends))
     sound[at % len(sound)] ^= (data[0] if data else 0) or 1
-    for tried in (data, bytes(sound), bytes(sound[:at % len(sound)]), bytes(sound) + data):
+    for tried in (data, bytes(sound), bytes(sound[: at % len(sound)]), bytes(sound) + data):
         try:
             decode(tried, *ends)
         except PacketError as cause:
@@ -114,9 +123,14 @@
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.integers(1, 255), st.integers(0, 255), st.integers(1, 4095),
-       st.one_of(st.lists(st.ip_addresses(v=4), min_size=1, max_size=20),
-                 st.lists(st.ip_addresses(v=6), min_size=1, max_size=20)))
+@given(
+    st.integers(1, 255),
+    st.integers(0, 255),
+    st.integers(1, 4095),
+    st.one_of(
+        st.lists(st.ip_addresses(v=4), min_size=1, max_size=20), st.lists(st.ip_addresses(v=6), min_size=1, max_size=20)
+    ),
+)
 def test_decode_undoes_encode(vrid: int, priority: int, interval: int, addresses: list) -> None:
     packet = Advertisement(vrid, priority, interval, tuple(addresses))
     ends = (A, B) if addresses[0].version == 4 else (SIX, SIX2)
@@ -133,7 +147,7 @@
             if data:
                 data[chance.randrange(len(data))] = chance.getrandbits(8)
         try:
-            decode(bytes(data[:chance.randint(0, len(data))] if n % 3 == 0 else data), A, B)
+            decode(bytes(data[: chance.randint(0, len(data))] if n % 3 == 0 else data), A, B)
         except PacketError as cause:
             assert type(cause) in ERRORS
             named += 1
@@ -200,8 +214,9 @@
     assert r.state is State.MASTER and not pull(r)
 
 
-@pytest.mark.parametrize(("heard", "preempt", "resets"), [
-    (100, True, True), (150, True, True), (50, True, False), (50, False, True)])
+@pytest.mark.parametrize(
+    ("heard", "preempt", "resets"), [(100, True, True), (150, True, True), (50, True, False), (50, False, True)]
+)
 def test_a_backup_hears_whom_it_should(heard: int, preempt: bool, resets: bool) -> None:
     r = router(100, preempt)
     r.startup(0.0)
@@ -223,8 +238,10 @@
     return r
 
 
-@pytest.mark.parametrize(("heard", "sender", "yields"), [
-    (101, B, True), (100, B, True), (100, ip_address("127.0.1.0"), False), (99, B, False)])
+@pytest.mark.parametrize(
+    ("heard", "sender", "yields"),
+    [(101, B, True), (100, B, True), (100, ip_address("127.0.1.0"), False), (99, B, False)],
+)
 def test_a_master_yields_to_the_better_and_asserts_itself_to_others(heard: int, sender, yields: bool) -> None:
     r = master()
     now = r.due() - 400
@@ -322,12 +339,24 @@
     routers = [RouterSettings(1, 200, FRONT), RouterSettings(2, 100, (ip_address("127.0.2.2"),))]
     one = Instance(A, (B,), routers)
     one.startup(0.0)
-    for data, sender, hops in ((b"junk", B, 255), (encode(advert(), B, A), B, 64), (encode(advert(), C, A), C, 255),
-                               (encode(advert(vrid=9), B, A), B, 255), (encode(advert(), A, A), A, 255),
-                               (encode(advert(interval=50), B, A), B, 255)):
+    for data, sender, hops in (
+        (b"junk", B, 255),
+        (encode(advert(), B, A), B, 64),
+        (encode(advert(), C, A), C, 255),
+        (encode(advert(vrid=9), B, A), B, 255),
+        (encode(advert(), A, A), A, 255),
+        (encode(advert(interval=50), B, A), B, 255),
+    ):
         one.received(1.0, data, sender, hops)
-    assert dict(+one.counts) == {"received": 6, "VersionError": 1, "HopsError": 1, "not-a-peer": 1, "foreign-vrid": 1,
-                                "own": 1, "other-interval": 1}
+    assert dict(+one.counts) == {
+        "received": 6,
+        "VersionError": 1,
+        "HopsError": 1,
+        "not-a-peer": 1,
+        "foreign-vrid": 1,
+        "own": 1,
+        "other-interval": 1,
+    }
     for _ in range(400):
         one.tick(_ * 20.0)
     assert [r.state for r in one.routers.values()] == [State.MASTER] * 2
@@ -341,16 +370,20 @@
 def cores(*priorities: int, preempt: bool = True):
     def make() -> list[Router]:
         return [router(p, preempt, here=ip_address(f"127.0.1.{n + 1}")) for n, p in enumerate(priorities)]
+
     return make
 
 
-@pytest.mark.parametrize(("make", "budget", "depth"), [
-    (cores(200, 100), Budget(), 8),
-    (cores(100, 100), Budget(), 7),
-    (cores(200, 100, preempt=False), Budget(), 8),
-    (cores(255, 100), Budget(), 8),
-    (cores(200, 150, 100), Budget(drops=1, copies=0, crashes=1, pauses=1, delay=1), 5),
-])
+@pytest.mark.parametrize(
+    ("make", "budget", "depth"),
+    [
+        (cores(200, 100), Budget(), 8),
+        (cores(100, 100), Budget(), 7),
+        (cores(200, 100, preempt=False), Budget(), 8),
+        (cores(255, 100), Budget(), 8),
+        (cores(200, 150, 100), Budget(drops=1, copies=0, crashes=1, pauses=1, delay=1), 5),
+    ],
+)
 def test_explored_products_keep_their_properties(make, budget: Budget, depth: int) -> None:
     found = explore(make, budget, depth, 100_000, 9000.0)
     assert found.whole and found.states > 500 and found.two_masters > 0, found
@@ -372,11 +405,14 @@
         self.outputs.append(GiveUp(1))
 
 
-@pytest.mark.parametrize(("name", "instead", "message"), [
-    ("_heard_as_master", broken_yield, "2 masters"),
-    ("_heard_as_backup", broken_backup, "has the higher priority"),
-    ("_move", broken_take, "does not hold the address"),
-])
+@pytest.mark.parametrize(
+    ("name", "instead", "message"),
+    [
+        ("_heard_as_master", broken_yield, "2 masters"),
+        ("_heard_as_backup", broken_backup, "has the higher priority"),
+        ("_move", broken_take, "does not hold the address"),
+    ],
+)
 def test_a_broken_transition_is_found(monkeypatch, name: str, instead, message: str) -> None:
     monkeypatch.setattr(machine.Router, name, instead)
     with pytest.raises(PropertyError, match=message):
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -213,11 +213,22 @@
     door = listen.getsockname()[1]
     listen.close()
     file = tmp_path / "c.json"
-    file.write_text(json.dumps(configuration() | {"listen": f"127.0.0.1:{door}", "journal": f"127.0.0.1:{journal}",
-                                                  "limits": {"cores": 1, "memory_mb": 64, "sockets": 400}}))
+    file.write_text(
+        json.dumps(
+            configuration()
+            | {
+                "listen": f"127.0.0.1:{door}",
+                "journal": f"127.0.0.1:{journal}",
+                "limits": {"cores": 1, "memory_mb": 64, "sockets": 400},
+            }
+        )
+    )
     process = subprocess.Popen(
-        [sys.executable, "-m", "kelptrail.platform"], env=os.environ | {"LB_CONFIG": str(file)}, stdout=subprocess.PIPE,
-        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40)))
+        [sys.executable, "-m", "kelptrail.platform"],
+        env=os.environ | {"LB_CONFIG": str(file)},
+        stdout=subprocess.PIPE,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40)),
+    )
     clients: list[socket.socket] = []
     try:
         read_until(process, "feed unreachable")
@@ -254,6 +265,7 @@
 def test_new_versions_of_what_is_loaded_arrive_on_a_quiet_day() -> None:
     """All copies go stale at once, with one call here and there and no burst: each function is ordered anew when it is
     next called for, its call is served, and orders stay within the ration."""
+
     async def main() -> None:
         versions: dict[bytes, int] = {}
         release, orders = [1], list[float]()
