A list of known failures: passed over and printed, an error as soon as one passes

Needed so that a failing test can be committed before its fix. tests/known_red.py reads KNOWN-RED.txt (test | cause | issue, three at most), runs each listed test, prints its failure in the summary and passes it over; a pass, a malformed line, a fourth line or a name that matches no test fail the run, with and without pytest-xdist.

--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,120 @@
+"""A pytest plugin for tests that are known to fail: `KNOWN-RED.txt` at the root names them until their fault is mended.
+
+Each line reads `test | cause | issue`, at most `MOST_ENTRIES` of them.  A named test runs as usual; its failure is
+printed in the summary and passed over, its pass is an error until the line is taken off the list.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+FILE_NAME = "KNOWN-RED.txt"
+MOST_ENTRIES = 3
+PASSES = "passes, so its line has to leave KNOWN-RED.txt"
+
+
+class KnownRedError(ValueError):
+    """A list of known failures that cannot be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One test that is known to fail."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def read_entries(text: str) -> list[Entry]:
+    """The entries of a list.  Raises `KnownRedError` for a line without test, cause and issue, a test named twice,
+    and more entries than `MOST_ENTRIES`."""
+    entries = []
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip():
+            continue
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != 3 or not all(parts):
+            raise KnownRedError(f"{FILE_NAME}:{number}: not `test | cause | issue`")
+        entries.append(Entry(*parts))
+    if len(entries) > MOST_ENTRIES:
+        raise KnownRedError(f"{FILE_NAME}: {len(entries)} lines, {MOST_ENTRIES} at most")
+    if len({entry.test for entry in entries}) < len(entries):
+        raise KnownRedError(f"{FILE_NAME}: one test twice")
+    return entries
+
+
+def names(entry: Entry, test_id: str) -> bool:
+    """Whether an entry names a test: by its whole id, or by its function for all its parameters."""
+    return test_id == entry.test or test_id.partition("[")[0] == entry.test
+
+
+_ENTRIES = pytest.StashKey[list[Entry]]()
+_UNMATCHED = pytest.StashKey[str]()
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    path = Path(config.rootpath) / FILE_NAME
+    try:
+        entries = read_entries(path.read_text(encoding="utf-8") if path.exists() else "")
+    except KnownRedError as cause:
+        raise pytest.UsageError(str(cause)) from None
+    for entry in entries:
+        if not (config.rootpath / entry.test.partition("::")[0]).is_file():
+            raise pytest.UsageError(f"{FILE_NAME}: {entry.test} names no test")
+    config.stash[_ENTRIES] = entries
+
+
+@pytest.hookimpl(tryfirst=True)  # before tests are left out by mark or name
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    collected_files = {item.nodeid.partition("::")[0] for item in items}
+    whole_files = not any("::" in argument for argument in config.args)
+    for entry in config.stash[_ENTRIES]:
+        collected = entry.test.partition("::")[0] in collected_files
+        if whole_files and collected and not any(names(entry, item.nodeid) for item in items):
+            unmatched = f"{FILE_NAME}: {entry.test} names no test"
+            worker_output = getattr(config, "workeroutput", None)  # of pytest-xdist: its controller ends the run
+            if worker_output is None:
+                raise pytest.UsageError(unmatched)
+            worker_output["known_red"] = unmatched
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_testnodedown(node: Any) -> None:
+    if unmatched := getattr(node, "workeroutput", {}).get("known_red"):
+        node.config.stash[_UNMATCHED] = unmatched
+
+
+@pytest.hookimpl(trylast=True)
+def pytest_sessionfinish(session: pytest.Session) -> None:
+    if session.config.stash.get(_UNMATCHED, ""):
+        session.exitstatus = pytest.ExitCode.USAGE_ERROR
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item: pytest.Item, call: pytest.CallInfo[None]):  # type: ignore[no-untyped-def]
+    report = yield
+    entry = next((entry for entry in item.config.stash[_ENTRIES] if names(entry, item.nodeid)), None)
+    if entry is None or report.skipped:
+        return report
+    if report.failed:
+        report.outcome = "skipped"
+        report.wasxfail = f"{entry.cause} ({entry.issue})"
+        report.user_properties.append(("known red", report.longreprtext))
+    elif report.when == "call":
+        report.outcome = "failed"
+        report.longrepr = f"{item.nodeid} {PASSES}"
+    return report
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    terminalreporter.write(terminalreporter.config.stash.get(_UNMATCHED, ""))
+    for report in terminalreporter.getreports("xfailed"):
+        failure = dict(report.user_properties).get("known red")
+        if failure is not None:
+            terminalreporter.section(f"known red: {report.nodeid}: {report.wasxfail}")
+            terminalreporter.write_line(str(failure))
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,66 @@
+"""The list of known failures: what is on it is passed over and printed, everything wrong about it fails the run."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from known_red import PASSES, KnownRedError, read_entries
+
+TESTS = "import pytest\ndef test_red(): assert 1 == 2\ndef test_green(): pass\n"
+
+
+def run_suite(folder: Path, known_red: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """Runs a small suite with this list."""
+    (folder / "test_it.py").write_text(TESTS)
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    (folder / "KNOWN-RED.txt").write_text(known_red)
+    command = [sys.executable, "-m", "pytest", "-p", "known_red", "-p", "no:cacheprovider", *arguments]
+    environment = os.environ | {"PYTHONPATH": str(Path(__file__).parent), "PYTEST_ADDOPTS": ""}
+    return subprocess.run(command, cwd=folder, env=environment, capture_output=True, text=True, timeout=60)
+
+
+@pytest.mark.parametrize("arguments", [(), ("-n", "2")])
+def test_a_listed_failure_is_printed_and_passed_over(tmp_path: Path, arguments: tuple[str, ...]) -> None:
+    done = run_suite(tmp_path, "test_it.py::test_red | one is not two | issue 1\n", *arguments)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "known red: test_it.py::test_red: one is not two (issue 1)" in done.stdout
+    assert "assert 1 == 2" in done.stdout
+    assert "1 passed, 1 xfailed" in done.stdout
+
+
+def test_a_listed_test_that_passes_fails_the_run(tmp_path: Path) -> None:
+    listed = "test_it.py::test_red | a cause | issue 1\ntest_it.py::test_green | a cause | issue 1\n"
+    done = run_suite(tmp_path, listed)
+    assert done.returncode == 1
+    assert f"test_it.py::test_green {PASSES}" in done.stdout
+
+
+def test_a_failure_that_is_not_listed_fails_the_run(tmp_path: Path) -> None:
+    assert run_suite(tmp_path, "").returncode == 1
+
+
+@pytest.mark.parametrize("arguments", [(), ("-n", "2"), ("-k", "green")])
+@pytest.mark.parametrize("test", ["test_it.py::test_gone", "test_gone.py::test_red", "test_it.py::test_red[no]"])
+def test_a_name_that_matches_no_test_fails_the_run(tmp_path: Path, test: str, arguments: tuple[str, ...]) -> None:
+    done = run_suite(tmp_path, f"{test} | a cause | issue 1\n", *arguments)
+    assert done.returncode not in (0, 1)
+    assert "names no test" in done.stdout + done.stderr
+
+
+@pytest.mark.parametrize("line", ["test_it.py::test_red", "a | b", "a | | issue 1", "a | b | c | d"])
+def test_a_line_without_test_cause_and_issue_is_an_error(line: str) -> None:
+    with pytest.raises(KnownRedError, match=":2:"):
+        read_entries(f"first | cause | issue 1\n{line}\n")
+
+
+def test_more_lines_than_allowed_and_a_test_twice_are_errors(tmp_path: Path) -> None:
+    with pytest.raises(KnownRedError, match="4 lines"):
+        read_entries("".join(f"t{number} | cause | issue\n" for number in range(4)))
+    with pytest.raises(KnownRedError, match="twice"):
+        read_entries("t | cause | issue\nt | cause | issue\n")
+    done = run_suite(tmp_path, "no line of the list\n")
+    assert done.returncode == 4 and "KNOWN-RED.txt:1" in done.stderr
