--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,120 @@
+"""System calls that fail for a moment, as Linux documents them, forced one by one at the platform's sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from test_crossings import Held, until
+from test_platform import Place, Runner, echo, run
+
+from kelptrail.codec import feed, frames
+
+PASSING_SEND = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
+
+
+class Failing:
+    """Wraps an object; calls of one method fail with the errors of a list, then go on as usual."""
+
+    def __init__(self, wrapped: Any, method: str, codes: list[int]) -> None:
+        self._wrapped, self._method, self._codes = wrapped, method, codes
+
+    def __getattr__(self, name: str) -> Any:
+        found = getattr(self._wrapped, name)
+        return self._fails_first(found) if name == self._method else found
+
+    def _fails_first(self, method: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*arguments: Any) -> Any:
+            if self._codes:
+                code = self._codes.pop(0)
+                raise OSError(code, os.strerror(code))
+            return method(*arguments)
+
+        return call
+
+
+@pytest.mark.parametrize("code", PASSING_SEND)
+def test_a_send_that_fails_for_a_moment_costs_no_connection(code: int) -> None:
+    """On the client's connection, the worker's and the list's: what is open there goes on."""
+
+    async def main() -> None:
+        async with Place(runner := Runner(echo)) as place:
+            client = await place.client()
+            client.ask(1)
+            assert await client.code() == frames.SERVED
+            (worker_links,) = place.service._links.values()
+            (connection,) = worker_links._connections
+            (front_client,) = place.service._front._idle
+            for each in (connection.link, front_client.link):
+                assert each is not None
+                each.wire.sock = Failing(each.wire.sock, "send", [code, code])  # type: ignore[assignment]
+            client.ask(2)
+            assert await client.code() == frames.SERVED
+            assert runner.connections == 1 and connection in worker_links._connections
+
+    run(main())
+
+
+@pytest.mark.parametrize("step_ms", [3_600_000.0, -3_600_000.0, 3_000.0, -3_000.0])
+def test_a_worker_that_starts_after_a_step_of_the_wall_clock_is_in_slow_start(
+    step_ms: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its age counts on the monotonic clock from its start, whichever way the wall clock went in between."""
+
+    async def main() -> None:
+        async with Place(Runner(echo), Runner(echo)) as place:
+            now_ms = place.service._now
+            real = time.time
+            monkeypatch.setattr("time.time", lambda: real() + step_ms / 1000)
+            await asyncio.sleep(0.25)  # the periodic work sees the step
+            started = int(real() * 1000 + step_ms) - 100
+            place.service._listed(worker_event(2, 7, started))
+            worker = place.service._host.workers["s-00000007"]
+            assert worker.started is not None
+            assert 90.0 <= now_ms() - worker.started <= 400.0
+
+    run(main())
+
+
+def worker_event(number: int, id_: int, started: int) -> Any:
+    """An event that tells of one live worker, as the reader gives it."""
+    record = feed.Record(f"s-{id_:08x}", "127.0.0.1", 9, feed.READY, 0, 0, 0, 1.0, started)
+    return feed.Event(number, False, [record])
+
+
+def test_the_limit_passed_on_is_what_the_client_has_left_when_the_call_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The worker's connection comes up late: what was decided before says the time that is left then."""
+    limits: list[int] = []
+
+    class Reads(Runner):
+        async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while line := await reader.readline():
+                word, id_, *rest = line.split()
+                if word == b"CALL":
+                    await reader.readexactly(int(rest[-1]) + 2)
+                    limits.append(int(rest[0].partition(b"limit=")[2].partition(b",")[0]))
+                    writer.write(id_ + b" OK - 0\r\n\r\n")
+                elif word == b"LOAD":
+                    writer.write(id_ + b" OK units=1 0\r\n\r\n")
+
+    async def main() -> None:
+        async with Place(Reads(echo)) as place:
+            client = await place.client()
+            client.ask(1)
+            assert await client.code() == frames.SERVED  # an instance is loaded
+            for links in place.service._links.values():
+                links.close()
+            held = Held(monkeypatch)
+            client.ask(2, limit="1500")
+            await until(lambda: held.waiting)
+            await asyncio.sleep(0.4)
+            held.gate.set()
+            assert await client.code() == frames.SERVED
+            assert limits and limits[-1] <= 1500 - 400 + 20
+
+    run(main())
