Sends that fail for a moment cost no connection; limits and starts follow the moment

Causes: Link._flush closed the connection for every OSError of send (ENOBUFS, ENOMEM, EINTR pass); Service kept one offset between the wall clock and the loop's for its whole life, so a step by an hour made a new worker an hour too old or too young; Service._send wrote limit= when an attempt was decided, before connects (250 ms) and full sockets.

Change: net/errors.py says in one place which errors pass, which are our own shortage and which end a connection; connects are tried again within their time (EINTR, EADDRNOTAVAIL, ENETUNREACH, ENFILE and the like). A Link's pieces are made when they leave, so a CALL says the time left then and is not sent where that is over; at workers the kernel holds at most 16 KB unsent (TCP_NOTSENT_LOWAT). host/wall_clock.py keeps the offsets before and after each step and takes the latest reading that is not in the future; a worker's start is read once per word of the list.

A stub of the log in test_crossings takes fields as the log does.

--- a/kelptrail/net/link.py
+++ b/kelptrail/net/link.py
@@ -1,8 +1,8 @@
 """A connection that reads on by itself and writes what it is given in one go, over a `Wire`.
 
-What is written within one turn of the loop leaves in one call.  The link counts the bytes that it was given and the
-bytes that the socket took, so its user can tell afterwards what cannot have reached the peer, and can take back what
-has not begun to leave.
+What is written within one turn of the loop leaves in one call.  Each piece that is written knows whether it has begun
+to leave and whether it has left whole, so its user can tell afterwards what cannot have reached the peer, and can take
+back what has not begun to leave.  A piece may be made only when it leaves, where it tells of the time that is left.
 """
 
 from __future__ import annotations
@@ -13,14 +13,52 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from errno import EINPROGRESS
+from errno import EALREADY, EINPROGRESS, EINTR, EISCONN
 
+from .errors import is_momentary, may_connect_later
 from .wire import Wire
 
 BUFFER = 8_192
 CHUNK = 65_536
 TURN = 32  # buffers read in one turn of the loop: an end behind many bytes is seen soon
 PASSED = 1 << 18  # bytes of a peer that are passed over after `finish`, so that no reset eats what it was told
+RETRY_MS = 5.0  # after a call that failed for a moment
+CONNECT_RETRY_MS, LONGEST_CONNECT_RETRY_MS = 10.0, 80.0
+
+
+class Piece:
+    """Bytes that leave together: those of one message, given at once or made when they are about to leave."""
+
+    __slots__ = ("_data", "_left", "_make", "begun", "sent", "size", "withdrawn")
+
+    def __init__(self, size: int, data: bytes = b"", make: Callable[[], bytes] | None = None) -> None:
+        self.size, self._data, self._make = size, data, make
+        self._left = 0  # bytes that have left
+        self.begun = self.sent = self.withdrawn = False
+
+    def render(self) -> bytes:
+        """What is still to leave of it, as of now."""
+        if self.begun:
+            return self._data[self._left :]
+        if self.withdrawn:
+            self._data = b""
+        elif self._make is not None:
+            self._data = self._make()
+        return self._data
+
+    def take(self, count: int) -> int:
+        """The socket took that many bytes of what was rendered last, here and behind; returns those behind."""
+        rest = len(self._data) - self._left
+        taken = min(count, rest)
+        self._left += taken
+        self.begun = self.begun or taken > 0
+        self.sent = self.begun and taken == rest
+        return count - taken
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing of it is to leave any more."""
+        return self._left == len(self._data)
 
 
 class Link:
@@ -37,13 +75,13 @@
         "_most",
         "_out",
         "_reader",
+        "_retry",
+        "_unsent",
         "_waits",
         "_writing",
         "closed",
         "moved",
-        "queued",
         "wire",
-        "written",
     )
 
     def __init__(
@@ -57,11 +95,12 @@
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.wire, self._loop, self._got, self._ended, self._most = Wire(loop, sock), loop, got, ended, most_waiting
-        self._out: deque[tuple[int, bytes]] = deque()  # what is not written, and what `written` will be after it
-        self.queued = self.written = 0  # bytes given, and taken by the socket; what was taken back counts in both
+        self._out: deque[Piece] = deque()  # what has not left whole
+        self._unsent = 0  # the size of all of that
         self.moved = loop.time()  # when the socket last took bytes, or had none to take
         self.closed = self._closing = self._writing = self._waits = False
         self._limit: asyncio.TimerHandle | None = None
+        self._retry: asyncio.TimerHandle | None = None
         self._reader: asyncio.Task[None] | None = loop.create_task(self._read())
 
     @property
@@ -69,29 +108,36 @@
         """Whether bytes wait for the socket to take them."""
         return bool(self._out)
 
-    def write(self, data: bytes) -> int:
-        """Give bytes; returns what `written` will be once all of them were taken."""
-        self.queued += len(data)
-        if not self.closed and not self._closing:
-            if not self._out:
-                self.moved = self._loop.time()
-            self._out.append((self.queued, data))
-            if self.queued - self.written > self._most:  # guards against a peer that does not read what it asked for
-                self._loop.call_soon(self._lost)
-            elif not self._writing:
-                self._writing = True
-                self._loop.call_soon(self._flush)
-        return self.queued
-
-    def withdraw(self, mark: int, size: int) -> bool:
-        """Take back the `size` bytes for which `write` returned `mark`; False once the first of them has left, as
-        the rest must follow for the peer to tell what comes after."""
-        if self.written <= mark - size:
-            for at, (end, _) in enumerate(self._out):
-                if end == mark:
-                    self._out[at] = mark, b""
-                    return True
-        return False
+    def write(self, data: bytes) -> Piece:
+        """Give bytes."""
+        return self._queue(Piece(len(data), data))
+
+    def write_made(self, make: Callable[[], bytes], size: int) -> Piece:
+        """Give some `size` bytes that `make` makes when they are about to leave; where it makes none, none leave.  It
+        may be asked several times, and must not act on the link."""
+        return self._queue(Piece(size, make=make))
+
+    def _queue(self, piece: Piece) -> Piece:
+        if self.closed or self._closing:
+            return piece
+        if not self._out:
+            self.moved = self._loop.time()
+        self._out.append(piece)
+        self._unsent += piece.size
+        if self._unsent > self._most:  # guards against a peer that does not read what it asked for
+            self._loop.call_soon(self._lost)
+        elif not self._writing:
+            self._writing = True
+            self._loop.call_soon(self._flush)
+        return piece
+
+    def withdraw(self, piece: Piece) -> bool:
+        """Take a piece back; False once the first of it has left, as the rest must follow for the peer to tell what
+        comes after."""
+        if piece.begun or piece.withdrawn:
+            return False
+        piece.withdrawn = True
+        return True
 
     def push(self) -> None:
         """Write now what the socket takes, before what other links were given in this turn."""
@@ -113,6 +159,8 @@
             return
         self.closed = True
         self._out.clear()
+        if self._retry is not None:
+            self._retry.cancel()
         self._got = self._ended = _nothing  # else a cycle would keep it, and its user, till the collector comes
         if self._limit is not None:
             self._limit.cancel()
@@ -130,17 +178,11 @@
 
     async def _read(self) -> None:
         buffer = bytearray(BUFFER)
-        view, recv_into, sock = memoryview(buffer), self.wire.recv_into, self.wire.sock
+        view = memoryview(buffer)
         turn = passed = 0
         try:
             while True:
-                if not turn:
-                    count = await recv_into(buffer)
-                else:
-                    try:
-                        count = sock.recv_into(buffer)
-                    except BlockingIOError:
-                        count = await recv_into(buffer)
+                count = await self._receive(buffer, at_once=turn > 0)
                 if not count:
                     break
                 turn = (turn + 1) % TURN if count == BUFFER else 0
@@ -158,30 +200,40 @@
             self._loop.call_exception_handler({"message": "a connection's reader failed", "exception": cause})
         self._lost()
 
+    async def _receive(self, buffer: bytearray, at_once: bool) -> int:
+        """The next bytes, 0 at the end; `at_once` looks before it waits.  Raises `OSError`."""
+        while True:
+            try:
+                if at_once:
+                    at_once = False
+                    with contextlib.suppress(BlockingIOError):
+                        return self.wire.sock.recv_into(buffer)
+                return await self.wire.recv_into(buffer)
+            except OSError as cause:
+                if not is_momentary(cause):
+                    raise
+                await asyncio.sleep(RETRY_MS / 1000)
+
     def _flush(self) -> None:
-        out = self._out
-        while out and not self.closed:
-            batch, size = [], 0
-            for _, data in out:
-                batch.append(data)
-                if (size := size + len(data)) >= CHUNK:
-                    break
+        """Write what the socket takes."""
+        self._retry = None
+        while self._out and not self.closed:
+            batch = self._batch()
+            size = sum(map(len, batch))
+            if self.closed:  # by what was looked at as a piece was made
+                return
             try:
-                count = left = self.wire.sock.send(b"".join(batch)) if size else 0
+                count = self.wire.sock.send(b"".join(batch)) if size else 0
             except BlockingIOError:
-                count = left = 0
-            except OSError:
-                self._lost()
+                count = 0
+            except OSError as cause:
+                if not is_momentary(cause):
+                    self._lost()
+                    return
+                self._wait(False)
+                self._retry = self._loop.call_later(RETRY_MS / 1000, self._flush)
                 return
-            while out and left >= len(out[0][1]):
-                self.written, data = out.popleft()
-                left -= len(data)
-            if left:
-                end, data = out[0]
-                out[0] = end, data[left:]
-                self.written += left
-            if count:
-                self.moved = self._loop.time()
+            self._took(len(batch), count)
             if count < size:  # the socket is full
                 self._wait(True)
                 return
@@ -190,6 +242,28 @@
             self._writing = False
             self._settle()
 
+    def _batch(self) -> list[bytes]:
+        """The bytes of the pieces that are next, as of now."""
+        batch, size = [], 0
+        for piece in list(self._out):
+            data = piece.render()
+            batch.append(data)
+            if (size := size + len(data)) >= CHUNK:
+                break
+        return batch
+
+    def _took(self, pieces: int, count: int) -> None:
+        """The socket took `count` bytes of that many pieces."""
+        if count:
+            self.moved = self._loop.time()
+        for _ in range(pieces):
+            piece = self._out[0]
+            count = piece.take(count)
+            if not piece.over:
+                return
+            self._out.popleft()
+            self._unsent -= piece.size
+
     def _wait(self, for_room: bool) -> None:
         """Go on with `_flush` once the socket has room."""
         if for_room != self._waits:
@@ -213,23 +287,33 @@
 
 
 async def connect(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within_ms: float) -> socket.socket:
-    """A connected socket; the host is an IP address.  Raises `OSError`; `TimeoutError`, which is one, past `within_ms`.
+    """A connected socket; the host is an IP address.  What fails for a moment is tried again within the time.  Raises
+    `OSError`; `TimeoutError`, which is one, past `within_ms`.
 
     Not the loop's own call: that one looks each address up in a thread of a pool, which takes the process's signals
     after the loop has let them go, and CPU for each connection."""
+    ends, pause_ms = loop.time() + within_ms / 1000, CONNECT_RETRY_MS
+    while True:
+        try:
+            return await _connect_once(loop, address, ends - loop.time())
+        except OSError as cause:
+            if not may_connect_later(cause) or loop.time() + pause_ms / 1000 >= ends:
+                raise
+        await asyncio.sleep(pause_ms / 1000)
+        pause_ms = min(LONGEST_CONNECT_RETRY_MS, 2 * pause_ms)
+
+
+async def _connect_once(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within_s: float) -> socket.socket:
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-    sock.setblocking(False)
     try:
-        if (code := sock.connect_ex(address)) == EINPROGRESS:
-            up: asyncio.Future[None] = loop.create_future()
-            loop.add_writer(sock, _up, up)
-            try:
-                async with asyncio.timeout(within_ms / 1000):
-                    await up
-            finally:
-                loop.remove_writer(sock)
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        while code == EINTR:  # whether it goes on by itself: the next call says so
+            code = sock.connect_ex(address)
+        if code in (EINPROGRESS, EALREADY):
+            await _until_writable(loop, sock, within_s)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
+        if code not in (0, EISCONN):
             raise OSError(code, os.strerror(code))
     except BaseException:
         sock.close()
@@ -237,6 +321,16 @@
     return sock
 
 
+async def _until_writable(loop: asyncio.AbstractEventLoop, sock: socket.socket, within_s: float) -> None:
+    up: asyncio.Future[None] = loop.create_future()
+    loop.add_writer(sock, _up, up)
+    try:
+        async with asyncio.timeout(within_s):
+            await up
+    finally:
+        loop.remove_writer(sock)
+
+
 def _up(up: asyncio.Future[None]) -> None:
     if not up.done():
         up.set_result(None)
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -11,11 +11,12 @@
 from typing import Any
 
 from kelptrail.codec import frames
-from kelptrail.codec.feed import GONE, READY, Event, FeedReader
+from kelptrail.codec.feed import GONE, READY, Event, FeedReader, Record
 from kelptrail.codec.lines import Answer, call
 from kelptrail.dispatch.agenda import Agenda
 from kelptrail.dispatch.terms import Activation, Order, Outcome, Send, State, Worker
 from kelptrail.host.host import Entry, Host
+from kelptrail.host.wall_clock import WallClockReader
 
 from .config import Config
 from .feed import Feed
@@ -26,6 +27,7 @@
 STATE_MS = 5_000.0  # how often the log compares what is believed with what the sockets show
 LAST_MS = 700.0  # after the word to end, requests are still under way to us for so long
 PART_MS = 50.0  # for which clients may read on at the end
+CALL_BYTES = 160  # of a call beside its body, some
 OTHERS = 24  # descriptors that are neither clients' nor workers': the loop, the list and its next connection, the log
 
 
@@ -77,7 +79,8 @@
         self._loop, self.config, sockets = loop, config, config.sockets
         loop.set_exception_handler(failed)
         self._host = Host(config.seed, config.settings)
-        self._wall_ms = time.time() * 1000 - self._now()  # from the list's clock to the loop's, once
+        self._wall_clock = WallClockReader(time.time() * 1000, self._now())
+        self._started: dict[str, tuple[int, float]] = {}  # of each worker: as the list tells it, and on our clock
         self._order_ms, self._descriptors = sockets.order_ms, config.descriptors
         # A third of the descriptors is the usual clients'; some more hold those that come too many.
         clients = config.descriptors * 5 // 12
@@ -254,7 +257,7 @@
                 r.cell,
                 STATES.get(r.state, State.DRAINING),
                 r.size,
-                r.started - self._wall_ms if r.started else None,
+                self._started_at(now, r),
             )
             for r in event.records or ()
         ]
@@ -274,11 +277,23 @@
                     self._ended(item, Outcome.UNSENT, None)
             if worker.gone and worker.id not in self._host.workers:
                 self._addresses.pop(worker.id, None)
+                self._started.pop(worker.id, None)
         live = sum(worker.live for worker in self._host.workers.values())
         self._bounds.most = max(2, self._descriptors // 4 // max(1, len(self._host.workers)))
         note("list", number=event.number, workers=len(self._host.workers), live=live)
         self._stir_soon()
 
+    def _started_at(self, now: float, record: Record) -> float | None:
+        """When a worker started; the same for the same word of the list, whatever the wall clock does in between."""
+        if not record.started:
+            return None
+        told, started = self._started.get(record.id, (0, 0.0))
+        if told != record.started:
+            self._wall_clock.observe(time.time() * 1000, now)
+            started = self._wall_clock.monotonic_ms(record.started, now)
+            self._started[record.id] = record.started, started
+        return started
+
     # What to do.
 
     def _stir_soon(self) -> None:
@@ -298,7 +313,7 @@
                     else:
                         self._send(now, decision)
                 elif isinstance(decision, Order):
-                    self._links_to(decision.copy.worker).order(decision)
+                    self._links_to(decision.copy.worker).order(decision, lambda: True)
                     self._due.add(now + self._order_ms, decision)
                 elif isinstance(decision, Activation):
                     self._final(decision)
@@ -314,10 +329,16 @@
             return
         if send.until < act.deadline:
             self._due.add(send.until, send)
-        limit = max(1, int(act.deadline - now))
-        self._links_to(send.copy.worker).send(
-            send, call(act.id, act.type.name, act.function.id, limit, request.key, request.body)
-        )
+        size = len(request.body) + CALL_BYTES
+        self._links_to(send.copy.worker).send(send, lambda: self._call(send), size)
+
+    def _call(self, send: Send) -> bytes:
+        """The bytes of a send as it leaves, with the time that its client has left then; none where that is over."""
+        act, request = send.act, self._requests.get(send.act)
+        limit_ms = int(act.deadline - time.monotonic() * 1000)
+        if request is None or limit_ms < 1:
+            return b""
+        return call(act.id, act.type.name, act.function.id, limit_ms, request.key, request.body)
 
     def _final(self, act: Activation) -> None:
         request = self._requests.pop(act, None)
@@ -396,6 +417,8 @@
                     self._host.told(now, item, Outcome.SILENT, 0)
         if now >= self._beat_due:
             self._beat_due = now + self._host.beat_ms
+            if self._wall_clock.observe(time.time() * 1000, now):
+                note("wall clock stepped", steps=self._wall_clock.steps)
             self._host.beat(now)
             self._front.sweep()
             for worker, links in list(self._links.items()):
--- a/kelptrail/platform/workers.py
+++ b/kelptrail/platform/workers.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
-from errno import EMFILE, ENFILE, ENOBUFS
+from dataclasses import dataclass
 from typing import Any
 
 from kelptrail.codec.lines import Answer, LineError, LineReader, cancel, load
 from kelptrail.dispatch.terms import Order, Outcome, Send
-from kelptrail.net.link import Link, connect
+from kelptrail.net.errors import is_local_shortage
+from kelptrail.net.link import Link, Piece, connect
 
 WORDS = {
     "OK": Outcome.COMPLETED,
@@ -24,9 +27,21 @@
     "VOID": Outcome.UNSENT,
 }
 WAITING = 1 << 20  # bytes that a worker may leave unread
+UNSENT_IN_KERNEL = 16_384  # bytes that the kernel may hold unsent: what it holds can be neither changed nor taken back
 
 Item = Send | Order
 Ended = Callable[[Item, Outcome, Answer | None], None]
+Make = Callable[[], bytes]
+
+
+@dataclass(slots=True)
+class Opened:
+    """Something that is open on a connection: how its bytes are made, and their piece once the connection is up."""
+
+    item: Item
+    make: Make
+    size: int
+    piece: Piece | None = None
 
 
 class Bounds:
@@ -75,7 +90,6 @@
         "_owner",
         "_reader",
         "_task",
-        "_waiting",
         "doubtful",
         "heard",
         "link",
@@ -87,8 +101,7 @@
     def __init__(self, owner: WorkerLinks, loop: asyncio.AbstractEventLoop) -> None:
         self._owner, self._loop = owner, loop
         self._reader = LineReader(owner.bounds.answer_bytes)
-        self._waiting: list[tuple[str, bytes]] = []
-        self.open: dict[str, tuple[Item, int, int]] = {}  # its mark at the link, and its size
+        self.open: dict[str, Opened] = {}  # in the order in which it was opened
         self.spent: dict[str, float] = {}  # ids that were used on it, and until when an answer of then may still come
         self.doubtful = False  # something on it was given up unanswered, and nothing was heard since
         self.used = self.heard = loop.time()
@@ -100,22 +113,27 @@
         """The least is used next: one heard of, with the least open, the last used: long idle ones may be dead."""
         return self.doubtful, len(self.open), -self.used
 
-    def start(self, id_: str, item: Item, data: bytes) -> None:
-        """Open something on it."""
+    def start(self, id_: str, item: Item, make: Make, size: int) -> None:
+        """Open something on it, whose bytes `make` makes when they leave; where it makes none, it ends as unsent."""
         self.used = self._loop.time()
         self.spent[id_] = self.used + self._owner.bounds.longest_ms / 1000
-        if self.link is None:
-            self.open[id_] = item, 0, 0
-            self._waiting.append((id_, data))
-        else:
-            self.open[id_] = item, self.link.write(data), len(data)
+        opened = self.open[id_] = Opened(item, make, size)
+        if self.link is not None:
+            self._write(self.link, opened)
+
+    def _write(self, link: Link, opened: Opened) -> None:
+        def made() -> bytes:
+            data = opened.make()
+            if not data:
+                self._loop.call_soon(self._owner.unsent, opened.item)
+            return data
+
+        opened.piece = link.write_made(made, opened.size)
 
     def withdraw(self, id_: str) -> bool:
         """Take back what has not begun to leave."""
-        _, mark, size = self.open[id_]
-        if self.link is None:
-            self._waiting = [(other, data) for other, data in self._waiting if other != id_]
-        elif not self.link.withdraw(mark, size):
+        piece = self.open[id_].piece
+        if piece is not None and self.link is not None and not self.link.withdraw(piece):
             return False
         del self.open[id_]
         return True
@@ -157,14 +175,17 @@
             return
         except OSError as cause:
             self._task = None  # without a descriptor for it nothing is known of the worker
-            self._over(Outcome.UNSENT if cause.errno in (EMFILE, ENFILE, ENOBUFS) else Outcome.UNREACHABLE)
+            outcome = Outcome.UNSENT if is_local_shortage(cause) else Outcome.UNREACHABLE
+            self._owner.note("worker connect failed", worker=self._owner.id, cause=cause, outcome=outcome.value)
+            self._over(outcome)
             return
         self._task = None
         self.heard = self._loop.time()
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_IN_KERNEL)
         self.link = Link(self._loop, sock, self._got, self._ended, WAITING)
-        for id_, data in self._waiting:
-            self.open[id_] = self.open[id_][0], self.link.write(data), len(data)
-        self._waiting = []
+        for opened in self.open.values():
+            self._write(self.link, opened)
 
     def _got(self, data: memoryview) -> None:
         self.heard = self._loop.time()
@@ -176,7 +197,7 @@
                 if found is not None:  # else a second copy, a late one, or one that nobody asked for
                     self.used = self.heard  # a second copy comes soon, if one comes
                     self.spent[answer.id] = self.heard + self._owner.bounds.connect_ms / 1000
-                    self._owner.finished(found[0], WORDS.get(answer.word, Outcome.BROKEN), answer)
+                    self._owner.finished(found.item, WORDS.get(answer.word, Outcome.BROKEN), answer)
         except LineError as cause:
             self._owner.note("worker unreadable", worker=self._owner.id, cause=str(cause))
             self.close()
@@ -186,10 +207,10 @@
 
     def _over(self, unsent: Outcome) -> None:
         self._owner.gone(self)
-        ended, self.open, self._waiting = self.open, {}, []
-        written = self.link.written if self.link is not None else -1
-        for item, needs, _ in ended.values():
-            self._owner.finished(item, Outcome.BROKEN if written >= needs else unsent, None)
+        ended, self.open = self.open, {}
+        for opened in ended.values():
+            arrived = opened.piece is not None and opened.piece.sent
+            self._owner.finished(opened.item, Outcome.BROKEN if arrived else unsent, None)
 
 
 class WorkerLinks:
@@ -218,15 +239,21 @@
         """Sends and orders that are open."""
         return sum(len(connection.open) for connection in self._connections)
 
-    def send(self, send: Send, data: bytes) -> None:
-        """Carry out a send."""
-        self._start(send.act.id, send, data)
+    def send(self, send: Send, make: Make, size: int) -> None:
+        """Carry out a send, whose bytes are made as they leave."""
+        self._start(send.act.id, send, make, size)
 
-    def order(self, order: Order) -> None:
-        """Carry out a hold order."""
+    def order(self, order: Order, may_leave: Callable[[], bool]) -> None:
+        """Carry out a hold order, if it may still leave once the connection takes it."""
         self._tags += 1
         tag = f"o{self._tags}"
-        self._start(tag, order, load(tag, order.copy.function.id, order.count))
+        data = load(tag, order.copy.function.id, order.count)
+        self._start(tag, order, lambda: data if may_leave() else b"", len(data))
+
+    def unsent(self, item: Item) -> None:
+        """It was not to leave any more."""
+        if self.withdraw(item):
+            self._ended(item, Outcome.UNSENT, None)
 
     def give_up(self, item: Item) -> bool | None:
         """Call something off; whether it may arrive.  None: it has ended."""
@@ -285,7 +312,7 @@
             del self._connections[connection]
             self.bounds.held -= 1
 
-    def _start(self, id_: str, item: Item, data: bytes) -> None:
+    def _start(self, id_: str, item: Item, make: Make, size: int) -> None:
         best, now = None, self._loop.time()
         for connection in self._connections:
             # Guards against a second answer to what went there before under this id: it would be taken for the first.
@@ -305,7 +332,7 @@
             self._connections[best] = None
             self.bounds.held += 1
         self._at[item] = best, id_
-        best.start(id_, item, data)
+        best.start(id_, item, make, size)
 
     def _room(self) -> bool:
         return len(self._connections) < self.bounds.most and self.bounds.held < self.bounds.most_in_all
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,7 +31,7 @@
 SMALL = 4096  # bytes of a socket's buffer, where it shall be full soon
 
 
-def silent(*_: Any) -> None:
+def silent(*_: Any, **__: Any) -> None:
     """A worker that never answers."""
 
 
@@ -404,7 +404,8 @@
 
     def send(self, id_: str, size: int = 16_000) -> Any:
         thing = Thing(id_)
-        self.links.send(thing, call(id_, "t", "a" * 16, 1000, "", bytes(size)))  # type: ignore[arg-type]
+        data = call(id_, "t", "a" * 16, 1000, "", bytes(size))
+        self.links.send(thing, lambda: data, len(data))  # type: ignore[arg-type]
         return thing
 
     async def take(self) -> socket.socket:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -14,6 +14,7 @@
 from test_platform import Place, Runner, echo, run
 
 from kelptrail.codec import feed, frames
+from kelptrail.host.wall_clock import WallClockReader
 
 PASSING_SEND = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
 
@@ -118,3 +119,17 @@
             assert limits and limits[-1] <= 1500 - 400 + 20
 
     run(main())
+
+
+def test_a_unix_time_is_read_by_the_clock_that_makes_it_latest_and_never_in_the_future() -> None:
+    hour = 3_600_000.0
+    reader = WallClockReader(1_000_000.0, 0.0)
+    assert reader.monotonic_ms(1_000_500.0, 1000.0) == 500.0
+    assert not reader.observe(1_002_000.0 + 40.0, 2000.0), "clocks drift"
+    assert reader.observe(1_003_000.0 + hour, 3000.0)
+    assert reader.monotonic_ms(1_002_900.0, 3100.0) == 2900.0, "written before the step"
+    assert reader.monotonic_ms(1_003_050.0 + hour, 3100.0) == 3050.0, "and after it"
+    assert reader.observe(1_004_000.0, 4000.0)
+    assert reader.monotonic_ms(1_004_020.0, 4100.0) == 4020.0
+    assert reader.monotonic_ms(1_004_000.0 + 9 * hour, 4100.0) == 4100.0, "by no clock of ours: as of now"
+    assert reader.steps == 2
