--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -501,7 +501,10 @@
 
 
 @pytest.mark.parametrize("uneven", [False, True])
-@pytest.mark.parametrize(("many", "per_s"), [(20, 100.0), (30, 100.0), (30, 400.0), (200, 400.0)])
+@pytest.mark.parametrize(
+    ("many", "per_s"),
+    [(1, 5.0), (1, 100.0), (2, 20.0), (5, 40.0), (5, 100.0), (20, 100.0), (30, 100.0), (30, 400.0), (200, 400.0)],
+)
 def test_all_dispatchers_together_keep_the_budget_of_a_cold_worker(many: int, per_s: float, uneven: bool) -> None:
     """Each sends whenever its gate lets it, at once or all from one moment on; some are told late, some restart and
     know of nothing.  Counted as the platform counts: what any span gets beyond N + 2 root N + 2."""
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -10,12 +10,22 @@
 from typing import Any
 
 import pytest
-from test_crossings import Held, until
-from test_platform import Place, Runner, echo, run
+from test_crossings import Held, answers, raw, read_all, request, silent, until
+from test_platform import Place, Runner, echo, event, run
+from test_worker_list import List, follow
 
 from kelptrail.codec import feed, frames
 from kelptrail.host.wall_clock import WallClockReader
 
+FAILING_ACCEPT = (
+    errno.ECONNABORTED,
+    errno.EINTR,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EPROTO,
+)
 PASSING_SEND = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
 
 
@@ -133,3 +143,68 @@
     assert reader.monotonic_ms(1_004_020.0, 4100.0) == 4020.0
     assert reader.monotonic_ms(1_004_000.0 + 9 * hour, 4100.0) == 4100.0, "by no clock of ours: as of now"
     assert reader.steps == 2
+
+
+@pytest.mark.parametrize("codes", [[code] for code in FAILING_ACCEPT] + [[errno.ECONNABORTED, errno.EMFILE] * 3])
+def test_clients_in_the_queue_are_answered_at_a_planned_end_though_accepts_fail(codes: list[int]) -> None:
+    """Whoever has connected before the listener closes is taken in, also behind a client that has gone."""
+
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            door = place.service._front._door
+            (listening,) = door._sockets
+            asyncio.get_running_loop().remove_reader(listening)  # whoever comes stands in the queue of the kernel
+            clients = [raw(place.port) for _ in range(3)]
+            for number, client in enumerate(clients, 1):
+                client.sendall(request(number))
+            door._sockets = {Failing(listening, "accept", list(codes)): None}  # type: ignore[dict-item]
+            place.service.end()
+            await asyncio.wait_for(place.service.over, 3.0)
+            place.service.close()
+            for number, client in enumerate(clients, 1):
+                assert answers(await asyncio.to_thread(read_all, client)) == {number: frames.SERVED}
+                client.close()
+
+    run(main())
+
+
+def test_a_crowd_of_new_clients_that_have_asked_is_answered_one_by_one() -> None:
+    """Beyond the bound, too: no connection is closed over a request that stands in its socket."""
+
+    async def main() -> None:
+        async with Place(Runner(silent), sockets=48) as place:
+            busy = [raw(place.port) for _ in range(20)]
+            for number, client in enumerate(busy, 1):
+                client.sendall(request(number))
+            await until(lambda: len(place.service._requests) == 20)
+            crowd = [raw(place.port) for _ in range(30)]
+            for number, client in enumerate(crowd, 100):
+                client.sendall(request(number))
+            for number, client in enumerate(crowd, 100):
+                assert set(answers(await asyncio.to_thread(read_all, client, 4.0))) == {number}
+            for client in busy + crowd:
+                client.close()
+
+    run(main())
+
+
+def test_new_configurations_in_a_row_ask_a_list_that_answers_no_more_than_now_and_then() -> None:
+    """The address is the same and the list tells its events: nothing is called off for a word that changes nothing."""
+
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                writer.write(event(1, 0))
+                await asyncio.sleep(0.1)
+
+        asked = List(serve)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            await follow(place, port)
+            await until(lambda: asked.asked)
+            for _ in range(25):
+                await asyncio.sleep(0.04)
+                await follow(place, port)
+            assert len(asked.asked) <= 3
+
+    run(main())
