One guard at the moment an attempt leaves; nobody who has asked is closed over unread

Causes: Door._next took an aborted client for an empty queue and take_all stopped at any other error, so clients queued at a planned end were reset; Front._came closed connections beyond the bound unread; a planned end that ran out of time closed over requests in hand; a crowd client's second request behind the first was passed over after the refusal.

Change: Door goes on behind an aborted client, waits where there is no room, and keeps the listener while some cannot be let in. Clients beyond the bound are answered one by one and closed after resting. Past 0.9 s of a planned end new requests are refused, and what is in hand at its last moment gets its final answer.

--- a/kelptrail/dispatch/rules.py
+++ b/kelptrail/dispatch/rules.py
@@ -98,9 +98,11 @@
     def send(self, now: float, act: Activation, copy: Copy) -> Send | None:
         if not self.may_send(now, act, copy.worker):
             return None
+        until = self.shuts(act)
         if self.warmth(now, copy.worker) < 1:
             copy.worker.recent.append(now)
-        send = Send(act, copy, len(act.sends), now, until=self.shuts(act))
+            until = min(until, now + (self._late or float("inf")))
+        send = Send(act, copy, len(act.sends), now, until=until)
         act.sends.append(send)
         return send
 
@@ -113,7 +115,19 @@
             if not copy.worker.live or (self._span and orders > ration * (1 - spare)):
                 return None
             self._orders.append(now)
-        return Order(copy, min(count, 16), now) if self._loads else None  # the most that an order may name
+        if not self._loads:
+            return None
+        until = now + self._late if count and self._late else float("inf")
+        return Order(copy, min(count, 16), now, until)  # the most that an order may name
+
+    def may_begin(self, now: float, item: Send | Order) -> bool:
+        """Whether a send or an order that was decided may begin to leave now.  Guards against what came
+        between the decision and a connection that takes it: a client that went, an answer, a drain, time."""
+        if not (item.copy.worker.live and now < item.until):
+            return False
+        if isinstance(item, Order):
+            return item.copy.order is item
+        return item.outcome is None and not item.revoked and item.act.verdict is None
 
     def uncount(self, act: Activation) -> None:
         """It earns no orders.  Guards against calls that are no work: taken back unsent, nowhere loadable."""
@@ -587,6 +601,14 @@
             return self._order(now, copy, copy.wanted, 0.5)
         return None
 
+    def stopped(self, now: float, act: Activation) -> Activation:
+        """The process ends and can wait for it no longer: its final answer."""
+        return self._end(now, act)
+
+    def may_begin(self, now: float, item: Send | Order) -> bool:
+        """Whether what was decided may still begin to leave."""
+        return self._gate.may_begin(now, item)
+
     def beat(self, now: float) -> Function | None:
         """The periodic work; returns a function to forget."""
         while self._ahead and (ahead := self._plan(now)):
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -202,7 +202,11 @@
     revoked: bool = False
     lost: bool = False  # out for unusually long
     first: float | None = None  # when the first part of a streamed answer came
-    until: float = float("inf")  # it may not begin to leave later: where repeats are dropped for a time only
+    until: float = float(
+        "inf"
+    )  # it may not begin to leave later: repeats are dropped for a time only, a cold
+    # worker's budget counts it as of now
+    begun: float | None = None  # when its first byte was about to leave
 
     @property
     def may_have_run(self) -> bool:
@@ -217,3 +221,4 @@
     copy: Copy
     count: int
     placed: float
+    until: float = float("inf")  # it may not begin to leave later: the ration counts it as of now
--- a/kelptrail/host/host.py
+++ b/kelptrail/host/host.py
@@ -147,6 +147,16 @@
             del self.workers[id_]
         return restarted
 
+    def stopped(self, now: float, act: Activation) -> Activation:
+        """The process ends and can wait for a request no longer: the request with its final answer."""
+        ended = self._dispatcher.stopped(now, act)
+        self.settle(ended)
+        return ended
+
+    def may_begin(self, now: float, item: Send | Order) -> bool:
+        """Whether a send or an order that was decided may still begin to leave."""
+        return self._dispatcher.may_begin(now, item)
+
     def beat(self, now: float) -> None:
         """The periodic work, every `beat_ms`."""
         if (stale := self._dispatcher.beat(now)) is not None:
--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -16,7 +16,10 @@
 from typing import Any
 from zlib import crc32
 
+from .errors import is_one_client_gone
+
 AT_ONCE = 256  # accepted before others have their turn on the loop
+NO_ROOM_MS, SHORTAGE_MS = 20.0, 100.0  # until it is looked again whether a client can be taken
 LINGER_MS, MOST_LINGERING = 300.0, 2048  # so long refused ones are held: a reset would eat what they are told
 
 
@@ -73,6 +76,8 @@
         self.delay_ms = 0.0
         self.early = 0
         self.on_connect: Callable[[], None] = _nothing  # told of each that connects
+        self.has_room: Callable[[], bool] = _always  # else clients wait in the kernel's queue
+        self.on_shortage: Callable[[], object] = _nothing  # told where descriptors or memory lack for a client
 
     @property
     def is_open(self) -> bool:
@@ -91,16 +96,27 @@
             if timer is not None:
                 timer.cancel()
             self._loop.remove_reader(sock)
-            while last is not None and (found := self._next(sock)) is not None:
-                last(*found)
+            try:
+                while last is not None and (found := self._next(sock)) is not None:
+                    last(*found)
+            except OSError as cause:
+                self._note("accept-failed", reason=str(cause))
             sock.close()
 
-    def take_all(self) -> None:
-        """Let in whoever has connected already, whatever the pace."""
+    def take_all(self) -> bool:
+        """Let in whoever has connected already, whatever the pace; False where some still wait for room."""
         for sock in list(self._sockets):
-            with contextlib.suppress(OSError):
-                while (found := self._next(sock)) is not None:
+            try:
+                while self.has_room():
+                    if (found := self._next(sock)) is None:
+                        break
                     self._came(*found)
+                else:
+                    return False
+            except OSError as cause:
+                self._short(cause)
+                return False
+        return True
 
     def refuse(self, client: socket.socket, told: bytes) -> None:
         """Tell a client something and let it go, at little cost and without a reset as long as there is room."""
@@ -128,22 +144,37 @@
 
     @staticmethod
     def _next(sock: socket.socket) -> tuple[socket.socket, str] | None:
-        try:
-            client, address = sock.accept()
-        except (BlockingIOError, ConnectionAbortedError):
-            return None
-        client.setblocking(False)
-        return client, f"{address[0]}:{address[1]}"
+        """Whoever is next in the queue, or None where it is empty.  Raises `OSError` where nobody can be taken."""
+        for _ in range(AT_ONCE):
+            try:
+                client, address = sock.accept()
+            except BlockingIOError:
+                return None
+            except OSError as cause:
+                if not is_one_client_gone(cause):
+                    raise
+            else:
+                client.setblocking(False)
+                return client, f"{address[0]}:{address[1]}"
+        return None
+
+    def _short(self, cause: OSError) -> None:
+        """Nobody can be taken for a while: out of descriptors or memory."""
+        self._note("accept-failed", reason=str(cause))
+        self.on_shortage()
 
     def _ready(self, sock: socket.socket) -> None:
         for _ in range(1 if self.delay_ms else AT_ONCE):
             if sock not in self._sockets:
                 return
+            if not self.has_room():
+                self._rest(sock, NO_ROOM_MS)
+                return
             try:
                 found = self._next(sock)
             except OSError as cause:  # out of descriptors: let some close
-                self._note("accept-failed", reason=str(cause))
-                self._rest(sock, 100.0)
+                self._short(cause)
+                self._rest(sock, SHORTAGE_MS)
                 return
             if found is None:
                 return
@@ -172,3 +203,8 @@
 
 def _nothing() -> None:
     """Stands in where nobody wants to be told."""
+
+
+def _always() -> bool:
+    """Stands in where there is room for all."""
+    return True
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -16,16 +16,19 @@
 from kelptrail.codec import frames
 from kelptrail.codec.frames import FrameError, FrameReader
 from kelptrail.dispatch.terms import Activation, Customer, Effect, NamespaceType
+from kelptrail.host.invariants import Invariants, Violation
 from kelptrail.net.door import Door
 from kelptrail.net.link import Link
 
 from .config import Sockets
+from .reasons import CloseReason, RequestRefusal
 
 OPEN = 32  # requests that one connection may have open
 WAITING = 1 << 20  # bytes that a client may leave unread
 FIRST_MS = 2_000.0  # within which a connection says something, and goes on with a frame that it began
 IDLE_MS = 6_000.0  # a usual client closes sooner
 STUCK_MS = 1_000.0  # a client that read nothing for so long is not waited for at the end
+CROWD_REST_MS = 100.0  # for which a connection beyond the bound may rest, so that what is under way on it is answered
 LEAVE_MS = 1_000.0  # for which a connection that was told why is held, so that the client reads it
 CROWD = 8  # connections beyond the bound, to be told that there is no room
 LOOKS = 16  # connections looked at for one that can make way
@@ -41,11 +44,13 @@
 class Request:
     """A request that was taken, until its answer is given."""
 
-    __slots__ = ("act", "body", "client", "id", "key", "stream")
+    __slots__ = ("act", "answered", "body", "client", "gone_ms", "id", "key", "stream")
 
     def __init__(self, client: Client, stream: int, id_: str, key: str, body: bytes) -> None:
         self.client, self.stream, self.id, self.key, self.body = client, stream, id_, key, body
         self.act: Activation | None = None
+        self.gone_ms: float | None = None  # when its client went
+        self.answered = False
 
 
 class Asked:
@@ -137,8 +142,9 @@
         left: Callable[[Request], None],
         known: Callable[[str], bool],
         note: Callable[..., None],
+        invariants: Invariants,
     ) -> None:
-        self.loop, self.time, self._note = loop, loop.time, note
+        self.loop, self.time, self._note, self._invariants = loop, loop.time, note, invariants
         self._types = {type_.name: type_ for type_ in types}
         self._customers = {customer.name: customer for customer in customers}
         self._longest, self._most_mb = sockets.longest_ms, sockets.most_mb
@@ -148,9 +154,12 @@
         self._idle: dict[Client, None] = {}  # with nothing open, the longest idle first
         self._busy: dict[Client, None] = {}
         self._leaving: dict[Client, None] = {}  # told why and to be closed
+        self._crowd: dict[Client, None] = {}  # those that came when there was no room
         self._longest_s = max(FIRST_MS, *sockets.longest_ms.values()) / 1000
         self._door = Door(loop, self._came, _nobody, note)
+        self._door.has_room, self._door.on_shortage = self._has_room, self._make_room
         self.ready = True
+        self._refuses = False
 
     def __len__(self) -> int:
         return len(self._fresh) + len(self._idle) + len(self._busy) + len(self._leaving)
@@ -171,14 +180,23 @@
         for client in [*self._clients, *self._leaving]:
             client.link.close()
 
-    def shut(self) -> None:
-        """Let in who has connected, and nobody from then on: they try another dispatcher."""
-        self._door.take_all()
+    def shut(self) -> bool:
+        """Let in who has connected, and nobody from then on: they try another dispatcher.  False while some who have
+        connected cannot be let in: the door stays open for them."""
+        if not self._door.take_all():
+            return False
         self._door.close()
+        return True
+
+    def refuse_new(self) -> None:
+        """Take no further request: each is refused at once."""
+        self._refuses = True
 
     def finish(self, within_ms: float) -> None:
         """Close all connections in order."""
         for client in self._clients:
+            for request in client.open.values():
+                self._invariants.violated(Violation.ENDED_OVER_REQUEST, request.id)
             client.link.finish(within_ms)
 
     @property
@@ -208,7 +226,10 @@
     def answer(self, request: Request, code: int, body: bytes = b"", later_ms: int = 0) -> None:
         """The one final answer of a request."""
         client = request.client
+        if request.answered:
+            self._invariants.violated(Violation.SECOND_ANSWER, request.id)
         if client.open.pop(request.stream, None) is not None:
+            request.answered = True
             self._bytes -= len(request.body)
             client.link.write(frames.answer(request.stream, code, body, later_ms))
             if not client.open:
@@ -218,12 +239,19 @@
         """Close connections that said nothing in time, stopped in the middle of a frame, or idled.  A slow frame that
         goes on is given as long as a request of any namespace type."""
         now = self.time()
-        for group, within in ((self._fresh, FIRST_MS), (self._idle, IDLE_MS)):
+        for group, within, reason in (
+            (self._fresh, FIRST_MS, CloseReason.SILENT),
+            (self._idle, IDLE_MS, CloseReason.IDLE),
+        ):
             for client in list(group):
                 if (now - client.since) * 1000 < within:
                     break
                 if client.begun is None and client.link.wire.quiet() is not None:  # else a request comes
-                    self._drop(client)
+                    self._drop(client, reason)
+        for client in list(self._crowd):
+            rested = (now - client.since) * 1000 >= CROWD_REST_MS and client in self._idle
+            if rested and client.begun is None and client.link.wire.quiet() is not None:
+                self._drop(client, CloseReason.NO_ROOM)
         for client in self._clients:
             if (
                 client.begun is not None
@@ -231,7 +259,7 @@
                 and client.link.wire.quiet() is not None
             ):
                 if client in self._fresh:  # it never said a whole frame
-                    self._drop(client)
+                    self._drop(client, CloseReason.SILENT)
                 else:
                     self.unreadable(client, FrameError("a frame that does not end"))
 
@@ -257,6 +285,7 @@
 
     def unreadable(self, client: Client, cause: FrameError) -> None:
         """What came cannot be read: say so and close; nobody can tell any longer what belongs to what."""
+        self._note("connection closed", reason=CloseReason.UNREADABLE.value, cause=cause, open=len(client.open))
         stream = cause.stream if cause.stream not in client.open else 0
         client.link.write(frames.answer(stream, frames.FAILED))
         self._leave(client)
@@ -265,14 +294,24 @@
         """A connection has ended."""
         self._abandon(client)
 
+    @property
+    def _places_taken(self) -> int:
+        """Connections that are not there only to be told that there is no room."""
+        return len(self) - len(self._crowd)
+
+    def _has_room(self) -> bool:
+        """Whether one more can be let in, if only to be told that there is no room: whoever has asked is answered, and
+        waits in the kernel's queue until then."""
+        return len(self) < self._most + CROWD or self._make_room()
+
     def _came(self, sock: socket.socket, _: str) -> None:
-        crowds = len(self) >= self._most and not self._make_room()
-        if crowds and len(self) >= self._most + CROWD:
-            sock.close()
-            return
+        while self._places_taken >= self._most and self._make_room():
+            pass
         client = Client(self, sock)
-        client.crowds = crowds
+        client.crowds = self._places_taken >= self._most
         self._fresh[client] = None
+        if client.crowds:
+            self._crowd[client] = None
         if not self.ready:
             client.link.write(frames.frame(frames.GO_AWAY, 0))
 
@@ -281,7 +320,7 @@
         for group in (self._leaving, self._fresh, self._idle):
             for client in islice(group, LOOKS):
                 if group is self._leaving or (client.begun is None and client.link.wire.quiet() is not None):
-                    self._drop(client)
+                    self._drop(client, CloseReason.MADE_ROOM)
                     return True
         return False
 
@@ -305,13 +344,14 @@
             asked = Asked(told, self._types, self._longest, self._customers, self._most_mb)
             if self._known(asked.id):
                 raise UnusableError("the id of an open request")
-        except UnusableError:
+        except UnusableError as cause:
+            self._note("request failed", request=told.get("txn"), reason=RequestRefusal.UNUSABLE.value, cause=cause)
             client.link.write(frames.answer(stream, frames.FAILED))
             return
-        if client.crowds or self._bytes + len(body) > self._most_bytes:  # memory: what was taken comes first
+        if (refusal := self._refusal(client, body)) is not None:
+            self._note("request refused", request=asked.id, reason=refusal.value)
             client.link.write(frames.answer(stream, frames.REFUSED))
-            if client.crowds:
-                self._leave(client)
+            client.since = self.time()
             return
         self._bytes += len(body)
         request = client.open[stream] = Request(client, stream, asked.id, asked.key, body)
@@ -319,9 +359,19 @@
         self._busy[client] = None
         self._take(request, asked)
 
+    def _refusal(self, client: Client, body: bytes) -> RequestRefusal | None:
+        if self._refuses:
+            return RequestRefusal.ENDING
+        if client.crowds:
+            return RequestRefusal.NO_ROOM
+        if self._bytes + len(body) > self._most_bytes:  # what was taken comes first
+            return RequestRefusal.NO_MEMORY
+        return None
+
     def _forget(self, request: Request) -> None:
         client = request.client
         del client.open[request.stream]
+        request.gone_ms = self.time() * 1000
         self._bytes -= len(request.body)
         self._left(request)
         if not client.open:
@@ -335,10 +385,17 @@
     def _abandon(self, client: Client) -> None:
         for request in list(client.open.values()):
             self._forget(request)
-        for group in (self._fresh, self._idle, self._busy, self._leaving):
+        for group in (self._fresh, self._idle, self._busy, self._leaving, self._crowd):
             group.pop(client, None)
 
-    def _drop(self, client: Client) -> None:
+    def _drop(self, client: Client, reason: CloseReason) -> None:
+        """Close at once, where nothing of the client is under way."""
+        told_why = client in self._leaving
+        if client.open or (not told_why and client.link.wire.quiet() is None):
+            self._invariants.violated(
+                Violation.CLOSED_OVER_REQUEST, ",".join(r.id for r in client.open.values()) or "-"
+            )
+        self._note("connection closed", reason=reason.value)
         self._abandon(client)
         client.link.close()
 
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
 import time
 import traceback
 from collections import Counter
@@ -16,48 +14,25 @@
 from kelptrail.dispatch.agenda import Agenda
 from kelptrail.dispatch.terms import Activation, Order, Outcome, Send, State, Worker
 from kelptrail.host.host import Entry, Host
+from kelptrail.host.invariants import Invariants
 from kelptrail.host.wall_clock import WallClockReader
 
 from .config import Config
 from .feed import Feed
 from .front import Asked, Front, Request
+from .log import EventLog
 from .workers import Bounds, Item, WorkerLinks
 
 STATES = {READY: State.LIVE, GONE: State.GONE}
 STATE_MS = 5_000.0  # how often the log compares what is believed with what the sockets show
 LAST_MS = 700.0  # after the word to end, requests are still under way to us for so long
+REFUSE_AFTER_MS = 200.0  # for which what stood in the door then is still served; who asks after that is refused
 PART_MS = 50.0  # for which clients may read on at the end
 CALL_BYTES = 160  # of a call beside its body, some
 OTHERS = 24  # descriptors that are neither clients' nor workers': the loop, the list and its next connection, the log
 
 
-class Log:
-    """Lines on standard output, at most `most` a second: a pipe that nobody reads fast must not hold up the loop."""
-
-    def __init__(self, most: int = 50) -> None:
-        self._most, self._second, self._written, self._dropped = most, 0, 0, 0
-
-    def __call__(self, what: str, **more: Any) -> None:
-        second = int(time.monotonic())
-        if second != self._second:
-            if self._dropped:
-                self._write(f"lines left out: {self._dropped}")
-            self._second, self._written, self._dropped = second, 0, 0
-        self._written += 1
-        if self._written > self._most:
-            self._dropped += 1
-            return
-        told = "".join(f" {name}={value}" for name, value in more.items())
-        self._write(f"{what}{told}")
-
-    @staticmethod
-    def _write(line: str) -> None:
-        """Guards against a reader of the log that has gone: that must stop neither timer nor planned end."""
-        with contextlib.suppress(OSError):
-            os.write(1, f"{time.strftime('%H:%M:%S')} {line}\n".encode())
-
-
-note = Log()
+note = EventLog()
 
 
 def failed(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -96,6 +71,7 @@
             max(sockets.longest_ms.values()),
             self._make_room,
         )
+        self.invariants = Invariants(note)
         self._front = Front(
             loop,
             sockets,
@@ -107,6 +83,7 @@
             self._left,
             lambda id_: id_ in self._host.acts,
             note,
+            self.invariants,
         )
         self._requests: dict[Activation, Request] = {}
         self._links: dict[Worker, WorkerLinks] = {}
@@ -118,7 +95,7 @@
         self._soon = False
         self._state_due = self._now() + STATE_MS
         self._counts: Counter[str] = Counter()
-        self._end_due = float("inf")
+        self._end_due = self._refuse_due = float("inf")
         self.over = loop.create_future()
         for event in config.known:
             self._listed(event)
@@ -157,6 +134,7 @@
             self._front.go_away()
             # All that is taken till the door shuts has its answer by then; who asks on and on is not waited for.
             self._end_due = self._now() + LAST_MS + self._bounds.longest_ms
+            self._refuse_due = self._now() + LAST_MS + REFUSE_AFTER_MS
             self._loop.call_later(LAST_MS / 1000, self._end_if_idle)
 
     def close(self) -> None:
@@ -168,12 +146,17 @@
 
     def _end_if_idle(self) -> None:
         """The last look, and the end in the same turn: nothing can come in between unseen."""
-        self._front.shut()
-        if (self._requests or not self._front.settled) and self._now() < self._end_due:
+        now = self._now()
+        if now >= self._refuse_due:
+            self._front.refuse_new()
+        unfinished = not self._front.shut() or self._requests or not self._front.settled
+        if unfinished and now < self._end_due:
             self._loop.call_later(0.02, self._end_if_idle)
-        else:
-            self._front.finish(PART_MS)
-            self._loop.call_later(PART_MS / 1000, self._end)
+            return
+        for act in list(self._requests):
+            self._final(self._host.stopped(now, act))
+        self._front.finish(PART_MS)
+        self._loop.call_later(PART_MS / 1000, self._end)
 
     def _end(self) -> None:
         if not self.over.done():
@@ -313,7 +296,7 @@
                     else:
                         self._send(now, decision)
                 elif isinstance(decision, Order):
-                    self._links_to(decision.copy.worker).order(decision, lambda: True)
+                    self._order(decision)
                     self._due.add(now + self._order_ms, decision)
                 elif isinstance(decision, Activation):
                     self._final(decision)
@@ -330,14 +313,26 @@
         if send.until < act.deadline:
             self._due.add(send.until, send)
         size = len(request.body) + CALL_BYTES
-        self._links_to(send.copy.worker).send(send, lambda: self._call(send), size)
-
-    def _call(self, send: Send) -> bytes:
-        """The bytes of a send as it leaves, with the time that its client has left then; none where that is over."""
-        act, request = send.act, self._requests.get(send.act)
-        limit_ms = int(act.deadline - time.monotonic() * 1000)
-        if request is None or limit_ms < 1:
+        self._links_to(send.copy.worker).send(send, lambda: self._call(send, request), size)
+
+    def _order(self, order: Order) -> None:
+        def may_leave() -> bool:
+            now = time.monotonic() * 1000
+            if may := self._host.may_begin(now, order):
+                self.invariants.order_begins(now, order)
+            return may
+
+        self._links_to(order.copy.worker).order(order, may_leave)
+
+    def _call(self, send: Send, request: Request) -> bytes:
+        """The bytes of a send as it leaves, with the time that its client has left then; none if it may not begin."""
+        act, now = send.act, time.monotonic() * 1000
+        limit_ms = int(act.deadline - now)
+        if limit_ms < 1 or not self._host.may_begin(now, send):
+            note("attempt not begun", request=act.id, attempt=send.number, left_ms=limit_ms)
             return b""
+        send.begun = now
+        self.invariants.attempt_begins(now, send, request.gone_ms, limit_ms)
         return call(act.id, act.type.name, act.function.id, limit_ms, request.key, request.body)
 
     def _final(self, act: Activation) -> None:
@@ -385,6 +380,7 @@
             barred=sum(self._now() < worker.whole.barred_until for worker in workers),
             doubted=sum(worker.doubted for worker in workers),
             ends=dict(self._counts),
+            violations=dict(self.invariants.violations),
         )
         self._counts.clear()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -116,6 +116,7 @@
 
     async def __aexit__(self, *_: object) -> None:
         self.service.close()
+        assert not self.service.invariants.violations
 
     async def _feed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
