--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -20,6 +20,7 @@
 from test_platform import Place, Runner, configuration, echo, event, run
 
 from kelptrail.codec import frames
+from kelptrail.net.link import connect
 from kelptrail.platform import config, feed
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -300,3 +301,49 @@
             assert len(orders) <= 3 * 6 + 2, "one for each version and function, no storm"
 
     run(main())
+
+
+def test_a_service_that_is_slow_to_its_first_byte_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It needs longer than the silence after which it is asked again: the connection that it answers is still there."""
+    monkeypatch.setattr(feed, "SILENT_MS", 200.0)
+
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.5)
+            writer.write(event(2, 2, (1, 9, 1)))
+            await reader.read()
+
+        asked = List(serve)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            await follow(place, port)
+            await until(lambda: place.service.number == 2, 1.5)
+            await until(lambda: len(place.service._feed._watches) == 1)
+
+    run(main())
+
+
+def test_a_service_that_is_slow_to_accept_is_reached(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connect that takes longer than one to a worker may take, while new configurations come in a row."""
+
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(event(2, 2, (1, 9, 1)))
+            await reader.read()
+
+        async def slowly(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within: float) -> socket.socket:
+            async with asyncio.timeout(within / 1000):
+                await asyncio.sleep(0.6)
+                return await connect(loop, address, within)
+
+        asked = List(serve)
+        port = await asked.open()
+        async with Place(Runner(echo)) as place:
+            monkeypatch.setattr(feed, "connect", slowly)
+            await follow(place, port)
+            for _ in range(20):
+                await asyncio.sleep(0.05)
+                await follow(place, port)
+            await until(lambda: place.service.number == 2, 0.5)
+
+    run(main())
