The list is asked on a further connection beside a silent one, and not for each SIGHUP

Cause: Feed held one connection at a time. A SIGHUP called off whatever was under way, also for the same address (25 asks for 25 signals); a connect had the workers' 250 ms; a connection that said nothing for 2 s was dropped before the next was asked, so a service slower than that was never heard.

Change: up to four connections at a time; a further one is opened beside one that is not up after 1 s or silent for 2 s, and the first whole event of the current address drops the others. The same address is asked again 1 s after the last ask at the earliest; an address that comes back finds its connection. Two descriptors are kept for it.

--- a/kelptrail/platform/feed.py
+++ b/kelptrail/platform/feed.py
@@ -1,7 +1,8 @@
 """Follows the platform's worker list: connects, asks for what came after the last event, and asks again.
 
-A break is followed by a new connection at once, then at growing pauses; so is a feed that falls silent, as it
-tells a whole event each second, be it an empty one.
+The list tells a whole event each second, be it an empty one, so silence says that something is wrong; it does not say
+whether with the connection or with a service that is slow.  A further connection is opened beside the silent one, and
+whichever speaks first is kept.  A break is followed by a new connection at once, then at growing pauses.
 """
 
 from __future__ import annotations
@@ -15,13 +16,70 @@
 from kelptrail.codec.feed import Event, FeedError, FeedReader, ask
 from kelptrail.net.link import Link, connect
 
-SILENT_MS = 2_000.0  # two of the feed's empty events are missing
+SILENT_MS = 2_000.0  # two of the list's empty events are missing
 LONGEST_SILENT_MS = 8_000.0  # while bytes come, and no whole event
+CONNECT_PATIENCE_MS = 1_000.0  # after which a further connection is tried beside one that is not up
+LONGEST_CONNECT_MS = 8_000.0
 PAUSE_MS, LONGEST_PAUSE_MS = 50.0, 1_000.0
+MOST_CONNECTIONS = 4  # at a time, those that are not up yet among them
+KEPT_DESCRIPTORS = 2  # for a connection that tells and one to the next address
+UNREAD_BYTES = 1 << 16
+
+
+class Watch:
+    """One connection to the list, from the connect to its end."""
+
+    def __init__(self, feed: Feed, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> None:
+        self._feed, self._loop, self.address = feed, loop, address
+        self.reader = feed.new_reader()
+        self.since = loop.time()  # opened, came up, or last told a whole event
+        self.opened = self.since
+        self.heard = 0  # whole events, empty ones among them
+        self.trickles = False  # bytes came since the last whole event
+        self.link: Link | None = None
+        self.closed = False
+        self._task: asyncio.Task[None] | None = loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        self._feed.spend_one()  # in the same turn the connect takes the descriptor
+        try:
+            sock = await connect(self._loop, self.address, LONGEST_CONNECT_MS)
+        except OSError as cause:
+            self._feed.note("feed unreachable", cause=str(cause))
+            self._end()
+            return
+        finally:
+            self._task = None
+        if self.closed:
+            sock.close()
+            return
+        self.since = self._loop.time()
+        self.link = Link(self._loop, sock, partial(self._feed.got, self), self._end, UNREAD_BYTES)
+        self._feed.connected(self)
+
+    def _end(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._feed.ended(self)
+
+    def fail(self) -> None:
+        """End it from within: nothing further of it is used."""
+        link, self.link = self.link, None
+        if link is not None:
+            link.close()
+        self._end()
+
+    def close(self) -> None:
+        """Close it; nothing is told of it any more."""
+        self.closed = True
+        if self._task is not None:
+            self._task.cancel()
+        if self.link is not None:
+            self.link.close()
 
 
 class Feed:
-    """One follower; `told` gets each new event, in order and once.  A descriptor is kept for its next connection."""
+    """One follower; `told` gets each new event, in order and once.  Descriptors are kept for its next connections."""
 
     def __init__(
         self,
@@ -31,101 +89,157 @@
         reader: Callable[[], FeedReader],
         told: Callable[[Event], None],
         note: Callable[..., None],
-        connect_ms: float,
     ) -> None:
-        self._loop, self._address, self._reader, self._told, self._note = loop, address, reader, told, note
-        self.number, self._connect_ms = number, connect_ms
-        self._link: Link | None = None
-        self._heard = 0  # whole events that came, empty ones among them
-        self._trickles = False  # bytes came since the last whole event
-        self._kept: int | None = None
+        self._loop, self._address, self.new_reader, self._told, self._note = loop, address, reader, told, note
+        self.number = number
+        self._watches: list[Watch] = []  # the oldest first
+        self._short = 0  # connections in a row that told nothing, or served for a short time
+        self._patience_ms = SILENT_MS
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+        self._kept: list[int] = []
         self._keep()
-        self._task = loop.create_task(self._follow())
+        self._open()
+
+    def note(self, event: str, **fields: object) -> None:
+        """A line of the log."""
+        self._note(event, **fields)
 
     def moved(self, address: tuple[str, int]) -> None:
-        """The feed is at another address, or should be asked again where it is: at once, whatever was under way."""
+        """The list is at another address: it is asked there at once, beside what is under way.  At the same address it
+        is asked again after a while: who is told the same over and over must not ask a crowded service as often."""
+        if address == self._address:
+            last = self._newest
+            again = last.opened + LONGEST_PAUSE_MS / 1000 if last is not None else self._due
+            self._wake_at(min(self._due, max(self._loop.time(), again)))
+            return
         self._address = address
-        self._task.cancel()
-        self._task = self._loop.create_task(self._follow())
+        under_way = next((watch for watch in self._watches if watch.address == address), None)
+        if under_way is None:
+            self._open()
+            return
+        self._watches.remove(under_way)  # it is the newest again
+        self._watches.append(under_way)
+        patience_ms = CONNECT_PATIENCE_MS if under_way.link is None else SILENT_MS
+        self._wake_at(under_way.since + patience_ms / 1000)
 
     def close(self) -> None:
         """Follow no longer."""
-        self._task.cancel()
-        if self._link is not None:
-            self._link.close()
-        self._spend()
+        if self._timer is not None:
+            self._timer.cancel()
+        for watch in self._watches:
+            watch.close()
+        self._watches.clear()
+        while self._kept:
+            self.spend_one()
 
-    def _keep(self) -> None:
-        """Hold a descriptor for the next connection.  Guards against clients that fill them all while the feed is
-        down."""
-        if self._kept is None:
-            with contextlib.suppress(OSError):
-                self._kept = os.open(os.devnull, os.O_RDONLY)
-
-    def _spend(self) -> None:
-        kept, self._kept = self._kept, None
-        if kept is not None:
-            os.close(kept)
-
-    async def _follow(self) -> None:
-        short, patience = 0, SILENT_MS  # connections in a row that served for a short time
-        while True:
-            over, heard, began = asyncio.Event(), self._heard, self._loop.time()
-            self._trickles = False
-            self._spend()
-            try:
-                sock = await connect(self._loop, self._address, self._connect_ms)
-            except OSError as cause:
-                self._note("feed unreachable", cause=str(cause))
-            else:
-                old, got = self._link, partial(self._got, self._reader(), over)
-                self._link = Link(self._loop, sock, got, over.set, 1 << 16)
-                self._link.write(ask(self.number))
-                if old is not None:  # held till now: what it still told was taken
-                    old.close()
-                self._keep()
-                await self._hear(over, patience)
-                # Guards against a link too slow for one event within the usual time: it is given more.
-                patience = min(LONGEST_SILENT_MS, 2 * patience) if self._trickles and not over.is_set() else SILENT_MS
-            finally:
-                self._keep()
-            told = self._heard > heard
-            short = 1 if told and (self._loop.time() - began) * 1000 > LONGEST_PAUSE_MS else short + 1
-            if (doublings := short - 1 - told) >= 0:
-                await asyncio.sleep(min(LONGEST_PAUSE_MS, PAUSE_MS * 2 ** min(doublings, 10)) / 1000)
-
-    async def _hear(self, over: asyncio.Event, patience: float) -> None:
-        """Until the connection ends, or no whole event comes for a while."""
-        while not over.is_set():
-            heard = self._heard
-            try:
-                async with asyncio.timeout(patience / 1000):
-                    await over.wait()
-            except TimeoutError:
-                if self._heard == heard:
-                    self._note("feed silent")
-                    return
-                patience = SILENT_MS
-
-    def _got(self, reader: FeedReader, over: asyncio.Event, data: memoryview) -> None:
-        if over.is_set():
+    # What the connections tell.
+
+    def connected(self, watch: Watch) -> None:
+        """A connection is up."""
+        self._keep()
+        if watch.link is not None:
+            watch.link.write(ask(self.number))
+        if watch is self._newest:
+            self._wake_at(watch.since + self._patience_ms / 1000)
+
+    def ended(self, watch: Watch) -> None:
+        """A connection has ended, or could not be made."""
+        if watch not in self._watches:
             return
-        reader.feed(data)
-        self._trickles = True
+        newest = watch is self._newest
+        self._watches.remove(watch)
+        self._keep()
+        if watch.address != self._address or not newest:
+            return
+        served_long = watch.heard and (self._loop.time() - watch.opened) * 1000 > LONGEST_PAUSE_MS
+        self._short = 1 if served_long else self._short + 1
+        doublings = self._short - 1 - bool(watch.heard)
+        pause_ms = min(LONGEST_PAUSE_MS, PAUSE_MS * 2 ** min(doublings, 10)) if doublings >= 0 else 0.0
+        self._wake_at(self._loop.time() + pause_ms / 1000)
+
+    def got(self, watch: Watch, data: memoryview) -> None:
+        """Bytes came."""
+        if watch.closed:
+            return
+        watch.reader.feed(data)
+        watch.trickles = True
         try:
-            while (event := reader.next()) is not None:
-                if event.number > self.number:
-                    if event.records is None:
-                        raise FeedError("events are missing")
-                    if event.number != self.number + 1 and not event.whole:
-                        raise FeedError(f"event {event.number} after {self.number}")
-                    self._told(event)
-                    self.number = event.number  # after it was taken in: one that fails is asked for again
-                self._heard += 1
-                self._trickles = False
+            while not watch.closed and (event := watch.reader.next()) is not None:
+                self._take(event)
+                self._heard(watch)
         except FeedError as cause:
-            self._note("feed unreadable", cause=str(cause))
-            over.set()
+            self.note("feed unreadable", cause=str(cause))
+            watch.fail()
         except Exception as cause:  # it must not end the following
             self._loop.call_exception_handler({"message": "an event could not be taken in", "exception": cause})
-            over.set()
+            watch.fail()
+
+    def _take(self, event: Event) -> None:
+        if event.number <= self.number:
+            return
+        if event.records is None:
+            raise FeedError("events are missing")
+        if event.number != self.number + 1 and not event.whole:
+            raise FeedError(f"event {event.number} after {self.number}")
+        self._told(event)
+        self.number = event.number  # after it was taken in: one that fails is asked for again
+
+    def _heard(self, watch: Watch) -> None:
+        """A whole event: where it is of the address that counts, no other connection is of use."""
+        watch.heard += 1
+        watch.trickles = False
+        watch.since = self._loop.time()
+        if watch.address != self._address:
+            return
+        self._patience_ms = SILENT_MS
+        for other in [other for other in self._watches if other is not watch]:
+            self._drop(other)
+        if watch in self._watches:
+            self._wake_at(watch.since + SILENT_MS / 1000)
+
+    # When to ask again.
+
+    @property
+    def _newest(self) -> Watch | None:
+        return self._watches[-1] if self._watches else None
+
+    def _open(self) -> None:
+        """Ask on a new connection, beside those that there are."""
+        while len(self._watches) >= MOST_CONNECTIONS:
+            self._drop(self._watches[0])
+        watch = Watch(self, self._loop, self._address)
+        self._watches.append(watch)
+        self._wake_at(watch.opened + CONNECT_PATIENCE_MS / 1000)
+
+    def _drop(self, watch: Watch) -> None:
+        watch.close()
+        self._watches.remove(watch)
+        self._keep()
+
+    def _wake_at(self, due: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = due
+        self._timer = self._loop.call_at(due, self._overdue)
+
+    def _overdue(self) -> None:
+        """Nothing was heard in time, or a pause is over."""
+        newest = self._newest
+        if newest is not None and newest.address == self._address:
+            self.note("feed silent" if newest.link is not None else "feed slow to connect", number=self.number)
+            # Guards against a link too slow for one event within the usual time: it is given more.
+            self._patience_ms = min(LONGEST_SILENT_MS, 2 * self._patience_ms) if newest.trickles else SILENT_MS
+        self._open()
+
+    def _keep(self) -> None:
+        """Hold descriptors for the next connections.  Guards against clients that fill them all while the list is
+        down."""
+        with contextlib.suppress(OSError):
+            while len(self._kept) < KEPT_DESCRIPTORS:
+                self._kept.append(os.open(os.devnull, os.O_RDONLY))
+
+    def spend_one(self) -> None:
+        """Let a descriptor go, for the connection that is about to be made."""
+        if self._kept:
+            os.close(self._kept.pop())
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -107,7 +107,6 @@
             lambda: FeedReader(zones, kinds),
             self._listed,
             note,
-            sockets.connect_ms,
         )
 
     @property
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -347,3 +347,28 @@
             await until(lambda: place.service.number == 2, 0.5)
 
     run(main())
+
+
+def test_two_addresses_in_turn_are_followed_though_each_connect_outlasts_the_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(event(2, 2, (1, 9, 1)))
+            await reader.read()
+
+        async def slowly(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within: float) -> socket.socket:
+            await asyncio.sleep(0.2)
+            return await connect(loop, address, within)
+
+        services = [List(serve), List(serve)]
+        ports = [await service.open() for service in services]
+        async with Place(Runner(echo)) as place:
+            monkeypatch.setattr(feed, "connect", slowly)
+            for turn in range(20):
+                await follow(place, ports[turn % 2])
+                await asyncio.sleep(0.05)
+            assert place.service.number == 2, "reached between the turns"
+            assert sum(len(service.asked) for service in services) <= 4
+
+    run(main())
