--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -836,3 +836,24 @@
             sock.close()
 
     run(main())
+
+
+def test_what_is_in_hand_is_answered_before_a_process_that_was_told_to_end_is_killed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """SIGKILL comes 0.7 s and at most 3 s after SIGTERM; a worker hangs through all of it and the client would wait
+    longer."""
+    monkeypatch.setitem(SETTINGS, "classes", [CLASS | {"give_up_us": 8_000_000}])
+
+    async def main() -> None:
+        async with Place(Runner(silent)) as place:
+            client = await place.client()
+            client.ask(1, limit="8000")
+            await until(lambda: place.runners[0].calls)
+            began = time.monotonic()
+            place.service.end()
+            assert await client.next() == (frames.GO_AWAY, 0, b"")
+            assert await client.code(3.7) == frames.REFUSED, "it may run again, and does so elsewhere"
+            await asyncio.wait_for(place.service.over, 3.7 - (time.monotonic() - began))
+
+    run(main())
