A planned end answers what is in hand before the process is killed

Change: dispatch/shutdown.py plans the steps of an end from the word to end (listener shut at 0.7 s, refusals from 0.9 s, at 3.45 s at the latest the final answer of what is still in hand: refused where a second run is harmless, else failed).

--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -12,6 +12,7 @@
 from kelptrail.codec.feed import GONE, READY, Event, FeedReader, Record
 from kelptrail.codec.lines import Answer, call
 from kelptrail.dispatch.agenda import Agenda
+from kelptrail.dispatch.shutdown import ARRIVALS_MS, NOT_PLANNED, plan_shutdown
 from kelptrail.dispatch.terms import Activation, Order, Outcome, Send, State, Worker
 from kelptrail.host.host import Entry, Host
 from kelptrail.host.invariants import Invariants
@@ -25,8 +26,7 @@
 
 STATES = {READY: State.LIVE, GONE: State.GONE}
 STATE_MS = 5_000.0  # how often the log compares what is believed with what the sockets show
-LAST_MS = 700.0  # after the word to end, requests are still under way to us for so long
-REFUSE_AFTER_MS = 200.0  # for which what stood in the door then is still served; who asks after that is refused
+LAST_MS = ARRIVALS_MS
 PART_MS = 50.0  # for which clients may read on at the end
 CALL_BYTES = 160  # of a call beside its body, some
 OTHERS = 24  # descriptors that are neither clients' nor workers': the loop, the list and its next connection, the log
@@ -95,7 +95,7 @@
         self._soon = False
         self._state_due = self._now() + STATE_MS
         self._counts: Counter[str] = Counter()
-        self._end_due = self._refuse_due = float("inf")
+        self._shutdown = NOT_PLANNED
         self.over = loop.create_future()
         for event in config.known:
             self._listed(event)
@@ -131,9 +131,7 @@
         if self._front.ready:
             note("ending", in_hand=len(self._requests))
             self._front.go_away()
-            # All that is taken till the door shuts has its answer by then; who asks on and on is not waited for.
-            self._end_due = self._now() + LAST_MS + self._bounds.longest_ms
-            self._refuse_due = self._now() + LAST_MS + REFUSE_AFTER_MS
+            self._shutdown = plan_shutdown(self._now(), self._bounds.longest_ms, LAST_MS)
             self._loop.call_later(LAST_MS / 1000, self._end_if_idle)
 
     def close(self) -> None:
@@ -145,11 +143,11 @@
 
     def _end_if_idle(self) -> None:
         """The last look, and the end in the same turn: nothing can come in between unseen."""
-        now = self._now()
-        if now >= self._refuse_due:
+        now, plan = self._now(), self._shutdown
+        if now >= plan.refuse:
             self._front.refuse_new()
         unfinished = not self._front.shut() or self._requests or not self._front.settled
-        if unfinished and now < self._end_due:
+        if unfinished and now < plan.end:
             self._loop.call_later(0.02, self._end_if_idle)
             return
         for act in list(self._requests):
