Red: a worker told as a change under a wall clock that was stepped before the start

A process that starts under a clock an hour ahead of the list's takes a worker that started 0.1 s ago for an hour old. It has seen no step, but it has seen the list without that worker.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -208,3 +208,18 @@
             assert len(asked.asked) <= 3
 
     run(main())
+
+
+def test_a_worker_told_as_a_change_is_no_older_than_the_list_without_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The process started under a wall clock that is an hour ahead of the list's; it has seen no step."""
+    real = time.time
+    monkeypatch.setattr("time.time", lambda: real() + 3600)
+
+    async def main() -> None:
+        async with Place(Runner(echo), Runner(echo)) as place:
+            place.service._listed(worker_event(2, 7, int(real() * 1000) - 100))
+            worker = place.service._host.workers["s-00000007"]
+            assert worker.started is not None
+            assert place.service._now() - worker.started <= 1000.0
+
+    run(main())
