A worker told as a change is no older than the list that was heard without it

Cause: the start of a worker was read by the wall clock alone; a process that starts under a stepped clock has only that. Change: a reading more than 10 s before the list was last heard without the worker gives way to that moment; the list tells within seconds of a start while it is heard. What the configuration itself holds at a start under a clock that was stepped forward remains as the clock says; nothing in the process could tell otherwise (docs/invariants.md).

--- a/kelptrail/host/wall_clock.py
+++ b/kelptrail/host/wall_clock.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 
+LATE_TOLD_MS = 10_000.0  # a worker is told of within this time of its start, as long as the list is heard
 STEP_MS = 500.0  # the offset of the two clocks moves by less than this unless the wall clock is stepped
 MOST_OFFSETS = 8
 
@@ -33,8 +34,10 @@
             self._offsets[-1] = offset
         return stepped
 
-    def monotonic_ms(self, unix_ms: float, now_ms: float) -> float:
-        """When a past moment was, by the monotonic clock: `now_ms` at the latest."""
+    def monotonic_ms(self, unix_ms: float, now_ms: float, unknown_at_ms: float = float("-inf")) -> float:
+        """When a past moment was, by the monotonic clock: `now_ms` at the latest.  At `unknown_at_ms` nobody knew of
+        it; a reading long before that is of another clock, and gives way to that moment."""
         readings = [unix_ms - offset for offset in self._offsets]
         past = [reading for reading in readings if reading <= now_ms + STEP_MS]
-        return min(now_ms, max(past, default=now_ms))
+        latest = min(now_ms, max(past, default=now_ms))
+        return unknown_at_ms if latest < unknown_at_ms - LATE_TOLD_MS else latest
--- a/kelptrail/platform/feed.py
+++ b/kelptrail/platform/feed.py
@@ -92,6 +92,7 @@
     ) -> None:
         self._loop, self._address, self.new_reader, self._told, self._note = loop, address, reader, told, note
         self.number = number
+        self.heard_at = loop.time()  # when the list was last heard to tell nothing more than is known
         self._watches: list[Watch] = []  # the oldest first
         self._short = 0  # connections in a row that told nothing, or served for a short time
         self._patience_ms = SILENT_MS
@@ -189,7 +190,7 @@
         """A whole event: where it is of the address that counts, no other connection is of use."""
         watch.heard += 1
         watch.trickles = False
-        watch.since = self._loop.time()
+        watch.since = self.heard_at = self._loop.time()
         if watch.address != self._address:
             return
         self._patience_ms = SILENT_MS
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -97,6 +97,7 @@
         self._counts: Counter[str] = Counter()
         self._shutdown = NOT_PLANNED
         self.over = loop.create_future()
+        self._feed: Feed | None = None
         for event in config.known:
             self._listed(event)
         zones, kinds = len(sockets.zones), len(sockets.kinds)
@@ -112,7 +113,7 @@
     @property
     def number(self) -> int:
         """The last event of the worker list that was taken in."""
-        return self._feed.number
+        return 0 if self._feed is None else self._feed.number
 
     def open(self) -> int:
         """Begin to serve; returns the port.  Raises `OSError`."""
@@ -124,7 +125,8 @@
         """A new configuration: the worker list may be told at another address."""
         self.config = config
         note("configuration", journal=config.journal)
-        self._feed.moved(config.journal)
+        if self._feed is not None:
+            self._feed.moved(config.journal)
 
     def end(self) -> None:
         """A planned end: nothing new is asked for, what was taken and what still comes is answered."""
@@ -136,7 +138,8 @@
 
     def close(self) -> None:
         """Close all sockets."""
-        self._feed.close()
+        if self._feed is not None:
+            self._feed.close()
         self._front.close()
         for links in list(self._links.values()):
             links.close()
@@ -270,7 +273,8 @@
         told, started = self._started.get(record.id, (0, 0.0))
         if told != record.started:
             self._wall_clock.observe(time.time() * 1000, now)
-            started = self._wall_clock.monotonic_ms(record.started, now)
+            unknown_at = self._feed.heard_at * 1000 if self._feed is not None else float("-inf")
+            started = self._wall_clock.monotonic_ms(record.started, now, unknown_at)
             self._started[record.id] = record.started, started
         return started
 
