--- a/bench/door_fuzz.py
+++ b/bench/door_fuzz.py
@@ -102,6 +102,7 @@
     until: float
     left: float | None = None  # cancelled, or its connection closed by the client
     ended: float | None = None  # its connection was closed by the dispatcher
+    rested: bool = False  # its connection had rested a while before it, with nothing open
     said: float | None = None  # GO_AWAY was there before it was asked
     answers: list[tuple[float, int, bytes]] = field(default_factory=list)
 
@@ -109,6 +110,8 @@
 class Day:
     """One day of one seed."""
 
+    limits_ms = LIMITS_MS
+
     def __init__(self, seed: int, seconds: float, folder: Path, processes: int) -> None:
         self.chance, self.seconds, self.folder = random.Random(seed), seconds, folder
         self.asked: dict[str, Asked] = {}
@@ -332,6 +335,7 @@
                         break  # as many as a connection may have open
                     stream += 1
                     asked, data = self._request(n, stream)
+                    asked.rested = all(each.answers or each.left is not None for each in mine.values())
                     mine[stream] = asked
                     if how == "slow":
                         for at in range(0, len(data), 60):
@@ -379,7 +383,11 @@
             writer.close()
 
     def _request(self, n: int, stream: int) -> tuple[Asked, bytes]:
-        kind, limit, id_ = self.chance.choice("ttko"), self.chance.choice(LIMITS_MS), self.chance.randbytes(8).hex()
+        kind, limit, id_ = (
+            self.chance.choice("ttko"),
+            self.chance.choice(self.limits_ms),
+            self.chance.randbytes(8).hex(),
+        )
         told = {
             "verb": kind,
             "txn": id_,
--- a/bench/soak_proxy.py
+++ b/bench/soak_proxy.py
@@ -12,6 +12,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import cast
 
 RECEIVE_BUFFER = 16_384  # so that a stall reaches the dispatcher's own buffers soon
 HELD_BY_KERNELS = 3 * RECEIVE_BUFFER  # bytes that both kernels may hold of a stalled connection
@@ -78,8 +79,7 @@
         self._read, self._untimed = 0, 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
         self._proxy.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
+import json
 import os
+import socket
+import subprocess
+import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
-from test_crossings import Held, answers, raw, read_all, request, silent, until
-from test_platform import Place, Runner, echo, event, run
+from test_crossings import Held, answers, raw, read_all, read_until, request, silent, until
+from test_platform import Place, Runner, configuration, echo, event, run
 from test_worker_list import List, follow
 
 from kelptrail.codec import feed, frames
@@ -223,3 +229,68 @@
             assert place.service._now() - worker.started <= 1000.0
 
     run(main())
+
+
+def test_a_connection_is_not_taken_for_ended_because_a_look_at_it_failed_for_a_moment() -> None:
+    """A request stands in its socket: the close of a resting connection must not go by a look that failed."""
+
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            client, front = await place.client(), place.service._front
+            client.ask(1)
+            assert await client.code() == frames.SERVED
+            (mine,) = front._idle
+            client.ask(2)  # written, and not yet read
+            mine.link.wire.sock = Failing(mine.link.wire.sock, "recv", [errno.ENOMEM])  # type: ignore[assignment]
+            front._make_room()
+            assert await client.code() == frames.SERVED
+
+    run(main())
+
+
+def start_process(tmp_path: Path, text: str) -> subprocess.Popen[bytes]:
+    """A process of `run` with this text as its configuration."""
+    (tmp_path / "c.json").write_text(text)
+    return subprocess.Popen(
+        [sys.executable, "-m", "kelptrail.platform"],
+        env=os.environ | {"LB_CONFIG": str(tmp_path / "c.json")},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+
+
+def test_a_configuration_that_is_being_replaced_at_the_start_is_read_again(tmp_path: Path) -> None:
+    whole = json.dumps(configuration() | {"listen": "127.0.0.1:0"})
+    process = start_process(tmp_path, whole[: len(whole) // 2])
+    try:
+        time.sleep(0.8)
+        (tmp_path / "c.json").write_text(whole)
+        read_until(process, "list number=")
+        process.terminate()
+        assert process.wait(3.0) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_an_address_that_is_taken_for_a_moment_is_waited_for(tmp_path: Path) -> None:
+    """As it is where the process before still closes, or descriptors lack in the whole system."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        process = start_process(tmp_path, json.dumps(configuration() | {"listen": f"127.0.0.1:{port}"}))
+        time.sleep(0.9)
+    try:
+        deadline = time.monotonic() + 3.0
+        while True:
+            with contextlib.suppress(OSError):
+                socket.create_connection(("127.0.0.1", port)).close()
+                break
+            assert time.monotonic() < deadline and process.poll() is None
+            time.sleep(0.02)
+        process.terminate()
+        assert process.wait(3.0) == 0
+    finally:
+        process.kill()
+        process.wait()
