A look at a connection that failed for a moment closes nothing; red: a cut answer

Cause: Wire.quiet said 'ended' for any error of recv(MSG_PEEK). A momentary error now says that something may have come. All closes of resting connections pass Front._close_at_rest, which looks and closes in one step.

--- a/kelptrail/net/wire.py
+++ b/kelptrail/net/wire.py
@@ -15,6 +15,8 @@
 from functools import partial
 from typing import Any
 
+from .errors import is_momentary
+
 BUFFER = 65_536
 
 
@@ -39,13 +41,14 @@
         return None
 
     def quiet(self) -> bool | None:
-        """Of an idle connection: True where nothing came, False where it ended, None where something came unasked."""
+        """Of an idle connection: True where nothing came, False where it ended, None where something came unasked, or
+        may have come as the look failed for a moment."""
         try:
             return None if self.sock.recv(1, socket.MSG_PEEK) else False
         except BlockingIOError:
             return True
-        except OSError:
-            return False
+        except OSError as cause:
+            return None if is_momentary(cause) else False
 
     def end(self) -> None:
         """End our sending side."""
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -246,12 +246,10 @@
             for client in list(group):
                 if (now - client.since) * 1000 < within:
                     break
-                if client.begun is None and client.link.wire.quiet() is not None:  # else a request comes
-                    self._drop(client, reason)
+                self._close_at_rest(client, reason)
         for client in list(self._crowd):
-            rested = (now - client.since) * 1000 >= CROWD_REST_MS and client in self._idle
-            if rested and client.begun is None and client.link.wire.quiet() is not None:
-                self._drop(client, CloseReason.NO_ROOM)
+            if (now - client.since) * 1000 >= CROWD_REST_MS and client in self._idle:
+                self._close_at_rest(client, CloseReason.NO_ROOM)
         for client in self._clients:
             if (
                 client.begun is not None
@@ -319,9 +317,11 @@
         """Close a connection that nobody waits on: one that was told why, one that said nothing, one that idles."""
         for group in (self._leaving, self._fresh, self._idle):
             for client in islice(group, LOOKS):
-                if group is self._leaving or (client.begun is None and client.link.wire.quiet() is not None):
+                if group is self._leaving:
                     self._drop(client, CloseReason.MADE_ROOM)
                     return True
+                if self._close_at_rest(client, CloseReason.MADE_ROOM):
+                    return True
         return False
 
     def _leave(self, client: Client) -> None:
@@ -388,13 +388,17 @@
         for group in (self._fresh, self._idle, self._busy, self._leaving, self._crowd):
             group.pop(client, None)
 
+    def _close_at_rest(self, client: Client, reason: CloseReason) -> bool:
+        """Close a connection, unless something is open on it, half read, or stands in its socket; whether it was."""
+        if client.open or client.begun is not None or client.link.wire.quiet() is None:
+            return False
+        self._drop(client, reason)
+        return True
+
     def _drop(self, client: Client, reason: CloseReason) -> None:
-        """Close at once, where nothing of the client is under way."""
-        told_why = client in self._leaving
-        if client.open or (not told_why and client.link.wire.quiet() is None):
-            self._invariants.violated(
-                Violation.CLOSED_OVER_REQUEST, ",".join(r.id for r in client.open.values()) or "-"
-            )
+        """Close at once."""
+        for request in client.open.values():
+            self._invariants.violated(Violation.CLOSED_OVER_REQUEST, request.id, reason=reason.value)
         self._note("connection closed", reason=reason.value)
         self._abandon(client)
         client.link.close()
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from test_crossings import Held, answers, raw, read_all, read_until, request, silent, until
+from test_crossings import SMALL, Held, answers, raw, read_all, read_until, request, silent, until
 from test_platform import Place, Runner, configuration, echo, event, run
 from test_worker_list import List, follow
 
@@ -294,3 +294,37 @@
     finally:
         process.kill()
         process.wait()
+
+
+def test_an_answer_that_its_client_still_reads_is_not_cut_to_make_room() -> None:
+    """The request is answered, so nothing is open; the answer still stands in the link."""
+    body = bytes(100_000)
+
+    def large(runner: Runner, id_: bytes, _: bytes, writer: asyncio.StreamWriter) -> None:
+        echo(runner, id_, body, writer)
+
+    async def main() -> None:
+        async with Place(Runner(large)) as place:
+            front, slow = place.service._front, raw(place.port, SMALL)
+            await until(lambda: len(front))
+            (client,) = front._fresh
+            client.link.wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
+            slow.sendall(request(1))
+            await until(lambda: client in front._idle and client.link.unwritten)
+            front._make_room()
+            slow.settimeout(3.0)
+            found = await asyncio.to_thread(read_frame, slow)
+            assert found[2] == b"\0\0" + body
+            slow.close()
+
+    run(main())
+
+
+def read_frame(sock: socket.socket) -> tuple[int, int, bytes]:
+    """The next whole frame."""
+    reader = frames.FrameReader(1 << 20)
+    while (found := reader.next()) is None:
+        data = sock.recv(65536)
+        assert data, "ended in the middle of an answer"
+        reader.feed(data)
+    return found
