Starts wait for a moment's failure; answers still read are not cut to make room

Causes: __main__ read the configuration once at the start and Front.open took any error of socket and bind for the end (exit 2); Front looked only at open requests, not at answers that stand in the link. Where an exception of the loop names a task, the log says which.

--- a/kelptrail/platform/config.py
+++ b/kelptrail/platform/config.py
@@ -18,6 +18,10 @@
     """A configuration that cannot be used."""
 
 
+class IncompleteConfigError(ConfigError):
+    """A file that cannot be read, or is no JSON: it may be whole a little later."""
+
+
 @dataclass(frozen=True, slots=True)
 class Sockets:
     """What the settings say of sockets and of what may be asked for."""
@@ -67,7 +71,9 @@
     try:
         with open(path, encoding="utf-8") as file:
             return parse(file.read(), before)
-    except (OSError, ValueError) as cause:
+    except (OSError, UnicodeDecodeError, IncompleteConfigError) as cause:
+        raise IncompleteConfigError(f"{path}: {cause}") from None
+    except ValueError as cause:
         raise ConfigError(f"{path}: {cause}") from None
 
 
@@ -77,7 +83,7 @@
     try:
         found = json.loads(text)
     except (ValueError, RecursionError) as cause:
-        raise ConfigError(f"no JSON: {cause}") from None
+        raise IncompleteConfigError(f"no JSON: {cause}") from None
     try:
         told = Told(found, "configuration")
         journal = address(told, "journal")
--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -167,10 +167,14 @@
     def open(self, where: tuple[str, int]) -> int:
         """Listen; returns the port.  Raises `OSError`."""
         sock = socket.socket(socket.AF_INET6 if ":" in where[0] else socket.AF_INET)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(where)
-        sock.listen(1024)
-        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(where)
+            sock.listen(1024)
+            sock.setblocking(False)
+        except OSError:
+            sock.close()
+            raise
         self._door.open(sock)
         return sock.getsockname()[1]
 
@@ -389,8 +393,9 @@
             group.pop(client, None)
 
     def _close_at_rest(self, client: Client, reason: CloseReason) -> bool:
-        """Close a connection, unless something is open on it, half read, or stands in its socket; whether it was."""
-        if client.open or client.begun is not None or client.link.wire.quiet() is None:
+        """Close a connection, unless something is open on it, half read, stands in its socket or is still read by its
+        client; whether it was."""
+        if client.open or self._under_way(client):
             return False
         self._drop(client, reason)
         return True
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -42,6 +42,7 @@
     note(
         "failed",
         problem=context.get("message"),
+        task=context.get("task"),
         cause=repr(cause),
         at=f"{where.filename.rpartition('/')[2]}:{where.lineno}" if where else "-",
     )
@@ -115,6 +116,11 @@
         """The last event of the worker list that was taken in."""
         return 0 if self._feed is None else self._feed.number
 
+    @property
+    def ending(self) -> bool:
+        """Whether it was told to end."""
+        return not self._front.ready
+
     def open(self) -> int:
         """Begin to serve; returns the port.  Raises `OSError`."""
         port = self._front.open(self.config.listen)
