--- a/bench/soak.py
+++ b/bench/soak.py
@@ -599,6 +599,8 @@
     """One day; what was found is in `problems`."""
     with tempfile.TemporaryDirectory() as made:
         folder = made if keep is None else str(keep / f"seed{seed}")
+        if keep is not None:
+            shutil.rmtree(folder, ignore_errors=True)
         Path(folder).mkdir(parents=True, exist_ok=True)
         day = Soak(seed, seconds, Path(folder), processes, build_library(Path(folder)))
         day.doors = [(f"127.0.{20 + seed % 200}.{n + 1}", 0) for n in range(processes)]
--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -19,7 +19,11 @@
 from .errors import is_one_client_gone
 
 AT_ONCE = 256  # accepted before others have their turn on the loop
-NO_ROOM_MS, SHORTAGE_MS = 20.0, 100.0  # until it is looked again whether a client can be taken
+NO_ROOM_MS = 20.0  # until it is looked again whether there is room
+SHORTAGE_MS, LONGEST_SHORTAGE_MS = (
+    5.0,
+    100.0,
+)  # until the next try after an accept that failed, the longer the more fail
 LINGER_MS, MOST_LINGERING = 300.0, 2048  # so long refused ones are held: a reset would eat what they are told
 
 
@@ -73,6 +77,7 @@
         self._loop, self._came, self._early, self._note, self._pace = loop, came, early, note, pace
         self._sockets: dict[socket.socket, asyncio.TimerHandle | None] = {}
         self._lingering: deque[socket.socket] = deque()
+        self._failed = 0  # accepts in a row
         self.delay_ms = 0.0
         self.early = 0
         self.on_connect: Callable[[], None] = _nothing  # told of each that connects
@@ -174,8 +179,10 @@
                 found = self._next(sock)
             except OSError as cause:  # out of descriptors: let some close
                 self._short(cause)
-                self._rest(sock, SHORTAGE_MS)
+                self._rest(sock, min(LONGEST_SHORTAGE_MS, SHORTAGE_MS * 2**self._failed))
+                self._failed += 1
                 return
+            self._failed = 0
             if found is None:
                 return
             self.on_connect()
