--- a/kelptrail/dispatch/__init__.py
+++ b/kelptrail/dispatch/__init__.py
@@ -1,1 +1,1 @@
-"""The decisions (rules.py), the things they are about (terms.py) and their due times (agenda.py)."""
+"""The decisions on attempts, loads, refusals, retries and health; `dispatcher.py` joins them."""
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -1,7 +1,7 @@
 """What the decisions are about: activations, sends, workers, copies, namespace types.
 
-Plain state without a decision: `rules.py` alone reads and writes it to decide.  Objects point to each
-other; ids are used only at the door, by whoever hosts a dispatcher.  Times are milliseconds.
+Plain state without a decision: the modules beside this one read and write it to decide.  Objects point to
+each other; ids are used only at the door, by whoever hosts a dispatcher.  Times are milliseconds.
 """
 
 from __future__ import annotations
--- a/kelptrail/drill/instance.py
+++ b/kelptrail/drill/instance.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import Any
 
-from kelptrail.dispatch.rules import Decision
+from kelptrail.dispatch.dispatcher import Decision
 from kelptrail.dispatch.terms import Activation, Order, Outcome, State
 from kelptrail.host.host import Entry, Host
 from kelptrail.host.settings import MalformedError
--- a/kelptrail/gateway/build.py
+++ b/kelptrail/gateway/build.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from kelptrail.dispatch.agenda import Agenda
-from kelptrail.dispatch.rules import Attempts, Copies, Dispatcher, Gate, Health, Placement, Queues
+from kelptrail.dispatch.dispatcher import Dispatcher
+from kelptrail.dispatch.gate import Gate
+from kelptrail.dispatch.health import Health
+from kelptrail.dispatch.instances import Copies
+from kelptrail.dispatch.placement import Placement
+from kelptrail.dispatch.queues import Queues
+from kelptrail.dispatch.retries import Attempts
 from kelptrail.dispatch.terms import Customer, Effect, Function, NamespaceType
 from kelptrail.settings.deployment import Deployment
 
--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -179,7 +179,7 @@
                 found = self._next(sock)
             except OSError as cause:  # out of descriptors: let some close
                 self._short(cause)
-                self._rest(sock, min(LONGEST_SHORTAGE_MS, SHORTAGE_MS * 2**self._failed))
+                self._rest(sock, min(LONGEST_SHORTAGE_MS, SHORTAGE_MS * 2 ** min(self._failed, 10)))
                 self._failed += 1
                 return
             self._failed = 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from kelptrail.dispatch.agenda import Agenda
-from kelptrail.dispatch.rules import Copies, Dispatcher, Gate, Health, Placement, Queues
+from kelptrail.dispatch.dispatcher import Dispatcher
+from kelptrail.dispatch.gate import Gate
+from kelptrail.dispatch.health import Health
+from kelptrail.dispatch.instances import Copies
+from kelptrail.dispatch.placement import Placement
+from kelptrail.dispatch.queues import Queues
 from kelptrail.dispatch.terms import (
     Activation,
     Customer,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -11,7 +11,7 @@
 import pytest
 from helpers import activation, make, model, pull
 
-from kelptrail.dispatch.rules import Dispatcher
+from kelptrail.dispatch.dispatcher import Dispatcher
 from kelptrail.dispatch.terms import Order as HoldOrder
 from kelptrail.dispatch.terms import Outcome, State, Worker
 from kelptrail.gateway.tally import Tally
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,9 @@
 import pytest
 from helpers import GATE, activation, kind, make, model, pull
 
-from kelptrail.dispatch.rules import Copies, Decision, Dispatcher, Gate
+from kelptrail.dispatch.dispatcher import Decision, Dispatcher
+from kelptrail.dispatch.gate import Gate
+from kelptrail.dispatch.instances import Copies
 from kelptrail.dispatch.terms import (
     NEVER_RAN,
     Activation,
