--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -328,3 +328,41 @@
         assert data, "ended in the middle of an answer"
         reader.feed(data)
     return found
+
+
+def test_nothing_is_decided_once_the_process_has_closed_its_sockets() -> None:
+    """Ends of what was open at the close must not lead to new attempts and orders."""
+
+    async def main() -> None:
+        async with Place(runner := Runner(silent)) as place:
+            client = await place.client()
+            client.ask(1)
+            await until(lambda: runner.calls)
+            place.service.close()
+            connections = runner.connections
+            await asyncio.sleep(0.1)
+            assert runner.connections == connections and len(runner.calls) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("code", [errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_an_accept_that_fails_for_what_the_whole_system_lacks_closes_no_other_client(code: int) -> None:
+    async def main() -> None:
+        async with Place(Runner(echo)) as place:
+            resting, front = await place.client(), place.service._front
+            resting.ask(1)
+            assert await resting.code() == frames.SERVED
+            (listening,) = front._door._sockets
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(listening)
+            failing = Failing(listening, "accept", [code] * 3)
+            front._door._sockets = {failing: None}  # type: ignore[dict-item]
+            loop.add_reader(listening, front._door._ready, failing)
+            late = await place.client()
+            late.ask(2)
+            assert await late.code() == frames.SERVED
+            resting.ask(3)
+            assert await resting.code() == frames.SERVED
+
+    run(main())
