Nothing is decided after the close; only our own descriptors' shortage closes clients

Causes: Service.close left the decisions running, so what ended there was sent anew; Door told of any failed accept as a shortage. Change: a closed flag before each round of decisions; room is made for EMFILE only.

--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from errno import EMFILE
 from typing import Any
 from zlib import crc32
 
@@ -82,7 +83,7 @@
         self.early = 0
         self.on_connect: Callable[[], None] = _nothing  # told of each that connects
         self.has_room: Callable[[], bool] = _always  # else clients wait in the kernel's queue
-        self.on_shortage: Callable[[], object] = _nothing  # told where descriptors or memory lack for a client
+        self.on_shortage: Callable[[], object] = _nothing  # told where our descriptors lack for a client
 
     @property
     def is_open(self) -> bool:
@@ -166,7 +167,8 @@
     def _short(self, cause: OSError) -> None:
         """Nobody can be taken for a while: out of descriptors or memory."""
         self._note("accept-failed", reason=str(cause))
-        self.on_shortage()
+        if cause.errno == EMFILE:  # else closing our own helps nobody
+            self.on_shortage()
 
     def _ready(self, sock: socket.socket) -> None:
         for _ in range(1 if self.delay_ms else AT_ONCE):
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -93,7 +93,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._armed = float("inf")
         self._beat_due = self._now() + self._host.beat_ms
-        self._soon = False
+        self._soon = self._closed = False
         self._state_due = self._now() + STATE_MS
         self._counts: Counter[str] = Counter()
         self._shutdown = NOT_PLANNED
@@ -143,7 +143,10 @@
             self._loop.call_later(LAST_MS / 1000, self._end_if_idle)
 
     def close(self) -> None:
-        """Close all sockets."""
+        """Close all sockets; nothing is decided from then on, though what was open ends."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
         if self._feed is not None:
             self._feed.close()
         self._front.close()
@@ -294,6 +297,8 @@
 
     def _stir(self) -> None:
         self._soon = False
+        if self._closed:
+            return
         now = self._now()
         try:
             while (decision := self._host.decide(now)) is not None:
