--- a/bench/soak.py
+++ b/bench/soak.py
@@ -603,10 +603,16 @@
             shutil.rmtree(folder, ignore_errors=True)
         Path(folder).mkdir(parents=True, exist_ok=True)
         day = Soak(seed, seconds, Path(folder), processes, build_library(Path(folder)))
-        day.doors = [(f"127.0.{20 + seed % 200}.{n + 1}", 0) for n in range(processes)]
-        uvloop.run(day.play())
-        for control in day.controls:
-            control.close()
+        day.doors = [(f"127.{seed // 200 % 200}.{20 + seed % 200}.{n + 1}", 0) for n in range(processes)]
+        try:
+            uvloop.run(day.play())
+        finally:
+            for process in day.processes:
+                if process is not None and process.returncode is None:
+                    with contextlib.suppress(ProcessLookupError):
+                        process.kill()
+            for control in day.controls:
+                control.close()
     return day
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -590,6 +590,19 @@
         assert dispatcher._gate.end(100.0 + later, send.act).verdict == verdict
 
 
+def test_a_refusal_that_names_a_time_beyond_the_window_is_none() -> None:
+    """A client that comes back when it was told to must still be remembered."""
+    dispatcher = make(workers=1, return_ms=500.0)
+    function = model(type_=kind(Effect.DEDUPLICATED))
+    ready(dispatcher, function)
+    (send,) = take(dispatcher, function, 100.0, 1)
+    function.load_ms = 1000.0
+    within, beyond = 100.0 + 5000.0 - 600.0, 100.0 + 5000.0 - 400.0  # of the window of 5 s, half a second to come back
+    assert dispatcher.stopped(within, send.act).verdict == "rejected"
+    send.act.verdict = None
+    assert dispatcher.stopped(beyond, send.act).verdict == "aborted"
+
+
 # Second sends.
 
 
