A refusal holds up to the time to return that it names

Cause: Gate.end asked whether the window in which repeats are dropped still runs now; the refusal names up to half a second to stay away. Change: it asks for the moment that it names.

--- a/kelptrail/dispatch/dispatcher.py
+++ b/kelptrail/dispatch/dispatcher.py
@@ -398,8 +398,9 @@
 
     def _end(self, now: float, act: Activation) -> Activation:
         """Given up: at once, and a rejection names when what it lacked may stand."""
-        again = self._gate.end(now, act).verdict == "rejected"
-        act.return_ms = min(self._longest_return_ms, act.function.load_ms) if again else 0.0
+        return_ms = min(self._longest_return_ms, act.function.load_ms)
+        again = self._gate.end(now, act, return_ms).verdict == "rejected"
+        act.return_ms = return_ms if again else 0.0
         return act
 
     def _watch(self, now: float, act: Activation) -> Activation | None:
--- a/kelptrail/dispatch/gate.py
+++ b/kelptrail/dispatch/gate.py
@@ -94,11 +94,12 @@
         with suppress(ValueError):
             self.taken.remove(act.taken)
 
-    def end(self, now: float, act: Activation) -> Activation:
+    def end(self, now: float, act: Activation, return_ms: float = 0.0) -> Activation:
         """The one final answer: rejected where that promises the truth, else aborted.  Guards against clients
-        that come again without the mark, or when nobody remembers it, and have a second effect."""
+        that come again without the mark, or when nobody remembers it, and have a second effect; `return_ms`
+        is when they are told to."""
         free = act.type.effect is not Effect.DEDUPLICATED or (act.marked and act.type.scope == "all")
-        again = (free and now < self.shuts(act)) or not any(s.may_have_run for s in act.sends)
+        again = (free and now + return_ms < self.shuts(act)) or not any(s.may_have_run for s in act.sends)
         again = again and act.bound is None  # its client has seen a part of a streamed answer
         act.verdict = "rejected" if again else "aborted"
         return act
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -156,7 +156,7 @@
     return lambda *_: answer
 
 
-def reject(_: Gate, now: float, act: Activation) -> Activation:
+def reject(_: Gate, now: float, act: Activation, return_ms: float = 0.0) -> Activation:
     act.verdict = "rejected"
     return act
 
