--- a/bench/soak.py
+++ b/bench/soak.py
@@ -406,7 +406,10 @@
         started = time.monotonic()
         self.cold_told[number] = started
         self.tell((90, number, 0), started_ms=int(time.time() * 1000))
+        hung = set(self.chance.sample(range(1, WORKERS), 3)) - self.hung  # so that the new one is wanted
+        self.hung |= hung
         await asyncio.sleep(1.5)
+        self.hung -= hung
         self.tell((0, 0, 2))
 
     async def play_troubles(self, seconds: float, at_once: int) -> None:
--- a/bench/soak_mutants.py
+++ b/bench/soak_mutants.py
@@ -19,15 +19,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Mutant:
-    """A guard, and how it is taken out."""
+class Edit:
+    """One place of a guard, and what stands there without it."""
 
-    name: str
     file: str
     old: str
     new: str
 
 
+class Mutant:
+    """A guard, and how it is taken out: in all its places, where it has more than one."""
+
+    def __init__(self, name: str, file: str, old: str, new: str, *further: Edit) -> None:
+        self.name = name
+        self.edits = (Edit(file, old, new), *further)
+
+
 MUTANTS = (
     Mutant(
         "an attempt begins whatever came after its decision",
@@ -36,6 +43,11 @@
         "        if isinstance(item, Order):\n            return item.copy.order is item\n"
         "        return item.outcome is None and not item.revoked and item.act.verdict is None\n",
         "        return True\n",
+        Edit(
+            "kelptrail/platform/workers.py",
+            "        if piece is not None and self.link is not None and not self.link.withdraw(piece):\n",
+            "        if True:\n",
+        ),
     ),
     Mutant(
         "what waits for a client that went is not taken back",
@@ -80,10 +92,15 @@
         "",
     ),
     Mutant(
-        "the end does not wait for what is in hand",
+        "the end does not wait for what is in hand, and leaves it unanswered",
         "kelptrail/platform/service.py",
         "if unfinished and now < plan.end:",
         "if False:",
+        Edit(
+            "kelptrail/platform/service.py",
+            "            self._final(self._host.stopped(now, act))\n",
+            "            pass\n",
+        ),
     ),
     Mutant(
         "an aborted client ends the queue",
@@ -118,11 +135,12 @@
     shutil.rmtree(copy, ignore_errors=True)
     for part in ("kelptrail", "bench"):
         shutil.copytree(ROOT / part, copy / part, ignore=shutil.ignore_patterns("tmp*", "__pycache__"))
-    file = copy / mutant.file
-    text = file.read_text()
-    if text.count(mutant.old) != 1:
-        return f"NOT PLAYED: its text stands {text.count(mutant.old)} times in {mutant.file}"
-    file.write_text(text.replace(mutant.old, mutant.new))
+    for edit in mutant.edits:
+        file = copy / edit.file
+        text = file.read_text()
+        if text.count(edit.old) != 1:
+            return f"NOT PLAYED: its text stands {text.count(edit.old)} times in {edit.file}"
+        file.write_text(text.replace(edit.old, edit.new))
     for seed in range(first, first + seeds):
         command = [sys.executable, "bench/soak.py", "--seeds", "1", "--first", str(seed)]
         done = subprocess.run(command, cwd=copy, capture_output=True, text=True, timeout=300)
