What a failed commit left in the log is cut off; a bench follows an honest 503

Cause: SQLite keeps the frames of a commit whose sync failed in the WAL, with their commit mark; only its index forgets them, and a start after a kill has no index. Change: store/wal.py cuts the log behind the last valid frame as soon as a commit of the book fails. Where the machine itself is lost after a sync that failed, what stands on the disk is the disk's to say (docs/invariants.md).

The first call now follows a 503 as the second always did; a case that fails ends its process.

--- a/bench/crash_points.py
+++ b/bench/crash_points.py
@@ -156,12 +156,17 @@
             await asyncio.sleep(0.05)
         key, ticket, loop = f"key-{name}", {"ticket": name}, asyncio.get_running_loop()
         target = f"actions/{ACTIONS[effect]}?blocking=false"
-        first = asyncio.create_task(self.ask(child.said["address"], "POST", target, ticket, key))
+        # A 503 says that nothing was done: its peers, one of which has just ended, did not all answer for the key yet.
+        first = asyncio.create_task(self._follow(child.said["address"], "POST", target, ticket, key))
         assert child.process is not None
         stat = Path(f"/proc/{child.process.pid}/stat")
-        async with asyncio.timeout(8):
-            while stat.read_text().rpartition(")")[2].split()[0] != "T":
-                await asyncio.sleep(0.01)
+        try:
+            async with asyncio.timeout(8):
+                while stat.read_text().rpartition(")")[2].split()[0] != "T":
+                    await asyncio.sleep(0.01)
+        except TimeoutError:
+            child.process.kill()  # a process that stands still would not end when it is told to
+            raise
         began, other = loop.time(), self.place.dispatchers[1].said["address"]
         out: dict[str, Any] = {"step": step, "effect": effect, "paused": True}
         out["repeat"], body = await self._follow(other, "POST", target, ticket, key)
--- a/kelptrail/store/book.py
+++ b/kelptrail/store/book.py
@@ -14,6 +14,7 @@
 import apsw
 
 from .entries import FORMAT, Accepted, DamagedError, Ended, Entry, MayRun, pack, unpack
+from .wal import drop_uncommitted
 
 KINDS = {Accepted: 0, MayRun: 1, Ended: 2}
 TABLE = """CREATE TABLE entries (id TEXT NOT NULL, kind INTEGER NOT NULL, start REAL NOT NULL, crc INTEGER NOT NULL,
@@ -65,6 +66,7 @@
             if self._db.in_transaction:
                 with contextlib.suppress(apsw.Error):
                     self._run("ROLLBACK")
+            drop_uncommitted(self.file)
             raise
 
     def _prepare(self, version: int) -> None:
