--- a/bench/soak.py
+++ b/bench/soak.py
@@ -410,6 +410,7 @@
         self.hung |= hung
         await asyncio.sleep(1.5)
         self.hung -= hung
+        await asyncio.sleep(1.5)  # so long that what goes on to the one that drains is seen
         self.tell((0, 0, 2))
 
     async def play_troubles(self, seconds: float, at_once: int) -> None:
--- a/kelptrail/dispatch/dispatcher.py
+++ b/kelptrail/dispatch/dispatcher.py
@@ -16,7 +16,7 @@
 from .placement import Placement
 from .queues import Queues
 from .retries import Attempts
-from .terms import Activation, Copy, Effect, Function, Order, Outcome, Send, View, Worker
+from .terms import Activation, Copy, Effect, EndReason, Function, Order, Outcome, Send, View, Worker
 
 Decision = Send | Order | Activation | str
 
@@ -165,7 +165,7 @@
         for act in [*function.arrivals, *function.waiting, *function.late]:
             self._gate.uncount(act)
             if function.refused > 1 and act.verdict is None and all(send.outcome for send in act.sends):
-                self._owed.append(self._end(now, act))
+                self._owed.append(self._end(now, act, EndReason.UNLOADABLE))
 
     def listed(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
         for worker in restarted:
@@ -219,7 +219,7 @@
 
     def stopped(self, now: float, act: Activation) -> Activation:
         """The process ends and can wait for it no longer: its final answer."""
-        return self._end(now, act)
+        return self._end(now, act, EndReason.PROCESS_ENDS)
 
     def may_begin(self, now: float, item: Send | Order) -> bool:
         """Whether what was decided may still begin to leave."""
@@ -290,8 +290,10 @@
         while function.arrivals:
             if (act := function.arrivals.popleft()).verdict:
                 continue
-            if self._queues.beyond(now, act, held + loading) or now >= self._queues.last(act):
-                return self._end(now, act)
+            if self._queues.beyond(now, act, held + loading):
+                return self._end(now, act, EndReason.OVERLOAD)
+            if now >= self._queues.last(act):
+                return self._end(now, act, EndReason.TOO_LITTLE_TIME)
             function.waiting.append(act)
             act.queued = True
             self._watch(now, act)
@@ -301,7 +303,9 @@
                 queue.popleft()
                 act.queued = False
                 if not act.verdict and all(send.outcome for send in act.sends):
-                    return self._end(now, act)
+                    in_time = now < self._queues.last(act)
+                    reason = EndReason.NO_ATTEMPT_LEFT if in_time else EndReason.TOO_LITTLE_TIME
+                    return self._end(now, act, reason)
                 continue
             if queue is function.waiting and now + 0.5 * function.usual_ms > act.taken + act.type.target_ms:
                 function.late.append(queue.popleft())
@@ -396,8 +400,9 @@
         act.function.waiting.append(act)
         return self._send(now, act, copy)
 
-    def _end(self, now: float, act: Activation) -> Activation:
+    def _end(self, now: float, act: Activation, reason: EndReason) -> Activation:
         """Given up: at once, and a rejection names when what it lacked may stand."""
+        act.reason = reason
         return_ms = min(self._longest_return_ms, act.function.load_ms)
         again = self._gate.end(now, act, return_ms).verdict == "rejected"
         act.return_ms = return_ms if again else 0.0
@@ -407,7 +412,7 @@
         """Looks again when its time is up.  Guards against holding what can be sent no more behind others."""
         until = min(self._queues.last(act), self._gate.shuts(act)) if act.queued else now
         if now >= act.deadline - 5 or (act.queued and now >= until and all(s.outcome for s in act.sends)):
-            return self._end(now, act)
+            return self._end(now, act, EndReason.TIME_UP)
         self.agenda.add(until if until > now else act.deadline - 5, act)
         return None
 
@@ -420,7 +425,7 @@
             self._watch(now, act)
             self._stirred[act.function] = None
         elif all(send.outcome for send in act.sends):
-            self._owed.append(self._end(now, act))
+            self._owed.append(self._end(now, act, EndReason.NO_ATTEMPT_LEFT))
 
     def _rescue(self, now: float, sends: Iterable[Send]) -> None:
         for send in reversed(list(sends)):
--- a/kelptrail/dispatch/terms.py
+++ b/kelptrail/dispatch/terms.py
@@ -33,6 +33,17 @@
     MISS = "miss"
 
 
+class EndReason(Enum):
+    """Why the decisions gave a request up."""
+
+    OVERLOAD = "queue past its bound, or shed"
+    TOO_LITTLE_TIME = "too little time left"
+    TIME_UP = "time is up"
+    NO_ATTEMPT_LEFT = "no further attempt may be made"
+    UNLOADABLE = "function cannot be loaded"
+    PROCESS_ENDS = "the process ends"
+
+
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.MISS})
 
 
@@ -186,6 +197,7 @@
     sends: list[Send] = field(default_factory=list)
     queued: bool = False
     verdict: str | None = None  # "completed", "rejected", "aborted"; once set it stays
+    reason: EndReason | None = None  # with "rejected" and "aborted"
     return_ms: float = 0.0  # with a rejection: when to come back
     bound: Send | None = None  # of a streamed answer a part was given: it goes on there or not at all
 
--- a/kelptrail/platform/reasons.py
+++ b/kelptrail/platform/reasons.py
@@ -20,7 +20,6 @@
     """Why an attempt that had not begun to leave was taken back."""
 
     CLIENT_GONE = "client gone"
-    TIME_OVER = "time over"
     TOO_LATE_TO_BEGIN = "may begin no more"
     DRAINING = "worker drains"
     FINISHED = "request finished"
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -22,6 +22,7 @@
 from .feed import Feed
 from .front import Asked, Front, Request
 from .log import EventLog
+from .reasons import WithdrawReason
 from .workers import Bounds, Item, WorkerLinks
 
 STATES = {READY: State.LIVE, GONE: State.GONE}
@@ -195,18 +196,19 @@
     def _left(self, request: Request) -> None:
         if request.act is not None and self._requests.pop(request.act, None) is not None:
             self._host.left(request.act)
-            self._take_back(request.act)
+            self._take_back(request.act, WithdrawReason.CLIENT_GONE)
             self._stir_soon()
 
-    def _take_back(self, act: Activation) -> None:
+    def _take_back(self, act: Activation, reason: WithdrawReason) -> None:
         """Nobody waits any more for what has not begun to leave: behind a slow worker, or a connection not up yet."""
         for send in act.sends:
             if send.outcome is None:
-                self._withdraw(send)
+                self._withdraw(send, reason)
 
-    def _withdraw(self, send: Send) -> None:
+    def _withdraw(self, send: Send, reason: WithdrawReason) -> None:
         links = self._links.get(send.copy.worker)
         if links is not None and links.withdraw(send):
+            note("attempt withdrawn", request=send.act.id, attempt=send.number, reason=reason.value)
             self._host.answered(self._now(), send, Outcome.UNSENT, send.act.verdict is not None)
             self._stir_soon()
 
@@ -236,7 +238,7 @@
             )
             self._host.answered(now, item, outcome, over, said.tell == "crashed", said.tell == "up", said.ahead, report)
             if over:
-                self._take_back(item.act)
+                self._take_back(item.act, WithdrawReason.FINISHED)
         self._stir_soon()
 
     def _listed(self, event: Event) -> None:
@@ -254,10 +256,13 @@
             for r in event.records or ()
         ]
         before = dict(self._host.workers)
+        states = {id_: worker.state for id_, worker in before.items()}
         restarted = self._host.listed(now, event.whole, entries)
         for record in event.records or ():
             self._addresses[record.id] = record.address, record.port
         for worker in {**before, **self._host.workers}.values():
+            if worker.state is not states.get(worker.id, State.LIVE) or worker in restarted:
+                note("worker state", worker=worker.id, state=worker.state.value, restarted=worker in restarted)
             links = self._links.get(worker)
             if links is not None and (worker in restarted or links.address != self._addresses[worker.id]):
                 del self._links[worker]
@@ -266,6 +271,7 @@
                 links.unreached()
             elif links is not None and not worker.live:  # what waits behind others could leave after the grace
                 for item in links.withdraw_all():
+                    note("withdrawn", worker=worker.id, reason=WithdrawReason.DRAINING.value)
                     self._ended(item, Outcome.UNSENT, None)
             if worker.gone and worker.id not in self._host.workers:
                 self._addresses.pop(worker.id, None)
@@ -324,6 +330,8 @@
             return
         if send.until < act.deadline:
             self._due.add(send.until, send)
+        if send.number:
+            note("retry", request=act.id, attempt=send.number, after=[_how(other) for other in act.sends[:-1]])
         size = len(request.body) + CALL_BYTES
         self._links_to(send.copy.worker).send(send, lambda: self._call(send, request), size)
 
@@ -351,10 +359,16 @@
         request = self._requests.pop(act, None)
         if request is not None:
             rejected = act.verdict == "rejected"
+            note(
+                "request refused" if rejected else "request failed",
+                request=act.id,
+                reason=None if act.reason is None else act.reason.value,
+                attempts=[_how(send) for send in act.sends],
+            )
             self._front.answer(
                 request, frames.REFUSED if rejected else frames.FAILED, later_ms=round(act.return_ms) if rejected else 0
             )
-        self._take_back(act)
+        self._take_back(act, WithdrawReason.FINISHED)
         for send in act.sends:
             if send.outcome is None:
                 self._due.add(act.deadline, send)
@@ -416,7 +430,7 @@
     def _periodic(self, now: float) -> None:
         while (item := self._due.pop_due(now)) is not None:
             if isinstance(item, Send) and item.act.verdict is None:  # it may begin no more; if it has, it goes on
-                self._withdraw(item)
+                self._withdraw(item, WithdrawReason.TOO_LATE_TO_BEGIN)
             elif isinstance(item, Send):
                 self._give_up(now, item, Outcome.SILENT)
             else:
@@ -437,3 +451,8 @@
         if now >= self._state_due:
             self._state_due = now + STATE_MS
             self._state()
+
+
+def _how(send: Send) -> str:
+    """How an attempt ended."""
+    return "out" if send.outcome is None else send.outcome.value
