--- a/bench/soak.py
+++ b/bench/soak.py
@@ -41,7 +41,7 @@
 
 DESCRIPTORS = 128
 WORKERS = 6  # listed from the start; one more comes new
-COLD_S, TIP_S, TIP, LEAST = 5.0, 2.0, 3.0, 0.3  # slow start, as door_fuzz.settings() has it
+COLD_S, TIP_S, TIP, LEAST = 8.0, 2.0, 3.0, 0.05  # slow start; TIP_S and TIP as door_fuzz.settings() has them
 LIMIT_SLACK_S = 0.15
 READY_S = 10.0
 LIMITS_MS = (1, 5, 20, 60, 300, 700, 1500)
@@ -57,6 +57,13 @@
 CONTROL = struct.Struct("<qII5I20I")
 
 
+def settings() -> dict[str, Any]:
+    """The settings of the fuzz, with a slow start that leaves a new worker little."""
+    found = door_fuzz.settings()
+    found["rules"] |= {"start_capacity": LEAST, "cold_us": int(COLD_S * 1e6)}
+    return found
+
+
 class Control:
     """What one process's library reads: the step of its wall clock, and which system calls fail how often."""
 
@@ -250,7 +257,7 @@
                 "limits": {"cores": 1, "memory_mb": 64, "sockets": DESCRIPTORS},
                 "journal": f"127.0.0.1:{self.chance.choice(self.list_ports[n])}",
                 "known": {"pos": entries[-1]["pos"], "entries": entries},
-                "settings": door_fuzz.settings(),
+                "settings": settings(),
             }
         )
 
--- a/kelptrail/net/wire.py
+++ b/kelptrail/net/wire.py
@@ -9,8 +9,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import ssl
+import termios
+from array import array
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -50,6 +53,13 @@
         except OSError as cause:
             return None if is_momentary(cause) else False
 
+    def unread(self) -> int:
+        """Bytes that came and were not read; 0 where that cannot be told."""
+        count = array("i", [0])
+        with contextlib.suppress(OSError, ValueError):
+            fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, count)
+        return count[0]
+
     def end(self) -> None:
         """End our sending side."""
         self.sock.shutdown(socket.SHUT_WR)
