--- a/bench/soak.py
+++ b/bench/soak.py
@@ -425,7 +425,7 @@
         kinds = [
             self.system_calls_fail, self.system_calls_fail, self.clock_is_stepped, self.configurations_in_a_row,
             self.restarts, self.restarts, self.lists_fail, self.links_fail, self.links_fail, self.worker_hangs,
-            self.idle_clients, self.worker_closes_connections, self.worker_is_replaced,
+            self.idle_clients, self.worker_closes_connections,
         ]  # fmt: skip
         ends = time.monotonic() + seconds
 
@@ -475,7 +475,7 @@
         await self.play_troubles(half * 0.6, 2)
         self.pace = 2.0
         crowd = [asyncio.create_task(self.client()) for _ in range(24)]
-        await self.play_troubles(half, 3)
+        await asyncio.gather(self.worker_is_replaced(), self.play_troubles(half, 3))
         self.more = False
         await asyncio.gather(*quiet, *crowd)
         for control in self.controls:
