--- a/kelptrail/net/door.py
+++ b/kelptrail/net/door.py
@@ -21,10 +21,8 @@
 
 AT_ONCE = 256  # accepted before others have their turn on the loop
 NO_ROOM_MS = 20.0  # until it is looked again whether there is room
-SHORTAGE_MS, LONGEST_SHORTAGE_MS = (
-    5.0,
-    100.0,
-)  # until the next try after an accept that failed, the longer the more fail
+SHORTAGE_MS, LONGEST_SHORTAGE_MS = 5.0, 100.0  # until the next try after an accept that failed
+SHORTAGES = 20  # in a row, after which each next rest is twice as long
 LINGER_MS, MOST_LINGERING = 300.0, 2048  # so long refused ones are held: a reset would eat what they are told
 
 
@@ -181,7 +179,8 @@
                 found = self._next(sock)
             except OSError as cause:  # out of descriptors: let some close
                 self._short(cause)
-                self._rest(sock, min(LONGEST_SHORTAGE_MS, SHORTAGE_MS * 2 ** min(self._failed, 10)))
+                doublings = min(max(0, self._failed - SHORTAGES), 10)
+                self._rest(sock, min(LONGEST_SHORTAGE_MS, SHORTAGE_MS * 2**doublings))
                 self._failed += 1
                 return
             self._failed = 0
