A frame that goes on too slowly is no request that is closed over

Played again with more in the line: 11,160 bytes of a frame held, begun 2.09 s ago, the last byte 10 ms ago: the client sends 60 bytes every 10 ms and is given as long as the longest request. Its last byte was not written, so nothing was taken; the check now looks only where no frame is half read.

--- a/kelptrail/platform/front.py
+++ b/kelptrail/platform/front.py
@@ -404,7 +404,7 @@
         """Close at once."""
         for request in client.open.values():
             self._invariants.violated(Violation.CLOSED_OVER_REQUEST, request.id, reason=reason.value)
-        if client not in self._leaving and client.link.wire.unread():
+        if client not in self._leaving and client.begun is None and client.link.wire.unread():
             self._invariants.violated(Violation.CLOSED_OVER_REQUEST, "not read", reason=reason.value)
         self._note("connection closed", reason=reason.value)
         self._abandon(client)
