Lines of the log are limited and counted for each reason, and the counts are shown

The count by reason has to survive the limit: an event's reasons were limited together. The state line shows the counts since the start (events=).

--- a/kelptrail/platform/log.py
+++ b/kelptrail/platform/log.py
@@ -1,7 +1,8 @@
 """The log: structured lines on standard output, limited per event; how often each event happened is never lost.
 
-An event is a short fixed text; its fields tell of the case.  Lines of one event beyond `LINES_PER_S` are left out, and
-the next line of that event says how many were (`skipped`).  `counts` holds how often each event happened.
+An event is a short fixed text; its fields tell of the case, and one of them may be the `reason`.  Lines of one event and
+reason beyond `LINES_PER_S` are left out, and the next such line says how many were (`skipped`).  `counts` holds how
+often each happened.
 """
 
 from __future__ import annotations
@@ -24,25 +25,26 @@
     def __init__(self, lines_per_s: int = LINES_PER_S) -> None:
         self._lines_per_s = lines_per_s
         self._second = 0
-        self._written: Counter[str] = Counter()  # lines of each event in this second
-        self._skipped: Counter[str] = Counter()  # lines of each event that were left out since its last line
+        self._written: Counter[str] = Counter()  # lines of each event and reason in this second
+        self._skipped: Counter[str] = Counter()  # lines of each that were left out since its last line
         self.counts: Counter[str] = Counter()
 
     def __call__(self, event: str, **fields: Any) -> None:
-        self.counts[event] += 1
+        kind = f"{event}: {fields['reason']}" if "reason" in fields else event
+        self.counts[kind] += 1
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
             self._written.clear()
-        self._written[event] += 1
-        if self._written[event] > self._lines_per_s:
-            self._skipped[event] += 1
+        self._written[kind] += 1
+        if self._written[kind] > self._lines_per_s:
+            self._skipped[kind] += 1
             return
-        if skipped := self._skipped.pop(event, 0):
+        if skipped := self._skipped.pop(kind, 0):
             fields["skipped"] = skipped
         told = "".join(f" {name}={value}" for name, value in fields.items())
         if not self._write(f"{event}{told}"):
-            self._skipped[event] += 1 + skipped
+            self._skipped[kind] += 1 + skipped
 
     @staticmethod
     def _write(line: str) -> bool:
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -407,6 +407,7 @@
             doubted=sum(worker.doubted for worker in workers),
             ends=dict(self._counts),
             violations=dict(self.invariants.violations),
+            events=dict(note.counts),
         )
         self._counts.clear()
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -45,6 +45,14 @@
     assert note.counts == {"request refused": 11, "list": 1}
 
 
+def test_reasons_of_one_event_are_limited_and_counted_apart(pipe: tuple[int, int]) -> None:
+    note = EventLog(lines_per_s=1)
+    for reason in ("idle", "idle", "no room"):
+        note("connection closed", reason=reason)
+    assert len(lines(pipe[0])) == 2
+    assert note.counts == {"connection closed: idle": 2, "connection closed: no room": 1}
+
+
 def test_a_pipe_that_stands_full_holds_nothing_up_and_its_lines_are_counted(pipe: tuple[int, int]) -> None:
     reading, writing = pipe
     os.set_blocking(writing, False)
