--- a/kelptrail/platform/log.py
+++ b/kelptrail/platform/log.py
@@ -1,6 +1,6 @@
 """The log: structured lines on standard output, limited per event; how often each event happened is never lost.
 
-An event is a short fixed text; its fields tell of the case, and one of them may be the `reason`.  Lines of one event and
+An event is a short fixed text; its fields tell of the case, one of them may be the `reason`.  Lines of one event and
 reason beyond `LINES_PER_S` are left out, and the next such line says how many were (`skipped`).  `counts` holds how
 often each happened.
 """
