--- a/bench/soak.py
+++ b/bench/soak.py
@@ -592,7 +592,14 @@
         if not attempts and took is not None and took < 0.05 + SLACK_S and (asked.rested or after_end):
             self.crossings += 1
             return []
-        return [f"no answer; ended {None if took is None else round(took, 3)} s on"]
+        kills = [round(asked.written - at, 3) for n, at in self.killed if n == asked.process and at <= asked.until + 1]
+        ends = [round(asked.written - at, 3) for at, _ in self.ended_at[asked.process] if at <= asked.until + 1]
+        ended = None if took is None else round(took, 3)
+        lag = self.lag(asked.written, asked.until)
+        return [
+            f"no answer; written at {asked.written:.3f}, connection ended {ended} s on; its process was killed "
+            f"{kills[-1:]} and told to end {ends[-1:]} s before; lag {lag:.2f} s"
+        ]
 
 
 def build_library(folder: Path) -> Path | None:
