Log how long the endpoint list was silent, that it is heard again, and the worker of each retry

Change: feed lines carry silent_ms, 'feed heard again' ends a fault, the state line has list_number and list_age_ms, retry and refusal lines name workers.

--- a/kelptrail/platform/decision_executor.py
+++ b/kelptrail/platform/decision_executor.py
@@ -140,7 +140,8 @@
             self.timeouts.add(attempt.latest_start, attempt)
         if attempt.number:
             results = [_attempt_result(earlier) for earlier in request.attempts[:-1]]
-            event_log(log_events.RETRY, request=request.id, attempt=attempt.number, after=results)
+            worker = attempt.instance.worker.id
+            event_log(log_events.RETRY, request=request.id, attempt=attempt.number, worker=worker, after=results)
         size = len(client_request.body) + CALL_HEADER_BYTES
         self.workers.get_or_create(attempt.instance.worker).start_attempt(
             attempt, lambda: self._render_call(attempt, client_request), size
@@ -236,5 +237,6 @@
 
 
 def _attempt_result(attempt: Attempt) -> str:
-    """How an attempt ended, for the log."""
-    return "in flight" if attempt.status is None else attempt.status.value
+    """How an attempt ended and at which worker, for the log."""
+    result = "in flight" if attempt.status is None else attempt.status.value
+    return f"{result} at {attempt.instance.worker.id}"
--- a/kelptrail/platform/endpoint_updates.py
+++ b/kelptrail/platform/endpoint_updates.py
@@ -45,6 +45,11 @@
         """The number of the last event that was applied."""
         return 0 if self.watch is None else self.watch.last_event_number
 
+    @property
+    def list_age_ms(self) -> float:
+        """Time since the list was last heard, in milliseconds."""
+        return 0.0 if self.watch is None else self.watch.silent_ms
+
     def follow(self, config: Config) -> None:
         """Apply the initial events, then watch the list."""
         for event in config.initial_events:
--- a/kelptrail/platform/endpoint_watch.py
+++ b/kelptrail/platform/endpoint_watch.py
@@ -51,7 +51,7 @@
         try:
             sock = await connect(self._loop, self.address, CONNECT_TIMEOUT_MS)
         except OSError as cause:
-            self._watch.log(log_events.FEED_UNREACHABLE, cause=str(cause))
+            self._watch.log_fault(log_events.FEED_UNREACHABLE, cause=str(cause))
             self._on_closed()
             return
         finally:
@@ -102,6 +102,7 @@
         self._loop, self._address, self.new_reader, self._on_event, self.log = loop, address, new_reader, on_event, log
         self.last_event_number = last_event_number
         self.last_heard_at = loop.time()  # when the last complete event came
+        self._has_been_silent = False  # longer than `SILENCE_TIMEOUT_MS`, or could not be connected to
         self._connections: list[WatchConnection] = []  # the oldest first
         self._failures = 0  # connections in a row that delivered nothing, or lasted a short time
         self._silence_timeout_ms = SILENCE_TIMEOUT_MS
@@ -140,6 +141,16 @@
         while self._reserved:
             self.release_descriptor()
 
+    @property
+    def silent_ms(self) -> float:
+        """Time since the last complete event, in milliseconds."""
+        return (self._loop.time() - self.last_heard_at) * 1000
+
+    def log_fault(self, event: str, **fields: object) -> None:
+        """Log a fault of the list, with the last event that is known and for how long none came."""
+        self._has_been_silent = True
+        self.log(event, number=self.last_event_number, silent_ms=round(self.silent_ms), **fields)
+
     # Events of the connections.
 
     def on_connected(self, connection: WatchConnection) -> None:
@@ -176,7 +187,7 @@
                 self._apply(event)
                 self._on_event_applied(connection)
         except FeedError as cause:
-            self.log(log_events.FEED_UNREADABLE, cause=str(cause))
+            self.log_fault(log_events.FEED_UNREADABLE, cause=str(cause))
             connection.fail()
         except Exception as cause:  # noqa: BLE001 - it must not stop the watch
             self._loop.call_exception_handler({"message": "an event could not be applied", "exception": cause})
@@ -196,6 +207,9 @@
         """After a complete event from the current address no other connection is needed."""
         connection.event_count += 1
         connection.has_partial_event = False
+        if self._has_been_silent:
+            self._has_been_silent = False
+            self.log(log_events.FEED_HEARD_AGAIN, number=self.last_event_number, silent_ms=round(self.silent_ms))
         connection.last_progress_at = self.last_heard_at = self._loop.time()
         if connection.address != self._address:
             return
@@ -235,7 +249,7 @@
         newest = self._newest
         if newest is not None and newest.address == self._address:
             event = log_events.FEED_SILENT if newest.connection is not None else log_events.FEED_SLOW_TO_CONNECT
-            self.log(event, number=self.last_event_number)
+            self.log_fault(event)
             # A connection too slow for one event within the usual time is given more.
             longer_ms = min(MAX_SILENCE_TIMEOUT_MS, 2 * self._silence_timeout_ms)
             self._silence_timeout_ms = longer_ms if newest.has_partial_event else SILENCE_TIMEOUT_MS
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -198,6 +198,8 @@
             connections=executor.workers.connection_count,
             ejected=sum(self._now() < worker.outlier_state.ejected_until for worker in workers),
             suspect=sum(worker.suspect for worker in workers),
+            list_number=self.last_event_number,
+            list_age_ms=round(self.endpoints.list_age_ms),
             ends=dict(executor.status_counts),
             violations=dict(self.invariants.violations),
             events=dict(event_log.counts),
