--- /dev/null
+++ b/tests/outage_fixture.py
@@ -0,0 +1,303 @@
+"""A real process of the platform's program, workers that drain as real ones do, and an endpoint list that fails."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from platform_fixture import SETTINGS, Client, event
+
+from kelptrail.codec import frames
+
+NOTIFICATION_S = 4.0  # what the list would have told counts as told so long after it fell silent, at the latest
+GRACE_S = 0.5
+MACHINE_SLACK_S = 0.15  # two processes that wait for a core, beside the 0.05 s of the rule
+LOAD_S = 0.03
+RUN_S = 0.01
+CLIENT_LIMIT_MS = 1200
+LIST_INTERVAL_S = 1.0
+CLIENT_CONNECTIONS = 16
+READY, DRAINING = 0, 1
+
+
+class ListFault(Enum):
+    """What the endpoint list's service does in an outage."""
+
+    SILENT = auto()  # its connections stay up and deliver nothing
+    REFUSES = auto()  # its connections are reset, new ones are refused
+    CLOSES = auto()  # it accepts, and closes after a while
+    TRICKLES = auto()  # it sends the first bytes of an event
+
+
+class EndpointService:
+    """The endpoint list's service.  `publish` adds an event, which is delivered once there is no fault."""
+
+    def __init__(self) -> None:
+        self.fault: ListFault | None = None
+        self._events: list[bytes] = []
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def open(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def publish(self, *records: tuple[int, int, int]) -> None:
+        self._events.append(event(2 + len(self._events), 2, *records))
+
+    async def fail(self, fault: ListFault) -> None:
+        self.fault = fault
+        if fault in (ListFault.REFUSES, ListFault.CLOSES):
+            for writer in list(self._writers):
+                writer.close()
+        if fault is ListFault.REFUSES and self._server is not None:
+            self._server.close()
+
+    async def recover(self) -> None:
+        if self.fault is ListFault.REFUSES:
+            await self.open()
+        self.fault = None
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            position = int.from_bytes(await reader.readexactly(8), "big")
+            trickled = False
+            while not writer.is_closing():
+                if self.fault is None and not trickled:
+                    for each in self._events[position - 1 :]:
+                        writer.write(each)
+                        position += 1
+                    writer.write(event(position, 0))
+                elif self.fault is ListFault.CLOSES:
+                    await asyncio.sleep(0.3)
+                    break
+                elif self.fault is ListFault.TRICKLES:
+                    writer.write(event(position, 0)[:1] if not trickled else b"")
+                    trickled = True
+                await self._pause()
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _pause(self) -> None:
+        """Until the next event is due, or something was published or changed."""
+        published, fault = len(self._events), self.fault
+        for _ in range(int(LIST_INTERVAL_S / 0.02)):
+            await asyncio.sleep(0.02)
+            if published != len(self._events) or fault is not self.fault:
+                return
+
+
+class Begin(NamedTuple):
+    """A command as a worker received it.  `count` is of a load order, None for a call."""
+
+    at: float
+    count: int | None
+
+
+class Worker:
+    """A worker that loads functions on order, and turns away new work while it drains."""
+
+    def __init__(self, preloaded: bool) -> None:
+        self.drains, self._preloaded = False, preloaded
+        self.begins: list[Begin] = []
+        self._loaded: set[bytes] = set()
+        self._loading: set[bytes] = set()
+
+    async def open(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def begun_after(self, moment: float) -> Counter[str]:
+        """Attempts and load orders that arrived later; orders that only ask do not count."""
+        late = [begin for begin in self.begins if begin.at > moment]
+        return Counter("attempt" if begin.count is None else "load order" for begin in late if begin.count != 0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while line := await reader.readline():
+                word, id_, *rest = line.split()
+                fields = dict(part.split(b"=") for part in rest[0].split(b",")) if rest else {}
+                if word == b"LOAD":
+                    self.begins.append(Begin(time.monotonic(), int(fields[b"units"])))
+                    self._load(id_, fields[b"item"], int(fields[b"units"]), writer)
+                elif word == b"CALL":
+                    self.begins.append(Begin(time.monotonic(), None))
+                    body = (await reader.readexactly(int(rest[-1]) + 2))[:-2]
+                    self._call(id_, fields[b"item"], body, writer)
+        writer.close()
+
+    def _has_loaded(self, function: bytes) -> bool:
+        return self._preloaded or function in self._loaded
+
+    def _load(self, id_: bytes, function: bytes, count: int, writer: asyncio.StreamWriter) -> None:
+        if self.drains:
+            self._answer(0, writer, b"%b BUSY units=0 0\r\n\r\n" % id_)
+        elif not count:
+            self._answer(0, writer, b"%b OK units=%d 0\r\n\r\n" % (id_, self._has_loaded(function)))
+        elif self._has_loaded(function):
+            self._answer(0, writer, b"%b OK units=1 0\r\n\r\n" % id_)
+        else:
+            self._loading.add(function)
+            asyncio.get_running_loop().call_later(LOAD_S, self._loaded.add, function)
+            self._answer(LOAD_S, writer, b"%b OK units=1 0\r\n\r\n" % id_)
+
+    def _call(self, id_: bytes, function: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+        if self.drains:
+            self._answer(0, writer, b"%b BUSY - 0\r\n\r\n" % id_)
+        elif not self._has_loaded(function) and function not in self._loading:
+            self._answer(0, writer, b"%b MISS - 0\r\n\r\n" % id_)
+        else:
+            self._answer(RUN_S, writer, b"%b OK tell=up %d\r\n%b\r\n" % (id_, len(body), body))
+
+    @staticmethod
+    def _answer(after_s: float, writer: asyncio.StreamWriter, data: bytes) -> None:
+        def write() -> None:
+            if not writer.is_closing():
+                writer.write(data)
+
+        asyncio.get_running_loop().call_later(after_s, write)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a request ended for its client; `code` is None without an answer."""
+
+    sent_at: float
+    code: int | None = None
+    answered_at: float | None = None
+
+
+@dataclass
+class Cluster:
+    """The process, its workers, its list and its clients.  Times are seconds of the monotonic clock."""
+
+    folder: Path
+    worker_count: int = 4
+    requests_per_s: float = 120.0
+    preloaded: bool = False  # each function is loaded at each worker, for other dispatchers
+    bounds: dict[str, Any] = field(default_factory=dict)
+    specifics: dict[str, Any] = field(default_factory=dict)
+    service: EndpointService = field(default_factory=EndpointService)
+    workers: list[Worker] = field(default_factory=list)
+    outcomes: list[Outcome] = field(default_factory=list)
+
+    async def __aenter__(self) -> Cluster:
+        self.workers = [Worker(self.preloaded) for _ in range(self.worker_count)]
+        for worker in self.workers:
+            await worker.open()
+        await self.service.open()
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            self.port = unused.getsockname()[1]
+        file = self.folder / "configuration.json"
+        file.write_text(json.dumps(self._configuration()))
+        self.log_file = self.folder / "log"
+        with open(self.log_file, "wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "kelptrail.platform",
+                env=os.environ | {"LB_CONFIG": str(file)},
+                stdout=log,
+                stderr=log,
+            )
+        for _ in range(500):
+            with contextlib.suppress(OSError):
+                (await asyncio.open_connection("127.0.0.1", self.port))[1].close()
+                break
+            await asyncio.sleep(0.02)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+
+    def _configuration(self) -> dict[str, Any]:
+        targets = [
+            {
+                "uid": f"s-{n:08x}",
+                "endpoint": f"127.0.0.1:{worker.port}",
+                "az": "a",
+                "model": "m",
+                "pod_group": 0,
+                "state": "in_service",
+                "capacity_hint": 1,
+                "boot_ms": 0,
+            }
+            for n, worker in enumerate(self.workers)
+        ]
+        known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": True, "targets": targets}}]}
+        rules = SETTINGS["rules"] | {"stop_sending_within_us": int(GRACE_S * 1e6)}
+        specifics = SETTINGS["specifics"] | {"free_loads": 1000.0, "load_share": 1.0} | self.specifics
+        return {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "0f",
+            "limits": {"cores": 1, "memory_mb": 64, "sockets": 256},
+            "journal": f"127.0.0.1:{self.service.port}",
+            "known": known,
+            "settings": SETTINGS
+            | {
+                "classes": [SETTINGS["classes"][0], SETTINGS["classes"][1] | {"gain": 5.0}],
+                "rules": rules,
+                "specifics": specifics,
+                "bounds": SETTINGS["bounds"] | self.bounds,
+            },
+        }
+
+    def drain(self, number: int) -> None:
+        """A worker begins to drain: it turns new work away, and its list says so where it can be reached."""
+        self.workers[number].drains = True
+        self.service.publish((number, self.workers[number].port, DRAINING))
+
+    async def send_requests(self, until: float, function: Callable[[int], int] = lambda n: n) -> None:
+        """Send requests at an even pace until `until`; `function` maps the number of a request to its function."""
+        clients = [Client(*await asyncio.open_connection("127.0.0.1", self.port)) for _ in range(CLIENT_CONNECTIONS)]
+        by_stream: list[dict[int, Outcome]] = [{} for _ in clients]
+        readers = [
+            asyncio.create_task(_read_answers(client, outcomes))
+            for client, outcomes in zip(clients, by_stream, strict=True)
+        ]
+        number, started_at = 0, time.monotonic()
+        while (now := time.monotonic()) < until:
+            while number < (now - started_at) * self.requests_per_s:
+                number += 1
+                outcome = Outcome(time.monotonic())
+                self.outcomes.append(outcome)
+                by_stream[number % len(clients)][number] = outcome
+                clients[number % len(clients)].ask(number, item=f"{function(number):016x}", limit=str(CLIENT_LIMIT_MS))
+            await asyncio.sleep(0.004)
+        await asyncio.sleep(CLIENT_LIMIT_MS / 1000 + 0.3)
+        for reader in readers:
+            reader.cancel()
+        for client in clients:
+            client.writer.close()
+
+    def served_share(self, since: float) -> float:
+        """The share of the requests sent since then that was served."""
+        codes = [outcome.code for outcome in self.outcomes if outcome.sent_at >= since]
+        return sum(code == frames.SERVED for code in codes) / len(codes)
+
+    def log(self) -> str:
+        return self.log_file.read_text()
+
+
+async def _read_answers(client: Client, outcomes: dict[int, Outcome]) -> None:
+    while (frame := await client.next(within=60.0)) is not None:
+        kind, stream, payload = frame
+        if kind == frames.ANSWER and stream in outcomes:
+            outcomes[stream].code, outcomes[stream].answered_at = payload[0], time.monotonic()
