--- a/bench/soak_mutants.py
+++ b/bench/soak_mutants.py
@@ -53,7 +53,9 @@
     Mutant(
         "an attempt starts whatever came after its decision",
         "kelptrail/dispatch/safety.py",
-        "        if not (item.instance.worker.live and now < item.latest_start):\n            return False\n"
+        "        worker = item.instance.worker\n"
+        "        if not (worker.live and now < item.latest_start):\n            return False\n"
+        "        if not self.readiness.is_known(now, worker):\n            return False\n"
         "        if isinstance(item, LoadOrder):\n            return item.instance.load_order is item\n"
         "        return item.status is None and not item.cancelled and item.request.final_status is None\n",
         "        return True\n",
--- a/kelptrail/codec/lines.py
+++ b/kelptrail/codec/lines.py
@@ -142,3 +142,8 @@
 def encode_load(tag: str, item: str, units: int) -> bytes:
     """The command to keep at least `units` instances loaded; 0 only asks how many there are."""
     return f"LOAD {tag} item={item},units={units}\r\n".encode()
+
+
+def encode_health_check(tag: str) -> bytes:
+    """The command that asks whether the worker takes new work; answered UP or DOWN."""
+    return f"PING {tag}\r\n".encode()
--- a/kelptrail/dispatch/attempt_results.py
+++ b/kelptrail/dispatch/attempt_results.py
@@ -5,19 +5,20 @@
 from typing import NamedTuple
 
 from .components import Components, DispatchState
-from .entities import LONG_AGO, Attempt, AttemptStatus, FinalStatus, LogMessage
+from .entities import LONG_AGO, Attempt, AttemptStatus, FinalStatus, LogMessage, Worker
 from .load_results import LoadResults
 from .request_lifecycle import RequestLifecycle
+from .worker_delays import WorkerDelays
 
 MIN_CONCURRENCY_LIMIT = 2.0  # a worker is always allowed two attempts at once
 # Of the concurrency limit, which otherwise grows by one per limit's worth of attempts.
 CONCURRENCY_DECREASE = 0.9
 MAX_IDLE_IN_FLIGHT = 0.3  # above this mean the worker's concurrency limit already reacts to its delays
 
-_LOST = (AttemptStatus.CONNECTION_LOST, AttemptStatus.UNREACHABLE)
+CONNECTION_FAILURES = (AttemptStatus.CONNECTION_LOST, AttemptStatus.UNREACHABLE)
 _RESPONSES = frozenset(
     {
-        *_LOST,
+        *CONNECTION_FAILURES,
         AttemptStatus.COMPLETED,
         AttemptStatus.ERROR,
         AttemptStatus.OUT_OF_CAPACITY,
@@ -46,6 +47,7 @@
         self._safety, self._outliers, self._placement = parts.safety, parts.outliers, parts.placement
         self._instances, self._queues, self._retry_budget = parts.instances, parts.queues, parts.retry_budget
         self._state, self._lifecycle, self._loads = state, lifecycle, loads
+        self._worker_delays = WorkerDelays()
 
     def on_attempt_finished(self, now: float, attempt: Attempt, result: AttemptResult) -> None:
         """Update the worker, the instance and the function, then requeue the request or cancel what is
@@ -57,6 +59,9 @@
         worker.attempts.pop(attempt, None)
         instance.in_flight -= 1
         worker.load_report = result.load_report or worker.load_report
+        self._safety.readiness.on_answer(attempt, status)
+        if status in CONNECTION_FAILURES:
+            self.on_connection_lost(now, worker)
         if status in _RESPONSES:
             self._observe_health(now, attempt, result)
         latency_ms = 0.0
@@ -82,13 +87,21 @@
         self._state.runnable.update(dict.fromkeys(queued))
         self._state.runnable[function] = None
 
+    def on_connection_lost(self, now: float, worker: Worker) -> None:
+        """A connection to the worker was refused, or ended under an item.  With the list out of reach it may
+        be a new process when it answers again, with nothing loaded.
+        """
+        if self._safety.readiness.on_connection_lost(now, worker):
+            for instance in worker.instances.values():
+                instance.loaded = 0
+
     def _observe_health(self, now: float, attempt: Attempt, result: AttemptResult) -> None:
         """Count the response as a success or a failure of the worker.  A lost connection may be the network's
         fault and leaves the instance loaded; errors of a function that never ran count against the function:
         guards against calls of functions that do not work anywhere.
         """
         status, function, worker = result.status, attempt.instance.function, attempt.instance.worker
-        connection_lost = status in _LOST
+        connection_lost = status in CONNECTION_FAILURES
         function.has_loaded = function.has_loaded or status is AttemptStatus.COMPLETED
         failed = connection_lost or (
             status is AttemptStatus.ERROR and not result.load_failed and function.has_loaded
@@ -147,7 +160,11 @@
         refused = attempt.status is AttemptStatus.OUT_OF_CAPACITY
         if worker.mean_in_flight < MAX_IDLE_IN_FLIGHT:
             late = latency_ms > attempt.request.request_class.latency_objective_ms
-            self._queues.observe_worker_delay(instance.function, refused or late)
+            delayed = refused or late
+            self._worker_delays.observe(now, worker, delayed)
+            # A worker that rejects everything is no overload of the fleet: the others may be idle.
+            if not delayed or self._worker_delays.others_delay(now, worker):
+                self._queues.observe_worker_delay(instance.function, delayed)
         self._placement.observe_foreign_load(
             now, instance, max(foreign_in_flight, worker.concurrency_limit * refused)
         )
--- a/kelptrail/dispatch/dispatcher.py
+++ b/kelptrail/dispatch/dispatcher.py
@@ -1,9 +1,9 @@
 """All decisions of kelptrail, joined.
 
 Build the components and a `Dispatcher` from them, pass it what happens (`on_request`, `on_attempt_finished`,
-`on_load_report`, `on_client_gone`, `on_endpoints`, `on_tick`), then call `decide(now)` until it returns None.
-The entities are in `entities.py`, due times in `timer_queue.py`; `kelptrail/engine` and the gateway embed
-it; the design is in `docs/design.md`.  Times are milliseconds.
+`on_load_report`, `on_probe_finished`, `on_client_gone`, `on_endpoints`, `on_list_heard`, `on_tick`), then
+call `decide(now)` until it returns None.  The entities are in `entities.py`, due times in `timer_queue.py`;
+`kelptrail/engine` and the gateway embed it; the design is in `docs/design.md`.  Times are milliseconds.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from .attempt_results import AttemptResult, AttemptResults
+from .attempt_results import CONNECTION_FAILURES, AttemptResult, AttemptResults
 from .components import Components, DispatcherOptions, DispatchState
 from .entities import (
     Attempt,
@@ -22,6 +22,7 @@
     Instance,
     LoadOrder,
     OutlierState,
+    ReadinessProbe,
     Request,
     TerminationReason,
     Worker,
@@ -29,6 +30,7 @@
 from .load_results import LoadResults
 from .planned_placement import DEMAND_RESERVE, Plan, PlannedPlacement
 from .queue_service import QueueService
+from .readiness_questions import ReadinessQuestions
 from .request_lifecycle import RequestLifecycle
 from .second_attempts import SecondAttempts
 
@@ -50,7 +52,8 @@
         self._results = AttemptResults(parts, state, self._lifecycle, self._loads)
         self._second_attempts = SecondAttempts(parts, state, self._lifecycle)
         self._planned = PlannedPlacement(parts, state, self._lifecycle)
-        self._queue_service = QueueService(parts, state, self._lifecycle, self._planned)
+        self.questions = ReadinessQuestions(parts, state)
+        self._queue_service = QueueService(parts, state, self._lifecycle, self._planned, self.questions)
 
     @property
     def workers(self) -> list[Worker]:
@@ -65,6 +68,7 @@
         """
         if count:
             self.count_request(now, request)
+        self.questions.on_request()
         function, known = request.function, self._state.known_functions
         function.last_request_at, function.load_ms = now, function.load_ms or DEFAULT_LOAD_MS
         known[function] = known.pop(
@@ -106,6 +110,32 @@
         """A load order ended; `loaded_count` instances are now loaded there."""
         self._loads.on_load_report(now, order, status, loaded_count)
 
+    def on_initial_list(self, now: float) -> None:
+        """The endpoints are those of a configuration or a file: nobody says how old they are."""
+        self.parts.safety.readiness.on_initial_list(now)
+
+    def on_list_heard(self, now: float) -> None:
+        """The endpoint list is complete as of now: its source said so, be it that nothing has changed."""
+        readiness = self.parts.safety.readiness
+        was_stale = readiness.list_is_stale(now)
+        readiness.on_list_heard(now)
+        if was_stale:
+            for worker in self._state.workers:  # a restart in the outage is told by the list itself
+                worker.assumed_started_at, worker.ask_again_at = None, 0.0
+            self.questions.resume_all()
+
+    def on_list_lost(self, now: float) -> None:
+        """The connection to the source of the endpoint list broke, or could not be made."""
+        self.parts.safety.readiness.on_list_lost(now)
+
+    def on_probe_finished(
+        self, now: float, probe: ReadinessProbe, status: AttemptStatus, loaded_count: int = 0
+    ) -> None:
+        """A probe of a readiness question ended; a load query found `loaded_count` instances."""
+        if status in CONNECTION_FAILURES:
+            self._results.on_connection_lost(now, probe.question.instance.worker)
+        self.questions.on_probe_finished(now, probe, status, loaded_count)
+
     def on_endpoints(self, now: float, workers: list[Worker], restarted: Iterable[Worker]) -> None:
         """The endpoint list changed; `restarted` are the workers that run a new process under their id."""
         state = self._state
@@ -138,6 +168,7 @@
         self._planned.start_loads(now)
         self._second_attempts.check_workers(now)
         self._second_attempts.retry_deferred(now)
+        self.questions.on_tick(now)
         self._queue_service.resume_queued()
         return self._forget_unused_function(now)
 
@@ -148,7 +179,9 @@
     # Decisions.
 
     def may_start(self, now: float, item: Attempt | LoadOrder) -> bool:
-        """Whether the first byte of a decided attempt or load order may still leave."""
+        """Whether the first byte of a decided attempt or load order may still leave.  A question may always
+        be asked: it starts no work.
+        """
         return self.parts.safety.may_start(now, item)
 
     def decide(self, now: float) -> Decision | None:
--- a/kelptrail/dispatch/entities.py
+++ b/kelptrail/dispatch/entities.py
@@ -52,6 +52,7 @@
     ATTEMPTS_EXHAUSTED = "no further attempt may be made"
     FUNCTION_NOT_LOADABLE = "function cannot be loaded"
     SHUTTING_DOWN = "the process ends"
+    READINESS_UNKNOWN = "no worker is known to be ready"
 
 
 NEVER = float("inf")
@@ -144,6 +145,20 @@
     foreign_observed_at: float = 0.0
     suspect: bool = False  # one of its attempts is overdue
     relative_latency: float = 1.0  # its latency divided by the usual latency, moving average
+    ready_proven_at: float = (
+        LONG_AGO  # when it was asked what it last answered as a worker that does not drain
+    )
+    readiness_question: ReadinessQuestion | None = None  # the last one, in flight
+    ask_again_at: float = 0.0  # after a question that proved nothing
+    # It may be a new process since then, without the endpoint list having said so.
+    assumed_started_at: float | None = None
+
+    @property
+    def presumed_start(self) -> float | None:
+        """The latest time at which it may have started; None for a long time ago."""
+        if self.assumed_started_at is None or self.started_at is None:
+            return self.started_at if self.assumed_started_at is None else self.assumed_started_at
+        return max(self.started_at, self.assumed_started_at)
 
     @property
     def live(self) -> bool:
@@ -229,6 +244,7 @@
     final_status: FinalStatus | None = None  # never changes once set
     reason: TerminationReason | None = None  # why it was rejected or failed
     retry_after_ms: float = 0.0  # with a rejection: when the client may retry
+    held_for_readiness: bool = False  # it has waited for a worker whose readiness was not known
     # Its response has begun: no other attempt can complete the request.
     streaming_attempt: Attempt | None = None
 
@@ -264,6 +280,34 @@
     count: int
     placed_at: float
     latest_start: float = NEVER  # its first byte may not leave later: the load ration counts it as of now
+    write_started_at: float | None = None  # when its first byte was about to leave
+
+
+class ProbeKind(Enum):
+    """What a worker is asked."""
+
+    HEALTH_CHECK = "health check"
+    LOAD_QUERY = "load query"  # a load order with count 0, which only asks
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class ReadinessProbe:
+    """One question on the wire; `status` is how it ended."""
+
+    question: ReadinessQuestion
+    kind: ProbeKind
+    status: AttemptStatus | None = None
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class ReadinessQuestion:
+    """Asks a worker whether it takes new work, without starting any.  Its probes are sent together."""
+
+    instance: Instance  # the function that the question is asked for, and the worker
+    asked_at: float
+    probes: list[ReadinessProbe] = field(default_factory=list)
+    write_started_at: float | None = None  # when its first byte was about to leave
+    loaded_count: int | None = None  # instances that the load query found
 
 
 class LogMessage(str):
@@ -272,6 +316,6 @@
     __slots__ = ()
 
 
-Decision = Attempt | LoadOrder | Request | LogMessage
+Decision = Attempt | LoadOrder | ReadinessQuestion | Request | LogMessage
 """What a dispatcher decides: an attempt to start (or, if `cancelled`, to cancel), a load order to send, a
-request with its final answer, or a line to log."""
+question to ask, a request with its final answer, or a line to log."""
--- a/kelptrail/dispatch/load_results.py
+++ b/kelptrail/dispatch/load_results.py
@@ -26,6 +26,7 @@
         """
         instance, order.instance.load_order = order.instance, None
         instance.worker.pending_loads -= 1
+        self._safety.readiness.on_answer(order, status)
         if status is AttemptStatus.OUT_OF_CAPACITY:
             instance.worker.out_of_capacity_until = now + instance.function.load_ms
         self._observe_load(now, order, instance, status)
--- a/kelptrail/dispatch/placement.py
+++ b/kelptrail/dispatch/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 from zlib import crc32
 
@@ -90,6 +91,22 @@
 
     def find_slot(self, now: float, request: Request, late: bool) -> Instance | None:
         """The least loaded instance with a free concurrency slot, in the own zone if loads are alike."""
+        return self._find_slot(now, request, late, self._safety.may_attempt)
+
+    def find_unproven_slot(self, now: float, request: Request, late: bool) -> Instance | None:
+        """The same among workers that may first have to be asked whether they are ready."""
+
+        def may_attempt(now: float, request: Request, worker: Worker) -> bool:
+            readiness = self._safety.readiness
+            return readiness.may_become_known(now, worker) and self._safety.may_attempt_once_ready(
+                now, request, worker
+            )
+
+        return self._find_slot(now, request, late, may_attempt)
+
+    def _find_slot(
+        self, now: float, request: Request, late: bool, may_attempt: Callable[[float, Request, Worker], bool]
+    ) -> Instance | None:
         in_use = {attempt.instance.worker for attempt in request.attempts if attempt.status is None}
         best, best_load, limit_share = None, 0.0, LATE_LIMIT_SHARE if late else 1.0
         request_class = request.request_class
@@ -103,7 +120,7 @@
             if (
                 worker in in_use
                 or now < instance.unavailable_until
-                or not self._safety.may_attempt(now, request, worker)
+                or not may_attempt(now, request, worker)
                 or not self._outliers.usable(now, worker, request_class, request_class.idempotency)
             ):
                 continue
@@ -129,6 +146,7 @@
                 or len(worker.attempts) >= max(2, worker.concurrency_limit / 2)
                 or not self._outliers.usable(now, worker, function.request_class)
                 or not self._safety.has_budget(now, worker)
+                or not self._safety.readiness.may_become_known(now, worker)
             ):
                 continue
             load = (
--- a/kelptrail/dispatch/planned_placement.py
+++ b/kelptrail/dispatch/planned_placement.py
@@ -56,6 +56,7 @@
                     and not instance.load_order
                     and now >= max(instance.unavailable_until, instance.worker.out_of_capacity_until)
                     and self._outliers.usable(now, instance.worker, function.request_class)
+                    and self._safety.readiness.may_become_known(now, instance.worker)
                 ):
                     return WorkerChoice(instance.worker, True)
         return None
@@ -74,8 +75,10 @@
                 or now < max(instance.unavailable_until, worker.out_of_capacity_until)
             ):
                 continue
-            if self._safety.capacity_factor(now, worker) < 1 or not self._outliers.usable(
-                now, worker, instance.function.request_class
+            if (
+                self._safety.capacity_factor(now, worker) < 1
+                or not self._outliers.usable(now, worker, instance.function.request_class)
+                or not self._safety.readiness.is_known(now, worker)
             ):
                 continue
             if instance.function.instances.get(worker) is not instance:  # removed from the table since
--- a/kelptrail/dispatch/queue_service.py
+++ b/kelptrail/dispatch/queue_service.py
@@ -8,8 +8,9 @@
 from typing import NamedTuple
 
 from .components import Components, DispatchState
-from .entities import Attempt, Decision, Function, Instance, Request, TerminationReason
+from .entities import Attempt, Decision, Function, Instance, ReadinessQuestion, Request, TerminationReason
 from .planned_placement import PlannedPlacement
+from .readiness_questions import ReadinessQuestions
 from .request_lifecycle import RequestLifecycle
 
 SEARCH_PAUSE_MS = 25.0  # CPU: a worker for a queued function is searched only so often
@@ -31,11 +32,16 @@
     """Decides for one function after the other what its queue needs."""
 
     def __init__(
-        self, parts: Components, state: DispatchState, lifecycle: RequestLifecycle, planned: PlannedPlacement
+        self,
+        parts: Components,
+        state: DispatchState,
+        lifecycle: RequestLifecycle,
+        planned: PlannedPlacement,
+        questions: ReadinessQuestions,
     ) -> None:
         self._safety, self._placement = parts.safety, parts.placement
         self._instances, self._queues = parts.instances, parts.queues
-        self._state, self._lifecycle, self._planned = state, lifecycle, planned
+        self._state, self._lifecycle, self._planned, self._questions = state, lifecycle, planned, questions
         self._queued_functions: dict[Function, None] = {}
 
     def resume_queued(self) -> None:
@@ -102,12 +108,21 @@
                 return self._lifecycle.finish(now, request, TerminationReason.OVERLOAD)
             if now >= self._queues.latest_start(request):
                 return self._lifecycle.finish(now, request, TerminationReason.INSUFFICIENT_TIME)
+            if self._readiness_is_lost(now):
+                return self._lifecycle.finish(now, request, TerminationReason.READINESS_UNKNOWN)
             function.queue.append(request)
             request.queued = True
             self._lifecycle.check_deadline(now, request)
         return None
 
-    def _serve_queue(self, now: float, function: Function) -> Attempt | Request | None:
+    def _readiness_is_lost(self, now: float) -> bool:
+        """Whether the list is stale, no worker may be asked, and none has proven its readiness of late."""
+        readiness = self._safety.readiness
+        if not readiness.list_is_stale(now) or readiness.probe_kinds:
+            return False
+        return not any(readiness.is_known(now, worker) for worker in self._state.workers if worker.live)
+
+    def _serve_queue(self, now: float, function: Function) -> Attempt | ReadinessQuestion | Request | None:
         """The next attempt, or a request that can have none; None if no slot is free."""
         while queue := function.queue or function.late_queue:
             request = queue[0]
@@ -135,10 +150,17 @@
                 function.late_queue.append(queue.popleft())
                 continue
             if (instance := self._placement.find_slot(now, request, queue is function.late_queue)) is None:
-                return None
+                return self._ask_for_slot(now, request, queue is function.late_queue)
             return self._lifecycle.start_attempt(now, request, instance)
         return None
 
+    def _ask_for_slot(self, now: float, request: Request, late: bool) -> ReadinessQuestion | None:
+        """Ask a worker with a free slot whether it is ready, if the list no longer says so."""
+        if not self._safety.readiness.list_is_stale(now):
+            return None
+        instance = self._placement.find_unproven_slot(now, request, late)
+        return None if instance is None else self._questions.ask(now, request.function, instance.worker)
+
     def _add_instance(self, now: float, function: Function, count: int) -> Decision | None:
         """Load another instance, or find out with an attempt whether one is loaded already; `count` there
         are.
@@ -146,12 +168,14 @@
         choice = self._planned.planned_worker(now, function) or self._placement.choose_worker(
             now, function, self._state.workers
         )
-        if (
-            choice.worker is None
-            or count >= self._queues.instance_limit(now, function, choice.below_mean_load)
-            or (instance := self._instances.get_or_add(function, choice.worker)).load_order
+        if choice.worker is None or count >= self._queues.instance_limit(
+            now, function, choice.below_mean_load
         ):
             return None
+        if not self._safety.readiness.is_known(now, choice.worker):
+            return self._questions.ask(now, function, choice.worker)
+        if (instance := self._instances.get_or_add(function, choice.worker)).load_order:
+            return None
         unknown = bool(
             function.queue_depth
             and not instance.loaded
--- a/kelptrail/dispatch/request_lifecycle.py
+++ b/kelptrail/dispatch/request_lifecycle.py
@@ -44,6 +44,8 @@
     def finish(self, now: float, request: Request, reason: TerminationReason) -> Request:
         """End the request without a result; a rejection names when the missing capacity may be available."""
         request.reason = reason
+        if request.held_for_readiness and not request.attempts:
+            request.reason = TerminationReason.READINESS_UNKNOWN
         retry_after_ms = min(self._max_retry_after_ms, request.function.load_ms)
         rejected = self._safety.finish(now, request, retry_after_ms).final_status is FinalStatus.REJECTED
         request.retry_after_ms = retry_after_ms if rejected else 0.0
--- a/kelptrail/dispatch/safety.py
+++ b/kelptrail/dispatch/safety.py
@@ -16,9 +16,9 @@
     Instance,
     LoadOrder,
     Request,
-    RequestClass,
     Worker,
 )
+from .readiness import Readiness, ReadinessLimits
 from .sliding_window import drop_until
 from .slow_start import SlowStart, SlowStartSettings
 
@@ -50,8 +50,15 @@
 class SafetyGuard(SlowStart):
     """Enforces the five rules: every attempt, load order and final answer is created here."""
 
-    def __init__(self, seed: int, settings: SafetySettings, slow_start: SlowStartSettings) -> None:
+    def __init__(
+        self,
+        seed: int,
+        settings: SafetySettings,
+        slow_start: SlowStartSettings,
+        readiness: ReadinessLimits | None = None,
+    ) -> None:
         super().__init__(seed, slow_start)
+        self.readiness = Readiness(readiness or ReadinessLimits(), seed)
         self._parallel_attempts, self._max_attempts = settings.parallel_attempts, settings.max_attempts
         ration = settings.load_ration
         self._loads_allowed, self._free_loads = ration.loads_allowed, ration.free_loads
@@ -88,13 +95,14 @@
 
     def may_attempt(self, now: float, request: Request, worker: Worker) -> bool:
         """Whether an attempt of the request may start at the worker now."""
+        return self.readiness.is_known(now, worker) and self.may_attempt_once_ready(now, request, worker)
+
+    def may_attempt_once_ready(self, now: float, request: Request, worker: Worker) -> bool:
+        """Whether an attempt may start at the worker now if the worker does not drain."""
         if not worker.live or not self.accepts_attempt(now, request):
             return False
-        request_class = request.request_class
-        if (
-            request_class.idempotency is Idempotency.DEDUPLICATED
-            and request_class.deduplication_scope != "all"
-            and not _in_scope(request, request_class, worker)
+        if request.request_class.idempotency is Idempotency.DEDUPLICATED and not _drops_repeat(
+            request, worker
         ):
             return False
         return self.has_budget(now, worker)
@@ -115,14 +123,14 @@
         self, now: float, instance: Instance, count: int, reserve: float = 0.0
     ) -> LoadOrder | None:
         """A load order within the ration, or None; the share `reserve` of the ration is left for other loads.
-        A count of 0 only asks and is not rationed.  Guards against orders that wait for a connection and
+        Guards against orders that wait for a connection and
         arrive together with those of the next window.
         """
-        if not self._loads_allowed:
+        if not self._loads_allowed or not self.readiness.is_known(now, instance.worker):
             return None
-        if count and not self._take_from_ration(now, instance.worker, reserve):
+        if not self._take_from_ration(now, instance.worker, reserve):
             return None
-        latest_start = now + self._max_delivery_ms if count and self._max_delivery_ms else NEVER
+        latest_start = now + self._max_delivery_ms if self._max_delivery_ms else NEVER
         return LoadOrder(instance, min(count, MAX_LOAD_COUNT), now, latest_start)
 
     def _take_from_ration(self, now: float, worker: Worker, reserve: float) -> bool:
@@ -137,9 +145,12 @@
     def may_start(self, now: float, item: Attempt | LoadOrder) -> bool:
         """Whether the first byte of a decided attempt or load order may still leave.  Guards against what
         changed while it waited for a connection: the client disconnected, a response, a draining worker, a
-        time limit.
+        worker whose readiness was known when it was decided and is no longer, a time limit.
         """
-        if not (item.instance.worker.live and now < item.latest_start):
+        worker = item.instance.worker
+        if not (worker.live and now < item.latest_start):
+            return False
+        if not self.readiness.is_known(now, worker):
             return False
         if isinstance(item, LoadOrder):
             return item.instance.load_order is item
@@ -169,8 +180,14 @@
         return request
 
 
-def _in_scope(request: Request, request_class: RequestClass, worker: Worker) -> bool:
-    """Whether the worker drops repeats of what the first worker may have run."""
-    scope = request_class.deduplication_scope
-    first = next((a.instance.worker for a in request.attempts if a.may_have_run), worker)
-    return bool(getattr(first, scope) == getattr(worker, scope))
+def _drops_repeat(request: Request, worker: Worker) -> bool:
+    """Whether the worker drops a repeat of what the first worker may have run.  One that may have been
+    started anew, with no list to say so, may have forgotten it, or may be in another group.
+    """
+    first = next((attempt for attempt in request.attempts if attempt.may_have_run), None)
+    if first is None:
+        return True
+    if worker.assumed_started_at is not None and worker.assumed_started_at >= first.started_at:
+        return False
+    scope = request.request_class.deduplication_scope
+    return scope == "all" or bool(getattr(first.instance.worker, scope) == getattr(worker, scope))
--- a/kelptrail/dispatch/slow_start.py
+++ b/kelptrail/dispatch/slow_start.py
@@ -60,7 +60,8 @@
 
     def capacity_factor(self, now: float, worker: Worker) -> float:
         """The share of its capacity that a worker has at least, by its age: from 0 to 1."""
-        if worker.started_at is None or (age := now - worker.started_at) >= self._slow_start_ms:
+        started_at = worker.presumed_start
+        if started_at is None or (age := now - started_at) >= self._slow_start_ms:
             return 1.0
         return 1 - min(1.0, 1 - age / self._slow_start_ms) * (1 - self._initial_capacity)
 
@@ -80,7 +81,7 @@
         # Below one attempt in a window, a seeded draw in each window decides; its offset differs by
         # dispatcher.
         offset = crc32(f"{self._seed} {worker.id}".encode()) / CRC_RANGE
-        window = (now - (worker.started_at or 0.0)) / window_ms + offset
+        window = (now - (worker.presumed_start or 0.0)) / window_ms + offset
         if started and started[-1] >= now - window % 1 * window_ms:
             return False
         return crc32(f"{self._seed} {worker.id} {int(window)}".encode()) < DRAW_SHARE * budget * CRC_RANGE
--- a/kelptrail/engine/engine.py
+++ b/kelptrail/engine/engine.py
@@ -14,11 +14,13 @@
 from kelptrail.dispatch.components import Components, DispatcherOptions
 from kelptrail.dispatch.dispatcher import Dispatcher
 from kelptrail.dispatch.entities import (
+    NEVER,
     Attempt,
     AttemptStatus,
     Decision,
     Function,
     LoadOrder,
+    ReadinessProbe,
     Request,
     Worker,
     WorkerState,
@@ -27,12 +29,13 @@
 from kelptrail.dispatch.outlier_detection import OutlierDetector
 from kelptrail.dispatch.placement import Placement
 from kelptrail.dispatch.queues import RequestQueues
+from kelptrail.dispatch.readiness import ReadinessLimits
 from kelptrail.dispatch.safety import SafetyGuard, SafetySettings
 from kelptrail.dispatch.slow_start import SlowStartSettings
 from kelptrail.dispatch.timer_queue import TimerQueue
 
 from .events import RequestArrival
-from .settings import DispatcherSettings, read_settings
+from .settings import DispatcherSettings, ReadinessSettings, read_readiness_settings, read_settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,18 +51,44 @@
     started_at: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointListTiming:
+    """After which silence of its endpoint list a dispatcher counts as notified of what the list would have told; by
+    the protocol that it follows the list with, in milliseconds.
+    """
+
+    notification_ms: float = NEVER
+    broken_notification_ms: float = NEVER  # after a connection to the list broke
+
+
+PUSHED_LIST = EndpointListTiming()  # each change arrives by itself, and counts as notified when it does
+
+
+@dataclass(frozen=True, slots=True)
+class ReadinessReport:
+    """What is known of the workers' readiness, for the operators."""
+
+    list_is_stale: bool
+    known: int  # live workers that may get new work
+    unknown: int  # live workers that may not, until they were asked
+    questions: Mapping[str, int]  # by their result, since the start
+
+
 class Engine:
     """One dispatcher, independent of all others, and the entities for the ids that its caller uses."""
 
-    def __init__(self, seed: int, settings: Mapping[str, Any]) -> None:
+    def __init__(self, seed: int, settings: Mapping[str, Any], list_timing: EndpointListTiming = PUSHED_LIST) -> None:
         """Raises `MalformedError` if the settings cannot be used."""
         parsed = read_settings(settings)
         self.request_classes, self.tenants = parsed.request_classes, parsed.tenants
         self.report_fields, self.reports_warm = parsed.report_fields, parsed.reports_warm
-        parts = _build_components(seed, parsed)
+        limits = _readiness_limits(read_readiness_settings(settings), list_timing)
+        parts = _build_components(seed, parsed, limits)
         options = DispatcherOptions(parsed.can_cancel, parsed.max_retry_after_ms)
         self._dispatcher = Dispatcher(parts, options)
         self.tick_ms = self._dispatcher.tick_ms
+        self.readiness_limits = limits
+        self.probe_timeout_ms = parts.safety.readiness.proof_lifetime_ms  # a later answer proves nothing
         self.next_due = parts.timers.next_due
         self.workers: dict[str, Worker] = {}
         self.functions: dict[str, Function] = {}
@@ -124,6 +153,32 @@
             del self.workers[id_]
         return restarted
 
+    def on_initial_list(self, now: float) -> None:
+        """The endpoints are those of the configuration, of unknown age."""
+        self._dispatcher.on_initial_list(now)
+
+    def on_list_heard(self, now: float) -> None:
+        """The endpoint list is complete as of now."""
+        self._dispatcher.on_list_heard(now)
+
+    def on_list_lost(self, now: float) -> None:
+        """The connection to the endpoint list broke, or could not be made."""
+        self._dispatcher.on_list_lost(now)
+
+    def on_probe_finished(
+        self, now: float, probe: ReadinessProbe, status: AttemptStatus, loaded_count: int = 0
+    ) -> None:
+        """A probe ended; a load query found `loaded_count` instances."""
+        self._dispatcher.on_probe_finished(now, probe, status, loaded_count)
+
+    def readiness(self, now: float) -> ReadinessReport:
+        """What is known of the workers' readiness."""
+        readiness = self._dispatcher.parts.safety.readiness
+        live = [worker for worker in self.workers.values() if worker.live]
+        known = sum(readiness.is_known(now, worker) for worker in live)
+        questions = {str(name): count for name, count in self._dispatcher.questions.results.items()}
+        return ReadinessReport(readiness.list_is_stale(now), known, len(live) - known, questions)
+
     def terminate(self, now: float, request: Request) -> Request:
         """The process shuts down and cannot wait for the request; returns it with its final answer."""
         ended = self._dispatcher.terminate(now, request)
@@ -152,7 +207,16 @@
             self.requests.pop(request.id, None)
 
 
-def _build_components(seed: int, settings: DispatcherSettings) -> Components:
+def _readiness_limits(settings: ReadinessSettings, timing: EndpointListTiming) -> ReadinessLimits:
+    """No limits where the settings have no rule on draining workers."""
+    if settings.drain_grace_ms is None:
+        return ReadinessLimits()
+    return ReadinessLimits(
+        timing.notification_ms, timing.broken_notification_ms, settings.drain_grace_ms, settings.probe_kinds
+    )
+
+
+def _build_components(seed: int, settings: DispatcherSettings, readiness: ReadinessLimits) -> Components:
     """The parts of a dispatcher, from its settings."""
     timers, outliers = TimerQueue(), OutlierDetector()
     safety = SafetyGuard(
@@ -165,6 +229,7 @@
             settings.slow_start_ms,
             settings.connect_timeout_ms,
         ),
+        readiness,
     )
     return Components(
         safety,
--- a/kelptrail/engine/invariants.py
+++ b/kelptrail/engine/invariants.py
@@ -10,9 +10,19 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
-from kelptrail.dispatch.entities import NEVER_RAN, Attempt, Idempotency, LoadOrder
+from kelptrail.dispatch.entities import (
+    NEVER,
+    NEVER_RAN,
+    Attempt,
+    AttemptStatus,
+    Idempotency,
+    LoadOrder,
+    ReadinessProbe,
+    Worker,
+)
 
 CLIENT_GONE_SLACK_MS = 100.0  # an attempt may start so long after its client disconnected
 LIMIT_SLACK_MS = 150.0  # the time limit passed to a worker may exceed what its client has left by so much
@@ -25,6 +35,7 @@
     ATTEMPT_AFTER_CLIENT_LEFT = "attempt after client left"
     ATTEMPT_AFTER_ANSWER = "attempt after final answer"
     ATTEMPT_TO_DRAINING_WORKER = "attempt to draining worker"
+    READINESS_UNKNOWN = "start at a worker not known to be ready"
     ATTEMPT_PAST_ITS_TIME = "attempt past its time"
     SECOND_EFFECT = "second effect"
     LIMIT_OVER_TIME_LEFT = "limit over time left"
@@ -38,13 +49,53 @@
 """Logs an event: its name, then its fields as keyword arguments."""
 
 
+@dataclass(frozen=True, slots=True)
+class DrainClock:
+    """When a drain that nobody told counts as notified, and for how long new work may start after it."""
+
+    notification_ms: float = NEVER
+    grace_ms: float = 0.0
+
+
 class Invariants:
-    """Counts the violations of one dispatcher."""
+    """Counts the violations of one dispatcher.
 
-    def __init__(self, log: LogFunction) -> None:
-        self._log = log
+    A worker's readiness is reckoned here from what was read on the sockets, apart from the guard that decides by it: by
+    the belief that it checks no check can fail.
+    """
+
+    def __init__(self, log: LogFunction, drain_clock: DrainClock | None = None) -> None:
+        self._log, self._drain_clock = log, drain_clock or DrainClock()
+        self._list_heard_at = NEVER
+        self._ready_at: dict[str, float] = {}  # by worker: when a question left that it answered as a ready one
         self.violations: Counter[str] = Counter()
 
+    def on_initial_list(self, now: float) -> None:
+        """The list of the configuration was applied; what has changed since it was written counts as notified."""
+        self._list_heard_at = now - self._drain_clock.notification_ms
+
+    def on_list_heard(self, now: float) -> None:
+        """A complete event of the endpoint list was read."""
+        self._list_heard_at = now
+
+    def on_answer(self, item: Attempt | LoadOrder | ReadinessProbe, status: AttemptStatus) -> None:
+        """A worker answered, or an item ended without an answer."""
+        if status is not AttemptStatus.COMPLETED:
+            return
+        left_at = item.question.write_started_at if isinstance(item, ReadinessProbe) else item.write_started_at
+        if left_at is not None:
+            worker = item.question.instance.worker if isinstance(item, ReadinessProbe) else item.instance.worker
+            self._ready_at[worker.id] = max(left_at, self._ready_at.get(worker.id, left_at))
+
+    def _check_readiness(self, now: float, worker: Worker, request_id: str) -> None:
+        clock = self._drain_clock
+        if clock.notification_ms == NEVER:
+            return
+        known_at = max(self._list_heard_at + clock.notification_ms, self._ready_at.get(worker.id, 0.0))
+        late_ms = now - known_at - clock.grace_ms
+        if late_ms > START_SLACK_MS:
+            self.violated(Violation.READINESS_UNKNOWN, request_id, worker=worker.id, late_ms=round(late_ms))
+
     def violated(self, violation: Violation, request: str = "-", **fields: object) -> None:
         """Count and log a violation."""
         self.violations[violation.value] += 1
@@ -67,6 +118,7 @@
             self.violated(Violation.ATTEMPT_PAST_ITS_TIME, request_id, late_ms=round(now - attempt.latest_start))
         if not attempt.instance.worker.live:
             self.violated(Violation.ATTEMPT_TO_DRAINING_WORKER, request_id, worker=attempt.instance.worker.id)
+        self._check_readiness(now, attempt.instance.worker, request_id)
         self._check_second_effect(now, attempt)
 
     def _check_second_effect(self, now: float, attempt: Attempt) -> None:
@@ -89,5 +141,6 @@
 
     def order_begins(self, now: float, order: LoadOrder) -> None:
         """A load order's first byte is about to leave."""
+        self._check_readiness(now, order.instance.worker, order.instance.function.id)
         if now > order.latest_start + START_SLACK_MS or not order.instance.worker.live:
             self.violated(Violation.LOAD_ORDER_LATE, order.instance.function.id, worker=order.instance.worker.id)
--- a/kelptrail/engine/settings.py
+++ b/kelptrail/engine/settings.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from kelptrail.dispatch.entities import Idempotency, RequestClass, Tenant
+from kelptrail.dispatch.entities import Idempotency, ProbeKind, RequestClass, Tenant
 from kelptrail.dispatch.safety import LoadRation
 
 IDEMPOTENCIES = {
@@ -129,6 +129,14 @@
     connect_timeout_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadinessSettings:
+    """The rule on draining workers, and what workers may be asked."""
+
+    drain_grace_ms: float | None  # new work may start so long after a drain was notified; None: no such rule
+    probe_kinds: tuple[ProbeKind, ...]  # what workers may be asked
+
+
 def read_settings(settings: Any) -> DispatcherSettings:
     """The settings object that a dispatcher is started with.  Raises `MalformedError`."""
     root = SettingsObject(settings, "settings")
@@ -168,6 +176,25 @@
     )
 
 
+def read_readiness_settings(settings: Any) -> ReadinessSettings:
+    """The part of the settings object that is about draining workers.  Raises `MalformedError`."""
+    root = SettingsObject(settings, "settings")
+    rules, bounds, extras = root.object("rules"), root.object("bounds"), root.object("specifics")
+    grace_ms = rules.ms("stop_sending_within_us") if rules.has("stop_sending_within_us") else None
+    return ReadinessSettings(grace_ms, _probe_kinds(bounds, extras))
+
+
+def _probe_kinds(bounds: SettingsObject, extras: SettingsObject) -> tuple[ProbeKind, ...]:
+    """What proves that a worker does not drain.  Observed on the platform: a draining worker answers health checks with
+    DOWN, and load queries as a ready one does, although its page says otherwise; so where health checks are forbidden
+    nothing may be asked.  Settings that do not mention them are of no such platform, and the page's word stands.
+    """
+    load_query = (ProbeKind.LOAD_QUERY,) if extras.flag("load_control") else ()
+    if not bounds.has("probes"):
+        return load_query
+    return (ProbeKind.HEALTH_CHECK, *load_query) if bounds.flag("probes") else ()
+
+
 def _read_request_class(settings: SettingsObject) -> RequestClass:
     idempotency = settings.choice("effect", IDEMPOTENCIES)
     deduplicated = idempotency is Idempotency.DEDUPLICATED
--- a/kelptrail/gateway/build.py
+++ b/kelptrail/gateway/build.py
@@ -4,17 +4,21 @@
 
 from kelptrail.dispatch.components import Components, DispatcherOptions
 from kelptrail.dispatch.dispatcher import Dispatcher
-from kelptrail.dispatch.entities import Function, Idempotency, RequestClass, Tenant
+from kelptrail.dispatch.entities import Function, Idempotency, ProbeKind, RequestClass, Tenant
 from kelptrail.dispatch.instance_table import InstanceTable
 from kelptrail.dispatch.outlier_detection import OutlierDetector
 from kelptrail.dispatch.placement import Placement
 from kelptrail.dispatch.queues import RequestQueues
+from kelptrail.dispatch.readiness import ReadinessLimits
 from kelptrail.dispatch.retries import RetryBudget
 from kelptrail.dispatch.safety import LoadRation, SafetyGuard, SafetySettings
 from kelptrail.dispatch.slow_start import SlowStartSettings
 from kelptrail.dispatch.timer_queue import TimerQueue
 from kelptrail.settings.deployment import Deployment, DispatcherSettings, RuleSettings, TypeSettings
 
+# Two long polls of the endpoint source, each held for 2 s: one that is not answered by then is not held but lost.
+LIST_NOTIFICATION_MS = 4_000.0
+
 
 def _request_class(settings: TypeSettings) -> RequestClass:
     return RequestClass(
@@ -34,7 +38,10 @@
     slow_start = SlowStartSettings(
         rules.overload_multiple, rules.overload_window_ms, rules.slow_start_share, rules.slow_start_ms
     )
-    return SafetyGuard(seed, SafetySettings(settings.parallel_attempts, settings.max_attempts, ration), slow_start)
+    safety = SafetySettings(settings.parallel_attempts, settings.max_attempts, ration)
+    probe_kinds = (ProbeKind.LOAD_QUERY,) if rules.loads_allowed else ()
+    readiness = ReadinessLimits(LIST_NOTIFICATION_MS, LIST_NOTIFICATION_MS, rules.drain_grace_ms, probe_kinds)
+    return SafetyGuard(seed, safety, slow_start, readiness)
 
 
 class DispatcherParts:
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -14,9 +14,12 @@
 from kelptrail.dispatch.entities import (
     Attempt,
     AttemptStatus,
+    Decision,
     FinalStatus,
     Function,
     LoadOrder,
+    ReadinessProbe,
+    ReadinessQuestion,
     Request,
     Worker,
 )
@@ -30,7 +33,7 @@
 from .completion import RequestCompletion
 from .counters import FunctionCounters
 from .durability import DurabilityWriter
-from .effects import CancelReason, Effect, LogEvent, StartLoad
+from .effects import AskWorker, CancelReason, Effect, LogEvent, StartLoad
 from .invocation import Invocation
 from .lifecycle import RequestStage
 from .limits import RETRY_AFTER_MS
@@ -176,6 +179,18 @@
         self._dispatcher.on_endpoints(now, workers, restarted)
         self.members.remove_departed()
 
+    def on_initial_list(self, now: float) -> None:
+        """The endpoint list that was applied comes from the disk, of unknown age."""
+        self._dispatcher.on_initial_list(now)
+
+    def on_list_heard(self, now: float) -> None:
+        """The source of the endpoint list has answered: the list is complete as of now."""
+        self._dispatcher.on_list_heard(now)
+
+    def on_probe_finished(self, now: float, probe: ReadinessProbe, status: AttemptStatus, loaded: int) -> None:
+        """A probe of a readiness question has ended."""
+        self._dispatcher.on_probe_finished(now, probe, status, loaded)
+
     # The planner.
 
     def on_plan(self, wants: Mapping[str, Mapping[str, int]] | None) -> None:
@@ -272,10 +287,12 @@
         self._dispatcher.on_client_gone(invocation.request)
         self._completion.finish(now, invocation, FinalStatus.REJECTED)
 
-    def _follow(self, now: float, decision: Attempt | LoadOrder | Request | str) -> Effect | None:
+    def _follow(self, now: float, decision: Decision) -> Effect | None:
         """One decision as an effect; None where its effect is queued, or waits for the journal."""
         if isinstance(decision, str):
             return LogEvent(decision)
+        if isinstance(decision, ReadinessQuestion):
+            return AskWorker(decision)
         if isinstance(decision, LoadOrder):
             self.counts.load_orders += 1
             return StartLoad(decision)
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -15,7 +15,7 @@
 from kelptrail.store.driver import JournalDriver
 
 from .core import Gateway
-from .effects import CancelAttempt, Effect, FinalAnswer, LogEvent, ResponsePart, StartAttempt, StartLoad
+from .effects import AskWorker, CancelAttempt, Effect, FinalAnswer, LogEvent, ResponsePart, StartAttempt, StartLoad
 from .invocation import Invocation
 from .worker_calls import WorkerCalls
 
@@ -46,6 +46,15 @@
 
     # Events.
 
+    def on_initial_list(self) -> None:
+        """The endpoint list that was applied was read from the disk."""
+        self.gateway.on_initial_list(now_ms())
+
+    def on_list_heard(self) -> None:
+        """The source of the endpoint list has answered."""
+        self.gateway.on_list_heard(now_ms())
+        self.schedule_decisions()
+
     def on_endpoints(self, listing: EndpointList) -> None:
         """A new endpoint list: close the pools of workers that are gone or have moved."""
         gateway = self.gateway
@@ -102,6 +111,8 @@
                 effect.invocation.on_part(effect.data)
         elif isinstance(effect, StartLoad):
             self.worker_calls.start_load(effect.order)
+        elif isinstance(effect, AskWorker):
+            self.worker_calls.ask(effect.question)
         elif isinstance(effect, CancelAttempt):
             self.worker_calls.cancel(effect.attempt, effect.reason)
         elif isinstance(effect, LogEvent):
--- a/kelptrail/gateway/effects.py
+++ b/kelptrail/gateway/effects.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from kelptrail.dispatch.entities import Attempt, LoadOrder
+from kelptrail.dispatch.entities import Attempt, LoadOrder, ReadinessQuestion
 
 from .invocation import Invocation
 
@@ -42,6 +42,13 @@
     order: LoadOrder
 
 
+@dataclass(frozen=True, slots=True)
+class AskWorker:
+    """Send the probes of a readiness question to its worker."""
+
+    question: ReadinessQuestion
+
+
 @dataclass(frozen=True, slots=True)
 class ResponsePart:
     """A part of a streamed response, to be passed on at once."""
@@ -64,4 +71,4 @@
     text: str
 
 
-Effect = StartAttempt | CancelAttempt | StartLoad | ResponsePart | FinalAnswer | LogEvent
+Effect = StartAttempt | CancelAttempt | StartLoad | AskWorker | ResponsePart | FinalAnswer | LogEvent
--- a/kelptrail/gateway/worker_calls.py
+++ b/kelptrail/gateway/worker_calls.py
@@ -16,7 +16,7 @@
 from kelptrail.clock import now_ms
 from kelptrail.codec.http import Response
 from kelptrail.codec.infer import infer_request, load_request, read_answer, read_loaded
-from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder, Worker
+from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder, ReadinessQuestion, Worker
 from kelptrail.net.pool import Call, CallOutcome, WorkerPool
 from kelptrail.settings.deployment import PoolSettings
 
@@ -234,6 +234,26 @@
         if self._debug:
             self._log.debug("load-started", function=instance.function.id, worker=instance.worker.id, count=order.count)
 
+    def ask(self, question: ReadinessQuestion) -> None:
+        """Ask a worker whether it is ready: by a load order with count 0, which starts no work."""
+        instance = question.instance
+        pool = self._pool(instance.worker)
+        question.write_started_at = now_ms()
+        for probe in question.probes:
+            data = load_request(pool.address, instance.function.id, 0, self._name)
+            call = pool.start(data, self._on_probe_finished, probe)
+            self._load_timeouts[call] = self._loop.call_later(
+                self._settings.load_timeout_ms / 1000, call.cancel, CancelReason.LOAD_TIMEOUT
+            )
+
+    def _on_probe_finished(self, call: Call, outcome: CallOutcome, response: Response | None) -> None:
+        timer = self._load_timeouts.pop(call, None)
+        if timer is not None:
+            timer.cancel()
+        status, loaded = self._load_end(call, outcome, response)
+        self._gateway.on_probe_finished(now_ms(), call.tag, status, loaded)
+        self._on_event()
+
     def _on_load_finished(self, call: Call, outcome: CallOutcome, response: Response | None) -> None:
         """A load order's call has ended."""
         order: LoadOrder = call.tag
--- a/kelptrail/membership/client.py
+++ b/kelptrail/membership/client.py
@@ -50,6 +50,7 @@
         self.channel_address = ""  # of its peer listener
         self.zone = ""  # of this dispatcher
         self.endpoints: EndpointList | None = None
+        self.on_heard: Callable[[], None] = lambda: None  # the source has answered, be it that nothing has changed
         self.saved = True  # whether the last list was written to disk
 
     def load_saved(self) -> bool:
@@ -79,6 +80,7 @@
                     timeout_ms=self._poll_wait_ms + POLL_MARGIN_MS,
                 )
                 if response.status == 304:
+                    self.on_heard()
                     continue
                 if response.status != 200:
                     raise HttpError(response.status, "no list")
@@ -91,6 +93,7 @@
             backoff_ms = self._backoff_ms
             self.endpoints = endpoints
             self._on_change(endpoints)
+            self.on_heard()
             self._save(response.body)
 
     def _save(self, body: bytes) -> None:
--- a/kelptrail/platform/decision_executor.py
+++ b/kelptrail/platform/decision_executor.py
@@ -10,7 +10,15 @@
 from kelptrail.codec import frames
 from kelptrail.codec.lines import WorkerAnswer, encode_call
 from kelptrail.dispatch.attempt_results import AttemptResult
-from kelptrail.dispatch.entities import Attempt, AttemptStatus, FinalStatus, LoadOrder, Request
+from kelptrail.dispatch.entities import (
+    Attempt,
+    AttemptStatus,
+    FinalStatus,
+    LoadOrder,
+    ReadinessProbe,
+    ReadinessQuestion,
+    Request,
+)
 from kelptrail.dispatch.timer_queue import TimerQueue
 from kelptrail.engine.engine import Engine
 from kelptrail.engine.invariants import Invariants
@@ -77,10 +85,14 @@
         """An attempt or load has ended."""
         now = self._loop.time() * 1000
         self.status_counts[status.value] += 1
+        loaded_count = answer.loaded_instances if answer is not None else 0
         if isinstance(item, LoadOrder):
-            self._engine.on_load_report(now, item, status, answer.loaded_instances if answer is not None else 0)
+            self._engine.on_load_report(now, item, status, loaded_count)
+        elif isinstance(item, ReadinessProbe):
+            self._engine.on_probe_finished(now, item, status, loaded_count)
         else:
             self._on_attempt_finished(now, item, status, answer)
+        self._invariants.on_answer(item, status)
         self._schedule_decisions()
 
     def _on_attempt_finished(
@@ -126,6 +138,8 @@
             elif isinstance(decision, LoadOrder):
                 self._start_load(decision)
                 self.timeouts.add(now + self._load_timeout_ms, decision)
+            elif isinstance(decision, ReadinessQuestion):
+                self._ask(now, decision)
             elif isinstance(decision, Request):
                 self.answer_final(decision)
             else:
@@ -151,11 +165,26 @@
         def may_start() -> bool:
             now = time.monotonic() * 1000
             if may := self._engine.may_start(now, order):
+                order.write_started_at = now
                 self._invariants.order_begins(now, order)
             return may
 
         self.workers.get_or_create(order.instance.worker).start_load(order, may_start)
 
+    def _ask(self, now: float, question: ReadinessQuestion) -> None:
+        """Send the probes of a question together, on one connection where there is one."""
+
+        def on_write() -> None:
+            if question.write_started_at is None:
+                question.write_started_at = time.monotonic() * 1000
+
+        worker = question.instance.worker
+        event_log(log_events.READINESS_QUESTION, worker=worker.id, function=question.instance.function.id)
+        connections = self.workers.get_or_create(worker)
+        for probe in question.probes:
+            self.timeouts.add(now + self._engine.probe_timeout_ms, probe)
+            connections.start_probe(probe, on_write)
+
     def _render_call(self, attempt: Attempt, client_request: ClientRequest) -> bytes:
         """The bytes of an attempt as they are sent, with the time that its client has left then; none if it may no
         longer start.
@@ -202,6 +231,8 @@
         while (item := self.timeouts.pop_due(now)) is not None:
             if isinstance(item, LoadOrder):
                 self._expire_load(now, item)
+            elif isinstance(item, ReadinessProbe):
+                self._expire_probe(now, item)
             elif item.request.final_status is None:  # past its latest start; if it was sent, it goes on
                 self._cancel_unsent(item, CancelReason.TOO_LATE_TO_START)
             else:
@@ -212,6 +243,11 @@
         if connections is not None and connections.cancel(order) is not None:
             self._engine.on_load_report(now, order, AttemptStatus.SILENT, 0)
 
+    def _expire_probe(self, now: float, probe: ReadinessProbe) -> None:
+        connections = self.workers.get(probe.question.instance.worker)
+        if connections is not None and connections.cancel(probe) is not None:
+            self._engine.on_probe_finished(now, probe, AttemptStatus.SILENT)
+
     def _cancel_attempt(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         connections = self.workers.get(attempt.instance.worker)
         may_arrive = None if connections is None else connections.cancel(attempt)
--- a/kelptrail/platform/endpoint_updates.py
+++ b/kelptrail/platform/endpoint_updates.py
@@ -10,12 +10,13 @@
 from kelptrail.codec.feed import GONE, READY, EndpointEvent, EndpointRecord, FeedReader
 from kelptrail.dispatch.entities import AttemptStatus, Worker, WorkerState
 from kelptrail.engine.engine import Endpoint, Engine
+from kelptrail.engine.invariants import Invariants
 from kelptrail.engine.wall_clock import WallClockReader
 
 from . import log_events
 from .close_reasons import CancelReason
 from .config import Config
-from .endpoint_watch import EndpointWatch
+from .endpoint_watch import EndpointWatch, WatchListener
 from .log import event_log
 from .worker_connections import OnItemFinished
 from .worker_pool import WorkerPool
@@ -34,8 +35,10 @@
         wall_clock: WallClockReader,
         on_item_finished: OnItemFinished,
         schedule_decisions: Callable[[], None],
+        invariants: Invariants,
     ) -> None:
         self._loop, self._engine, self._workers, self._wall_clock = loop, engine, workers, wall_clock
+        self._invariants, self._was_stale = invariants, False
         self._on_item_finished, self._schedule_decisions = on_item_finished, schedule_decisions
         self._started: dict[str, tuple[int, float]] = {}  # by worker: as the list has it, and on the loop's clock
         self.watch: EndpointWatch | None = None  # from `follow` on
@@ -54,12 +57,14 @@
         """Apply the initial events, then watch the list."""
         for event in config.initial_events:
             self.on_event(event)
+        self._engine.on_initial_list(self._now())
+        self._invariants.on_initial_list(self._now())
         self.watch = EndpointWatch(
             self._loop,
             config.endpoint_list,
             config.initial_events[-1].number if config.initial_events else 0,
             partial(FeedReader, len(config.sockets.zones), len(config.sockets.kinds)),
-            self.on_event,
+            WatchListener(self.on_event, self._on_heard, self._on_lost),
             event_log,
         )
 
@@ -73,6 +78,33 @@
         if self.watch is not None:
             self.watch.close()
 
+    def check_age(self) -> None:
+        """Log when the list became too old for new work, and when it no longer is."""
+        report = self._engine.readiness(self._now())
+        if report.list_is_stale == self._was_stale:
+            return
+        self._was_stale = report.list_is_stale
+        event_log(
+            log_events.READINESS_UNKNOWN if report.list_is_stale else log_events.READINESS_KNOWN,
+            number=self.last_event_number,
+            list_age_ms=round(self.list_age_ms),
+            known=report.known,
+            unknown=report.unknown,
+        )
+
+    def _now(self) -> float:
+        return self._loop.time() * 1000
+
+    def _on_heard(self) -> None:
+        now = self._now()
+        self._engine.on_list_heard(now)
+        self._invariants.on_list_heard(now)
+        if self._was_stale:
+            self._schedule_decisions()
+
+    def _on_lost(self) -> None:
+        self._engine.on_list_lost(self._now())
+
     def on_event(self, event: EndpointEvent) -> None:
         """Apply one event."""
         now = self._loop.time() * 1000
--- a/kelptrail/platform/endpoint_watch.py
+++ b/kelptrail/platform/endpoint_watch.py
@@ -11,6 +11,7 @@
 import contextlib
 import os
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 from kelptrail.codec.feed import EndpointEvent, FeedError, FeedReader, encode_poll
@@ -32,6 +33,17 @@
 OnEvent = Callable[[EndpointEvent], None]
 
 
+@dataclass(frozen=True, slots=True)
+class WatchListener:
+    """Who is told by a watch.  `on_event`: each new event, in order and once.  `on_heard`: the list at its present
+    address is complete as of now.  `on_lost`: a connection to it ended, or could not be made.
+    """
+
+    on_event: OnEvent
+    on_heard: Callable[[], None] = lambda: None
+    on_lost: Callable[[], None] = lambda: None
+
+
 class WatchConnection:
     """One connection to the list, from connect to close.  Times are seconds of the loop's clock."""
 
@@ -86,7 +98,7 @@
 
 
 class EndpointWatch:
-    """Calls `on_event` for each new event, in order and once.  Keeps descriptors in reserve for its next connections.
+    """Follows the list and tells its `listener`.  Keeps descriptors in reserve for its next connections.
     Times are seconds of the loop's clock.
     """
 
@@ -96,10 +108,10 @@
         address: tuple[str, int],
         last_event_number: int,
         new_reader: Callable[[], FeedReader],
-        on_event: OnEvent,
+        listener: WatchListener,
         log: LogWriter,
     ) -> None:
-        self._loop, self._address, self.new_reader, self._on_event, self.log = loop, address, new_reader, on_event, log
+        self._loop, self._address, self.new_reader, self._listener, self.log = loop, address, new_reader, listener, log
         self.last_event_number = last_event_number
         self.last_heard_at = loop.time()  # when the last complete event came
         self._has_been_silent = False  # longer than `SILENCE_TIMEOUT_MS`, or could not be connected to
@@ -170,6 +182,7 @@
         self._reserve_descriptors()
         if connection.address != self._address or not was_newest:
             return
+        self._listener.on_lost()
         lasted = connection.event_count and (self._loop.time() - connection.created_at) * 1000 > MAX_BACKOFF_MS
         self._failures = 1 if lasted else self._failures + 1
         doublings = self._failures - 1 - bool(connection.event_count)
@@ -185,7 +198,7 @@
         try:
             while not connection.closed and (event := connection.reader.next()) is not None:
                 self._apply(event)
-                self._on_event_applied(connection)
+                self._on_event_applied(connection, event.number)
         except FeedError as cause:
             self.log_fault(log_events.FEED_UNREADABLE, cause=str(cause))
             connection.fail()
@@ -200,11 +213,13 @@
             raise FeedError("events are missing")
         if event.number != self.last_event_number + 1 and not event.is_snapshot:
             raise FeedError(f"event {event.number} after {self.last_event_number}")
-        self._on_event(event)
+        self._listener.on_event(event)
         self.last_event_number = event.number  # only once it was applied: one that fails is requested again
 
-    def _on_event_applied(self, connection: WatchConnection) -> None:
-        """After a complete event from the current address no other connection is needed."""
+    def _on_event_applied(self, connection: WatchConnection, number: int) -> None:
+        """After a complete event from the current address no other connection is needed.  A service that has an older
+        event than this watch is behind, and says nothing of what has happened since.
+        """
         connection.event_count += 1
         connection.has_partial_event = False
         if self._has_been_silent:
@@ -213,6 +228,8 @@
         connection.last_progress_at = self.last_heard_at = self._loop.time()
         if connection.address != self._address:
             return
+        if number >= self.last_event_number:
+            self._listener.on_heard()
         self._silence_timeout_ms = SILENCE_TIMEOUT_MS
         for other in [other for other in self._connections if other is not connection]:
             self._drop(other)
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -12,8 +12,8 @@
 import traceback
 from typing import Any, NamedTuple
 
-from kelptrail.engine.engine import Engine
-from kelptrail.engine.invariants import Invariants
+from kelptrail.engine.engine import EndpointListTiming, Engine
+from kelptrail.engine.invariants import DrainClock, Invariants
 from kelptrail.engine.wall_clock import WallClockReader
 
 from . import log_events
@@ -25,6 +25,8 @@
 from .log import event_log
 from .parsed_request import RequestRules
 
+# The protocol page: what the list would have told counts as notified so long after it fell silent or broke off.
+LIST_TIMING = EndpointListTiming(notification_ms=4_000.0, broken_notification_ms=2_000.0)
 STATE_INTERVAL_MS = 5_000.0  # between two `state` lines of the log
 TIMER_TOLERANCE_MS = 0.01  # the timer is not set anew for a due time that is earlier by less
 OTHER_DESCRIPTORS = 24  # neither clients' nor workers': the loop, the endpoint list, the log
@@ -51,9 +53,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
         self._loop, self.config = loop, config
         loop.set_exception_handler(log_unexpected_error)
-        self.engine = Engine(config.seed, config.settings)
+        self.engine = Engine(config.seed, config.settings, LIST_TIMING)
         self._wall_clock = WallClockReader(time.time() * 1000, self._now())
-        self.invariants = Invariants(event_log)
+        self.invariants = Invariants(event_log, self._drain_clock())
         shares = _share_descriptors(config.descriptors)
         self.client_server = self._make_client_server(shares.clients)
         self.executor = DecisionExecutor(
@@ -79,9 +81,14 @@
             self._wall_clock,
             self.executor.on_item_finished,
             self._schedule_decisions,
+            self.invariants,
         )
         self.endpoints.follow(config)
 
+    def _drain_clock(self) -> DrainClock:
+        limits = self.engine.readiness_limits
+        return DrainClock(limits.notification_ms, limits.drain_grace_ms)
+
     def _make_client_server(self, max_connections: int) -> ClientServer:
         sockets = self.config.sockets
         max_body_bytes = int(self.config.memory_mb * (1 << 20) * BODY_MEMORY_SHARE)
@@ -183,12 +190,14 @@
         if self._wall_clock.observe(time.time() * 1000, now):
             event_log(log_events.WALL_CLOCK_STEPPED, steps=self._wall_clock.steps)
         self.engine.on_tick(now)
+        self.endpoints.check_age()
         self.client_server.connections.sweep()
         self.executor.workers.sweep()
 
     def _log_state(self) -> None:
         """What the engine holds of load and health, beside what is open on the sockets."""
         executor, workers = self.executor, self.engine.workers.values()
+        readiness = self.engine.readiness(self._now())
         event_log(
             log_events.STATE,
             in_flight=len(executor.client_requests),
@@ -200,6 +209,10 @@
             suspect=sum(worker.suspect for worker in workers),
             list_number=self.last_event_number,
             list_age_ms=round(self.endpoints.list_age_ms),
+            list_stale=readiness.list_is_stale,
+            ready_known=readiness.known,
+            ready_unknown=readiness.unknown,
+            questions=readiness.questions,
             ends=dict(executor.status_counts),
             violations=dict(self.invariants.violations),
             events=dict(event_log.counts),
--- a/kelptrail/platform/worker_connection.py
+++ b/kelptrail/platform/worker_connection.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 
 from kelptrail.codec.lines import LineError, LineReader, WorkerAnswer, encode_cancel
-from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder
+from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder, ReadinessProbe
 from kelptrail.net.connection import Connection, PendingWrite, connect
 from kelptrail.net.errors import is_local_shortage
 
@@ -28,11 +28,13 @@
     "BUSY": AttemptStatus.OUT_OF_CAPACITY,
     "ERR": AttemptStatus.ERROR,
     "VOID": AttemptStatus.NOT_SENT,
+    "UP": AttemptStatus.COMPLETED,
+    "DOWN": AttemptStatus.OUT_OF_CAPACITY,
 }
 MAX_UNREAD_BYTES = 1 << 20  # written to a worker that does not read; beyond it the connection is closed
 KERNEL_UNSENT_BYTES = 16_384  # that the kernel may hold unsent: they can be neither changed nor cancelled
 
-WorkItem = Attempt | LoadOrder
+WorkItem = Attempt | LoadOrder | ReadinessProbe
 RenderBytes = Callable[[], bytes]  # the bytes of an item as they are sent; none if it may no longer start
 
 
--- a/kelptrail/platform/worker_connections.py
+++ b/kelptrail/platform/worker_connections.py
@@ -8,8 +8,8 @@
 import asyncio
 from collections.abc import Callable
 
-from kelptrail.codec.lines import WorkerAnswer, encode_load
-from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder
+from kelptrail.codec.lines import WorkerAnswer, encode_health_check, encode_load
+from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder, ProbeKind, ReadinessProbe
 
 from . import log_events
 from .log import LogWriter
@@ -36,7 +36,7 @@
         self._on_finished, self.log = on_finished, log
         self._connections: dict[WorkerConnection, None] = {}
         self._locations: dict[WorkItem, tuple[WorkerConnection, str]] = {}  # connection, and id on it
-        self._load_count = 0
+        self._load_count = self._probe_count = 0
 
     def __len__(self) -> int:
         return len(self._connections)
@@ -57,6 +57,21 @@
         data = encode_load(id_, order.instance.function.id, order.count)
         self._start(id_, order, lambda: data if may_start() else b"", len(data))
 
+    def start_probe(self, probe: ReadinessProbe, on_write: Callable[[], None]) -> None:
+        """Ask the worker; `on_write` is called as the first byte leaves.  A connection is opened only if there is none:
+        connections are scarce at workers, and a question waits for nothing there.
+        """
+        self._probe_count += 1
+        id_ = f"q{self._probe_count}"
+        function = probe.question.instance.function.id
+        data = encode_health_check(id_) if probe.kind is ProbeKind.HEALTH_CHECK else encode_load(id_, function, 0)
+
+        def render() -> bytes:
+            on_write()
+            return data
+
+        self._start(id_, probe, render, len(data), may_open_more=False)
+
     def on_not_sent(self, item: WorkItem) -> None:
         """The item's time to start is over."""
         if self.cancel_unsent(item):
@@ -120,9 +135,9 @@
             del self._connections[connection]
             self.limits.open_count -= 1
 
-    def _start(self, id_: str, item: WorkItem, render: RenderBytes, size: int) -> None:
+    def _start(self, id_: str, item: WorkItem, render: RenderBytes, size: int, may_open_more: bool = True) -> None:
         best = self._best_connection(id_)
-        if best is None or ((best.open_items or best.suspect) and self._has_room()):
+        if best is None or (may_open_more and (best.open_items or best.suspect) and self._has_room()):
             if best is None and not self._has_room() and not self._make_room():
                 self._on_finished(item, AttemptStatus.NOT_SENT, None)
                 return
--- a/kelptrail/service/dispatcher.py
+++ b/kelptrail/service/dispatcher.py
@@ -71,6 +71,7 @@
         self.endpoints = EndpointClient(
             options.endpoint_service, self.driver.name, self._on_endpoints, self._state_file("last-list.json"), log
         )
+        self.endpoints.on_heard = self.driver.on_list_heard
         self.usage: UsageDriver | None = None
         self.lease_trial: LeaseTrial | None = None
         self.planner: PlannerDriver | None = None
@@ -83,6 +84,8 @@
     async def start(self) -> None:
         """Begin to serve.  Raises `OSError` where an address cannot be had."""
         loaded_last_list = self.endpoints.load_saved()
+        if loaded_last_list:
+            self.driver.on_initial_list()
         if self.fleet is not None:
             self._start_fleet(self.fleet)
         freeze_startup_objects()
--- a/kelptrail/simulator_adapter/__main__.py
+++ b/kelptrail/simulator_adapter/__main__.py
@@ -18,7 +18,7 @@
     "First": DispatcherInstance.on_response_started,
     "ReadyThere": DispatcherInstance.on_load_report,
     "DeadlineHit": DispatcherInstance.on_timer,
-    "Echo": DispatcherInstance.ignore,
+    "Echo": DispatcherInstance.on_health_check,
     "Heard": DispatcherInstance.ignore,
 }
 MALFORMED_INPUT_EXIT_CODE = 2
--- a/kelptrail/simulator_adapter/instance.py
+++ b/kelptrail/simulator_adapter/instance.py
@@ -7,8 +7,19 @@
 from typing import Any
 
 from kelptrail.dispatch.attempt_results import AttemptResult
-from kelptrail.dispatch.entities import AttemptStatus, Decision, FinalStatus, LoadOrder, Request, WorkerState
-from kelptrail.engine.engine import Endpoint, Engine
+from kelptrail.dispatch.entities import (
+    Attempt,
+    AttemptStatus,
+    FinalStatus,
+    LoadOrder,
+    LogMessage,
+    ProbeKind,
+    ReadinessProbe,
+    ReadinessQuestion,
+    Request,
+    WorkerState,
+)
+from kelptrail.engine.engine import PUSHED_LIST, Endpoint, EndpointListTiming, Engine
 from kelptrail.engine.events import RequestArrival
 from kelptrail.engine.settings import MalformedError
 
@@ -26,6 +37,8 @@
     "N": AttemptStatus.NOT_SENT,
     "M": AttemptStatus.NOT_LOADED,
 }
+DISCOVERY_BY_ASKING = "ask"  # the list's changes come only after a `Track`
+SUBSCRIBE_PAUSE_MS = 1_000.0  # between two calls for the list while it fails
 TICK_TOKEN, DUE_TOKEN = "beat", "due"  # the simulator returns the token of an alarm unchanged
 
 # The `remark` of an answer: the reason of its status in the lowest three bits, above them the number of attempts of
@@ -35,12 +48,24 @@
 REMARK_LOAD_FAILED = 4
 
 
+def _list_timing(settings: Fields) -> EndpointListTiming:
+    """A list that has to be asked for counts as told of what it held that long ago."""
+    within_us = settings.get("rules", {}).get("ask_within_us")
+    if settings.get("discovery") != DISCOVERY_BY_ASKING or not within_us:
+        return PUSHED_LIST
+    return EndpointListTiming(within_us / 1000, within_us / 1000)
+
+
 class DispatcherInstance:
     """One dispatcher, independent of all others of this process."""
 
     def __init__(self, name: str, seed: int, settings: Fields) -> None:
-        self._name, self._engine = name, Engine(seed, settings)
-        self._orders: dict[tuple[str, str], deque[LoadOrder]] = {}
+        self._asks_for_list = settings.get("discovery") == DISCOVERY_BY_ASKING
+        self._name, self._engine = name, Engine(seed, settings, _list_timing(settings))
+        self._orders: dict[tuple[str, str], deque[LoadOrder | ReadinessProbe]] = {}
+        self._checks: dict[str, deque[ReadinessProbe]] = {}  # by worker, the oldest first
+        self._subscription: list[Fields] = []  # the call that asks for the list, not made yet
+        self._is_subscribed, self._subscribe_at = False, 0.0
         self._next_alarm: float | None = None  # when the alarm for the engine's due time goes off
         self._tick_set = False
 
@@ -97,13 +122,19 @@
         """A load order ended; the reports for one function and worker come in the order of the load orders."""
         orders = self._orders.get((event["runner"], event["fn"]))
         if orders:
-            self._engine.on_load_report(now, orders.popleft(), ATTEMPT_STATUSES[event["ending"]], event["copies"])
+            item, status = orders.popleft(), ATTEMPT_STATUSES[event["ending"]]
+            if isinstance(item, ReadinessProbe):
+                self._engine.on_probe_finished(now, item, status, event["copies"])
+            else:
+                self._engine.on_load_report(now, item, status, event["copies"])
             if not orders:
                 del self._orders[event["runner"], event["fn"]]
 
     def on_endpoints(self, now: float, event: Fields, entries: list[Fields] | None) -> None:
         """An endpoint list (`how` C), its changes (D), or none (X).  Raises `MalformedError`."""
         if event["how"] == "X":
+            self._is_subscribed = False  # asked for again at the next tick
+            self._engine.on_list_lost(now)
             return
         if entries is None:
             raise MalformedError(f"Membership names a table that never came: {event['table']}")
@@ -123,25 +154,57 @@
                 for entry in entries
             ],
         )
+        if self._asks_for_list:
+            self._on_list(now, event)
+
+    def _on_list(self, now: float, event: Fields) -> None:
+        """A list that has to be asked for: the first one is old, each later one is complete as of now."""
+        if event["how"] == "C":
+            self._engine.on_initial_list(now)
+            self._subscribe()
+        else:
+            self._is_subscribed = True
+            self._engine.on_list_heard(now)
+
+    def _subscribe(self) -> None:
+        self._subscription = [{"Track": {"i": self._name, "on": True}}]
 
     def on_timer(self, now: float, event: Fields) -> None:
         """An alarm went off."""
         if event["token"] == TICK_TOKEN:
             self._tick_set = False
             self._engine.on_tick(now)
+            if self._is_subscribed:  # changes come by themselves, so none means that there was none
+                self._engine.on_list_heard(now)
+            elif self._asks_for_list and now >= self._subscribe_at:
+                self._subscribe_at = now + SUBSCRIBE_PAUSE_MS
+                self._subscribe()
         else:
             self._next_alarm = None
 
+    def on_health_check(self, now: float, event: Fields) -> None:
+        """A health check ended; those of one worker end in their order."""
+        if not self._checks:
+            return
+        checks = self._checks.get(event["runner"])
+        if checks:
+            self._engine.on_probe_finished(now, checks.popleft(), ATTEMPT_STATUSES[event["ending"]])
+            if not checks:
+                del self._checks[event["runner"]]
+
     def ignore(self, now: float, event: Fields) -> None:
-        """Probes and messages between dispatchers are not used."""
+        """Messages between dispatchers are not used."""
 
     # Actions.
 
     def actions(self, now: float) -> list[Fields]:
         """All decisions that are due now as actions, then the alarms that are not set yet."""
-        actions: list[Fields] = []
+        actions, self._subscription = self._subscription, []
         while (decision := self._engine.decide(now)) is not None:
-            actions.append(self._encode(decision))
+            if isinstance(decision, ReadinessQuestion):
+                actions += [self._encode_probe(probe) for probe in decision.probes]
+            else:
+                actions.append(self._encode(decision))
         if not self._tick_set:
             self._tick_set = True
             actions.append(self._alarm(self._engine.tick_ms, TICK_TOKEN))
@@ -151,7 +214,15 @@
             actions.append(self._alarm(due - now, DUE_TOKEN))
         return actions
 
-    def _encode(self, decision: Decision) -> Fields:
+    def _encode_probe(self, probe: ReadinessProbe) -> Fields:
+        worker, function = probe.question.instance.worker, probe.question.instance.function
+        if probe.kind is ProbeKind.HEALTH_CHECK:
+            self._checks.setdefault(worker.id, deque()).append(probe)
+            return {"Poll": {"i": self._name, "runner": worker.id}}
+        self._orders.setdefault((worker.id, function.id), deque()).append(probe)
+        return {"StartCopy": {"i": self._name, "runner": worker.id, "fn": function.id, "copies": 0}}
+
+    def _encode(self, decision: Attempt | LoadOrder | Request | LogMessage) -> Fields:
         if isinstance(decision, str):
             return {"Record": {"i": self._name, "message": decision}}
         if isinstance(decision, LoadOrder):
--- a/tests/outage_fixture.py
+++ b/tests/outage_fixture.py
@@ -107,11 +107,20 @@
     count: int | None
 
 
+class WorkerAnswers(Enum):
+    """What workers answer to questions while they drain."""
+
+    AS_OBSERVED = auto()  # DOWN to a health check, the number of instances to a load query
+    AS_DOCUMENTED = auto()  # DOWN, and BUSY to a load query
+    QUERIES_ONLY = auto()  # nothing to any health check, BUSY to a load query
+
+
 class Worker:
     """A worker that loads functions on order, and turns away new work while it drains."""
 
-    def __init__(self, preloaded: bool) -> None:
-        self.drains, self._preloaded = False, preloaded
+    def __init__(self, preloaded: bool, answers: WorkerAnswers) -> None:
+        self.drains, self._preloaded, self._answers = False, preloaded, answers
+        self.questions = 0
         self.begins: list[Begin] = []
         self._loaded: set[bytes] = set()
         self._loading: set[bytes] = set()
@@ -133,6 +142,8 @@
                 if word == b"LOAD":
                     self.begins.append(Begin(time.monotonic(), int(fields[b"units"])))
                     self._load(id_, fields[b"item"], int(fields[b"units"]), writer)
+                elif word == b"PING" and self._answers is not WorkerAnswers.QUERIES_ONLY:
+                    self._answer(0, writer, b"%b %b - 0\r\n\r\n" % (id_, b"DOWN" if self.drains else b"UP"))
                 elif word == b"CALL":
                     self.begins.append(Begin(time.monotonic(), None))
                     body = (await reader.readexactly(int(rest[-1]) + 2))[:-2]
@@ -143,7 +154,8 @@
         return self._preloaded or function in self._loaded
 
     def _load(self, id_: bytes, function: bytes, count: int, writer: asyncio.StreamWriter) -> None:
-        if self.drains:
+        self.questions += not count
+        if self.drains and (count or self._answers is not WorkerAnswers.AS_OBSERVED):
             self._answer(0, writer, b"%b BUSY units=0 0\r\n\r\n" % id_)
         elif not count:
             self._answer(0, writer, b"%b OK units=%d 0\r\n\r\n" % (id_, self._has_loaded(function)))
@@ -187,6 +199,7 @@
     folder: Path
     worker_count: int = 4
     requests_per_s: float = 120.0
+    answers: WorkerAnswers = WorkerAnswers.AS_DOCUMENTED
     preloaded: bool = False  # each function is loaded at each worker, for other dispatchers
     bounds: dict[str, Any] = field(default_factory=dict)
     specifics: dict[str, Any] = field(default_factory=dict)
@@ -195,7 +208,7 @@
     outcomes: list[Outcome] = field(default_factory=list)
 
     async def __aenter__(self) -> Cluster:
-        self.workers = [Worker(self.preloaded) for _ in range(self.worker_count)]
+        self.workers = [Worker(self.preloaded, self.answers) for _ in range(self.worker_count)]
         for worker in self.workers:
             await worker.open()
         await self.service.open()
@@ -292,6 +305,11 @@
         codes = [outcome.code for outcome in self.outcomes if outcome.sent_at >= since]
         return sum(code == frames.SERVED for code in codes) / len(codes)
 
+    @property
+    def questions(self) -> int:
+        """Load queries that all workers got."""
+        return sum(worker.questions for worker in self.workers)
+
     def log(self) -> str:
         return self.log_file.read_text()
 
--- a/tests/test_endpoint_list_outage.py
+++ b/tests/test_endpoint_list_outage.py
@@ -16,21 +16,35 @@
 
 import pytest
 import uvloop
-from outage_fixture import GRACE_S, MACHINE_SLACK_S, NOTIFICATION_S, Cluster, ListFault
+from outage_fixture import GRACE_S, MACHINE_SLACK_S, NOTIFICATION_S, Cluster, ListFault, WorkerAnswers
 
 RULE_SLACK_S = 0.05
 SECOND_DRAIN_S = 5.5  # after the outage began: the list's silence counts as notified by then
+QUESTIONS_PER_REQUEST = 1.0
 SERVED_SHARE = 0.95  # of what is served with the same drains announced, where nothing is refused
 
 
+HEALTH_CHECKS_ALLOWED = {"probes": True}
+HEALTH_CHECKS_NOT_MENTIONED: dict[str, bool] = {}
+CASES = [
+    (ListFault.SILENT, False, HEALTH_CHECKS_NOT_MENTIONED, WorkerAnswers.AS_DOCUMENTED),
+    (ListFault.SILENT, True, HEALTH_CHECKS_ALLOWED, WorkerAnswers.AS_OBSERVED),
+    (ListFault.SILENT, False, HEALTH_CHECKS_ALLOWED, WorkerAnswers.QUERIES_ONLY),
+    (ListFault.REFUSES, False, HEALTH_CHECKS_ALLOWED, WorkerAnswers.AS_OBSERVED),
+    (ListFault.REFUSES, True, HEALTH_CHECKS_NOT_MENTIONED, WorkerAnswers.AS_DOCUMENTED),
+    (ListFault.CLOSES, True, HEALTH_CHECKS_ALLOWED, WorkerAnswers.AS_DOCUMENTED),
+    (ListFault.TRICKLES, False, HEALTH_CHECKS_ALLOWED, WorkerAnswers.AS_OBSERVED),
+    (ListFault.TRICKLES, True, HEALTH_CHECKS_NOT_MENTIONED, WorkerAnswers.AS_DOCUMENTED),
+]
+
+
 @pytest.mark.scenarios
-@pytest.mark.parametrize("preloaded", [False, True], ids=["cold", "preloaded"])
-@pytest.mark.parametrize("fault", list(ListFault), ids=lambda fault: fault.name.lower())
+@pytest.mark.parametrize(("fault", "preloaded", "bounds", "answers"), CASES)
 def test_no_work_goes_to_a_worker_that_drains_while_the_list_is_out_of_reach(
-    tmp_path: Path, fault: ListFault, preloaded: bool
+    tmp_path: Path, fault: ListFault, preloaded: bool, bounds: dict[str, bool], answers: WorkerAnswers
 ) -> None:
     async def main() -> None:
-        async with Cluster(tmp_path, preloaded=preloaded) as cluster:
+        async with Cluster(tmp_path, preloaded=preloaded, bounds=bounds, answers=answers) as cluster:
             requests = asyncio.create_task(cluster.send_requests(time.monotonic() + 9.5))
             await asyncio.sleep(1.2)
             await cluster.service.fail(fault)
@@ -50,6 +64,7 @@
             assert late == [{}, {}], f"work begun at draining workers: {late}"
             assert all(outcome.code is not None for outcome in cluster.outcomes)
             assert cluster.served_share(outage_at + NOTIFICATION_S) >= SERVED_SHARE
+            assert cluster.questions <= QUESTIONS_PER_REQUEST * len(cluster.outcomes)
             assert "invariant violated" not in cluster.log()
 
     uvloop.run(main())
