--- a/bench/fault_injection/captured_attempts.py
+++ b/bench/fault_injection/captured_attempts.py
@@ -9,6 +9,8 @@
 
 from fault_injection.proxy import DataListener
 
+ONLY_ASKS = "units=0"  # the end of a load order that only asks
+
 
 @dataclass(frozen=True, slots=True)
 class CapturedAttempt:
@@ -24,6 +26,16 @@
     is_timed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class CapturedOrder:
+    """A load order as a process sent it; one with count 0 only asks and is not captured."""
+
+    at: float
+    process: int
+    worker: int
+    is_timed: bool
+
+
 class CommandReader:
     """Parses the commands of one connection to a worker."""
 
@@ -55,6 +67,7 @@
 
     def __init__(self) -> None:
         self._by_request: dict[str, list[CapturedAttempt]] = collections.defaultdict(list)
+        self.orders: list[CapturedOrder] = []
 
     def __iter__(self) -> Iterator[CapturedAttempt]:
         for attempts in self._by_request.values():
@@ -75,5 +88,7 @@
                     fields = dict(part.split("=", 1) for part in words[2].split(","))
                     attempt = CapturedAttempt(now, process, worker, int(fields["limit"]) / 1000, is_timed)
                     self._by_request[words[1]].append(attempt)
+                elif words[0] == "LOAD" and not words[2].endswith(ONLY_ASKS):
+                    self.orders.append(CapturedOrder(now, process, worker, is_timed))
 
         return on_data
--- a/bench/fault_injection/clients.py
+++ b/bench/fault_injection/clients.py
@@ -20,6 +20,7 @@
 MAX_OPEN_REQUESTS = 30  # on one connection
 IDLE_CONNECTION_S = 0.05  # a connection whose open requests are older than this is not idle
 ANSWERS_TIMEOUT_S = 2.5
+MAX_BATCHES_TO_THE_END = 130  # some 4 s: over the end of a process that is killed as early as it may be
 SLOW_WRITE_BYTES = 60
 SLOW_WRITE_PAUSE_S = 0.01
 FUNCTIONS = 9
@@ -37,6 +38,7 @@
     RESETS = auto()
     NOISE = auto()
     HALF_CLOSES = auto()
+    IGNORES_GO_AWAY = auto()  # sends on for as long as the connection is open
 
 
 BEHAVIORS = [ClientBehavior.USUAL] * 6 + [
@@ -46,6 +48,8 @@
     ClientBehavior.RESETS,
     ClientBehavior.NOISE,
     ClientBehavior.HALF_CLOSES,
+    ClientBehavior.IGNORES_GO_AWAY,
+    ClientBehavior.IGNORES_GO_AWAY,
 ]
 LEAVES_EARLY = frozenset(
     {ClientBehavior.CLOSES_EARLY, ClientBehavior.RESETS, ClientBehavior.HALF_CLOSES, ClientBehavior.NOISE}
@@ -120,8 +124,9 @@
 
     async def _send_batches(self) -> bool:
         """Send batches of requests with pauses; returns whether the connection was still open."""
-        for _ in range(self._rng.randrange(1, 12)):
-            if not self._run.running or self._go_away_received or self._read_task.done():
+        stays = self._behavior is ClientBehavior.IGNORES_GO_AWAY
+        for _ in range(MAX_BATCHES_TO_THE_END if stays else self._rng.randrange(1, 12)):
+            if not self._run.running or (self._go_away_received and not stays) or self._read_task.done():
                 break
             for _ in range(self._batch_size()):
                 if sum(each.is_open for each in self._sent.values()) >= MAX_OPEN_REQUESTS:
--- a/bench/fault_injection/endpoint_list.py
+++ b/bench/fault_injection/endpoint_list.py
@@ -75,7 +75,17 @@
         self._events: list[bytes] = []
         self.entries: list[dict[str, Any]] = []  # all events, as a configuration has them
         self.addresses: list[str] = []
-        self.fault = ListFault.NONE
+        self._fault = ListFault.NONE
+        self.outage = ListFault.NONE  # as long as it lasts, no other fault of the list begins or ends
+
+    @property
+    def fault(self) -> ListFault:
+        """What is wrong with the service now."""
+        return self._fault if self.outage is ListFault.NONE else self.outage
+
+    @fault.setter
+    def fault(self, fault: ListFault) -> None:
+        self._fault = fault
 
     async def open(self) -> None:
         """Start to serve."""
--- a/bench/fault_injection/processes.py
+++ b/bench/fault_injection/processes.py
@@ -21,8 +21,8 @@
 
 READY_TIMEOUT_S = 10.0
 SHUTDOWN_TIMEOUT_S = 5.0
-FURTHER_SIGNAL_SHARE = 0.5  # of shutdowns that get a second signal
-MAX_FURTHER_SIGNAL_DELAY_S = 0.8
+FURTHER_SIGNALS = (0, 0, 0, 1, 1, 4)  # in a shutdown, one after the other
+MAX_FURTHER_SIGNAL_DELAY_S = 0.6
 
 
 class StopSignal(StrEnum):
@@ -115,7 +115,7 @@
         self._run.problems.append(f"process {n} was not ready within {READY_TIMEOUT_S} s")
 
     async def stop(self, n: int, stop_signal: StopSignal) -> None:
-        """End a process, by SIGTERM at times with a further signal; a problem of the run where it ends badly."""
+        """End a process, by SIGTERM at times with further signals; a problem of the run where it ends badly."""
         process = self.processes[n]
         assert process is not None
         if process.returncode is not None:
@@ -127,7 +127,7 @@
             await process.wait()
             return
         process.send_signal(signal.SIGTERM)
-        if self._run.rng.random() < FURTHER_SIGNAL_SHARE:
+        for _ in range(self._run.rng.choice(FURTHER_SIGNALS)):
             await asyncio.sleep(self._run.rng.random() * MAX_FURTHER_SIGNAL_DELAY_S)
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(self._run.rng.choice([signal.SIGTERM, signal.SIGHUP]))
--- a/bench/fault_injection/run_state.py
+++ b/bench/fault_injection/run_state.py
@@ -74,6 +74,13 @@
     at: float
 
 
+class TimeInterval(NamedTuple):
+    """Two moments of the monotonic clock."""
+
+    start: float
+    end: float
+
+
 @dataclass(slots=True)
 class SentRequest:
     """A request as its client sees it.  Times are seconds of the monotonic clock."""
--- a/bench/fault_injection/settings.py
+++ b/bench/fault_injection/settings.py
@@ -76,6 +76,7 @@
         "connect_timeout_us": 200_000,
         "idle_close_us": 10_000_000,
         "multiplex": 100,
+        "probes": True,
     }
 
 
--- a/bench/fault_injection/soak_checks.py
+++ b/bench/fault_injection/soak_checks.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from fault_injection.captured_attempts import AttemptCapture, CapturedAttempt
+from fault_injection.drain_check import DrainCheck
 from fault_injection.loop_delay import LoopDelayMonitor
 from fault_injection.request_checks import (
-    DRAINED_WORKER,
     check_at_most_once,
     check_results,
     check_run,
     check_single_answer,
 )
-from fault_injection.run_state import RunState, SentRequest, WorkerAttempt, WorkerCall
+from fault_injection.run_state import RunState, SentRequest, WorkerCall
 from fault_injection.settings import (
     BUSY_MACHINE_SLACK_S,
     CANCEL_SLACK_S,
@@ -24,7 +24,6 @@
 
 LIMIT_SLACK_S = 0.15
 SHUTDOWN_CLOSE_S = 0.7  # after the signal: from then on a process may close connections on requests
-LIST_RECOVERY_S = 4.0  # until a process follows its list again after an outage
 LOG_PROBLEMS = ("invariant violated", "failed problem", "Traceback")
 
 
@@ -48,24 +47,13 @@
 
     def check_all(self) -> None:
         """Check requests, drain, logs and slow start."""
-        attempts = [
-            WorkerAttempt(attempt.at, attempt.worker)
-            for attempt in self._capture
-            if attempt.is_timed and not self._list_had_failed(attempt.process, attempt.at)
-        ]
-        check_run(self._run, self._problems_of, attempts)
+        check_run(self._run, self._problems_of, [])
+        drains = DrainCheck(self._run.drained_at, self._faults.list_outages)
+        self._run.problems += drains.problems([*self._capture, *self._capture.orders])
         for n in range(len(self._processes)):
             self._check_log(n)
         self._check_slow_start()
 
-    def _list_had_failed(self, process: int, at: float) -> bool:
-        """Whether a process may not know of the drain by then, as its list failed."""
-        drained_at = self._run.drained_at.get(DRAINED_WORKER, at)
-        return any(
-            outage.start < at and outage.end + LIST_RECOVERY_S > drained_at
-            for outage in self._faults.list_outages[process]
-        )
-
     def _check_log(self, n: int) -> None:
         for line in self._run.log_file(n).read_text(errors="replace").splitlines():
             if any(text in line for text in LOG_PROBLEMS):
--- a/bench/fault_injection/soak_faults.py
+++ b/bench/fault_injection/soak_faults.py
@@ -7,19 +7,22 @@
 import contextlib
 import time
 from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple
 
 from fault_injection.endpoint_list import EndpointChange, EndpointList, EndpointState, ListFault
 from fault_injection.proxied_workers import ProxiedWorkers
 from fault_injection.proxy import ConnectionFault
 from fault_injection.request_checks import DRAINED_WORKER
-from fault_injection.run_state import RunState
+from fault_injection.run_state import RunState, TimeInterval
 from fault_injection.soak_processes import SoakProcesses
 from fault_injection.system_calls import SystemCall
 from kelptrail.codec import frames
 
 LISTED_WORKERS = 6  # from the start; one more comes during the run
 NEW_ENDPOINT_ID = 90
+WORKER_DRAINED_IN_OUTAGE = 1
+OUTAGE_FAULTS = (ListFault.DOWN, ListFault.SILENT)
+OUTAGE_S = 7.0  # longer than the time after which a list that is out of reach counts as told
+MAX_DRAIN_DELAY_S = 4.0  # after the outage began
 FAILURE_SHARES = {
     SystemCall.SEND: 0.03,
     SystemCall.RECV: 0.03,
@@ -42,13 +45,6 @@
 RELOAD_INTERVAL_S = 0.06
 
 
-class TimeInterval(NamedTuple):
-    """Two moments of the monotonic clock."""
-
-    start: float
-    end: float
-
-
 class SoakFaults:
     """Injects faults into the processes of a run and into what surrounds them, and counts them by kind."""
 
@@ -188,9 +184,24 @@
                     connection.abort()
         await asyncio.sleep(0.2)
 
+    async def drain_in_outage(self) -> None:
+        """The lists of half of the processes are out of reach for long, and a busy worker drains meanwhile."""
+        chosen, fault, start = self._choose_processes(0.5), self._rng.choice(OUTAGE_FAULTS), time.monotonic()
+        for n in chosen:
+            self._lists[n].outage = fault
+            self.list_outages[n].append(TimeInterval(start, start + OUTAGE_S))
+        await asyncio.sleep(self._rng.random() * MAX_DRAIN_DELAY_S)
+        self._workers.draining.add(WORKER_DRAINED_IN_OUTAGE)
+        self._run.drained_at[WORKER_DRAINED_IN_OUTAGE] = time.monotonic()
+        change = EndpointChange(WORKER_DRAINED_IN_OUTAGE, WORKER_DRAINED_IN_OUTAGE, EndpointState.DRAINING)
+        self._publish(change)
+        await asyncio.sleep(max(0.0, start + OUTAGE_S - time.monotonic()))
+        for n in chosen:
+            self._lists[n].outage = ListFault.NONE
+
     async def replace_worker(self) -> None:
         """One worker drains, a new one starts under another id, the old one is removed; once in a run."""
-        if self._run.drained_at:
+        if DRAINED_WORKER in self._run.drained_at:
             return
         self._run.drained_at[DRAINED_WORKER] = time.monotonic()
         self._publish(EndpointChange(DRAINED_WORKER, DRAINED_WORKER, EndpointState.DRAINING))
@@ -198,7 +209,7 @@
         self.new_worker_starts[worker] = time.monotonic()
         change = EndpointChange(NEW_ENDPOINT_ID, worker, EndpointState.LIVE)
         self._publish(change, started_ms=int(time.time() * 1000))
-        sample = self._rng.sample(range(1, LISTED_WORKERS), 3)
+        sample = self._rng.sample(range(WORKER_DRAINED_IN_OUTAGE + 1, LISTED_WORKERS), 3)
         hung = set(sample) - self._workers.hung  # so that the new one is needed
         self._workers.hung |= hung
         await asyncio.sleep(1.5)
--- a/bench/fault_injection/soak_processes.py
+++ b/bench/fault_injection/soak_processes.py
@@ -30,6 +30,13 @@
     exited_at: float
 
 
+def _kill_if_running(process: asyncio.subprocess.Process) -> None:
+    """The platform's SIGKILL after a graceful shutdown, as early as it may come; what is open then is lost."""
+    if process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+
+
 class SoakProcesses(PlatformProcesses):
     """Processes with the library of failing system calls, where there is one, and a control file for each."""
 
@@ -82,7 +89,13 @@
     async def stop(self, n: int, stop_signal: StopSignal) -> None:
         """End a process; a problem of the run where a graceful shutdown takes too long."""
         signalled_at = time.monotonic()
+        process = self.processes[n]
+        killer = None
+        if stop_signal is StopSignal.TERMINATE and process is not None:
+            killer = asyncio.get_running_loop().call_later(MAX_SHUTDOWN_S, _kill_if_running, process)
         await super().stop(n, stop_signal)
+        if killer is not None:
+            killer.cancel()
         if stop_signal is StopSignal.KILL:
             return
         exited_at = time.monotonic()
--- a/bench/fault_injection/workers.py
+++ b/bench/fault_injection/workers.py
@@ -36,6 +36,7 @@
         self._run = run
         self.ports: list[int] = []
         self.hung: set[int] = set()  # workers that answer no call
+        self.draining: set[int] = set()  # workers that turn new work away
 
     async def open(self) -> int:
         """Start one more worker; returns its number."""
@@ -54,9 +55,16 @@
         while line := await reader.readline():
             word, id_, *rest = line.decode().split()
             if word == "LOAD":
-                await asyncio.sleep(self._run.rng.random() * MAX_LOAD_DELAY_S)
+                only_asks = rest[0].endswith("units=0")
+                await asyncio.sleep(0.0 if only_asks else self._run.rng.random() * MAX_LOAD_DELAY_S)
                 answer = self._run.rng.choice(LOAD_ANSWERS)
+                if number in self.draining and not only_asks:
+                    answer = "BUSY units=0"
                 writer.write(f"{id_} {answer} 0\r\n\r\n".encode())
+            elif word == "PING":
+                if number not in self.hung:
+                    answer = "DOWN" if number in self.draining else "UP"
+                    writer.write(f"{id_} {answer} - 0\r\n\r\n".encode())
             elif word == "CALL":
                 body = (await reader.readexactly(int(rest[-1]) + 2))[:-2]
                 self.answer_call(number, id_, body, writer)
@@ -68,6 +76,8 @@
             self._run.calls[id_].append(WorkerCall(now, WorkerBehavior.SILENT, number))
             return
         behavior = self._run.rng.choice(CALL_BEHAVIORS)
+        if number in self.draining:
+            behavior = WorkerBehavior.OUT_OF_CAPACITY
         self._run.calls[id_].append(WorkerCall(now, behavior, number))
         result = b"%d %s" % (number, body)
         self._run.result_bodies.add(result)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,6 +39,7 @@
 QUIET_CLIENT_PAUSE_S, BUSY_CLIENT_PAUSE_S = 0.1 / 0.3, 0.1 / 2.0  # at most
 QUIET_FAULTS, BUSY_FAULTS = 2, 3  # at once
 FAULT_FREE_SHARE = 0.4  # of the quiet half
+CROWD_EVERY, CROWD_CLIENTS = 4, 60  # one run of four has a crowd in its busy half
 MIN_DESCRIPTORS = 16_384
 SHOWN_PROBLEMS = 20  # of each run
 
@@ -78,10 +79,13 @@
         await self.start()
         clients = [asyncio.create_task(self._clients.run_one()) for _ in range(QUIET_CLIENTS)]
         await asyncio.sleep(self._half_s * FAULT_FREE_SHARE)
+        outage = asyncio.create_task(self.faults.drain_in_outage())
         await self.faults.inject(self._half_s * (1 - FAULT_FREE_SHARE), QUIET_FAULTS)
         self._clients.max_pause_s = BUSY_CLIENT_PAUSE_S
         clients += [asyncio.create_task(self._clients.run_one()) for _ in range(FURTHER_BUSY_CLIENTS)]
-        await asyncio.gather(self.faults.replace_worker(), self.faults.inject(self._half_s, BUSY_FAULTS))
+        if self.state.seed % CROWD_EVERY == 0:
+            clients += [asyncio.create_task(self._clients.run_one()) for _ in range(CROWD_CLIENTS)]
+        await asyncio.gather(self.faults.replace_worker(), self.faults.inject(self._half_s, BUSY_FAULTS), outage)
         self.state.running = False
         await asyncio.gather(*clients)
         for control in self.processes.controls:
--- a/bench/soak_mutants.py
+++ b/bench/soak_mutants.py
@@ -137,6 +137,12 @@
         "        return self.state is WorkerState.LIVE\n",
         "        return self.state is not WorkerState.REMOVED\n",
     ),
+    Mutant(
+        "what the endpoint list said has no age",
+        "kelptrail/dispatch/readiness.py",
+        "        return now < max(self._notified_at, worker.ready_proven_at) + self._limits.drain_grace_ms\n",
+        "        return True\n",
+    ),
     Mutant(
         "an answer is written twice",
         "kelptrail/platform/client_server.py",
--- a/kelptrail/dispatch/queue_service.py
+++ b/kelptrail/dispatch/queue_service.py
@@ -168,9 +168,11 @@
         choice = self._planned.planned_worker(now, function) or self._placement.choose_worker(
             now, function, self._state.workers
         )
-        if choice.worker is None or count >= self._queues.instance_limit(
-            now, function, choice.below_mean_load
-        ):
+        if choice.worker is None:
+            if self._safety.readiness.list_is_stale(now):
+                self._questions.hold(function)
+            return None
+        if count >= self._queues.instance_limit(now, function, choice.below_mean_load):
             return None
         if not self._safety.readiness.is_known(now, choice.worker):
             return self._questions.ask(now, function, choice.worker)
--- a/kelptrail/dispatch/readiness_questions.py
+++ b/kelptrail/dispatch/readiness_questions.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 from .components import Components, DispatchState
-from .entities import AttemptStatus, Function, ProbeKind, ReadinessProbe, ReadinessQuestion, Worker
+from .entities import LONG_AGO, AttemptStatus, Function, ProbeKind, ReadinessProbe, ReadinessQuestion, Worker
 
 CREDIT_PER_REQUEST = 1.0
 CREDIT_PER_TICK = 0.1  # while requests wait: one question a second, so that the last one is not stranded
@@ -56,7 +56,9 @@
             request.held_for_readiness = True
 
     def resume_all(self) -> None:
-        """The endpoint list is heard again: serve all queues that were held."""
+        """Serve all queues that were held: a worker is ready, another has to be asked, or the list is heard
+        again.
+        """
         self._state.runnable.update(self._waiting)
         self._waiting.clear()
 
@@ -133,8 +135,7 @@
         worker.readiness_question = None
         worker.ask_again_at = now + UNPROVEN_PAUSE_MS
         self.results[QuestionResult.UNPROVEN] += 1
-        self._forget_unused(question)
-        self.resume_all()  # their next choice is another worker
+        self._resume(question)
 
     def _on_proven(self, now: float, question: ReadinessQuestion) -> None:
         instance = question.instance
@@ -148,6 +149,11 @@
             self._instances.set_loaded(now, instance, question.loaded_count)
             if not question.loaded_count:
                 instance.not_loaded_at = now
+        self._resume(question)
+
+    def _resume(self, question: ReadinessQuestion) -> None:
+        """Serve the queues that were held; that of the question at once."""
+        question.instance.function.examined_at = LONG_AGO
         self._forget_unused(question)
         self.resume_all()
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,6 +23,7 @@
 from kelptrail.dispatch.outlier_detection import OutlierDetector
 from kelptrail.dispatch.placement import Placement
 from kelptrail.dispatch.queues import RequestQueues
+from kelptrail.dispatch.readiness import ReadinessLimits
 from kelptrail.dispatch.safety import LoadRation, SafetyGuard, SafetySettings
 from kelptrail.dispatch.slow_start import SlowStartSettings
 from kelptrail.dispatch.timer_queue import TimerQueue
@@ -37,6 +38,7 @@
     "initial_capacity": 0.2,
     "slow_start_ms": 2000.0,
     "max_delivery_ms": 0.0,
+    "readiness": ReadinessLimits(),
 }
 
 AMPLE_LOADS = LoadRation(True, 99.0, 0.3, 5000.0)
@@ -54,7 +56,7 @@
         values["slow_start_ms"],
         values["max_delivery_ms"],
     )
-    return SafetyGuard(values["seed"], settings, slow_start)
+    return SafetyGuard(values["seed"], settings, slow_start, values["readiness"])
 
 
 def make_dispatcher(
--- /dev/null
+++ b/tests/test_dispatch_readiness.py
@@ -0,0 +1,280 @@
+"""What is known of a worker's readiness while the endpoint list is out of reach, and the questions asked for it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import AMPLE_LOADS, decide_all, load_and_serve_one, make_dispatcher, make_function, make_request_class
+from helpers import new_request as make_request
+
+from kelptrail.dispatch.attempt_results import AttemptResult
+from kelptrail.dispatch.dispatcher import Dispatcher
+from kelptrail.dispatch.entities import (
+    Attempt,
+    AttemptStatus,
+    FinalStatus,
+    Function,
+    Idempotency,
+    LoadOrder,
+    ProbeKind,
+    ReadinessQuestion,
+    Request,
+    TerminationReason,
+    Worker,
+)
+from kelptrail.dispatch.readiness import EARLY_SHARE, ReadinessLimits
+from kelptrail.dispatch.readiness_questions import MAX_CREDIT, UNPROVEN_PAUSE_MS
+from kelptrail.dispatch.worker_delays import WorkerDelays
+
+NOTIFICATION_MS, BROKEN_MS, GRACE_MS = 4000.0, 2000.0, 500.0
+BOTH = (ProbeKind.HEALTH_CHECK, ProbeKind.LOAD_QUERY)
+STALE_AT = NOTIFICATION_MS + GRACE_MS
+UP, DOWN, NO_ANSWER = AttemptStatus.COMPLETED, AttemptStatus.OUT_OF_CAPACITY, AttemptStatus.SILENT
+
+
+def make_following_dispatcher(probe_kinds: tuple[ProbeKind, ...] = BOTH, **settings: Any) -> Dispatcher:
+    """A dispatcher that heard its list at 0, and that may ask what `probe_kinds` says."""
+    limits = ReadinessLimits(NOTIFICATION_MS, BROKEN_MS, GRACE_MS, probe_kinds)
+    dispatcher = make_dispatcher(readiness=limits, load_ration=AMPLE_LOADS, **settings)
+    dispatcher.on_list_heard(0.0)
+    return dispatcher
+
+
+def request_at(dispatcher: Dispatcher, now: float, function: Function, n: int = 1) -> Request:
+    request = make_request(function, now, n)
+    dispatcher.on_request(now, request)
+    return request
+
+
+def ask(dispatcher: Dispatcher, now: float, function: Function, n: int = 1) -> ReadinessQuestion:
+    """The question that a request makes the dispatcher ask."""
+    request_at(dispatcher, now, function, n)
+    (question,) = decide_all(dispatcher, now)
+    assert isinstance(question, ReadinessQuestion)
+    return question
+
+
+def answer(
+    dispatcher: Dispatcher, now: float, question: ReadinessQuestion, *statuses: AttemptStatus, loaded: int = 0
+) -> None:
+    for probe, status in zip(question.probes, statuses, strict=True):
+        dispatcher.on_probe_finished(now, probe, status, loaded)
+
+
+def complete(dispatcher: Dispatcher, now: float, attempt: Attempt) -> None:
+    dispatcher.on_attempt_finished(now, attempt, AttemptResult(AttemptStatus.COMPLETED, True, warm=True))
+
+
+def test_a_list_is_relied_on_until_its_silence_counts_as_notified_and_the_grace_is_over() -> None:
+    dispatcher = make_following_dispatcher()
+    worker, readiness = dispatcher.workers[0], dispatcher.parts.safety.readiness
+    assert readiness.is_known(STALE_AT * (1 - EARLY_SHARE), worker)
+    assert not readiness.is_known(STALE_AT, worker)
+    dispatcher.on_list_heard(STALE_AT)
+    assert readiness.is_known(STALE_AT, worker)
+
+
+def test_a_broken_connection_counts_as_notified_earlier_and_the_initial_list_at_once() -> None:
+    dispatcher = make_following_dispatcher()
+    worker, readiness = dispatcher.workers[0], dispatcher.parts.safety.readiness
+    dispatcher.on_list_lost(100.0)
+    dispatcher.on_list_lost(1500.0)  # the first break counts
+    assert readiness.is_known(100.0 + BROKEN_MS + GRACE_MS - 1, worker)
+    assert not readiness.is_known(100.0 + BROKEN_MS + GRACE_MS, worker)
+    dispatcher.on_initial_list(9000.0)
+    assert readiness.is_known(9000.0 + GRACE_MS - 1, worker) and not readiness.is_known(9000.0 + GRACE_MS, worker)
+
+
+def test_processes_stop_relying_on_their_lists_at_different_times() -> None:
+    ends = {make_following_dispatcher(seed=seed).parts.safety.readiness.list_expires_at for seed in range(20)}
+    assert len(ends) == 20 and max(ends) <= STALE_AT and min(ends) >= STALE_AT - EARLY_SHARE * NOTIFICATION_MS
+
+
+def test_a_request_in_an_outage_asks_first_and_then_loads_where_a_worker_is_ready() -> None:
+    dispatcher = make_following_dispatcher()
+    question = ask(dispatcher, STALE_AT, make_function())
+    assert [probe.kind for probe in question.probes] == list(BOTH)
+    answer(dispatcher, STALE_AT + 5, question, UP, UP)
+    (order,) = decide_all(dispatcher, STALE_AT + 5)
+    assert isinstance(order, LoadOrder) and order.instance.worker is question.instance.worker
+
+
+def test_an_instance_that_the_query_found_gets_the_attempt_without_a_load() -> None:
+    dispatcher = make_following_dispatcher()
+    question = ask(dispatcher, STALE_AT, make_function())
+    answer(dispatcher, STALE_AT + 5, question, UP, UP, loaded=1)
+    (attempt,) = decide_all(dispatcher, STALE_AT + 5)
+    assert isinstance(attempt, Attempt) and attempt.instance.worker is question.instance.worker
+
+
+@pytest.mark.parametrize("statuses", [(DOWN, UP), (UP, DOWN), (DOWN, DOWN), (NO_ANSWER, UP), (UP, NO_ANSWER)])
+@pytest.mark.parametrize("reverse", [False, True])
+def test_both_answers_are_needed_in_any_order(statuses: tuple[AttemptStatus, ...], reverse: bool) -> None:
+    """A draining worker was seen to answer load queries as a ready one does, and health checks with DOWN."""
+    dispatcher = make_following_dispatcher(workers=1)
+    question = ask(dispatcher, STALE_AT, make_function())
+    pairs = list(zip(question.probes, statuses, strict=True))
+    for probe, status in reversed(pairs) if reverse else pairs:
+        dispatcher.on_probe_finished(STALE_AT + 5, probe, status, 1)
+    assert not dispatcher.parts.safety.readiness.is_known(STALE_AT + 5, dispatcher.workers[0])
+    assert decide_all(dispatcher, STALE_AT + 5) == []
+
+
+def test_a_proof_is_as_old_as_its_question_and_is_asked_for_again_as_the_first_byte_leaves() -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    question = ask(dispatcher, STALE_AT, make_function())
+    question.write_started_at = STALE_AT + 100
+    answer(dispatcher, STALE_AT + 400, question, UP, UP, loaded=1)
+    (attempt,) = decide_all(dispatcher, STALE_AT + 400)
+    assert isinstance(attempt, Attempt)
+    assert dispatcher.may_start(STALE_AT + 100 + GRACE_MS - 1, attempt)
+    assert not dispatcher.may_start(STALE_AT + 100 + GRACE_MS, attempt)
+
+
+@pytest.mark.parametrize(
+    ("idempotency", "status", "proves"),
+    [
+        (Idempotency.IDEMPOTENT, AttemptStatus.COMPLETED, True),
+        (Idempotency.AT_MOST_ONCE, AttemptStatus.COMPLETED, True),
+        (Idempotency.DEDUPLICATED, AttemptStatus.COMPLETED, False),  # it may be the answer to an earlier attempt
+        (Idempotency.IDEMPOTENT, AttemptStatus.OUT_OF_CAPACITY, False),
+        (Idempotency.IDEMPOTENT, AttemptStatus.NOT_LOADED, False),
+        (Idempotency.IDEMPOTENT, AttemptStatus.ERROR, False),
+    ],
+)
+def test_what_an_attempt_proves(idempotency: Idempotency, status: AttemptStatus, proves: bool) -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    function = make_function(request_class=make_request_class(idempotency))
+    load_and_serve_one(dispatcher, function)
+    request_at(dispatcher, 3000.0, function)
+    (attempt,) = decide_all(dispatcher, 3000.0)
+    assert isinstance(attempt, Attempt)
+    attempt.write_started_at = STALE_AT
+    dispatcher.on_attempt_finished(STALE_AT + 100, attempt, AttemptResult(status, status is UP, warm=True))
+    assert dispatcher.parts.safety.readiness.is_known(STALE_AT + 100, dispatcher.workers[0]) is proves
+
+
+def test_questions_cost_one_a_request_and_go_on_slowly_for_one_that_waits() -> None:
+    dispatcher = make_following_dispatcher(workers=200)
+    asked = 0
+    for n in range(100):
+        now = STALE_AT + 20 * n
+        request_at(dispatcher, now, make_function(f"f{n}"), n)
+        for decision in decide_all(dispatcher, now):
+            asked += isinstance(decision, ReadinessQuestion)
+    assert asked <= 100 + MAX_CREDIT
+
+
+def test_a_worker_that_proved_nothing_is_passed_over_for_a_while() -> None:
+    dispatcher = make_following_dispatcher(workers=2)
+    first = ask(dispatcher, STALE_AT, make_function())
+    answer(dispatcher, STALE_AT + 5, first, DOWN, UP)
+    (second,) = decide_all(dispatcher, STALE_AT + 5)
+    assert isinstance(second, ReadinessQuestion) and second.instance.worker is not first.instance.worker
+    answer(dispatcher, STALE_AT + 10, second, DOWN, UP)
+    assert decide_all(dispatcher, STALE_AT + 10) == []
+    again = STALE_AT + 10 + UNPROVEN_PAUSE_MS
+    dispatcher.on_tick(again)
+    (third,) = decide_all(dispatcher, again)
+    assert isinstance(third, ReadinessQuestion)
+
+
+def test_a_fleet_that_ignores_health_checks_is_asked_by_load_queries_alone() -> None:
+    dispatcher = make_following_dispatcher(workers=3)
+    for n in range(2):
+        question = ask(dispatcher, STALE_AT + n, make_function(f"f{n}"), n)
+        dispatcher.on_probe_finished(STALE_AT + n, question.probes[1], UP, 1)
+    dispatcher.on_tick(STALE_AT + 100)
+    attempts = decide_all(dispatcher, STALE_AT + 100)
+    assert any(isinstance(each, Attempt) for each in attempts)
+    assert dispatcher.parts.safety.readiness.probe_kinds == (ProbeKind.LOAD_QUERY,)
+
+
+def test_one_answered_health_check_makes_missing_ones_prove_nothing() -> None:
+    dispatcher = make_following_dispatcher(workers=3)
+    answer(dispatcher, STALE_AT, ask(dispatcher, STALE_AT, make_function("first")), DOWN, UP)
+    decide_all(dispatcher, STALE_AT)
+    for worker in dispatcher.workers:
+        if worker.readiness_question is not None:
+            dispatcher.on_probe_finished(STALE_AT, worker.readiness_question.probes[1], UP, 1)
+    dispatcher.on_tick(STALE_AT + 100)
+    assert not any(dispatcher.parts.safety.readiness.is_known(STALE_AT + 100, each) for each in dispatcher.workers)
+
+
+def test_where_nothing_may_be_asked_requests_are_rejected_at_once_unless_answers_prove_readiness() -> None:
+    dispatcher = make_following_dispatcher((), workers=1)
+    function = make_function()
+    load_and_serve_one(dispatcher, function)
+    request_at(dispatcher, 4000.0, function)
+    (attempt,) = decide_all(dispatcher, 4000.0)
+    assert isinstance(attempt, Attempt)
+    attempt.write_started_at = 4400.0
+    complete(dispatcher, 4450.0, attempt)
+    request_at(dispatcher, STALE_AT, function, 2)
+    assert [type(each) for each in decide_all(dispatcher, STALE_AT)] == [Attempt]
+    late = request_at(dispatcher, 4400.0 + GRACE_MS, function, 3)
+    assert decide_all(dispatcher, 4400.0 + GRACE_MS) == [late]
+    assert late.final_status is FinalStatus.REJECTED and late.reason is TerminationReason.READINESS_UNKNOWN
+
+
+def test_a_worker_whose_connection_was_lost_in_an_outage_may_be_a_new_process() -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    function = make_function()
+    worker = load_and_serve_one(dispatcher, function)
+    request_at(dispatcher, 3900.0, function)
+    (attempt,) = decide_all(dispatcher, 3900.0)
+    assert isinstance(attempt, Attempt)
+    result = AttemptResult(AttemptStatus.CONNECTION_LOST, False)
+    dispatcher.on_attempt_finished(3950.0, attempt, result)
+    assert worker.instances[function].loaded == 0
+    assert dispatcher.parts.safety.capacity_factor(3950.0, worker) < 1
+    dispatcher.on_list_heard(STALE_AT)
+    assert dispatcher.parts.safety.capacity_factor(STALE_AT, worker) == 1
+
+
+def test_a_lost_connection_with_the_list_up_leaves_the_worker_warm() -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    function = make_function()
+    worker = load_and_serve_one(dispatcher, function)
+    request_at(dispatcher, 500.0, function)
+    (attempt,) = decide_all(dispatcher, 500.0)
+    assert isinstance(attempt, Attempt)
+    dispatcher.on_attempt_finished(600.0, attempt, AttemptResult(AttemptStatus.CONNECTION_LOST, False))
+    assert worker.instances[function].loaded == 1
+    assert dispatcher.parts.safety.capacity_factor(600.0, worker) == 1
+
+
+def test_a_deduplicated_request_is_not_repeated_at_a_process_that_may_have_forgotten_it() -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    function = make_function(request_class=make_request_class(Idempotency.DEDUPLICATED))
+    worker = load_and_serve_one(dispatcher, function)
+    request = request_at(dispatcher, 3900.0, function)
+    (attempt,) = decide_all(dispatcher, 3900.0)
+    assert isinstance(attempt, Attempt)
+    dispatcher.on_attempt_finished(3950.0, attempt, AttemptResult(AttemptStatus.CONNECTION_LOST, False))
+    worker.ready_proven_at = 4000.0
+    assert not dispatcher.parts.safety.may_attempt(4000.0, request, worker)
+    dispatcher.on_list_heard(STALE_AT)
+    assert dispatcher.parts.safety.may_attempt(STALE_AT, request, worker)
+
+
+def test_queues_that_were_held_go_on_when_the_list_is_heard_again() -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    answer(dispatcher, STALE_AT + 5, ask(dispatcher, STALE_AT, make_function()), DOWN, DOWN)
+    assert decide_all(dispatcher, STALE_AT + 5) == []
+    dispatcher.on_list_heard(STALE_AT + 300)
+    assert [type(each) for each in decide_all(dispatcher, STALE_AT + 300)] == [LoadOrder]
+
+
+def test_one_delaying_worker_is_told_from_a_fleet_that_delays() -> None:
+    delays, workers = WorkerDelays(), [Worker(f"w{n}") for n in range(4)]
+    for _ in range(20):
+        for n, worker in enumerate(workers):
+            delays.observe(0.0, worker, delayed=n == 0)
+    assert not delays.others_delay(0.0, workers[0])
+    assert delays.others_delay(0.0, workers[1])
+    for _ in range(20):
+        delays.observe(0.0, workers[1], delayed=True)
+    assert delays.others_delay(0.0, workers[0])
+    assert delays.others_delay(60_000.0, workers[0]), "what was observed long ago does not count"
--- a/tests/test_endpoint_list_outage.py
+++ b/tests/test_endpoint_list_outage.py
@@ -18,6 +18,8 @@
 import uvloop
 from outage_fixture import GRACE_S, MACHINE_SLACK_S, NOTIFICATION_S, Cluster, ListFault, WorkerAnswers
 
+from kelptrail.codec import frames
+
 RULE_SLACK_S = 0.05
 SECOND_DRAIN_S = 5.5  # after the outage began: the list's silence counts as notified by then
 QUESTIONS_PER_REQUEST = 1.0
@@ -106,3 +108,65 @@
             assert cluster.served_share(rejects_from) >= SERVED_SHARE
 
     uvloop.run(main())
+
+
+@pytest.mark.scenarios
+def test_a_process_that_starts_in_an_outage_asks_before_it_sends(tmp_path: Path) -> None:
+    """Its initial list may be old, and the outage too: what has drained since then counts as notified at once."""
+
+    async def main() -> None:
+        cluster = Cluster(tmp_path, bounds=HEALTH_CHECKS_ALLOWED, answers=WorkerAnswers.AS_OBSERVED)
+        cluster.service.fault = ListFault.SILENT
+        async with cluster:
+            cluster.drain(0)
+            drained_at = time.monotonic()
+            await cluster.send_requests(drained_at + 3.0)
+            late = cluster.workers[0].begun_after(drained_at + GRACE_S + RULE_SLACK_S + MACHINE_SLACK_S)
+            assert not late, f"work begun at a draining worker: {late}"
+            assert cluster.served_share(drained_at) >= SERVED_SHARE
+
+    uvloop.run(main())
+
+
+@pytest.mark.scenarios
+@pytest.mark.parametrize("fault", [ListFault.SILENT, ListFault.REFUSES], ids=lambda fault: fault.name.lower())
+def test_a_second_outage_is_counted_from_its_own_beginning(tmp_path: Path, fault: ListFault) -> None:
+    async def main() -> None:
+        async with Cluster(tmp_path, bounds=HEALTH_CHECKS_ALLOWED, answers=WorkerAnswers.AS_OBSERVED) as cluster:
+            requests = asyncio.create_task(cluster.send_requests(time.monotonic() + 13.0))
+            await asyncio.sleep(0.5)
+            await cluster.service.fail(fault)
+            await asyncio.sleep(5.2)
+            await cluster.service.recover()
+            await asyncio.sleep(1.3)
+            await cluster.service.fail(fault)
+            outage_at = time.monotonic()
+            cluster.drain(2)
+            await requests
+            limit = outage_at + NOTIFICATION_S + GRACE_S + RULE_SLACK_S + MACHINE_SLACK_S
+            assert not cluster.workers[2].begun_after(limit)
+            assert cluster.served_share(outage_at) >= SERVED_SHARE
+            assert "invariant violated" not in cluster.log()
+
+    uvloop.run(main())
+
+
+@pytest.mark.scenarios
+def test_where_nothing_may_be_asked_nothing_is_sent_and_requests_are_refused_at_once(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Cluster(tmp_path, bounds={"probes": False}, answers=WorkerAnswers.AS_OBSERVED) as cluster:
+            requests = asyncio.create_task(cluster.send_requests(time.monotonic() + 8.0, lambda n: n % 400))
+            await asyncio.sleep(0.5)
+            await cluster.service.fail(ListFault.SILENT)
+            outage_at = time.monotonic()
+            await asyncio.sleep(0.3)
+            cluster.drain(0)
+            await requests
+            limit = outage_at + NOTIFICATION_S + GRACE_S + RULE_SLACK_S + MACHINE_SLACK_S
+            assert not cluster.workers[0].begun_after(limit)
+            refused = [each for each in cluster.outcomes if each.sent_at > limit and each.code == frames.REFUSED]
+            assert all(each.code is not None for each in cluster.outcomes)
+            quick = [each for each in refused if each.answered_at is not None and each.answered_at < each.sent_at + 0.2]
+            assert len(quick) >= 0.9 * len(refused)
+
+    uvloop.run(main())
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -20,6 +20,7 @@
 from raw_sockets import BlockedConnects, connect_raw, read_until, until
 
 from kelptrail.codec import frames
+from kelptrail.codec.feed import FeedReader
 from kelptrail.net.connection import connect
 from kelptrail.platform import config, endpoint_watch
 
@@ -378,3 +379,52 @@
             assert sum(len(service.requested_after) for service in services) <= 4
 
     run(main())
+
+
+async def heard_count(serve: Serve, *further: Serve, moves_after_s: float = 0.3) -> list[int]:
+    """How often a watch counted its list as heard, by service: it moves from one to the next."""
+    counts = [0]
+
+    def on_heard() -> None:
+        counts[-1] += 1
+
+    services = [EndpointListStub(each) for each in (serve, *further)]
+    ports = [await service.open() for service in services]
+    listener = endpoint_watch.WatchListener(lambda event: None, on_heard)
+    loop = asyncio.get_running_loop()
+    watch = endpoint_watch.EndpointWatch(
+        loop, ("127.0.0.1", ports[0]), 5, lambda: FeedReader(1, 1), listener, lambda event, **fields: None
+    )
+    for port in ports[1:]:
+        await asyncio.sleep(moves_after_s)
+        counts.append(0)
+        watch.set_address(("127.0.0.1", port))
+    await asyncio.sleep(moves_after_s)
+    watch.close()
+    return counts
+
+
+def test_a_service_that_is_behind_and_an_old_address_do_not_confirm_the_list() -> None:
+    """What they do not tell counts as notified all the same."""
+
+    async def repeat(number: int, writer: asyncio.StreamWriter) -> None:
+        for _ in range(100):
+            writer.write(event(number, 0))
+            await asyncio.sleep(0.02)
+
+    async def current(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await repeat(5, writer)
+
+    async def behind(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await repeat(4, writer)
+
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read()
+
+    async def main() -> None:
+        assert (await heard_count(current))[0] > 5
+        assert await heard_count(behind) == [0]
+        before, after = await heard_count(current, silent)
+        assert before > 5 and after == 0, "the old address still answers"
+
+    run(main())
