A load report ages out; a worker's delays are discounted only once it stands out

Change: a report older than 10 s counts as none; a worker's delays stop counting for the fleet from the third in a row, while the others delay at most a tenth.

--- a/kelptrail/dispatch/attempt_results.py
+++ b/kelptrail/dispatch/attempt_results.py
@@ -58,7 +58,8 @@
         attempt.status = status
         worker.attempts.pop(attempt, None)
         instance.in_flight -= 1
-        worker.load_report = result.load_report or worker.load_report
+        if result.load_report:
+            worker.load_report, worker.load_reported_at = result.load_report, now
         self._safety.readiness.on_answer(attempt, status)
         if status in CONNECTION_FAILURES:
             self.on_connection_lost(now, worker)
@@ -163,7 +164,7 @@
             delayed = refused or late
             self._worker_delays.observe(now, worker, delayed)
             # A worker that rejects everything is no overload of the fleet: the others may be idle.
-            if not delayed or self._worker_delays.others_delay(now, worker):
+            if not delayed or not self._worker_delays.stands_out(now, worker):
                 self._queues.observe_worker_delay(instance.function, delayed)
         self._placement.observe_foreign_load(
             now, instance, max(foreign_in_flight, worker.concurrency_limit * refused)
--- a/kelptrail/dispatch/entities.py
+++ b/kelptrail/dispatch/entities.py
@@ -126,6 +126,7 @@
     attempts: dict[Attempt, None] = field(default_factory=dict)  # in flight, oldest first
     instances: dict[Function, Instance] = field(default_factory=dict)
     load_report: dict[str, float] = field(default_factory=dict)
+    load_reported_at: float = 0.0
     recent_times: deque[float] = field(
         default_factory=deque
     )  # starts of attempts in slow start, else completions
--- a/kelptrail/dispatch/placement.py
+++ b/kelptrail/dispatch/placement.py
@@ -17,6 +17,8 @@
 MIN_HEALTH = 0.1  # so that the load of a worker that always fails stays finite
 FOREIGN_LOAD_WEIGHT = 0.3  # of one observation in the moving average of other dispatchers' attempts
 FOREIGN_LOAD_AGE_MS = 10_000  # an observation loses its weight over this time
+LOAD_REPORT_AGE_MS = 10_000  # a load report says nothing any more after this time
+NO_REPORT: dict[str, float] = {}
 MAX_SPREAD_FACTOR = 4.0  # one response raises the number of a function's workers by at most this factor
 SPREAD_DECAY = 0.75  # and lowers it to no less than this share
 OTHER_ZONE_LOAD = 0.5  # the extra load for which an attempt goes to another zone
@@ -44,14 +46,10 @@
 
     def load(self, now: float, worker: Worker, request_class: RequestClass | None = None) -> float:
         """The load of a worker, comparable between workers; without a unit."""
-        busy = (
-            1
-            + len(worker.attempts)
-            + worker.mean_in_flight
-            + worker.pending_loads
-            + worker.load_report.get("x1", 0.0)
-        )
-        utilisation = worker.load_report.get("util", UNKNOWN_UTILISATION)
+        # A worker that reported a high load and is avoided for it reports nothing else.
+        report = worker.load_report if now - worker.load_reported_at < LOAD_REPORT_AGE_MS else NO_REPORT
+        busy = 1 + len(worker.attempts) + worker.mean_in_flight + worker.pending_loads + report.get("x1", 0.0)
+        utilisation = report.get("util", UNKNOWN_UTILISATION)
         busy = (busy + self.foreign_load(now, worker)) * (UTILISATION_BASE + utilisation)
         health = max(
             MIN_HEALTH,
--- a/kelptrail/dispatch/worker_delays.py
+++ b/kelptrail/dispatch/worker_delays.py
@@ -10,9 +10,8 @@
 
 DELAY_WEIGHT = 0.2  # of one attempt in the moving average of a worker's delayed attempts
 MAX_AGE_MS = 10_000.0  # a worker without an attempt for so long does not count any more
-# Workers that delay more than this share of their attempts delay them: the admitted share of requests shrinks
-# only where it would, for a third of the attempts delayed; far below that all is well.
-DELAYING_SHARE = 0.1
+OUTLIER_SHARE = 0.4  # a worker that delays more than this share, three attempts in a row, may stand out
+OTHERS_SHARE = 0.1  # and does where the others on average delay at most this share of theirs
 
 
 @dataclass(slots=True)
@@ -38,14 +37,14 @@
         self._sum += observed.delayed_share
         self._by_worker[worker] = observed
 
-    def others_delay(self, now: float, worker: Worker) -> bool:
-        """Whether the other workers delay attempts too, on average; True if no other was observed of late."""
+    def stands_out(self, now: float, worker: Worker) -> bool:
+        """Whether the worker delays most of its attempts, and the others hardly any of theirs."""
         self._forget_old(now)
         observed = self._by_worker.get(worker)
-        others = len(self._by_worker) - (observed is not None)
-        if not others:
-            return True
-        return (self._sum - (observed.delayed_share if observed else 0.0)) / others > DELAYING_SHARE
+        others = len(self._by_worker) - 1
+        if observed is None or observed.delayed_share <= OUTLIER_SHARE or not others:
+            return False
+        return (self._sum - observed.delayed_share) / others <= OTHERS_SHARE
 
     def _forget_old(self, now: float) -> None:
         while self._by_worker:
