--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -161,6 +161,10 @@
         """See `Attempts.on_finished`.  Raises `AttemptAlreadyEndedError`."""
         self._attempts.on_finished(now, attempt, status, answer)
 
+    def may_start(self, now: float, attempt: Attempt) -> bool:
+        """Whether a decided attempt may still be sent: it may have waited for the journal since."""
+        return self._dispatcher.may_start(now, attempt)
+
     def on_response_part(self, now: float, attempt: Attempt, data: bytes) -> None:
         """See `ResponseStreams.on_part`."""
         self._streams.on_part(now, attempt, data)
--- a/kelptrail/gateway/worker_calls.py
+++ b/kelptrail/gateway/worker_calls.py
@@ -121,11 +121,14 @@
 
     def start_attempt(self, invocation: Invocation, attempt: Attempt) -> None:
         """Send a request to its attempt's worker."""
-        journal = invocation.record.replicated_journal
-        if journal is not None and not journal.is_primary(now_ms()):
-            # Checked right before the write: another dispatcher may have become the primary since the decision.
-            self._gateway.on_attempt_finished(now_ms(), attempt, AttemptStatus.NOT_SENT)
+        journal, now = invocation.record.replicated_journal, now_ms()
+        is_primary = journal is None or journal.is_primary(now)
+        if not is_primary or not self._gateway.may_start(now, attempt):
+            # Checked right before the write: since the decision another dispatcher may have become the primary, or
+            # what is known of the worker may have become too old.
+            self._gateway.on_attempt_finished(now, attempt, AttemptStatus.NOT_SENT)
             return
+        attempt.write_started_at = now
         pool = self._pool(attempt.instance.worker)
         data = self._infer_request(pool.address, invocation, attempt)
         tag = _AttemptCall(invocation, attempt)
