A few workers that ignore health checks prove nothing; hung ones hold no request

Change: four workers, or all, have to ignore health checks with none ever answered; a DOWN that comes later takes the proof back; a question unanswered for 100 ms lets requests go on to other workers; the soak's drained worker turns work away, and sends count from their first byte. State line: held queues; a log line for each probe that proved nothing; the invariant takes a load query for proof only where no health check is ever answered.

--- a/bench/fault_injection/drain_check.py
+++ b/bench/fault_injection/drain_check.py
@@ -24,8 +24,10 @@
         """What was sent too late, by worker and process."""
         late: dict[tuple[int, int], list[float]] = {}
         for each in sent:
-            if each.is_timed and each.worker in self._drained_at and each.at > self._latest(each.process, each.worker):
-                late.setdefault((each.worker, each.process), []).append(each.at)
+            if not each.is_timed or each.worker not in self._drained_at:
+                continue
+            if each.begun_at > self._latest(each.process, each.worker):
+                late.setdefault((each.worker, each.process), []).append(each.begun_at)
         return [
             f"drain: {len(times)} attempts and load orders of process {process} at draining worker {worker}, the last "
             f"{max(times) - self._drained_at[worker]:.2f} s on, allowed until "
--- a/bench/fault_injection/soak_faults.py
+++ b/bench/fault_injection/soak_faults.py
@@ -203,6 +203,7 @@
         """One worker drains, a new one starts under another id, the old one is removed; once in a run."""
         if DRAINED_WORKER in self._run.drained_at:
             return
+        self._workers.draining.add(DRAINED_WORKER)
         self._run.drained_at[DRAINED_WORKER] = time.monotonic()
         self._publish(EndpointChange(DRAINED_WORKER, DRAINED_WORKER, EndpointState.DRAINING))
         worker = await self._workers.open()
--- a/kelptrail/dispatch/readiness.py
+++ b/kelptrail/dispatch/readiness.py
@@ -19,6 +19,7 @@
 )
 # Of the notification time without a word of the list: it may be out of reach.
 PRESUMED_OUTAGE_SHARE = 0.5
+ANSWER_PATIENCE_MS = 100.0  # a worker that did not answer a question by then is passed over
 CRC_RANGE = 2**32
 
 
@@ -38,12 +39,17 @@
     """Whether new work may still start at a worker, as far as its readiness is known."""
 
     def __init__(self, limits: ReadinessLimits, seed: int = 0) -> None:
-        self._limits, self.probe_kinds = limits, limits.probe_kinds
+        self._limits = limits
         early_share = EARLY_SHARE * crc32(f"{seed} readiness".encode()) / CRC_RANGE
         self._notification_ms = limits.notification_ms * (1 - early_share)
         self._heard_at = LONG_AGO
         self._notified_at = NEVER  # when a change that the list could not tell counts as notified
 
+    @property
+    def probe_kinds(self) -> tuple[ProbeKind, ...]:
+        """What may be asked of a worker."""
+        return self._limits.probe_kinds
+
     @property
     def proof_lifetime_ms(self) -> float:
         """How long a proof of readiness lasts, from its question on."""
@@ -78,8 +84,14 @@
         return now < max(self._notified_at, worker.ready_proven_at) + self._limits.drain_grace_ms
 
     def may_become_known(self, now: float, worker: Worker) -> bool:
-        """Whether the worker's readiness is known, or the worker may be asked for it by now."""
-        return self.is_known(now, worker) or (bool(self.probe_kinds) and now >= worker.ask_again_at)
+        """Whether the worker's readiness is known, or soon may be: by an answer that is due, or by asking.
+        Guards against requests that wait for a worker that hangs while others would answer.
+        """
+        if self.is_known(now, worker):
+            return True
+        question = worker.readiness_question
+        hangs = question is not None and now >= question.asked_at + ANSWER_PATIENCE_MS
+        return bool(self.probe_kinds) and not hangs and now >= worker.ask_again_at
 
     def on_answer(self, item: Attempt | LoadOrder, status: AttemptStatus) -> bool:
         """Record what an answer proves; True if it proves that the worker was ready when it was asked.  A
--- a/kelptrail/dispatch/readiness_questions.py
+++ b/kelptrail/dispatch/readiness_questions.py
@@ -19,7 +19,8 @@
 UNPROVEN_PAUSE_MS = 1_000.0  # a worker that did not prove its readiness is not asked again for so long
 # A worker that answered the load query, and for so long not the health check before it, ignores it.
 IGNORED_CHECK_MS = 50.0
-IGNORING_WORKERS = 2  # so many show that the fleet does not answer health checks, if none ever did
+IGNORING_WORKERS = 4  # so many, or all, show that the fleet ignores health checks, if none was answered
+HEALTH_CHECK_ANSWERS = (AttemptStatus.COMPLETED, AttemptStatus.OUT_OF_CAPACITY)
 
 
 class QuestionResult(StrEnum):
@@ -45,6 +46,11 @@
         self._ignored_by: set[str] = set()  # workers that did not answer a health check
         self.results: Counter[str] = Counter()  # by `QuestionResult`
 
+    @property
+    def held_queues(self) -> int:
+        """Functions whose requests wait for a worker that is known to be ready."""
+        return len(self._waiting)
+
     def on_request(self) -> None:
         """A request arrived."""
         self._credit = min(MAX_CREDIT, self._credit + CREDIT_PER_REQUEST)
@@ -91,20 +97,36 @@
         if probe.status is not None:
             return
         probe.status, question = status, probe.question
-        answered = status in (AttemptStatus.COMPLETED, AttemptStatus.OUT_OF_CAPACITY, AttemptStatus.ERROR)
-        if probe.kind is ProbeKind.HEALTH_CHECK:
-            self._check_was_answered = self._check_was_answered or answered
-        elif status is AttemptStatus.COMPLETED:
+        if probe.kind is ProbeKind.HEALTH_CHECK and status in HEALTH_CHECK_ANSWERS:
+            self._check_was_answered = True
+        if probe.kind is ProbeKind.LOAD_QUERY and status is AttemptStatus.COMPLETED:
             question.loaded_count = loaded_count
         if question.instance.worker.readiness_question is not question:
-            return  # it was settled by its other probe, or replaced by a later question
-        if _proves_nothing(probe):
+            self._on_late_answer(probe)
+        elif _proves_nothing(probe):
             self._on_unproven(now, question)
-        elif all(each.status is not None for each in question.probes):
+        elif all(each.status is not None for each in question.probes) or self._fleet_ignores_checks:
             self._on_proven(now, question)
         else:
             self._half_answered[question] = now
 
+    @property
+    def _fleet_ignores_checks(self) -> bool:
+        """Guards against a fleet whose workers do not know health checks, which would get no work in an
+        outage.  One answer to a health check, ever, shows that the fleet knows them: a missing one then
+        proves nothing.
+        """
+        live = sum(worker.live for worker in self._state.workers)
+        return not self._check_was_answered and len(self._ignored_by) >= min(IGNORING_WORKERS, live)
+
+    def _on_late_answer(self, probe: ReadinessProbe) -> None:
+        """The question was settled, or replaced by a later one; that the worker drains holds all the same."""
+        worker = probe.question.instance.worker
+        if probe.status is AttemptStatus.OUT_OF_CAPACITY and worker.ready_proven_at <= _asked_at(
+            probe.question
+        ):
+            worker.ready_proven_at = LONG_AGO
+
     def on_tick(self, now: float) -> None:
         """Find workers that answer load queries and ignore health checks; let held queues ask on, slowly."""
         if self._waiting:
@@ -118,15 +140,9 @@
                 self._on_ignored_check(now, question)
 
     def _on_ignored_check(self, now: float, question: ReadinessQuestion) -> None:
-        """Guards against a fleet whose workers do not know health checks, which would get no work in an
-        outage.  One answer to a health check, ever, shows that the fleet answers them, and a missing one then
-        proves nothing.
-        """
-        if self._check_was_answered:
-            return
-        self._ignored_by.add(question.instance.worker.id)
-        if len(self._ignored_by) >= IGNORING_WORKERS:
-            self._readiness.probe_kinds = (ProbeKind.LOAD_QUERY,)
+        if not self._check_was_answered:
+            self._ignored_by.add(question.instance.worker.id)
+        if self._fleet_ignores_checks:
             self._on_proven(now, question)
 
     def _on_unproven(self, now: float, question: ReadinessQuestion) -> None:
@@ -142,8 +158,7 @@
         worker = instance.worker
         self._half_answered.pop(question, None)
         worker.readiness_question = None
-        asked_at = question.asked_at if question.write_started_at is None else question.write_started_at
-        worker.ready_proven_at = max(worker.ready_proven_at, asked_at)
+        worker.ready_proven_at = max(worker.ready_proven_at, _asked_at(question))
         self.results[QuestionResult.PROVEN] += 1
         if question.loaded_count is not None and not instance.load_order and not instance.in_flight:
             self._instances.set_loaded(now, instance, question.loaded_count)
@@ -165,6 +180,10 @@
             self._instances.remove(instance)
 
 
+def _asked_at(question: ReadinessQuestion) -> float:
+    return question.asked_at if question.write_started_at is None else question.write_started_at
+
+
 def _proves_nothing(probe: ReadinessProbe) -> bool:
     """Whether the end of a probe leaves open that the worker drains.  An error of a load query is the
     function's.
--- a/kelptrail/engine/engine.py
+++ b/kelptrail/engine/engine.py
@@ -72,6 +72,7 @@
     known: int  # live workers that may get new work
     unknown: int  # live workers that may not, until they were asked
     questions: Mapping[str, int]  # by their result, since the start
+    held_queues: int  # functions whose requests wait for a worker that is known to be ready
 
 
 class Engine:
@@ -176,8 +177,10 @@
         readiness = self._dispatcher.parts.safety.readiness
         live = [worker for worker in self.workers.values() if worker.live]
         known = sum(readiness.is_known(now, worker) for worker in live)
-        questions = {str(name): count for name, count in self._dispatcher.questions.results.items()}
-        return ReadinessReport(readiness.list_is_stale(now), known, len(live) - known, questions)
+        questions = self._dispatcher.questions
+        results = {str(name): count for name, count in questions.results.items()}
+        is_stale = readiness.list_is_stale(now)
+        return ReadinessReport(is_stale, known, len(live) - known, results, questions.held_queues)
 
     def terminate(self, now: float, request: Request) -> Request:
         """The process shuts down and cannot wait for the request; returns it with its final answer."""
--- a/kelptrail/engine/invariants.py
+++ b/kelptrail/engine/invariants.py
@@ -20,6 +20,7 @@
     AttemptStatus,
     Idempotency,
     LoadOrder,
+    ProbeKind,
     ReadinessProbe,
     Worker,
 )
@@ -67,6 +68,7 @@
     def __init__(self, log: LogFunction, drain_clock: DrainClock | None = None) -> None:
         self._log, self._drain_clock = log, drain_clock or DrainClock()
         self._list_heard_at = NEVER
+        self._health_checks_answered = False  # by any worker
         self._ready_at: dict[str, float] = {}  # by worker: when a question left that it answered as a ready one
         self.violations: Counter[str] = Counter()
 
@@ -79,12 +81,23 @@
         self._list_heard_at = now
 
     def on_answer(self, item: Attempt | LoadOrder | ReadinessProbe, status: AttemptStatus) -> None:
-        """A worker answered, or an item ended without an answer."""
-        if status is not AttemptStatus.COMPLETED:
-            return
-        left_at = item.question.write_started_at if isinstance(item, ReadinessProbe) else item.write_started_at
+        """A worker answered, or an item ended without an answer.  A load query proves something only in a fleet that
+        answers no health checks: a draining worker may answer it as a ready one does.
+        """
+        if isinstance(item, ReadinessProbe):
+            self._on_probe_answered(item, status)
+        elif status is AttemptStatus.COMPLETED:
+            self._note_ready(item.instance.worker, item.write_started_at)
+
+    def _on_probe_answered(self, probe: ReadinessProbe, status: AttemptStatus) -> None:
+        is_check = probe.kind is ProbeKind.HEALTH_CHECK
+        if is_check and status in (AttemptStatus.COMPLETED, AttemptStatus.OUT_OF_CAPACITY):
+            self._health_checks_answered = True
+        if status is AttemptStatus.COMPLETED and (is_check or not self._health_checks_answered):
+            self._note_ready(probe.question.instance.worker, probe.question.write_started_at)
+
+    def _note_ready(self, worker: Worker, left_at: float | None) -> None:
         if left_at is not None:
-            worker = item.question.instance.worker if isinstance(item, ReadinessProbe) else item.instance.worker
             self._ready_at[worker.id] = max(left_at, self._ready_at.get(worker.id, left_at))
 
     def _check_readiness(self, now: float, worker: Worker, request_id: str) -> None:
--- a/kelptrail/platform/decision_executor.py
+++ b/kelptrail/platform/decision_executor.py
@@ -89,12 +89,18 @@
         if isinstance(item, LoadOrder):
             self._engine.on_load_report(now, item, status, loaded_count)
         elif isinstance(item, ReadinessProbe):
-            self._engine.on_probe_finished(now, item, status, loaded_count)
+            self._on_probe_finished(now, item, status, loaded_count)
         else:
             self._on_attempt_finished(now, item, status, answer)
         self._invariants.on_answer(item, status)
         self._schedule_decisions()
 
+    def _on_probe_finished(self, now: float, probe: ReadinessProbe, status: AttemptStatus, loaded_count: int) -> None:
+        if status is not AttemptStatus.COMPLETED:
+            worker = probe.question.instance.worker.id
+            event_log(log_events.READINESS_DENIED, worker=worker, asked=probe.kind.value, answer=status.value)
+        self._engine.on_probe_finished(now, probe, status, loaded_count)
+
     def _on_attempt_finished(
         self, now: float, attempt: Attempt, status: AttemptStatus, answer: WorkerAnswer | None
     ) -> None:
@@ -246,7 +252,7 @@
     def _expire_probe(self, now: float, probe: ReadinessProbe) -> None:
         connections = self.workers.get(probe.question.instance.worker)
         if connections is not None and connections.cancel(probe) is not None:
-            self._engine.on_probe_finished(now, probe, AttemptStatus.SILENT)
+            self._on_probe_finished(now, probe, AttemptStatus.SILENT, 0)
 
     def _cancel_attempt(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         connections = self.workers.get(attempt.instance.worker)
--- a/kelptrail/platform/service.py
+++ b/kelptrail/platform/service.py
@@ -212,6 +212,7 @@
             list_stale=readiness.list_is_stale,
             ready_known=readiness.known,
             ready_unknown=readiness.unknown,
+            held_queues=readiness.held_queues,
             questions=readiness.questions,
             ends=dict(executor.status_counts),
             violations=dict(self.invariants.violations),
--- a/tests/test_dispatch_readiness.py
+++ b/tests/test_dispatch_readiness.py
@@ -24,8 +24,8 @@
     Worker,
 )
 from kelptrail.dispatch.placement import LOAD_REPORT_AGE_MS
-from kelptrail.dispatch.readiness import EARLY_SHARE, ReadinessLimits
-from kelptrail.dispatch.readiness_questions import MAX_CREDIT, UNPROVEN_PAUSE_MS
+from kelptrail.dispatch.readiness import ANSWER_PATIENCE_MS, EARLY_SHARE, ReadinessLimits
+from kelptrail.dispatch.readiness_questions import IGNORED_CHECK_MS, IGNORING_WORKERS, MAX_CREDIT, UNPROVEN_PAUSE_MS
 from kelptrail.dispatch.worker_delays import WorkerDelays
 
 NOTIFICATION_MS, BROKEN_MS, GRACE_MS = 4000.0, 2000.0, 500.0
@@ -181,15 +181,52 @@
     assert isinstance(third, ReadinessQuestion)
 
 
-def test_a_fleet_that_ignores_health_checks_is_asked_by_load_queries_alone() -> None:
-    dispatcher = make_following_dispatcher(workers=3)
-    for n in range(2):
-        question = ask(dispatcher, STALE_AT + n, make_function(f"f{n}"), n)
-        dispatcher.on_probe_finished(STALE_AT + n, question.probes[1], UP, 1)
-    dispatcher.on_tick(STALE_AT + 100)
-    attempts = decide_all(dispatcher, STALE_AT + 100)
-    assert any(isinstance(each, Attempt) for each in attempts)
-    assert dispatcher.parts.safety.readiness.probe_kinds == (ProbeKind.LOAD_QUERY,)
+def test_a_worker_that_hangs_over_a_question_does_not_hold_requests_for_the_others() -> None:
+    dispatcher = make_following_dispatcher(workers=2)
+    first = ask(dispatcher, STALE_AT, make_function())
+    dispatcher.on_tick(STALE_AT + ANSWER_PATIENCE_MS)
+    (second,) = decide_all(dispatcher, STALE_AT + ANSWER_PATIENCE_MS)
+    assert isinstance(second, ReadinessQuestion) and second.instance.worker is not first.instance.worker
+
+
+def ignore_health_checks(dispatcher: Dispatcher) -> list[ReadinessQuestion]:
+    """All workers answer their load queries and no health check; returns their questions."""
+    questions = []
+    for n in range(len(dispatcher.workers)):
+        asked = [each for each in decide_all(dispatcher, STALE_AT) if isinstance(each, ReadinessQuestion)]
+        if not asked:
+            request_at(dispatcher, STALE_AT, make_function(f"f{n}"), n)
+            asked = [each for each in decide_all(dispatcher, STALE_AT) if isinstance(each, ReadinessQuestion)]
+        for question in asked:
+            dispatcher.on_probe_finished(STALE_AT, question.probes[1], UP, 1)
+        questions += asked
+    dispatcher.on_tick(STALE_AT + IGNORED_CHECK_MS)
+    return questions
+
+
+def test_a_fleet_that_ignores_health_checks_is_known_by_its_load_queries() -> None:
+    dispatcher = make_following_dispatcher(workers=1)
+    (question,) = ignore_health_checks(dispatcher)
+    worker = question.instance.worker
+    assert dispatcher.parts.safety.readiness.is_known(STALE_AT + 100, worker)
+    dispatcher.on_probe_finished(STALE_AT + 200, question.probes[0], DOWN)
+    assert not dispatcher.parts.safety.readiness.is_known(STALE_AT + 200, worker), "it knows them after all"
+
+
+def test_a_few_workers_that_ignore_health_checks_prove_nothing() -> None:
+    dispatcher = make_following_dispatcher(workers=IGNORING_WORKERS + 4)
+    ignoring: set[Worker] = set()
+    for n in range(20):
+        request_at(dispatcher, STALE_AT, make_function(f"f{n}"), n)
+        for question in decide_all(dispatcher, STALE_AT):
+            assert isinstance(question, ReadinessQuestion)
+            if len(ignoring) < IGNORING_WORKERS - 1:
+                ignoring.add(question.instance.worker)
+                dispatcher.on_probe_finished(STALE_AT, question.probes[1], UP, 1)
+    assert len(ignoring) == IGNORING_WORKERS - 1
+    dispatcher.on_tick(STALE_AT + IGNORED_CHECK_MS)
+    readiness = dispatcher.parts.safety.readiness
+    assert not any(readiness.is_known(STALE_AT + IGNORED_CHECK_MS, each) for each in dispatcher.workers)
 
 
 def test_one_answered_health_check_makes_missing_ones_prove_nothing() -> None:
