--- a/bench/fault_injection/soak_processes.py
+++ b/bench/fault_injection/soak_processes.py
@@ -30,13 +30,6 @@
     exited_at: float
 
 
-def _kill_if_running(process: asyncio.subprocess.Process) -> None:
-    """The platform's SIGKILL after a graceful shutdown, as early as it may come; what is open then is lost."""
-    if process.returncode is None:
-        with contextlib.suppress(ProcessLookupError):
-            process.kill()
-
-
 class SoakProcesses(PlatformProcesses):
     """Processes with the library of failing system calls, where there is one, and a control file for each."""
 
@@ -92,7 +85,7 @@
         process = self.processes[n]
         killer = None
         if stop_signal is StopSignal.TERMINATE and process is not None:
-            killer = asyncio.get_running_loop().call_later(MAX_SHUTDOWN_S, _kill_if_running, process)
+            killer = asyncio.create_task(self._kill_at_the_earliest(process, signalled_at))
         await super().stop(n, stop_signal)
         if killer is not None:
             killer.cancel()
@@ -104,6 +97,16 @@
         if exited_at - signalled_at > MAX_SHUTDOWN_S + slack_s:
             self._run.problems.append(f"process {n} took {exited_at - signalled_at:.2f} s to end")
 
+    async def _kill_at_the_earliest(self, process: asyncio.subprocess.Process, signalled_at: float) -> None:
+        """The platform's SIGKILL after SIGTERM, as early as it may come; what is open then is lost.  What this program
+        was late by itself is added, as the processes were late by about as much.
+        """
+        await asyncio.sleep(MAX_SHUTDOWN_S)
+        await asyncio.sleep(self._loop_delays.max_delay_s(signalled_at, time.monotonic()))
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+
     async def stop_all(self) -> None:
         """End every process by SIGTERM."""
         await asyncio.gather(*(self.stop(n, StopSignal.TERMINATE) for n in range(len(self))))
--- a/kelptrail/fault_scenario/report.py
+++ b/kelptrail/fault_scenario/report.py
@@ -15,11 +15,12 @@
 from kelptrail.history_checker.result import CheckResult
 from kelptrail.settings.deployment import Deployment
 
+from .timeline import Timeline
+from .timeline import timeline as timeline
 from .timeline_plot import draw_timeline
 
 PERCENTILES = (50, 90, 99, 99.9)
 LONGEST_LATENCY_US = 600_000_000
-SECONDS_AFTER_LOAD = 8  # for the last answers, in the timeline
 MAX_LEASE_GAP_MS = 300.0  # between two uses of a lease: past it no dispatcher is counted as its holder
 
 
@@ -39,13 +40,6 @@
     states: list[dict[str, Any]]  # what each dispatcher's control port said at the end
 
 
-class Timeline(NamedTuple):
-    """Rows of the report: one for each second of the load, and one for each fault."""
-
-    seconds: list[dict[str, Any]]
-    faults: list[dict[str, Any]]
-
-
 def latencies(events: list[Event]) -> dict[str, dict[str, float]]:
     """Percentiles (ms) of completed blocking calls by request class, from an HDR histogram of microseconds."""
     calls = {e["call"]: e for e in events if e["what"] == "call"}
@@ -86,55 +80,6 @@
     }
 
 
-def timeline(events: list[Event]) -> Timeline:
-    """Each second's calls and final answers, and the faults.  Seconds count from the start of the load."""
-    (begin,) = [e for e in events if e["what"] == "begin"]
-    start, seconds = begin["start"], int(begin["seconds"]) + SECONDS_AFTER_LOAD
-    targets = {t["name"]: t["target_ms"] for t in next(e for e in events if e["what"] == "world")["types"]}
-    rows: list[dict[str, Any]] = [
-        {"second": n, "calls": 0, "completed": 0, "in_time": 0, "rejected": 0, "aborted": 0, "sends": 0, "orders": 0}
-        for n in range(seconds)
-    ]
-    calls = {e["call"]: e for e in events if e["what"] == "call"}
-    faults = []
-    for event in events:
-        second = int((event["t"] - start) / 1000)
-        if not 0 <= second < seconds:
-            continue
-        row, what = rows[second], event["what"]
-        if what == "call":
-            row["calls"] += 1
-        elif what == "send":
-            row["sends"] += 1
-        elif what == "order":
-            row["orders"] += 1
-        elif what == "final" and event["answer"] in row:
-            call = calls[event["call"]]
-            row[event["answer"]] += 1
-            row["in_time"] += event["answer"] == "completed" and _latency_ms(event, call) <= targets[call["type"]]
-        elif what == "trouble":
-            faults.append(_fault_row(event, start))
-    while rows and not any(value for key, value in rows[-1].items() if key != "second"):
-        rows.pop()
-    return Timeline(rows, faults)
-
-
-def _latency_ms(final: Event, call: Event) -> float:
-    """Time of a final answer, from the record of a deferred call, else as the client saw it."""
-    if final.get("took") is not None:
-        return float(final["took"])
-    return float(final["t"] - call["t"])
-
-
-def _fault_row(event: Event, start: float) -> dict[str, Any]:
-    return {
-        "kind": event["kind"],
-        "at": round((event["t"] - start) / 1000, 2),
-        "for": event["seconds"],
-        "of": event["of"],
-    }
-
-
 def lease_holders(events: list[Event], seconds: int) -> dict[str, Any]:
     """For each task which dispatcher held its lease from when to when, in seconds of the load, and the times without a
     holder: from uses that the side-effect log accepted, by when their users had checked their leases.
--- a/kelptrail/fault_scenario/timeline_plot.py
+++ b/kelptrail/fault_scenario/timeline_plot.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from .report import Timeline
+from .timeline import Timeline
 
 SHORTEST_BAR_S = 0.3  # a fault is drawn at least so long
 
--- a/kelptrail/gateway/core.py
+++ b/kelptrail/gateway/core.py
@@ -18,7 +18,6 @@
     FinalStatus,
     Function,
     LoadOrder,
-    ReadinessProbe,
     ReadinessQuestion,
     Request,
     Worker,
@@ -37,6 +36,7 @@
 from .invocation import Invocation
 from .lifecycle import RequestStage
 from .limits import RETRY_AFTER_MS
+from .readiness import WorkerReadiness
 from .records import Record, ReplicatedJournal
 from .recovery import RestartRecovery
 from .state import GatewayState
@@ -65,6 +65,7 @@
         self._admission = RequestAdmission(state, self.durability, boot)
         self._attempts = Attempts(state, self.durability, self._completion)
         self._streams = ResponseStreams(state)
+        self.readiness = WorkerReadiness(self._dispatcher)
         self.records.on_drop = self._on_record_dropped
         self._slow_start_ms = parts.deployment.rules.slow_start_ms
         self._next_tick_at = self._next_cold_count_at = NEVER_MS
@@ -161,10 +162,6 @@
         """See `Attempts.on_finished`.  Raises `AttemptAlreadyEndedError`."""
         self._attempts.on_finished(now, attempt, status, answer)
 
-    def may_start(self, now: float, attempt: Attempt) -> bool:
-        """Whether a decided attempt may still be sent: it may have waited for the journal since."""
-        return self._dispatcher.may_start(now, attempt)
-
     def on_response_part(self, now: float, attempt: Attempt, data: bytes) -> None:
         """See `ResponseStreams.on_part`."""
         self._streams.on_part(now, attempt, data)
@@ -183,18 +180,6 @@
         self._dispatcher.on_endpoints(now, workers, restarted)
         self.members.remove_departed()
 
-    def on_initial_list(self, now: float) -> None:
-        """The endpoint list that was applied comes from the disk, of unknown age."""
-        self._dispatcher.on_initial_list(now)
-
-    def on_list_heard(self, now: float) -> None:
-        """The source of the endpoint list has answered: the list is complete as of now."""
-        self._dispatcher.on_list_heard(now)
-
-    def on_probe_finished(self, now: float, probe: ReadinessProbe, status: AttemptStatus, loaded: int) -> None:
-        """A probe of a readiness question has ended."""
-        self._dispatcher.on_probe_finished(now, probe, status, loaded)
-
     # The planner.
 
     def on_plan(self, wants: Mapping[str, Mapping[str, int]] | None) -> None:
--- a/kelptrail/gateway/driver.py
+++ b/kelptrail/gateway/driver.py
@@ -48,11 +48,11 @@
 
     def on_initial_list(self) -> None:
         """The endpoint list that was applied was read from the disk."""
-        self.gateway.on_initial_list(now_ms())
+        self.gateway.readiness.on_initial_list(now_ms())
 
     def on_list_heard(self) -> None:
         """The source of the endpoint list has answered."""
-        self.gateway.on_list_heard(now_ms())
+        self.gateway.readiness.on_list_heard(now_ms())
         self.schedule_decisions()
 
     def on_endpoints(self, listing: EndpointList) -> None:
--- a/kelptrail/gateway/worker_calls.py
+++ b/kelptrail/gateway/worker_calls.py
@@ -123,7 +123,7 @@
         """Send a request to its attempt's worker."""
         journal, now = invocation.record.replicated_journal, now_ms()
         is_primary = journal is None or journal.is_primary(now)
-        if not is_primary or not self._gateway.may_start(now, attempt):
+        if not is_primary or not self._gateway.readiness.may_start(now, attempt):
             # Checked right before the write: since the decision another dispatcher may have become the primary, or
             # what is known of the worker may have become too old.
             self._gateway.on_attempt_finished(now, attempt, AttemptStatus.NOT_SENT)
@@ -254,7 +254,7 @@
         if timer is not None:
             timer.cancel()
         status, loaded = self._load_end(call, outcome, response)
-        self._gateway.on_probe_finished(now_ms(), call.tag, status, loaded)
+        self._gateway.readiness.on_probe_finished(now_ms(), call.tag, status, loaded)
         self._on_event()
 
     def _on_load_finished(self, call: Call, outcome: CallOutcome, response: Response | None) -> None:
--- a/kelptrail/load/arrivals.py
+++ b/kelptrail/load/arrivals.py
@@ -15,13 +15,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import numpy as np
 from scipy import stats
 
-if TYPE_CHECKING:
-    from .plan import Load
+from .load_settings import Load
 
 SHAPES = ("poisson", "diurnal", "bursts", "heavy", "trace", "closed")
 MIN_TRACE_S = 1e-3
--- a/kelptrail/platform/endpoint_watch.py
+++ b/kelptrail/platform/endpoint_watch.py
@@ -198,7 +198,7 @@
         try:
             while not connection.closed and (event := connection.reader.next()) is not None:
                 self._apply(event)
-                self._on_event_applied(connection, event.number)
+                self._on_event_applied(connection, event)
         except FeedError as cause:
             self.log_fault(log_events.FEED_UNREADABLE, cause=str(cause))
             connection.fail()
@@ -216,9 +216,10 @@
         self._listener.on_event(event)
         self.last_event_number = event.number  # only once it was applied: one that fails is requested again
 
-    def _on_event_applied(self, connection: WatchConnection, number: int) -> None:
-        """After a complete event from the current address no other connection is needed.  A service that has an older
-        event than this watch is behind, and says nothing of what has happened since.
+    def _on_event_applied(self, connection: WatchConnection, event: EndpointEvent) -> None:
+        """After a complete event from the current address no other connection is needed.  Only an empty one says that
+        the list is complete: after a change further ones may follow, above all after an outage; and a service that has
+        an older event than this watch is behind.
         """
         connection.event_count += 1
         connection.has_partial_event = False
@@ -228,7 +229,7 @@
         connection.last_progress_at = self.last_heard_at = self._loop.time()
         if connection.address != self._address:
             return
-        if number >= self.last_event_number:
+        if event.records is None and event.number >= self.last_event_number:
             self._listener.on_heard()
         self._silence_timeout_ms = SILENCE_TIMEOUT_MS
         for other in [other for other in self._connections if other is not connection]:
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -404,7 +404,7 @@
     return counts
 
 
-def test_a_service_that_is_behind_and_an_old_address_do_not_confirm_the_list() -> None:
+def test_a_service_that_is_behind_or_catching_up_and_an_old_address_do_not_confirm_the_list() -> None:
     """What they do not tell counts as notified all the same."""
 
     async def repeat(number: int, writer: asyncio.StreamWriter) -> None:
@@ -418,11 +418,17 @@
     async def behind(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await repeat(4, writer)
 
+    async def catching_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for number in range(6, 12):
+            writer.write(event(number, 2, (1, 9, 1)))
+            await asyncio.sleep(0.02)
+
     async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.read()
 
     async def main() -> None:
         assert (await heard_count(current))[0] > 5
+        assert await heard_count(catching_up) == [0], "further changes may follow"
         assert await heard_count(behind) == [0]
         before, after = await heard_count(current, silent)
         assert before > 5 and after == 0, "the old address still answers"
