Requests held for proof end at once where none can come; breaks of any watch connection count

An older watch connection that broke beside a newer one did not count as a break; a presumed restart outlived a list that was heard again before it was stale; proofs of gone workers stayed in the invariants.

--- a/kelptrail/dispatch/dispatcher.py
+++ b/kelptrail/dispatch/dispatcher.py
@@ -117,9 +117,9 @@
     def on_list_heard(self, now: float) -> None:
         """The endpoint list is complete as of now: its source said so, be it that nothing has changed."""
         readiness = self.parts.safety.readiness
-        was_stale = readiness.list_is_stale(now)
+        was_in_doubt = readiness.list_is_stale(now) or readiness.presumes_restarts
         readiness.on_list_heard(now)
-        if was_stale:
+        if was_in_doubt:
             for worker in self._state.workers:  # a restart in the outage is told by the list itself
                 worker.assumed_started_at, worker.ask_again_at = None, 0.0
             self.questions.resume_all()
--- a/kelptrail/dispatch/placement.py
+++ b/kelptrail/dispatch/placement.py
@@ -95,6 +95,7 @@
         """The same among workers that may first have to be asked whether they are ready."""
 
         def may_attempt(now: float, request: Request, worker: Worker) -> bool:
+            """Whether an attempt may start there, at once or after the answer to a question."""
             readiness = self._safety.readiness
             return readiness.may_become_known(now, worker) and self._safety.may_attempt_once_ready(
                 now, request, worker
--- a/kelptrail/dispatch/queue_service.py
+++ b/kelptrail/dispatch/queue_service.py
@@ -150,14 +150,21 @@
                 function.late_queue.append(queue.popleft())
                 continue
             if (instance := self._placement.find_slot(now, request, queue is function.late_queue)) is None:
-                return self._ask_for_slot(now, request, queue is function.late_queue)
+                return self._without_slot(now, request, queue is function.late_queue)
             return self._lifecycle.start_attempt(now, request, instance)
         return None
 
-    def _ask_for_slot(self, now: float, request: Request, late: bool) -> ReadinessQuestion | None:
-        """Ask a worker with a free slot whether it is ready, if the list no longer says so."""
+    def _without_slot(self, now: float, request: Request, late: bool) -> ReadinessQuestion | Request | None:
+        """Ask a worker with a free slot whether it is ready, if the list no longer says so; end the request
+        if no worker can prove it.
+        """
         if not self._safety.readiness.list_is_stale(now):
             return None
+        if self._readiness_is_lost(now) and all(attempt.status for attempt in request.attempts):
+            function = request.function
+            (function.late_queue if late else function.queue).popleft()
+            request.queued = False
+            return self._lifecycle.finish(now, request, TerminationReason.READINESS_UNKNOWN)
         instance = self._placement.find_unproven_slot(now, request, late)
         return None if instance is None else self._questions.ask(now, request.function, instance.worker)
 
--- a/kelptrail/dispatch/readiness.py
+++ b/kelptrail/dispatch/readiness.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -32,7 +33,7 @@
     broken_notification_ms: float = NEVER
     drain_grace_ms: float = 0.0  # new work may start so long after the notification
     # What may be asked of a worker without starting work; a ready worker answers all of it.
-    probe_kinds: tuple[ProbeKind, ...] = ()
+    probe_kinds: Sequence[ProbeKind] = ()
 
 
 class Readiness:
@@ -43,10 +44,11 @@
         early_share = EARLY_SHARE * crc32(f"{seed} readiness".encode()) / CRC_RANGE
         self._notification_ms = limits.notification_ms * (1 - early_share)
         self._heard_at = LONG_AGO
+        self.presumes_restarts = False  # of workers whose connection was lost since the list was last heard
         self._notified_at = NEVER  # when a change that the list could not tell counts as notified
 
     @property
-    def probe_kinds(self) -> tuple[ProbeKind, ...]:
+    def probe_kinds(self) -> Sequence[ProbeKind]:
         """What may be asked of a worker."""
         return self._limits.probe_kinds
 
@@ -63,6 +65,7 @@
     def on_list_heard(self, now: float) -> None:
         """The endpoint list is complete as of now."""
         self._heard_at, self._notified_at = now, now + self._notification_ms
+        self.presumes_restarts = False
 
     def on_list_lost(self, now: float) -> None:
         """The connection to the endpoint list broke, or could not be made."""
@@ -115,4 +118,5 @@
         if self._notified_at == NEVER or now < self._heard_at + PRESUMED_OUTAGE_SHARE * self._notification_ms:
             return False
         worker.ready_proven_at, worker.assumed_started_at = LONG_AGO, now
+        self.presumes_restarts = True
         return True
--- a/kelptrail/engine/engine.py
+++ b/kelptrail/engine/engine.py
@@ -211,12 +211,11 @@
 
 
 def _readiness_limits(settings: ReadinessSettings, timing: EndpointListTiming) -> ReadinessLimits:
-    """No limits where the settings have no rule on draining workers."""
+    """No limits where the settings have no rule on draining workers, no questions where no answer can be in time."""
     if settings.drain_grace_ms is None:
         return ReadinessLimits()
-    return ReadinessLimits(
-        timing.notification_ms, timing.broken_notification_ms, settings.drain_grace_ms, settings.probe_kinds
-    )
+    probe_kinds = settings.probe_kinds if settings.drain_grace_ms else ()
+    return ReadinessLimits(timing.notification_ms, timing.broken_notification_ms, settings.drain_grace_ms, probe_kinds)
 
 
 def _build_components(seed: int, settings: DispatcherSettings, readiness: ReadinessLimits) -> Components:
--- a/kelptrail/engine/invariants.py
+++ b/kelptrail/engine/invariants.py
@@ -80,6 +80,10 @@
         """A complete event of the endpoint list was read."""
         self._list_heard_at = now
 
+    def forget_worker(self, worker: str) -> None:
+        """The worker has gone."""
+        self._ready_at.pop(worker, None)
+
     def on_answer(self, item: Attempt | LoadOrder | ReadinessProbe, status: AttemptStatus) -> None:
         """A worker answered, or an item ended without an answer.  A load query proves something only in a fleet that
         answers no health checks: a draining worker may answer it as a ready one does.
--- a/kelptrail/engine/settings.py
+++ b/kelptrail/engine/settings.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -134,7 +134,7 @@
     """The rule on draining workers, and what workers may be asked."""
 
     drain_grace_ms: float | None  # new work may start so long after a drain was notified; None: no such rule
-    probe_kinds: tuple[ProbeKind, ...]  # what workers may be asked
+    probe_kinds: Sequence[ProbeKind]  # what workers may be asked
 
 
 def read_settings(settings: Any) -> DispatcherSettings:
@@ -184,7 +184,7 @@
     return ReadinessSettings(grace_ms, _probe_kinds(bounds, extras))
 
 
-def _probe_kinds(bounds: SettingsObject, extras: SettingsObject) -> tuple[ProbeKind, ...]:
+def _probe_kinds(bounds: SettingsObject, extras: SettingsObject) -> Sequence[ProbeKind]:
     """What proves that a worker does not drain.  Observed on the platform: a draining worker answers health checks with
     DOWN, and load queries as a ready one does, although its page says otherwise; so where health checks are forbidden
     nothing may be asked.  Settings that do not mention them are of no such platform, and the page's word stands.
--- a/kelptrail/platform/decision_executor.py
+++ b/kelptrail/platform/decision_executor.py
@@ -181,6 +181,7 @@
         """Send the probes of a question together, on one connection where there is one."""
 
         def on_write() -> None:
+            """The first byte of the first probe is about to leave."""
             if question.write_started_at is None:
                 question.write_started_at = time.monotonic() * 1000
 
--- a/kelptrail/platform/endpoint_updates.py
+++ b/kelptrail/platform/endpoint_updates.py
@@ -124,6 +124,7 @@
             if worker.removed and worker.id not in self._engine.workers:
                 self._workers.addresses.pop(worker.id, None)
                 self._started.pop(worker.id, None)
+                self._invariants.forget_worker(worker.id)
         count = len(self._engine.workers)
         live = sum(worker.live for worker in self._engine.workers.values())
         self._workers.share_descriptors(count)
--- a/kelptrail/platform/endpoint_watch.py
+++ b/kelptrail/platform/endpoint_watch.py
@@ -180,9 +180,10 @@
         was_newest = connection is self._newest
         self._connections.remove(connection)
         self._reserve_descriptors()
+        if connection.address == self._address:
+            self._listener.on_lost()
         if connection.address != self._address or not was_newest:
             return
-        self._listener.on_lost()
         lasted = connection.event_count and (self._loop.time() - connection.created_at) * 1000 > MAX_BACKOFF_MS
         self._failures = 1 if lasted else self._failures + 1
         doublings = self._failures - 1 - bool(connection.event_count)
--- a/kelptrail/platform/worker_connections.py
+++ b/kelptrail/platform/worker_connections.py
@@ -67,6 +67,7 @@
         data = encode_health_check(id_) if probe.kind is ProbeKind.HEALTH_CHECK else encode_load(id_, function, 0)
 
         def render() -> bytes:
+            """The probe's bytes, as they are sent."""
             on_write()
             return data
 
