Replication: a primary's handle takes what it asks of the lease, not the whole context

Cause: context and primary_handle imported each other. Change: the handle gets a function for the lease's token.

--- a/kelptrail/replication/context.py
+++ b/kelptrail/replication/context.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from kelptrail.clock import now_ms, wall_ms
 from kelptrail.lease.driver import LeaseDriver
@@ -15,11 +15,9 @@
 from .failover import FailoverMonitor
 from .journal_stores import JournalStores
 from .messages import LEASE_PREFIX, ReplicationSettings
+from .primary_handle import PrimaryHandle
 from .replica import Replica
 
-if TYPE_CHECKING:
-    from .primary_handle import PrimaryHandle
-
 
 def dispatcher_of(client_id: str) -> str:
     """Name of the dispatcher of a lease client's id, which is name and run."""
--- a/kelptrail/replication/journal_manager.py
+++ b/kelptrail/replication/journal_manager.py
@@ -320,4 +320,4 @@
 def _new_handle(context: ReplicationContext, journal_id: str) -> PrimaryHandle:
     disk_id = context.stores.of(journal_id).disk_id
     digests = partial(context.stores.digests, journal_id)
-    return PrimaryHandle(context, Primary(journal_id, context.name, disk_id, context.settings, digests))
+    return PrimaryHandle(context.lease_token, Primary(journal_id, context.name, disk_id, context.settings, digests))
--- a/kelptrail/replication/primary_handle.py
+++ b/kelptrail/replication/primary_handle.py
@@ -7,11 +7,10 @@
 import msgspec
 
 from kelptrail.clock import now_ms, wall_ms
-from kelptrail.lease.messages import NO_TOKEN
+from kelptrail.lease.messages import NO_TOKEN, FencingToken
 from kelptrail.store.activation_journal import KINDS
 from kelptrail.store.entries import Accepted, Ended, Entry, encode_entry
 
-from .context import ReplicationContext
 from .messages import ReplicaEntry
 from .primary import Primary
 
@@ -19,10 +18,13 @@
 
 
 class PrimaryHandle:
-    """Implements the gateway's `ReplicatedJournal` on a `Primary`."""
+    """Implements the gateway's `ReplicatedJournal` on a `Primary`.
 
-    def __init__(self, context: ReplicationContext, primary: Primary) -> None:
-        self._context, self.primary, self.journal_id = context, primary, primary.journal_id
+    `lease_token` finds the token under which this process holds a journal's lease at this instant.
+    """
+
+    def __init__(self, lease_token: Callable[[str], FencingToken | None], primary: Primary) -> None:
+        self._lease_token, self.primary, self.journal_id = lease_token, primary, primary.journal_id
         self.recovered = False  # the gateway has all activations of the journal
         self.note_number = 0  # of the last in-sync set that was submitted to the lease
         self.token = NO_TOKEN  # under which the lease was acquired last
@@ -37,7 +39,7 @@
         return (
             self.primary.ready
             and not self.primary.fenced_by
-            and self._context.lease_token(self.journal_id) == self.primary.token
+            and self._lease_token(self.journal_id) == self.primary.token
         )
 
     def write(self, entry: Entry, waiter: Callable[[bool], None] | None = None, keep: bool = False) -> None:
