--- a/kelptrail/dispatch/readiness_questions.py
+++ b/kelptrail/dispatch/readiness_questions.py
@@ -19,7 +19,6 @@
 UNPROVEN_PAUSE_MS = 1_000.0  # a worker that did not prove its readiness is not asked again for so long
 # A worker that answered the load query, and for so long not the health check before it, ignores it.
 IGNORED_CHECK_MS = 50.0
-IGNORING_WORKERS = 4  # so many, or all, show that the fleet ignores health checks, if none was answered
 HEALTH_CHECK_ANSWERS = (AttemptStatus.COMPLETED, AttemptStatus.OUT_OF_CAPACITY)
 
 
@@ -113,11 +112,12 @@
     @property
     def _fleet_ignores_checks(self) -> bool:
         """Guards against a fleet whose workers do not know health checks, which would get no work in an
-        outage.  One answer to a health check, ever, shows that the fleet knows them: a missing one then
-        proves nothing.
+        outage.  Each live worker has to have ignored one, and none ever answered: a few that hang, and
+        perhaps drain, show nothing.
         """
-        live = sum(worker.live for worker in self._state.workers)
-        return not self._check_was_answered and len(self._ignored_by) >= min(IGNORING_WORKERS, live)
+        if self._check_was_answered or not self._ignored_by:
+            return False
+        return all(worker.id in self._ignored_by for worker in self._state.workers if worker.live)
 
     def _on_late_answer(self, probe: ReadinessProbe) -> None:
         """The question was settled, or replaced by a later one; that the worker drains holds all the same."""
--- a/tests/test_dispatch_readiness.py
+++ b/tests/test_dispatch_readiness.py
@@ -25,12 +25,13 @@
 )
 from kelptrail.dispatch.placement import LOAD_REPORT_AGE_MS
 from kelptrail.dispatch.readiness import ANSWER_PATIENCE_MS, EARLY_SHARE, ReadinessLimits
-from kelptrail.dispatch.readiness_questions import IGNORED_CHECK_MS, IGNORING_WORKERS, MAX_CREDIT, UNPROVEN_PAUSE_MS
+from kelptrail.dispatch.readiness_questions import IGNORED_CHECK_MS, MAX_CREDIT, UNPROVEN_PAUSE_MS
 from kelptrail.dispatch.worker_delays import WorkerDelays
 
 NOTIFICATION_MS, BROKEN_MS, GRACE_MS = 4000.0, 2000.0, 500.0
 BOTH = (ProbeKind.HEALTH_CHECK, ProbeKind.LOAD_QUERY)
 STALE_AT = NOTIFICATION_MS + GRACE_MS
+IGNORING_WORKERS = 4  # of eight
 UP, DOWN, NO_ANSWER = AttemptStatus.COMPLETED, AttemptStatus.OUT_OF_CAPACITY, AttemptStatus.SILENT
 
 
@@ -214,16 +215,16 @@
 
 
 def test_a_few_workers_that_ignore_health_checks_prove_nothing() -> None:
-    dispatcher = make_following_dispatcher(workers=IGNORING_WORKERS + 4)
+    dispatcher = make_following_dispatcher(workers=8)
     ignoring: set[Worker] = set()
     for n in range(20):
         request_at(dispatcher, STALE_AT, make_function(f"f{n}"), n)
         for question in decide_all(dispatcher, STALE_AT):
             assert isinstance(question, ReadinessQuestion)
-            if len(ignoring) < IGNORING_WORKERS - 1:
+            if len(ignoring) < IGNORING_WORKERS:
                 ignoring.add(question.instance.worker)
                 dispatcher.on_probe_finished(STALE_AT, question.probes[1], UP, 1)
-    assert len(ignoring) == IGNORING_WORKERS - 1
+    assert len(ignoring) == IGNORING_WORKERS
     dispatcher.on_tick(STALE_AT + IGNORED_CHECK_MS)
     readiness = dispatcher.parts.safety.readiness
     assert not any(readiness.is_known(STALE_AT + IGNORED_CHECK_MS, each) for each in dispatcher.workers)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,17 +12,28 @@
 sys.path.insert(0, str(ROOT / "bench"))
 
 from fault_injection.captured_attempts import CommandReader  # noqa: E402
+from soak import CROWD_EVERY  # noqa: E402
 from soak_mutants import MUTANTS, Mutant  # noqa: E402
 
 
-@pytest.mark.scenarios
-def test_the_invariants_hold_through_overlapping_faults() -> None:
-    command = [sys.executable, "bench/soak.py", "--seeds", "1", "--seconds", "8", "--processes", "12"]
-    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+def run_short_soak(seed: int) -> None:
+    command = [sys.executable, "bench/soak.py", "--seeds", "1", "--first", str(seed), "--seconds", "8"]
+    done = subprocess.run([*command, "--processes", "12"], cwd=ROOT, capture_output=True, text=True, timeout=60)
     assert done.returncode == 0, done.stdout + done.stderr
     assert "0 runs with a problem" in done.stdout
 
 
+@pytest.mark.scenarios
+def test_the_invariants_hold_through_overlapping_faults() -> None:
+    run_short_soak(1)
+
+
+@pytest.mark.scenarios
+@pytest.mark.parametrize("seed", [2, CROWD_EVERY])
+def test_the_invariants_hold_on_further_seeds_one_with_a_crowd(seed: int) -> None:
+    run_short_soak(seed)
+
+
 @pytest.mark.parametrize("size", [1, 3, 1000])
 def test_commands_are_read_from_any_split(size: int) -> None:
     data = b"CALL a cls=t,limit=5 12\r\nCANCEL b\r\nx!\r\nLOAD o1 item=1,units=2\r\nCALL b cls=t 0\r\n\r\nCANCEL a\r\n"
