--- a/bench/fault_injection/workers.py
+++ b/bench/fault_injection/workers.py
@@ -43,7 +43,10 @@
         number = len(self.ports)
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            with contextlib.suppress(OSError, RuntimeError, asyncio.IncompleteReadError, ValueError):
+            # Cancelled: the run has ended, with the connection still open.
+            with contextlib.suppress(
+                OSError, RuntimeError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError
+            ):
                 await self._serve(number, reader, writer)
             writer.close()
 
