--- a/bench/fault_injection/clients.py
+++ b/bench/fault_injection/clients.py
@@ -229,6 +229,8 @@
                 self._record_frames(reader, data)
                 if self._rng.random() < 0.02:
                     await asyncio.sleep(0.05)  # it reads slowly
+        # After a reset the stream raises, and keeps what it had received before.
+        self._record_frames(reader, bytes(self._reader._buffer))  # type: ignore[attr-defined]
         now = time.monotonic()
         for request in self._sent.values():
             request.closed_at = now
--- a/kelptrail/service/dispatcher.py
+++ b/kelptrail/service/dispatcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import zlib
 from collections.abc import Callable
@@ -39,6 +40,7 @@
 from .usage import NamespaceCounts, UsageDriver, UsageSettings
 
 FIRST_LIST_TIMEOUT_S = 3.0
+LISTEN_TIMEOUT_MS, LISTEN_RETRY_MS = 5_000.0, 50.0  # for an address that is taken
 CONTROL_CONNECTIONS = 64
 
 
@@ -91,7 +93,7 @@
         freeze_startup_objects()
         self.background = Background(SchedulerSettings(), now_ms, lambda: bool(self.gateway.in_flight), self.log)
         self.background.add("collect", FullCollections(self.gateway).step, 9, 60_000.0, 600_000.0, 0.05)
-        self._listen_http()
+        await self._listen_http()
         self._add_upkeep()
         self._start_planning()
         self.background.start()
@@ -186,13 +188,26 @@
             self.planner.on_endpoints(listing)
         self._first_list.set()
 
-    def _listen_http(self) -> None:
-        options, server = self.options, self.fronts.http
-        self.port = server.listen(options.host, options.port, options.shared_port)
+    async def _listen_http(self) -> None:
+        server = self.fronts.http
+        self.port = await self._listen_when_free()
         self.fronts.invoke.context.url, self.endpoints.address = self.fronts.url(), server.address
         if self.fleet is not None and self.fleet.replication is not None:
             self.fleet.replication.address = server.address
 
+    async def _listen_when_free(self) -> int:
+        """Listen at the configured address; returns the port.  A restart may find its port taken for a moment, by its
+        predecessor or by an outgoing connection.  Raises `OSError`.
+        """
+        options, deadline = self.options, now_ms() + LISTEN_TIMEOUT_MS
+        while True:
+            try:
+                return self.fronts.http.listen(options.host, options.port, options.shared_port)
+            except OSError as cause:
+                if cause.errno != errno.EADDRINUSE or now_ms() >= deadline:
+                    raise
+            await asyncio.sleep(LISTEN_RETRY_MS / 1000)
+
     def _listen_grpc(self) -> None:
         settings, options = self.deployment.inference, self.options
         if settings.serve:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -312,3 +314,29 @@
     streamed = {c["call"] for c in calls if c["what"] == "call" and c.get("streamed")}
     ends = [c["answer"] for c in calls if c["what"] == "final" and c["call"] in streamed]
     assert ends.count("completed") > 100 and "aborted" in ends, "some were cut off, and their clients were notified"
+
+
+def test_a_dispatcher_waits_for_an_address_that_is_taken_for_a_moment(tmp_path: Path) -> None:
+    """A restart may meet its own port as the local port of another process's outgoing connection."""
+    with socket.socket() as occupied:
+        occupied.bind(("127.0.0.1", 0))
+        occupied.listen()
+        port = str(occupied.getsockname()[1])
+        command = [sys.executable, "-m", "kelptrail", "serve", str(ROOT / "examples" / "fleet.sexp")]
+        options = ["--roster", "127.0.0.1:1", "--state", str(tmp_path), "--port", port]
+        process = subprocess.Popen([*command, *options], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        while not (tmp_path / "book.sqlite").exists():  # opened just before it listens
+            assert process.poll() is None
+            time.sleep(0.02)
+        time.sleep(0.7)
+    try:
+        deadline = time.monotonic() + 8.0
+        while True:
+            with contextlib.suppress(OSError):
+                socket.create_connection(("127.0.0.1", int(port))).close()
+                break
+            assert time.monotonic() < deadline and process.poll() is None
+            time.sleep(0.05)
+    finally:
+        process.kill()
+        process.communicate()
