--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -62,6 +62,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader, self._writer = reader, writer
         self._streams = 0
+        self.closed_at: float | None = None  # when the dispatcher closed the connection
         self._open: dict[int, tuple[Request, asyncio.Future[None]]] = {}
         self._task = asyncio.create_task(self._read())
 
@@ -81,7 +82,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(patience_s):
                     await done
-        if self._open.pop(stream, None) is not None and not self._writer.is_closing():
+        if self._open.pop(stream, None) is not None and self.closed_at is None and not self._writer.is_closing():
             self._writer.write(encode_frame(CANCEL, stream))
 
     async def _read(self) -> None:
@@ -96,6 +97,7 @@
                     request.answer = frame[6:]
                     if not done.done():
                         done.set_result(None)
+        self.closed_at = time.monotonic()
         for _, done in self._open.values():
             if not done.done():
                 done.set_result(None)
