Review: case 2 judges when calls arrive, and an ended run ends its processes

Cause: the check of case 2 measured from when a call was begun, so a wait for a free lane could have made it stricter than the rule; a script that was itself ended left its dispatcher running; a stand-in could have taken the dispatcher's port.

Change: arrivals are compared, SIGTERM ends the run in order, the dispatcher's port is chosen last.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -46,7 +47,8 @@
     settings: dict[str, object] | None = None,
 ) -> Deployment:
     """Start the journal service and the dispatcher, and wait until the dispatcher is ready."""
-    listen, journal = configuration.free_address(), await Journal().open()
+    journal = await Journal().open()
+    listen = configuration.free_address()  # last, so that no stand-in takes it
     targets = [
         configuration.target(number, address, zone)
         for number, (address, zone) in enumerate(zip(runner_addresses, zones, strict=True), 1)
@@ -81,7 +83,7 @@
     record(f"disruption: {'yes' if trouble else 'no'}")
     try:
         code = asyncio.run(_bounded(record, folder, trouble, play))
-    except (CannotRunError, OSError, TimeoutError) as cause:
+    except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as cause:
         record(f"cannot run: {cause!r}")
         code = CANNOT_RUN
     finally:
@@ -95,6 +97,10 @@
 
 async def _bounded(record: Record, folder: Path, trouble: bool, play: Play) -> int:
     loop = asyncio.get_running_loop()
+    # If the run is ended from outside, it still ends the processes that it started.
+    task = asyncio.current_task()
+    if task is not None:
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     # Connections that end with the run are no event of the case.
     loop.set_exception_handler(lambda _, __: None)
     async with asyncio.timeout(TIME_LIMIT_S):
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -32,7 +32,8 @@
     request: str
     key: str
     runner: str
-    at: float
+    arrived_at: float  # when the call had arrived whole
+    at: float  # when it was begun
 
 
 @dataclass
@@ -132,7 +133,7 @@
             self._running[function] += 1
         if time.monotonic() < arrived_at + limit_s:
             self._fleet.record(f"{self.name} runs {request} key={key}")
-            self._fleet.runs.append(Run(request, key, self.name, time.monotonic()))
+            self._fleet.runs.append(Run(request, key, self.name, arrived_at, time.monotonic()))
             await asyncio.sleep(model.work_s)
             self._answer(writer, request, "OK", f"tell={note},ahead={ahead},{self._meter()}", body)
         self._running[function] -= 1
