Review: bad clients of cases 2 and 3 as clients with ten connections each

Cause: the question whether the dispatcher is ready was given up after one second and asked again on a new connection, so that a dispatcher that answers after four seconds seemed not to answer at all. The counts of lost requests are not concerned.

Change: one question waits for its answer, up to the end of the play.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from dataclasses import dataclass
 from pathlib import Path
 
 from standins.case import Deployment, deploy, main, new_fleet, open_runners
@@ -14,17 +15,31 @@
 
 LIMITS = {"memory_mb": 192, "sockets": 512}
 PLAY_S = 35.0
-# The first bad clients ask for one unknown function and leave it 5 ms; the others ask for another one from `BURST_AT_S` on.
-FLOOD = {"connections": 20, "at_once": 32, "delay": 3.0, "seconds": 27.0, "limit": 5, "lanes": 2}
+AT_ONCE = 32  # requests at once on each connection, the most that may be open
 BURST_AT_S = 15.0
-BURST = {"connections": 60, "at_once": 32, "delay": BURST_AT_S, "seconds": 15.0, "limit": LIMIT_MS, "lanes": 1024}
 
 
-async def run_bad_clients(deployment: Deployment, what: dict[str, float]) -> int:
-    """Run a process of bad clients and return the number of answers that it got."""
-    words = [what["connections"], what["at_once"], what["delay"], what["seconds"], what["limit"]]
-    output = await run_module("bad_clients", *deployment.address, *words, secrets.token_hex(8), what["lanes"])
-    return int(output or 0)
+@dataclass(frozen=True)
+class BadClients:
+    """Some bad clients alike.  Each sends 320 requests at once on ten connections, all for one unknown function."""
+
+    count: int
+    from_s: float
+    seconds: float
+    limit_ms: int
+    lanes: int
+
+    async def run(self, deployment: Deployment) -> int:
+        """Run them and return the number of answers that they got."""
+        words = 10, AT_ONCE, self.from_s, self.seconds, self.limit_ms, secrets.token_hex(8), self.lanes
+        outputs = await asyncio.gather(
+            *(run_module("bad_client", *deployment.address, *words) for _ in range(self.count))
+        )
+        return sum(int(output or 0) for output in outputs)
+
+
+FLOOD = BadClients(count=2, from_s=3.0, seconds=27.0, limit_ms=5, lanes=2)
+BURST = BadClients(count=9, from_s=BURST_AT_S, seconds=15.0, limit_ms=LIMIT_MS, lanes=1024)
 
 
 async def play(record: Record, folder: Path, trouble: bool) -> bool:
@@ -36,7 +51,7 @@
         longest, *results = await asyncio.gather(
             ask_whether_ready(deployment, PLAY_S),
             *(client.run(number) for number, client in enumerate(usual)),
-            *(run_bad_clients(deployment, what) for what in ((FLOOD, BURST) if trouble else ())),
+            *(bad_clients.run(deployment) for bad_clients in ((FLOOD, BURST) if trouble else ())),
         )
         record(f"memory {deployment.dispatcher.memory_mb():.1f} MB, exit code {deployment.dispatcher.exit_code}")
     finally:
--- a/review/standins/bad_clients.py
+++ b/review/standins/bad_client.py
@@ -1,6 +1,6 @@
-"""A process of bad clients: many requests at once on each connection, and as many again once all are turned away.
+"""A bad client: many requests at once on each of its connections, and as many again once all are turned away.
 
-    python -m standins.bad_clients HOST PORT CONNECTIONS AT_ONCE DELAY_S SECONDS LIMIT_MS ITEM LANES
+    python -m standins.bad_client HOST PORT CONNECTIONS AT_ONCE DELAY_S SECONDS LIMIT_MS ITEM LANES
 
 Starts after DELAY_S and prints how many answers it got.  It encodes its frames by hand, to send at full speed.
 """
@@ -84,7 +84,7 @@
 
 
 def main() -> None:
-    """Run the bad clients that the command line describes."""
+    """Run the bad client that the command line describes."""
     host, port, connections, at_once, delay_s, seconds, limit_ms, item, lanes = sys.argv[1:]
     time.sleep(float(delay_s))
     prefix = encode_prefix(limit_ms, item, lanes)
--- a/review/standins/usual.py
+++ b/review/standins/usual.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import secrets
 import time
 
 from .case import Deployment
-from .client import CODE_NAMES, Client, Request
+from .client import CODE_NAMES, READY_QUERY, Client, Request, encode_frame
 from .configuration import CHECK, DEADLINE_S, LATE_ANSWER_S, RULE_SLACK_S
 from .record import Record
 
@@ -58,11 +59,16 @@
 
 
 async def ask_whether_ready(deployment: Deployment, play_s: float) -> float:
-    """Ask the dispatcher again and again whether it is ready, and return the longest time until its answer."""
+    """Ask the dispatcher again and again whether it is ready, and return the longest time until its answer.
+
+    A question without an answer at the end of the play counts for the time until then.
+    """
     longest, end = 0.0, time.monotonic() + play_s
     while time.monotonic() < end:
         asked_at = time.monotonic()
-        await deployment.dispatcher.wait_until_ready(deployment.address)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(end - asked_at):
+                await _ask_once(deployment.address)
         took = time.monotonic() - asked_at
         if took > 1.0:
             deployment.record(f"dispatcher: 'is it ready?' had no answer for {took:.2f} s")
@@ -71,6 +77,16 @@
     return longest
 
 
+async def _ask_once(address: tuple[str, int]) -> None:
+    """Ask on a new connection and wait for the answer, whatever it is."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(encode_frame(READY_QUERY, 1, b"\0"))
+        await reader.readexactly(10)
+    finally:
+        writer.close()
+
+
 def judge(record: Record, clients: list[UsualClient]) -> bool:
     """Write what became of each usual request; return whether one got its answer too late, or none."""
     requests = [request for client in clients for request in client.requests]
