--- a/review/standins/dispatcher.py
+++ b/review/standins/dispatcher.py
@@ -9,6 +9,7 @@
 import subprocess
 import time
 import tomllib
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -19,6 +20,16 @@
     """The case cannot run here: nothing was shown either way."""
 
 
+@dataclass(frozen=True)
+class ThreadSample:
+    """What the system says of one thread of the dispatcher."""
+
+    thread: int
+    runs: bool  # it runs or can run at this moment; it does not wait
+    waits: int  # how often it has given up the processor to wait for something
+    processor_s: float
+
+
 class Dispatcher:
     """A running dispatcher, which shares its process group with nobody."""
 
@@ -75,6 +86,25 @@
                     return int(line.split()[1]) / 1024
         return 0.0
 
+    def sample_threads(self) -> list[ThreadSample]:
+        """Return what the system says of each thread of the process; nothing once it has ended."""
+        samples = []
+        with contextlib.suppress(OSError):
+            for task in Path(f"/proc/{self._process.pid}/task").iterdir():
+                # After the name, which stands in brackets: state, and as the 12th and 13th word the processor time.
+                words = (task / "stat").read_text().rpartition(")")[2].split()
+                status = dict(line.split(":", 1) for line in (task / "status").read_text().splitlines())
+                ticks = int(words[11]) + int(words[12])
+                samples.append(
+                    ThreadSample(
+                        int(task.name),
+                        words[0] == "R",
+                        int(status["voluntary_ctxt_switches"]),
+                        ticks / os.sysconf("SC_CLK_TCK"),
+                    )
+                )
+        return samples
+
     def kill(self) -> None:
         """Kill the process if it still runs, and wait for its end."""
         if self._process.poll() is None:
--- a/review/standins/processes.py
+++ b/review/standins/processes.py
@@ -25,4 +25,5 @@
     finally:
         if process.returncode is None:
             process.kill()
+            await process.communicate()
     return output.decode()
