--- a/bench/lease_measurements/exploration.py
+++ b/bench/lease_measurements/exploration.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict
+from multiprocessing import get_context
 from typing import Any, NamedTuple
 
 from kelptrail.lease.model import Budget, Model, ModelSetup
@@ -86,7 +87,7 @@
 
 def search_all(processes: int, max_states: int, seeds: int) -> None:
     """Search all products and run all walks on several processes; print a line of JSON for each."""
-    with ProcessPoolExecutor(processes) as pool:
+    with ProcessPoolExecutor(processes, mp_context=get_context("forkserver")) as pool:
         for result in pool.map(search_product, PRODUCTS, [max_states] * len(PRODUCTS)):
             print(json.dumps(result), flush=True)
         for name in WALKS:
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -201,7 +202,7 @@
 def walk_all(seeds: int, processes: int) -> dict[str, Any]:
     """Run `seeds` random walks on several processes."""
     start = time.monotonic()
-    with ProcessPoolExecutor(processes) as pool:
+    with ProcessPoolExecutor(processes, mp_context=get_context("forkserver")) as pool:
         ranges = [range(first, first + SEEDS_PER_TASK) for first in range(0, seeds, SEEDS_PER_TASK)]
         counts = total(pool.map(walk_seeds, ranges))
     return {
--- a/kelptrail/simulation/experiment.py
+++ b/kelptrail/simulation/experiment.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import dataclass
+from multiprocessing import get_context
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -248,10 +249,13 @@
 
 
 def run(path: str, out: Path, workers: int, progress: Callable[[dict[str, Any]], None]) -> Rows:
-    """Simulate all runs in `workers` processes and write their tables; return the rows of the table of runs."""
+    """Simulate all runs in `workers` processes and write their tables; return the rows of the table of runs.
+
+    The processes are not forked from this one, which may have threads or gRPC objects that do not survive a fork.
+    """
     experiment = load(path)
     tables = RunTables([], [], [])
-    with ProcessPoolExecutor(workers) as pool:
+    with ProcessPoolExecutor(workers, mp_context=get_context("forkserver")) as pool:
         jobs = [pool.submit(run_one, path, *arguments) for arguments in experiment.runs()]
         for job in as_completed(jobs):
             tables_of_run = job.result()
