Requests are counted in a bounded window, and taken out of it without a search

Cause: SafetyGuard.request_times and Tenant.request_times were deques of times, trimmed only when an order to load or a queue limit is considered; uncount_request removed a time by deque.remove, from the old end. It also removed the entry of another request with the same time if the request had not been counted, or had been taken out before.

Change: EventWindow counts in at most 4,096 buckets, drops old ones as it counts, and a request remembers its bucket, so taking it out is one subtraction, once. A bucket has the time of its first request: none counts for longer than before, so the ration is never wider.

--- a/kelptrail/dispatch/dispatcher.py
+++ b/kelptrail/dispatch/dispatcher.py
@@ -91,9 +91,9 @@
 
     def count_request(self, now: float, request: Request) -> None:
         """Count the request for the load ration and its tenant's quota."""
-        self.parts.safety.request_times.append(now)
+        self.parts.safety.count_request(now, request)
         if request.tenant is not None:
-            request.tenant.request_times.append(now)
+            request.tenant.recent_requests.add(now)
 
     def on_client_gone(self, request: Request) -> None:
         """Cancel a request whose client no longer waits for an answer."""
--- a/kelptrail/dispatch/entities.py
+++ b/kelptrail/dispatch/entities.py
@@ -11,6 +11,10 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 
+from .sliding_window import Bucket, EventWindow
+
+QUOTA_WINDOW_MS = 2000  # a tenant's share of the requests is measured over this time
+
 
 class Idempotency(Enum):
     """Whether a request may be executed a second time."""
@@ -107,7 +111,7 @@
 
     name: str
     quota_per_s: float
-    request_times: deque[float] = field(default_factory=deque)
+    recent_requests: EventWindow = field(default_factory=lambda: EventWindow(QUOTA_WINDOW_MS))
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -254,6 +258,7 @@
     has_idempotency_key: bool = True  # a retry by the client carries the same key
     client: object | None = None  # the connection of the client; None: not known
     holds_unproven_function: bool = False  # counted by `FunctionTable` for its client
+    ration_bucket: Bucket | None = None  # where the load ration counts the request
     attempts: list[Attempt] = field(default_factory=list)
     queued: bool = False
     final_status: FinalStatus | None = None  # never changes once set
--- a/kelptrail/dispatch/queues.py
+++ b/kelptrail/dispatch/queues.py
@@ -4,13 +4,11 @@
 
 from zlib import crc32
 
-from .entities import Function, Request, RequestClass, Tenant
-from .sliding_window import drop_until
+from .entities import QUOTA_WINDOW_MS, Function, Request, RequestClass, Tenant
 
 ADMIT_MORE_STEP = 0.02  # added to the admitted share for each response in time
 ADMIT_LESS_FACTOR = 0.96  # multiplies the admitted share for each late or refused attempt
 MIN_ADMITTED_SHARE = 0.05  # admits enough requests to detect that an overload has ended
-QUOTA_WINDOW_MS = 2000  # a tenant's share of the requests is measured over this time
 QUOTA_TOLERANCE = 1.25  # a tenant may exceed its share by this factor
 OVER_QUOTA_SHARE = 0.5  # multiplies the limits for requests beyond the quota of their tenant
 MIN_RUN_MS = 5.0  # no attempt starts with less time left to the deadline
@@ -57,9 +55,9 @@
         """
         if request.tenant is None:
             return False
-        total = sum(len(drop_until(tenant.request_times, now - QUOTA_WINDOW_MS)) for tenant in self._tenants)
+        total = sum(tenant.recent_requests.count_after(now - QUOTA_WINDOW_MS) for tenant in self._tenants)
         share = request.tenant.quota_per_s / sum(tenant.quota_per_s for tenant in self._tenants)
-        return len(request.tenant.request_times) > QUOTA_TOLERANCE * share * total
+        return len(request.tenant.recent_requests) > QUOTA_TOLERANCE * share * total
 
     def latest_start(self, request: Request) -> float:
         """Return the latest time at which an attempt is useful.  Later attempts, of requests with a short
--- a/kelptrail/dispatch/safety.py
+++ b/kelptrail/dispatch/safety.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections import deque
-from contextlib import suppress
 from dataclasses import dataclass
 
 from .entities import (
@@ -20,7 +19,7 @@
     Worker,
 )
 from .readiness import Readiness, ReadinessLimits
-from .sliding_window import drop_until
+from .sliding_window import EventWindow, drop_until
 from .slow_start import SlowStart, SlowStartSettings
 
 DEDUPLICATION_MARGIN_MS = 20.0  # minimum time from a retry to the end of the deduplication window
@@ -62,7 +61,7 @@
         ration = settings.load_ration
         self._loads_allowed, self._free_loads = ration.loads_allowed, ration.free_loads
         self._loads_per_request, self._ration_window_ms = ration.loads_per_request, ration.window_ms
-        self._load_times, self.request_times = deque[float](), deque[float]()
+        self._load_times, self.counted_requests = deque[float](), EventWindow(ration.window_ms)
 
     def accepts_attempt(self, now: float, request: Request) -> bool:
         """Return whether the conditions of rules 1 and 2 that do not depend on the worker allow another
@@ -138,8 +137,8 @@
         """Count a load order if the worker is live and the ration allows it; return whether it does."""
         # The ration applies to orders as they arrive, up to `max_delivery_ms` after their decision.  Requests
         # therefore count for a shorter time than the window, and orders for a longer time.
-        requests = drop_until(self.request_times, now - self._ration_window_ms + self._max_delivery_ms + 1)
-        ration = self._free_loads + self._loads_per_request * len(requests)
+        requests = self.counted_requests.count_after(now - self._ration_window_ms + self._max_delivery_ms + 1)
+        ration = self._free_loads + self._loads_per_request * requests
         orders = len(drop_until(self._load_times, now - self._ration_window_ms - self._max_delivery_ms)) + 1
         if not worker.live or (self._ration_window_ms and orders > ration * (1 - reserve)):
             return False
@@ -160,12 +159,17 @@
             return item.instance.load_order is item
         return item.status is None and not item.cancelled and item.request.final_status is None
 
+    def count_request(self, now: float, request: Request) -> None:
+        """Count the request for the load ration."""
+        request.ration_bucket = self.counted_requests.add(now)
+
     def uncount_request(self, request: Request) -> None:
         """Remove the request from those that the load ration counts.  This applies to calls that cause no
         work: they were cancelled before the first attempt, or their function failed and was never loaded.
         """
-        with suppress(ValueError):
-            self.request_times.remove(request.received_at)
+        if request.ration_bucket is not None:
+            self.counted_requests.remove(request.ration_bucket)
+            request.ration_bucket = None
 
     def finish(self, now: float, request: Request, retry_after_ms: float = 0.0) -> Request:
         """Set the final status: rejected if a retry of the client cannot have a second effect, else failed.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -251,13 +251,13 @@
         request = new_request(make_function(f"t{n}"), 0.0, n)
         dispatcher.on_request(0.0, request)
         dispatcher.on_client_gone(request)
-    assert not guard.request_times and not decide_all(dispatcher, 0.0)
+    assert not guard.counted_requests and not decide_all(dispatcher, 0.0)
     calls = [new_request(not_loadable, 1.0, n) for n in range(4)]
     for request in calls:
         dispatcher.on_request(1.0, request)
     (first,) = (d for d in decide_all(dispatcher, 1.0) if isinstance(d, LoadOrder))
     dispatcher.on_load_report(2.0, first, AttemptStatus.ERROR, 0)
-    assert not guard.request_times
+    assert not guard.counted_requests
     (second,) = (d for d in decide_all(dispatcher, 30.0) if isinstance(d, LoadOrder))
     dispatcher.on_load_report(31.0, second, AttemptStatus.ERROR, 0)
     assert {d for d in decide_all(dispatcher, 31.0) if isinstance(d, Request)} == set(calls), "they end at once"
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -425,7 +425,7 @@
     assert gateway.recover(0.0, 1100.0, activations, 100.0, 16)["resumed"] == 5
     while gateway.next_effect(1.0) is not None:
         pass
-    assert gateway.counts.received == 5 and not parts.safety.request_times, (
+    assert gateway.counts.received == 5 and not parts.safety.counted_requests, (
         "they count in the load ration of the dispatcher that accepted them"
     )
 
@@ -443,16 +443,16 @@
         invocation = gateway.submit(float(number), 1000.0, Submission("one", action, b"{}", deferred=True))
         gateway.when_durable(invocation, lambda _durable: None)
         batch = group_commit.next_batch(0.0)
-        assert batch is not None and len(parts.safety.request_times) == number
+        assert batch is not None and len(parts.safety.counted_requests) == number
         if durable:
             group_commit.on_batch_durable(batch.number)
         else:
             group_commit.on_batch_failed(0.0, batch.number, "full")
         while gateway.next_effect(float(number)) is not None:
             pass
-    assert len(parts.safety.request_times) == 1
+    assert len(parts.safety.counted_requests) == 1
     gateway.submit(3.0, 1000.0, Submission("one", action, b"{}"))
-    assert len(parts.safety.request_times) == 2, "a blocking call counts at once, as it needs no durable record"
+    assert len(parts.safety.counted_requests) == 2, "a blocking call counts at once, as it needs no durable record"
 
 
 # The API with a journal.
