--- a/kelptrail/dispatch/sliding_window.py
+++ b/kelptrail/dispatch/sliding_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 MAX_BUCKETS = 4096  # bounds the memory of a window, however many events it counts
@@ -40,9 +41,9 @@
         return self._count
 
     @property
-    def bucket_count(self) -> int:
-        """The number of buckets that are kept."""
-        return len(self._buckets)
+    def buckets(self) -> Sequence[Bucket]:
+        """The buckets, oldest first."""
+        return self._buckets
 
     def add(self, now: float) -> Bucket:
         """Count an event, and return its bucket for a later `remove`."""
--- a/tests/test_sliding_window.py
+++ b/tests/test_sliding_window.py
@@ -19,7 +19,7 @@
     window = EventWindow(WINDOW_MS)
     for n in range(170 * 3600 // 10):
         window.add(n * 1000 / 17)
-    assert window.bucket_count <= MAX_BUCKETS + 1 and len(window) <= 17 * WINDOW_MS / 1000 + 1
+    assert len(window.buckets) <= MAX_BUCKETS + 1 and len(window) <= 17 * WINDOW_MS / 1000 + 1
 
 
 def test_a_flood_of_requests_keeps_no_more_than_the_buckets_of_a_window() -> None:
@@ -32,8 +32,8 @@
         dispatcher.on_request(n / 20, request)
         if not n % 50:
             decide_all(dispatcher, n / 20)
-    assert len(counted) == 100_000 and counted.bucket_count <= MAX_BUCKETS + 1
-    assert tenant.recent_requests.bucket_count <= MAX_BUCKETS + 1
+    assert len(counted) == 100_000 and len(counted.buckets) <= MAX_BUCKETS + 1
+    assert len(tenant.recent_requests.buckets) <= MAX_BUCKETS + 1
 
 
 class ComparedTime(float):
--- a/tests/test_wire_fixtures.py
+++ b/tests/test_wire_fixtures.py
@@ -32,6 +32,7 @@
 import kelptrail.service.usage as usage_module
 from kelptrail.codec import events, feed, frames, http, infer, lines
 from kelptrail.codec.tensors import JsonTensor
+from kelptrail.dispatch.sliding_window import EventWindow
 from kelptrail.emulator.capture import Capture
 from kelptrail.emulator.endpoint_service import EndpointService
 from kelptrail.engine import settings as engine_settings
@@ -88,6 +89,8 @@
         return {str(to_json_types(key)): to_json_types(item) for key, item in value.items()}
     if isinstance(value, set | frozenset):
         return sorted((to_json_types(item) for item in value), key=repr)
+    if isinstance(value, EventWindow):
+        return [to_json_types(bucket) for bucket in value.buckets]
     if isinstance(value, list | tuple | deque):
         return [to_json_types(item) for item in value]
     if type(value).__module__ == "ipaddress":
