A request that is taken back leaves its queue and its timer at once

By a trace, 400,031 of the requests that were read in that turn stood in the arrivals of their function, 84 were open.

Cause: Dispatcher.on_client_gone only set the final status. The request stayed in arrivals until the next decision, in its queue until it came to the head, counting for the queue's limit meanwhile, and its timer with all it refers to until the deadline.

Change: arrivals are an ordered set, on_client_gone takes the request out of it or of its queue, and the timer queue removes dead requests once they may be half of it.

Measured, on the code before: 10,000 requests taken back before a decision leave 10,000 arrivals; a request taken back keeps a place in the queue, and 100 of them behind two waiting ones get a usual request rejected.

--- a/kelptrail/dispatch/dispatcher.py
+++ b/kelptrail/dispatch/dispatcher.py
@@ -86,7 +86,7 @@
         function.last_request_at, function.load_ms = now, function.load_ms or DEFAULT_LOAD_MS
         for removed in functions.add(request, len(self._state.workers)):
             self._remove_function(removed)
-        function.arrivals.append(request)
+        function.arrivals[request] = None
         self._state.runnable[function] = None
 
     def count_request(self, now: float, request: Request) -> None:
@@ -96,9 +96,11 @@
             request.tenant.recent_requests.add(now)
 
     def on_client_gone(self, request: Request) -> None:
-        """Cancel a request whose client no longer waits for an answer."""
+        """Cancel a request whose client no longer waits for an answer, and remove it from its queue."""
         request.final_status = request.final_status or FinalStatus.CLIENT_GONE
         self._state.functions.on_request_ended(request)
+        self._lifecycle.remove_queued(request)
+        self.timers.on_dead_item(_is_ended_request)
         if not request.attempts:
             self.parts.safety.uncount_request(request)
         self._lifecycle.cancel_attempts(request)
@@ -238,3 +240,8 @@
         self._queue_service.forget(function)
         self.questions.forget(function)
         self._removed_functions.append(function)
+
+
+def _is_ended_request(item: Instance | Attempt | Request) -> bool:
+    """Return whether the timer of an item has nothing to do: it is a request that has ended."""
+    return isinstance(item, Request) and item.final_status is not None
--- a/kelptrail/dispatch/entities.py
+++ b/kelptrail/dispatch/entities.py
@@ -194,7 +194,8 @@
     memory_mb: float
     concurrency: int
     load_ms: float = 0.0  # usual duration of a load; 0: unknown
-    arrivals: deque[Request] = field(default_factory=deque)  # requests received and not yet admitted
+    # Requests received and not yet admitted, oldest first; an ordered set.
+    arrivals: dict[Request, None] = field(default_factory=dict)
     queue: deque[Request] = field(default_factory=deque)
     # Requests that would probably miss their latency objective, served last.
     late_queue: deque[Request] = field(default_factory=deque)
--- a/kelptrail/dispatch/queue_service.py
+++ b/kelptrail/dispatch/queue_service.py
@@ -122,7 +122,9 @@
         includes the slots of instances that are being loaded.
         """
         while function.arrivals:
-            if (request := function.arrivals.popleft()).final_status:
+            request = next(iter(function.arrivals))
+            del function.arrivals[request]
+            if request.final_status:
                 continue
             if self._queues.over_limit(now, request, expected_slots):
                 return self._lifecycle.finish(now, request, TerminationReason.OVERLOAD)
--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -34,7 +34,7 @@
     if not table.accepts(request, 0):
         return None
     table.add(request, 0)
-    request.function.arrivals.append(request)
+    request.function.arrivals[request] = None
     request.function.last_request_at = now
     return request
 
