Client connections are read in turns; a flood on many no longer stops all answers

Cause, by a trace: a scratch copy wrote what each iteration of the event loop had read.

What waits stays in the sockets' buffers, so all that was read has been handled, as before. Connections read by callbacks with one shared buffer in place of a task and a buffer each.

Why it works: an iteration no longer grows with the number of connections, and a client that asks for little waits for one iteration, not for the others.

--- a/kelptrail/net/connection.py
+++ b/kelptrail/net/connection.py
@@ -1,4 +1,4 @@
-"""A plain TCP connection that reads continuously and batches its writes.
+"""A plain TCP connection that reads whenever there is input, or in turns with others, and batches its writes.
 
 Writes of one iteration of the event loop are sent in one call.  Each write is a `PendingWrite` that records whether the
 socket accepted its first and its last byte.  So the caller can determine later which writes cannot have reached the
@@ -17,16 +17,20 @@
 from errno import EALREADY, EINPROGRESS, EINTR, EISCONN
 
 from .errors import is_connect_retryable, is_transient
+from .read_scheduler import ReadScheduler
 from .transport import Transport
 
 READ_BUFFER_BYTES = 8_192
 MAX_BATCH_BYTES = 65_536
-# Maximum number of full buffers that are read without waiting in between; this way the end of a stream is detected
-# soon, even if many bytes precede it.
+# Maximum number of full buffers that a connection without a scheduler reads in one iteration of the loop; this way the
+# end of a stream is detected soon, even if many bytes precede it.
 MAX_CONSECUTIVE_READS = 32
 # Limit on the input that is read and discarded after `close_gracefully`; a close with unread input would reset the
 # connection, which destroys answers that the peer has not read.
 MAX_DISCARDED_BYTES = 1 << 18
+# Shared by all connections: the bytes are handled before the next read.
+_READ_BUFFER = bytearray(READ_BUFFER_BYTES)
+_READ_VIEW = memoryview(_READ_BUFFER)
 RETRY_MS = 5.0  # pause after a transient failure of a send or receive
 CONNECT_RETRY_MS, MAX_CONNECT_RETRY_MS = 10.0, 80.0  # first and longest pause between two connects
 
@@ -76,9 +80,10 @@
 class Connection:
     """One open connection.
 
-    `on_data` receives bytes as they arrive.  `on_end` is called once, when the connection ends otherwise than by
-    `close`: the peer closed it, it failed, or it exceeded a limit.  With more than `max_pending_bytes` unsent bytes the
-    connection is closed, because its peer does not read.
+    `on_data` receives bytes as they arrive, and must not keep its argument.  `on_end` is called once, when the
+    connection ends otherwise than by `close`: the peer closed it, it failed, or it exceeded a limit.  With more than
+    `max_pending_bytes` unsent bytes the connection is closed, because its peer does not read.  With a `scheduler` the
+    connection reads only when it is its turn.
     """
 
     __slots__ = (
@@ -86,18 +91,24 @@
         "_awaits_writable",
         "_close_timer",
         "_closing",
+        "_discarded_bytes",
         "_loop",
         "_max_pending_bytes",
         "_on_data",
         "_on_end",
         "_pending",
         "_pending_bytes",
-        "_reader",
+        "_read_retry_timer",
+        "_reads",
         "_retry_timer",
+        "_scheduler",
+        "_sock",
+        "_waits_for_turn",
         "_writing",
         "closed",
         "last_write_progress",
         "transport",
+        "virtual_finish",
     )
 
     def __init__(
@@ -107,6 +118,7 @@
         on_data: Callable[[memoryview], None],
         on_end: Callable[[], None],
         max_pending_bytes: int,
+        scheduler: ReadScheduler | None = None,
     ) -> None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -124,7 +136,12 @@
         self.closed = self._closing = self._writing = self._awaits_writable = False
         self._close_timer: asyncio.TimerHandle | None = None
         self._retry_timer: asyncio.TimerHandle | None = None
-        self._reader: asyncio.Task[None] | None = loop.create_task(self._read())
+        self._sock, self._scheduler = sock, scheduler
+        self._reads = self._waits_for_turn = False
+        self._read_retry_timer: asyncio.TimerHandle | None = None
+        self._discarded_bytes = 0
+        self.virtual_finish = 0.0  # set by the scheduler
+        self._watch_readable(True)
 
     @property
     def has_pending_writes(self) -> bool:
@@ -196,10 +213,10 @@
         self._on_data = self._on_end = _ignore
         if self._close_timer is not None:
             self._close_timer.cancel()
+        if self._read_retry_timer is not None:
+            self._read_retry_timer.cancel()
         self._watch_writable(False)
-        reader, self._reader = self._reader, None
-        if reader is not None and reader is not asyncio.current_task(self._loop):
-            reader.cancel()
+        self._watch_readable(False)
         self.transport.close()
 
     def _close_and_notify(self) -> None:
@@ -208,47 +225,63 @@
             self.close()
             on_end()
 
-    async def _read(self) -> None:
-        buffer = bytearray(READ_BUFFER_BYTES)
-        view = memoryview(buffer)
-        consecutive_reads = discarded = 0
-        try:
-            while True:
-                count = await self._receive(buffer, read_first=consecutive_reads > 0)
-                if not count:
-                    break
-                consecutive_reads = (consecutive_reads + 1) % MAX_CONSECUTIVE_READS if count == READ_BUFFER_BYTES else 0
-                if not self._closing:
-                    self._on_data(view[:count])
-                elif (discarded := discarded + count) > MAX_DISCARDED_BYTES:
-                    break
-                if self.closed:
-                    return
-        except asyncio.CancelledError:
-            # Raised by `close`.  Not re-raised, because a cancelled task would keep this frame and its buffer alive.
+    def _watch_readable(self, watch: bool) -> None:
+        """Call `_on_readable` whenever there is input, or stop doing so."""
+        if watch != self._reads:
+            self._reads = watch
+            if watch:
+                self._loop.add_reader(self._sock, self._on_readable)
+            else:
+                self._loop.remove_reader(self._sock)
+
+    def _on_readable(self) -> None:
+        if self._scheduler is not None:
+            if not self._waits_for_turn:
+                self._waits_for_turn = True
+                self._scheduler.add(self)
             return
-        except OSError:
-            pass
+        for _ in range(MAX_CONSECUTIVE_READS):
+            if not self.read_once():
+                return
+
+    def on_read_finished(self) -> None:
+        """Wait for further input."""
+        self._waits_for_turn = False
+
+    def read_once(self) -> bool:
+        """Read and handle up to `READ_BUFFER_BYTES`; return whether there may be more input."""
+        if self.closed:
+            return False
+        try:
+            count = self.transport.sock.recv_into(_READ_BUFFER)
+        except BlockingIOError:
+            return False
+        except OSError as cause:
+            if is_transient(cause):
+                self._watch_readable(False)
+                self._read_retry_timer = self._loop.call_later(RETRY_MS / 1000, self._watch_readable, True)
+            else:
+                self._close_and_notify()
+            return False
+        if not count:
+            self._close_and_notify()
+        elif self._closing:
+            self._discard(count)
+        else:
+            self._handle(_READ_VIEW[:count])
+        return count == READ_BUFFER_BYTES and not self.closed
+
+    def _handle(self, data: memoryview) -> None:
+        try:
+            self._on_data(data)
         except Exception as cause:  # noqa: BLE001 - a bug in a message handler ends only its own connection
             self._loop.call_exception_handler({"message": "reading from a connection failed", "exception": cause})
-        self._close_and_notify()
+            self._close_and_notify()
 
-    async def _receive(self, buffer: bytearray, read_first: bool) -> int:
-        """Read bytes and return their number, 0 at the end of the stream.  Raises `OSError`.
-
-        `read_first`: try to read first, then wait for the socket to become readable.
-        """
-        while True:
-            try:
-                if read_first:
-                    read_first = False
-                    with contextlib.suppress(BlockingIOError):
-                        return self.transport.sock.recv_into(buffer)
-                return await self.transport.recv_into(buffer)
-            except OSError as cause:
-                if not is_transient(cause):
-                    raise
-                await asyncio.sleep(RETRY_MS / 1000)
+    def _discard(self, count: int) -> None:
+        self._discarded_bytes += count
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._close_and_notify()
 
     def _flush(self) -> None:
         """Send as many pending writes as the socket accepts, and the rest once it is writable again."""
--- a/kelptrail/platform/client_connection.py
+++ b/kelptrail/platform/client_connection.py
@@ -10,6 +10,7 @@
 from kelptrail.codec.frames import FrameError, FrameReader
 from kelptrail.dispatch.entities import Request
 from kelptrail.net.connection import Connection
+from kelptrail.net.read_scheduler import ReadScheduler
 from kelptrail.net.transport import IdleState
 
 MAX_UNREAD_BYTES = 1 << 20  # limit of the bytes that wait for a client to read them; beyond it the connection is closed
@@ -33,6 +34,7 @@
     """Receives the frames of all clients.  `time` returns the loop's clock in seconds."""
 
     loop: asyncio.AbstractEventLoop
+    read_scheduler: ReadScheduler
     time: Callable[[], float]
 
     def on_complete_frame(self, client: ClientConnection) -> None:
@@ -70,7 +72,9 @@
         self.idle_since = self.last_received_at = handler.time()
         self.partial_frame_since: float | None = None
         self.is_overflow = False  # True for a connection accepted over the connection limit
-        self.connection = Connection(handler.loop, sock, self._on_data, self._on_closed, MAX_UNREAD_BYTES)
+        self.connection = Connection(
+            handler.loop, sock, self._on_data, self._on_closed, MAX_UNREAD_BYTES, handler.read_scheduler
+        )
 
     def has_pending_io(self) -> bool:
         """Return whether a frame is incomplete, the socket has unread bytes, or the client still reads an answer."""
--- a/kelptrail/platform/client_server.py
+++ b/kelptrail/platform/client_server.py
@@ -15,6 +15,7 @@
 from kelptrail.codec.frames import FrameError
 from kelptrail.engine.invariants import Invariants, Violation
 from kelptrail.net.listener import Listener
+from kelptrail.net.read_scheduler import ReadScheduler
 
 from . import log_events
 from .client_connection import ClientConnection, ClientRequest
@@ -63,6 +64,7 @@
         invariants: Invariants,
     ) -> None:
         self.loop, self.time, self._log, self._invariants = loop, loop.time, log, invariants
+        self.read_scheduler = ReadScheduler(loop)
         self._rules, self._max_body_bytes, self._body_bytes = rules, limits.max_body_bytes, 0
         self.connections = ClientConnections(
             self, loop.time, limits.max_connections, limits.max_timeout_ms, log, invariants
