The end of a request leaves a later one with the same id open

Seen by reading, then forced in a test: a request that is rejected or given up while its decision is pending, and taken back by its client, is ended a second time when the decision is carried out. Engine.remove_if_finished then removed by the id whatever request was open under it. A client that had used the id again could have a third request with it accepted beside the second.

Change: the entry is removed only if it is this request's.

Measured: the new test in tests/test_function_table.py fails before (KeyError) and passes now.

--- a/kelptrail/engine/engine.py
+++ b/kelptrail/engine/engine.py
@@ -239,8 +239,10 @@
 
     def remove_if_finished(self, request: Request) -> None:
         """Remove the request if it has its final status and no attempt in flight."""
-        if request.final_status is not None and all(attempt.status is not None for attempt in request.attempts):
-            self.requests.pop(request.id, None)
+        if request.final_status is None or any(attempt.status is None for attempt in request.attempts):
+            return
+        if self.requests.get(request.id) is request:  # its client may use the id again
+            del self.requests[request.id]
 
 
 def _readiness_limits(settings: ReadinessSettings, timing: EndpointListTiming) -> ReadinessLimits:
--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -179,3 +179,24 @@
     again = new_request(make_function("f0"), 2000.0)
     dispatcher.on_request(2000.0, again)
     assert [d.instance.function for d in decide_all(dispatcher, 2000.0) if isinstance(d, LoadOrder)] == [again.function]
+
+
+# Guards against an id that counts as free while a request with it is open: two such requests could run at once.
+def test_the_end_of_a_request_that_was_taken_back_leaves_the_next_one_with_its_id_open() -> None:
+    engine = Engine(1, SETTINGS, function_limits=FunctionLimits(unproven_bytes=0.0))
+    request_class, tenant, client = engine.request_classes[0], engine.tenants[0], object()
+
+    def send(function_id: str) -> Request:
+        arrival = RequestArrival("1" * 16, request_class, tenant, function_id, 2000.0, 512.0, 2, None, None, client)
+        return engine.on_request(0.0, arrival)
+
+    engine.on_request(
+        0.0, RequestArrival("2" * 16, request_class, tenant, "a" * 16, 2000.0, 512.0, 2, None, None, client)
+    )
+    rejected = send("b" * 16)
+    assert rejected.reason is TerminationReason.TOO_MANY_FUNCTIONS
+    engine.on_client_gone(rejected)
+    following = send("a" * 16)
+    while engine.decide(0.0) is not None:
+        pass
+    assert engine.requests["1" * 16] is following
