--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,44 +9,27 @@
 import asyncio
 import os
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins2.clients import ClientRequest, UsualClients, wait_until_ready  # noqa: E402
+from standins2.clients import UsualClients, wait_until_ready  # noqa: E402
 from standins2.dispatcher import Dispatcher  # noqa: E402
 from standins2.journal import Journal  # noqa: E402
+from standins2.judge import Lateness, judge  # noqa: E402
 from standins2.record import Record  # noqa: E402
 from standins2.runner import Runner  # noqa: E402
-from standins2.settings import configuration, free_port  # noqa: E402
+from standins2.settings import CASTANAR, configuration, free_port  # noqa: E402
 
 RUNNERS, FUNCTIONS = 6, 20
 USUAL_PER_S, USUAL_CONNECTIONS, LIMITS_S = 30.0, 8, (2.5, 5.0)
 BAD_CLIENTS, REQUESTS_AT_ONCE = 40, 300
 CALM_S, TROUBLE_S, AFTER_S = 8.0, 20.0, 4.0
-# The rules: a final answer comes half a second after its time at the latest, and no attempt begins later than 0.1 s
-# after its client has gone.  On sockets each limit is 50 ms longer.
-ANSWER_WITHIN_S, BEGIN_WITHIN_S, SOCKET_SLACK_S = 0.5, 0.1, 0.05
 PATIENCE_S = 1.0  # past the time of its request; then a usual client tells that it waits no more
 MAX_LATENESS_S = 0.3  # of the stand-ins themselves; with more the run says nothing
 
 
-class Lateness:
-    """Measures by how much the stand-ins' own loop runs late."""
-
-    def __init__(self) -> None:
-        self.worst_s = 0.0
-
-    async def watch(self) -> None:
-        """Watch until cancelled."""
-        while True:
-            due = time.monotonic() + 0.01
-            await asyncio.sleep(0.01)
-            self.worst_s = max(self.worst_s, time.monotonic() - due)
-
-
 async def flood(port: int, record: Record) -> None:
     """Run the bad clients for their time."""
     program = FOLDER.parent / "standins2/bad_clients.py"
@@ -63,44 +46,18 @@
             process.kill()
 
 
-def judge(requests: list[ClientRequest], lateness_s: float, record: Record) -> int:
-    """Write every usual request to the record, and return how many broke a rule."""
-    lost = begun_late = wrong = 0
-    latest_s = 0.0
-    for request in requests:
-        bound = request.sent_at + request.limit_s + ANSWER_WITHIN_S + SOCKET_SLACK_S + lateness_s
-        is_lost = request.connection_ended or request.answered_at is None or request.answered_at > bound
-        begins = [call - request.gone_at for call in request.calls if request.gone_at is not None]
-        is_begun_late = any(after > BEGIN_WITHIN_S + SOCKET_SLACK_S + lateness_s for after in begins)
-        is_wrong = request.code == 0 and request.answer != b"done " + request.body
-        if request.answered_at is not None:
-            latest_s = max(latest_s, request.answered_at - request.sent_at)
-        end = "no answer"
-        if request.answered_at is not None:
-            end = f"code {request.code} after {request.answered_at - request.sent_at:.3f} s"
-        elif request.connection_ended:
-            end = "connection ended"
-        text = f"request {request.id} limit {request.limit_s:.3f} s: {end}"
-        text += "".join(f", run asked {call - request.sent_at:.3f} s after it was sent" for call in request.calls)
-        text += f", client gone {request.gone_at - request.sent_at:.3f} s" if request.gone_at is not None else ""
-        record.write(text + ("  LOST" if is_lost else "") + ("  BEGUN LATE" if is_begun_late else ""), request.sent_at)
-        lost, begun_late, wrong = lost + is_lost, begun_late + is_begun_late, wrong + is_wrong
-    record.show(
-        f"{len(requests)} usual requests: {lost} lost, {begun_late} begun over 0.1 s after their client had gone, "
-        f"{wrong} with a wrong body; the slowest answer took {latest_s:.2f} s"
-    )
-    return lost + begun_late + wrong
-
-
 async def play(trouble: bool, record: Record) -> int:
     """Play the case and return the exit code."""
     calls: list[tuple[str, float]] = []
     functions = [f"{0xABC000 + number:016x}" for number in range(FUNCTIONS)]
-    runners = [Runner(n + 1, set(functions), lambda id_, at: calls.append((id_, at)), 0.1, 1.0) for n in range(RUNNERS)]
+    runners = [
+        Runner(CASTANAR, n + 1, set(functions), lambda id_, at: calls.append((id_, at)), 0.1, 1.0)
+        for n in range(RUNNERS)
+    ]
     for runner in runners:
         await runner.open()
     journal_port = await Journal().open()
-    dispatcher = Dispatcher(configuration([runner.target() for runner in runners], journal_port, free_port()))
+    dispatcher = Dispatcher(configuration(CASTANAR, [runner.target() for runner in runners], journal_port, free_port()))
     lateness = Lateness()
     dispatcher.start()
     try:
@@ -108,7 +65,7 @@
             record.show("the dispatcher did not become ready")
             return 2
         watch = asyncio.create_task(lateness.watch())
-        clients = UsualClients(dispatcher.port, functions, USUAL_PER_S, USUAL_CONNECTIONS, LIMITS_S)
+        clients = UsualClients(CASTANAR, dispatcher.port, functions, USUAL_PER_S, USUAL_CONNECTIONS, LIMITS_S)
         usual = asyncio.create_task(clients.run(CALM_S + TROUBLE_S + AFTER_S, PATIENCE_S))
         await asyncio.sleep(CALM_S)
         if trouble:
--- a/review/standins2/bad_clients.py
+++ b/review/standins2/bad_clients.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins2 import wire
-from standins2.settings import CHECK, DEADLINE_MS, TENANTS
+from standins2.settings import CASTANAR
 
 
 def requests_at_once(draw: random.Random, count: int) -> bytes:
@@ -26,10 +26,10 @@
     frames = []
     for stream in range(1, count + 1):
         fields = {
-            "verb": CHECK,
+            "verb": CASTANAR.repeatable_class,
             "txn": f"{draw.getrandbits(64):016x}",
-            "limit": str(DEADLINE_MS),
-            "team": TENANTS[0],
+            "limit": str(CASTANAR.repeatable_deadline_ms),
+            "team": CASTANAR.tenants[0],
             "item": f"{draw.getrandbits(64):016x}",
             "info": "memory_mb:2000;lanes:2",
         }
--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from . import wire
-from .settings import ACTIVATE, CHECK, TENANTS
+from .settings import Site
 
 MAX_OPEN = 31  # the protocol allows 32 open requests on a connection
 
@@ -80,8 +80,16 @@
 class UsualClients:
     """Clients with `connections` connections that together send `per_s` requests a second."""
 
-    def __init__(self, port: int, functions: list[str], per_s: float, connections: int, limits_s: tuple[float, float]):
-        self._port, self._functions, self._per_s = port, functions, per_s
+    def __init__(
+        self,
+        site: Site,
+        port: int,
+        functions: list[str],
+        per_s: float,
+        connections: int,
+        limits_s: tuple[float, float],
+    ) -> None:
+        self._site, self._port, self._functions, self._per_s = site, port, functions, per_s
         self._connection_count, self._limits_s = connections, limits_s
         self._random = random.Random(11)
         self.requests: dict[str, ClientRequest] = {}
@@ -118,26 +126,32 @@
             await asyncio.sleep(min(left, 0.25))
 
     def _send(self, connection: ClientConnection) -> ClientRequest:
-        draw = self._random
-        request_class = draw.choice((CHECK, ACTIVATE))
-        limit_s = round(draw.uniform(*self._limits_s), 3)
-        request = ClientRequest(f"{draw.getrandbits(64):016x}", limit_s, draw.randbytes(draw.randint(20, 400)))
-        function = self._functions[min(int(draw.paretovariate(1.1)) - 1, len(self._functions) - 1)]
-        fields = {
-            "verb": request_class,
-            "txn": request.id,
-            "limit": str(round(limit_s * 1000)),
-            "team": draw.choice(TENANTS),
-            "item": function,
-            "info": "memory_mb:2000;lanes:2",
-        }
-        if request_class == ACTIVATE:
-            fields["unique"] = f"{draw.getrandbits(128):032x}"
+        request, fields = new_request(self._site, self._random, self._functions, self._limits_s)
         self.requests[request.id] = request
         connection.send(request, fields)
         return request
 
 
+def new_request(
+    site: Site, draw: random.Random, functions: list[str], limits_s: tuple[float, float]
+) -> tuple[ClientRequest, dict[str, str]]:
+    """Return a request of either class, and its fields."""
+    request_class = draw.choice((site.repeatable_class, site.keyed_class))
+    limit_s = round(draw.uniform(*limits_s), 3)
+    request = ClientRequest(f"{draw.getrandbits(64):016x}", limit_s, draw.randbytes(draw.randint(20, 400)))
+    fields = {
+        "verb": request_class,
+        "txn": request.id,
+        "limit": str(round(limit_s * 1000)),
+        "team": draw.choice(site.tenants),
+        "item": functions[min(int(draw.paretovariate(1.1)) - 1, len(functions) - 1)],
+        "info": f"memory_mb:500;lanes:{site.lanes}",
+    }
+    if request_class == site.keyed_class:
+        fields["unique"] = f"{draw.getrandbits(128):032x}"
+    return request, fields
+
+
 async def wait_until_ready(port: int, within_s: float) -> bool:
     """Return whether the dispatcher answers within a time that it is ready."""
     deadline = time.monotonic() + within_s
--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from .settings import KIND, ZONES
+from .settings import Site
 
 OnCall = Callable[[str, float], None]
 
@@ -18,15 +18,17 @@
 class Runner:
     """One runner on loopback.  `on_call(id, time)` is told of each call as it arrives whole."""
 
-    def __init__(self, number: int, functions: set[str], on_call: OnCall, work_s: float, load_s: float) -> None:
+    def __init__(
+        self, site: Site, number: int, functions: set[str], on_call: OnCall, work_s: float, load_s: float
+    ) -> None:
         self.uid, self._functions, self._on_call = f"s-{number:08x}", functions, on_call
-        self._zone = ZONES[number % len(ZONES)]
+        self._site, self._zone = site, site.zones[number % len(site.zones)]
         self._work_s, self._load_s = work_s, load_s
         self._copies, self._loading = Counter[str](), dict[str, asyncio.Future[None]]()
         self._held, self._running = Counter[str](), Counter[str]()
         self._seen_keys: dict[str, float] = {}
         self._random = random.Random(number)
-        self._slots, self._lanes = 6, 2
+        self._slots, self._lanes = 6, site.lanes
         self._tasks = set[asyncio.Task[None]]()
 
     async def open(self) -> None:
@@ -40,7 +42,7 @@
             "uid": self.uid,
             "endpoint": f"127.0.0.1:{self.port}",
             "az": self._zone,
-            "model": KIND,
+            "model": self._site.kind,
             "pod_group": 0,
             "state": "in_service",
             "capacity_hint": 1,
@@ -76,12 +78,19 @@
             if (under_way := self._loading.get(function)) is not None:
                 await asyncio.shield(under_way)
                 continue
-            loaded = self._loading[function] = asyncio.get_running_loop().create_future()
+            self._begin_load(function)
+        _answer(writer, tag, "OK", units=self._copies[function])
+
+    def _begin_load(self, function: str) -> None:
+        loaded = self._loading[function] = asyncio.get_running_loop().create_future()
+
+        async def load() -> None:
             await asyncio.sleep(self._load_s)
             self._copies[function] += 1
             del self._loading[function]
             loaded.set_result(None)
-        _answer(writer, tag, "OK", units=self._copies[function])
+
+        self._start(load())
 
     async def _run(self, writer: asyncio.StreamWriter, id_: str, fields: dict[str, str], body: bytes) -> None:
         function, arrived = fields["item"], time.monotonic()
@@ -90,13 +99,16 @@
             return
         ahead, notice = self._held[function], "up"
         if not self._copies[function]:
-            if function not in self._loading:
-                _answer(writer, id_, "MISS", ahead=ahead)
-                return
             notice = "behind"
+            if function not in self._loading:
+                if not self._site.loads_on_demand:
+                    _answer(writer, id_, "MISS", ahead=ahead)
+                    return
+                notice = "fresh"
+                self._begin_load(function)
         self._held[function] += 1
         try:
-            if notice == "behind":
+            if notice != "up":
                 await asyncio.shield(self._loading[function])
             while (
                 self._running[function] >= self._copies[function] * self._lanes or self._running.total() >= self._slots
@@ -111,6 +123,9 @@
                 self._running[function] -= 1
         finally:
             self._held[function] -= 1
+        if self._site.loads_on_demand:  # there, answers hold no load report
+            _answer(writer, id_, "OK", b"done " + body, tell=notice, ahead=ahead)
+            return
         busy = f"cpu:{min(1.0, self._running.total() / self._slots):.2f};x1:{len(self._loading)};x0:0.2"
         _answer(writer, id_, "OK", b"done " + body, tell=notice, ahead=ahead, meter=busy)
 
