--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -152,19 +152,25 @@
     return request, fields
 
 
-async def wait_until_ready(port: int, within_s: float) -> bool:
+async def ask_whether_ready(port: int, within_s: float) -> bool:
     """Return whether the dispatcher answers within a time that it is ready."""
-    deadline = time.monotonic() + within_s
-    while time.monotonic() < deadline:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        async with asyncio.timeout(within_s):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             try:
                 writer.write(wire.encode_frame(wire.READY_QUERY, 0, b"\0"))
-                async with asyncio.timeout(2):
-                    kind, _, payload = await wire.read_frame(reader)
-                if kind == wire.READY and payload[0] == wire.SERVED:
-                    return True
+                kind, _, payload = await wire.read_frame(reader)
+                return kind == wire.READY and payload[0] == wire.SERVED
             finally:
                 writer.close()
+    return False
+
+
+async def wait_until_ready(port: int, within_s: float) -> bool:
+    """Return whether the dispatcher is ready within a time."""
+    deadline = time.monotonic() + within_s
+    while time.monotonic() < deadline:
+        if await ask_whether_ready(port, 2):
+            return True
         await asyncio.sleep(0.05)
     return False
--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -30,6 +30,8 @@
         self._random = random.Random(number)
         self._slots, self._lanes = 6, site.lanes
         self._tasks = set[asyncio.Task[None]]()
+        self._writers = set[asyncio.StreamWriter]()
+        self.started_ms = 0
 
     async def open(self) -> None:
         """Listen on a free port."""
@@ -46,11 +48,28 @@
             "pod_group": 0,
             "state": "in_service",
             "capacity_hint": 1,
-            "boot_ms": 0,
+            "boot_ms": self.started_ms,
         }
 
+    @property
+    def zone(self) -> int:
+        """The place of the runner's zone in the settings."""
+        return self._site.zones.index(self._zone)
+
+    def replace(self, number: int) -> None:
+        """Let this runner die and another one start at its address, empty and under a new id."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        self._loading.clear()
+        for counts in (self._copies, self._held, self._running):
+            counts.clear()
+        self.uid, self.started_ms = f"s-{number:08x}", round(time.time() * 1000)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            self._writers.add(writer)
             while line := await reader.readline():
                 command, tag, *rest = line.decode().split()
                 if command == "CALL":
@@ -62,6 +81,7 @@
                 elif command in ("PING", "STATS"):
                     _answer(writer, tag, "UP")
                 # A cancel stops neither running nor waiting work at this site.
+        self._writers.discard(writer)
         writer.close()
 
     def _start(self, work: Any) -> None:
