--- a/review/standins2/bad_clients.py
+++ b/review/standins2/bad_clients.py
@@ -1,6 +1,6 @@
 """Bad clients, as a process of their own: `python bad_clients.py PORT CLIENTS REQUESTS SECONDS`.
 
-Each client has one connection at a time.  It sends hundreds of requests at once for functions that no runner knows,
+Each client has one connection at a time.  It sends hundreds of requests at once, each of which alone could be used,
 reads what it is sent, and does the same again on a new connection as soon as it is turned away: by an answer, or by
 the end of the connection.
 """
@@ -20,6 +20,8 @@
 from standins2 import wire
 from standins2.settings import CASTANAR
 
+FUNCTION = f"{0xABC000:016x}"  # the runners know it
+
 
 def requests_at_once(draw: random.Random, count: int) -> bytes:
     """Return the frames of `count` requests."""
@@ -30,7 +32,7 @@
             "txn": f"{draw.getrandbits(64):016x}",
             "limit": str(CASTANAR.repeatable_deadline_ms),
             "team": CASTANAR.tenants[0],
-            "item": f"{draw.getrandbits(64):016x}",
+            "item": FUNCTION,
             "info": "memory_mb:2000;lanes:2",
         }
         frames.append(wire.encode_frame(wire.REQUEST, stream, wire.encode_fields(fields) + b"x"))
