Review, case 8: the times of keyed requests stay inside the site's range

Cause: both classes had times from the deadline of the shorter one, so that some keyed requests had less than the 50% of their deadline that the site names.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -24,7 +24,7 @@
 from standins2.settings import SOLNA, configuration, free_port  # noqa: E402
 
 RUNNERS, FUNCTIONS = 6, 20
-USUAL_PER_S, LIMITS_S = 30.0, (1.25, 2.5)
+USUAL_PER_S, TIME_SHARES = 30.0, (0.5, 1.0)
 SILENT_CLIENTS, CUT_CLIENTS = 400, 40
 CALM_S, TROUBLE_S, AFTER_S = 8.0, 20.0, 3.0
 PATIENCE_S = 1.0  # past the time of its request; then a usual client tells that it waits no more
@@ -65,7 +65,7 @@
             record.show("the dispatcher did not become ready")
             return 2
         watch = asyncio.create_task(lateness.watch())
-        clients = OneShotClients(SOLNA, dispatcher.port, functions, USUAL_PER_S, LIMITS_S)
+        clients = OneShotClients(SOLNA, dispatcher.port, functions, USUAL_PER_S, TIME_SHARES)
         usual = asyncio.create_task(clients.run(CALM_S + TROUBLE_S + AFTER_S, PATIENCE_S))
         await asyncio.sleep(CALM_S)
         if trouble:
--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -87,10 +87,10 @@
         functions: list[str],
         per_s: float,
         connections: int,
-        limits_s: tuple[float, float],
+        time_shares: tuple[float, float],
     ) -> None:
         self._site, self._port, self._functions, self._per_s = site, port, functions, per_s
-        self._connection_count, self._limits_s = connections, limits_s
+        self._connection_count, self._time_shares = connections, time_shares
         self._random = random.Random(11)
         self.requests: dict[str, ClientRequest] = {}
         self.not_sent = 0  # no connection had room for another open request
@@ -126,18 +126,20 @@
             await asyncio.sleep(min(left, 0.25))
 
     def _send(self, connection: ClientConnection) -> ClientRequest:
-        request, fields = new_request(self._site, self._random, self._functions, self._limits_s)
+        request, fields = new_request(self._site, self._random, self._functions, self._time_shares)
         self.requests[request.id] = request
         connection.send(request, fields)
         return request
 
 
 def new_request(
-    site: Site, draw: random.Random, functions: list[str], limits_s: tuple[float, float]
+    site: Site, draw: random.Random, functions: list[str], time_shares: tuple[float, float]
 ) -> tuple[ClientRequest, dict[str, str]]:
-    """Return a request of either class, and its fields."""
+    """Return a request of either class, with a share of its class's deadline as its time, and its fields."""
     request_class = draw.choice((site.repeatable_class, site.keyed_class))
-    limit_s = round(draw.uniform(*limits_s), 3)
+    is_keyed = request_class == site.keyed_class
+    deadline_ms = site.keyed_deadline_ms if is_keyed else site.repeatable_deadline_ms
+    limit_s = round(draw.uniform(*time_shares) * deadline_ms / 1000, 3)
     request = ClientRequest(f"{draw.getrandbits(64):016x}", limit_s, draw.randbytes(draw.randint(20, 400)))
     fields = {
         "verb": request_class,
@@ -147,7 +149,7 @@
         "item": functions[min(int(draw.paretovariate(1.1)) - 1, len(functions) - 1)],
         "info": f"memory_mb:500;lanes:{site.lanes}",
     }
-    if request_class == site.keyed_class:
+    if is_keyed:
         fields["unique"] = f"{draw.getrandbits(128):032x}"
     return request, fields
 
--- a/review/standins2/one_shot_clients.py
+++ b/review/standins2/one_shot_clients.py
@@ -18,10 +18,10 @@
     """Clients that together send `per_s` requests a second, each on a connection of its own."""
 
     def __init__(
-        self, site: Site, port: int, functions: list[str], per_s: float, limits_s: tuple[float, float]
+        self, site: Site, port: int, functions: list[str], per_s: float, time_shares: tuple[float, float]
     ) -> None:
         self._site, self._port, self._functions, self._per_s = site, port, functions, per_s
-        self._limits_s, self._random = limits_s, random.Random(13)
+        self._time_shares, self._random = time_shares, random.Random(13)
         self.requests: dict[str, ClientRequest] = {}
         self.not_connected = 0  # the machine did not accept the connection: the request was not taken
         self.sent_again = 0
@@ -37,7 +37,7 @@
             await asyncio.wait(tasks)
 
     async def _ask(self, patience_s: float) -> None:
-        request, fields = new_request(self._site, self._random, self._functions, self._limits_s)
+        request, fields = new_request(self._site, self._random, self._functions, self._time_shares)
         for is_second_try in (False, True):
             try:
                 async with asyncio.timeout(1):
