Soak: a client that leaves by a reset sets the option on a descriptor of its own

Cause, traced with a socket pair under both loops: once a connection has ended, the writer's socket object has the descriptor -1. uvloop's setsockopt then raises ValueError, asyncio's raises OSError; the client's loop expects OSError and RuntimeError only, so under uvloop (which the soak uses) the exception ended the run.

Change: the option is set on the client's duplicate descriptor, which stays open until the client closes it and names the same socket; that the peer then reads a reset is tested, too.

Tests: two new ones, each on both loops.

--- a/bench/fault_injection/clients.py
+++ b/bench/fault_injection/clients.py
@@ -112,7 +112,7 @@
         self._limits_ms = limits_ms
         self._reader = reader
         self._writer = writer
-        # A write that fails closes the writer's descriptor, although the socket may have received answers before.
+        # A connection that fails closes the writer's descriptor, although the socket may have received answers before.
         self._socket = _duplicate_socket(writer)
         self._sent: dict[int, SentRequest] = {}  # requests by stream number
         self._behavior = ClientBehavior.NORMAL
@@ -225,9 +225,8 @@
             self._writer.write_eof()
             await asyncio.sleep(0.1)
         elif self._behavior is ClientBehavior.RESETS:
-            sock = self._writer.transport.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            # The writer has no descriptor any more if the connection has ended.
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
     async def _wait_for_answers(self) -> None:
         with contextlib.suppress(TimeoutError):
--- a/tests/test_fault_injection_clients.py
+++ b/tests/test_fault_injection_clients.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
+import struct
 import sys
 import threading
 from pathlib import Path
@@ -71,3 +73,48 @@
     request = run(send_after_the_connection_has_closed(tmp_path, is_answered=False))
     assert request.is_open
     assert request.closed_at is not None
+
+
+def set_reset_on_close(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+async def leave_by_a_reset(folder: Path, dispatcher_resets_first: bool) -> int:
+    """Connect a client that resets its connection when it leaves; return the error that the dispatcher then reads."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    reader, writer = await asyncio.open_connection(*listener.getsockname())
+    connection, _ = listener.accept()
+    client = ClientConnection(RunState(SEED, folder), 0, (LIMIT_MS,), reader, writer)
+    client._behavior = ClientBehavior.RESETS
+    client._read_task = asyncio.create_task(client._read_answers())
+    if dispatcher_resets_first:
+        set_reset_on_close(connection)
+        connection.close()
+        await asyncio.wait_for(client._read_task, TIMEOUT_S)
+    await client._leave()
+    client._read_task.cancel()
+    writer.close()
+    await asyncio.sleep(0.01)
+    client._socket.close()
+    listener.close()
+    if dispatcher_resets_first:
+        return 0
+    connection.settimeout(TIMEOUT_S)
+    try:
+        connection.recv(1)
+    except OSError as cause:
+        return cause.errno or 0
+    finally:
+        connection.close()
+    return 0
+
+
+# Guards against a soak that ends by an exception of its own: the client set an option of a closed descriptor.
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_client_that_leaves_by_a_reset_may_find_its_connection_reset_already(run, tmp_path) -> None:
+    assert run(leave_by_a_reset(tmp_path, dispatcher_resets_first=True)) == 0
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_client_that_leaves_by_a_reset_resets_its_connection(run, tmp_path) -> None:
+    assert run(leave_by_a_reset(tmp_path, dispatcher_resets_first=False)) == errno.ECONNRESET
