--- a/kelptrail/net/connection.py
+++ b/kelptrail/net/connection.py
@@ -215,6 +215,8 @@
             self._close_timer.cancel()
         if self._read_retry_timer is not None:
             self._read_retry_timer.cancel()
+        if self._waits_for_turn and self._scheduler is not None:
+            self._scheduler.remove(self)
         self._watch_writable(False)
         self._watch_readable(False)
         self.transport.close()
--- a/kelptrail/net/read_scheduler.py
+++ b/kelptrail/net/read_scheduler.py
@@ -47,6 +47,10 @@
         self._waiting.add(reader)
         self._schedule()
 
+    def remove(self, reader: ScheduledReader) -> None:
+        """Forget a connection that has closed."""
+        self._waiting.remove(reader)
+
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -15,7 +15,7 @@
 from kelptrail.codec import frames
 from kelptrail.net import read_scheduler
 from kelptrail.net.connection import READ_BUFFER_BYTES
-from kelptrail.net.fair_queue import FairQueue
+from kelptrail.net.fair_queue import MIN_COMPACTED_ENTRIES, FairQueue
 from kelptrail.net.read_scheduler import MAX_READ_TIME_S, MAX_READS, ReadScheduler
 from kelptrail.platform.client_connection import ClientConnection
 
@@ -83,6 +83,81 @@
     assert abs(resting.served - (busy.served - before)) <= 1
 
 
+def kept_flow(queue: FairQueue[Flow], cost: float) -> Flow:
+    """Return a flow that was served before and is not ahead of others by more than one service."""
+    flow = Flow(cost, 1)
+    queue.add(flow)
+    serve(queue)
+    return flow
+
+
+# Guards against clients that connect anew for each burst: no connection that was read before was read any more.
+@pytest.mark.parametrize("pieces", [1, 2, 5])  # of work on each new connection
+@pytest.mark.parametrize("new_count", [1, 40, 400])
+def test_flows_that_are_new_without_end_do_not_keep_one_that_was_served_before_waiting(
+    new_count: int, pieces: int
+) -> None:
+    queue = FairQueue[Flow]()
+    kept = kept_flow(queue, 0.05)
+    for _ in range(new_count):
+        queue.add(Flow(1.0, pieces))
+    waited = []
+    for _ in range(200):
+        kept.left, served = 1, kept.served
+        queue.add(kept)
+        steps = 0
+        while kept.served == served and steps < 10_000:
+            steps += 1
+            flow = serve(queue)
+            if flow is not kept and not flow.left:
+                queue.add(Flow(1.0, pieces))
+        waited.append(steps)
+    # In the backlog only flows that began to wait before it may come first, and the backlog has one in four services.
+    flows_before_it = 0 if pieces == 1 else new_count
+    assert max(waited) <= 4 * (flows_before_it + 1) + 1
+
+
+@pytest.mark.parametrize("kept_count", [1, 40, 400])
+def test_a_new_flow_is_served_soon_beside_others_that_are_new_without_end_and_kept_ones(kept_count: int) -> None:
+    queue, new_count = FairQueue[Flow](), 30
+    for _ in range(kept_count):
+        queue.add(Flow(1.0, 10**6))
+    for _ in range(10 * kept_count):
+        serve(queue)
+    for _ in range(new_count):
+        queue.add(Flow(1.0, 1))
+    for _ in range(50):
+        usual = Flow(0.05, 1)
+        queue.add(usual)
+        steps = 0
+        while usual.left:
+            steps += 1
+            flow = serve(queue)
+            if flow is not usual and not flow.left:
+                queue.add(Flow(1.0, 1))
+        assert steps <= new_count * 4 / 3 + 3, "those that came before it, and the share of the kept ones"
+
+
+# Guards against closed connections that pile up in the queue: 16,000 of them in 20 s of a flood.
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_removed_flows_are_never_served_and_leave_nothing_behind(is_kept: bool) -> None:
+    queue, first = FairQueue[Flow](), Flow(1.0, 10**6)
+    for _ in range(5):
+        queue.add(first)
+        serve(queue)
+        queue.remove(first)
+    for _ in range(5_000):
+        flow = Flow(1.0, 10**6)
+        flow.virtual_finish = 10.0 if is_kept else 0.0
+        queue.add(flow)
+        queue.remove(flow)
+        queue.remove(flow)
+    assert len(queue) == 0
+    assert len(queue._arrivals_order) + len(queue._backlog_order) <= MIN_COMPACTED_ENTRIES
+    queue.add(first)
+    assert queue.take() is first
+
+
 class LoopStub:
     """An event loop whose iterations the test runs one at a time."""
 
@@ -197,6 +272,39 @@
     run(main())
 
 
+# Guards against usual requests that are lost beside clients that connect anew for each burst.
+def test_a_connection_that_was_read_before_is_read_beside_many_new_ones_with_bursts() -> None:
+    async def main() -> None:
+        async with PlatformFixture(WorkerStub(echo), sockets=512) as fixture:
+            usual = await fixture.client()
+            usual.send_request(1)
+            assert await usual.answer_code() == frames.SERVED
+            (usual_connection,) = fixture.service.client_server.connections.active
+            read_before: list[ClientConnection] = []
+            on_data = ClientConnection._on_data
+
+            def record(client: ClientConnection, data: memoryview) -> None:
+                read_before.append(client)
+                on_data(client, data)
+
+            burst = b"".join(request(n, item="00000000000000aa") for n in range(100, 140))
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(ClientConnection, "_on_data", record)
+                usual_connection.connection._on_data = lambda data: record(usual_connection, data)
+                new = [connect_raw(fixture.port) for _ in range(FLOOD_CONNECTIONS)]
+                await until(lambda: len(fixture.service.client_server.connections) == FLOOD_CONNECTIONS + 1)
+                for sock in new:
+                    sock.send(burst)
+                usual.send_request(2)
+                assert await usual.answer_code(10.0) == frames.SERVED
+                await until(lambda: len({*read_before}) == FLOOD_CONNECTIONS + 1, 10.0)
+            assert read_before.index(usual_connection) <= FLOOD_CONNECTIONS / 2
+            for sock in new:
+                sock.close()
+
+    run(main())
+
+
 def test_a_connection_that_closes_while_it_waits_for_its_turn_is_left_out() -> None:
     async def main() -> None:
         async with PlatformFixture(WorkerStub(echo)) as fixture:
@@ -211,6 +319,7 @@
             closed = connections.active[0]
             connections.remove(closed)
             closed.connection.close()
+            assert len(fixture.service.client_server.read_scheduler) == 2
             await until(lambda: len(fixture.service.client_server.read_scheduler) == 0)
             assert len(connections) == 2 and len(fixture.workers[0].calls) <= 2
             for sock in socks:
