Connections that may not be closed no longer hide those that may be closed for new clients

Cause: the search for a connection to close looks at the first 16 of a group. Connections within a frame may not be closed and gather at the front. Trace at each search that found nobody: 221 connections without a frame, 20 within one, all at the front, 192 to 201 closable behind them, 220 to 306 clients in the accept queue, some 12 searches in each quarter second, none successful until the frames reached their 2 s.

Change: the search goes by state: silent, within a frame without bytes for 0.1 s, idle, within a frame for 0.25 s. One on which I/O is pending goes to the end of its group. While most connections are silent or within a frame, new clients wait for these, and idle ones of usual clients stay. Timeouts no longer rest on the order of the groups.

The mutant of the guard names the new call.

--- a/bench/soak_mutants.py
+++ b/bench/soak_mutants.py
@@ -105,7 +105,7 @@
     Mutant(
         "connections are closed with requests or output pending",
         "kelptrail/platform/client_connections.py",
-        "        if client.open_requests or client.has_pending_io():\n            return False\n",
+        "        if client.open_requests or client.has_pending_io(within_frame):\n            return False\n",
         "",
     ),
     Mutant(
--- a/kelptrail/platform/client_connection.py
+++ b/kelptrail/platform/client_connection.py
@@ -76,8 +76,11 @@
             handler.loop, sock, self._on_data, self._on_closed, MAX_UNREAD_BYTES, handler.read_scheduler
         )
 
-    def has_pending_io(self) -> bool:
-        """Return whether a frame is incomplete, the socket has unread bytes, or the client still reads an answer."""
+    def has_pending_io(self, ignores_frame: bool = False) -> bool:
+        """Return whether a frame is incomplete, the socket has unread bytes, or the client still reads an answer.
+
+        `ignores_frame`: whether an incomplete frame of which no bytes are unread does not count.
+        """
         connection = self.connection
         if connection.closed:
             return False
@@ -86,7 +89,9 @@
             and (self._handler.time() - connection.last_write_progress) * 1000 < READ_STALL_MS
         ):
             return True
-        return self.partial_frame_since is not None or connection.transport.probe_idle() is IdleState.UNEXPECTED_DATA
+        if self.partial_frame_since is not None and not ignores_frame:
+            return True
+        return connection.transport.probe_idle() is IdleState.UNEXPECTED_DATA
 
     def _on_data(self, data: memoryview) -> None:
         self.last_received_at = self._handler.time()
--- a/kelptrail/platform/client_connections.py
+++ b/kelptrail/platform/client_connections.py
@@ -1,14 +1,18 @@
 """The connections of all clients grouped by state, their limit, and their eviction.
 
 A well-behaved client closes the connections that it no longer needs.  To free descriptors for such clients, connections
-that are closing are evicted first, then those that have not sent a complete frame, then idle ones, each group
-oldest first.  A connection whose client waits for an answer is never evicted.
+are evicted in this order: those that are closing, silent ones, those within a frame whose bytes have stopped, idle
+ones, and those within a frame that takes long.  A connection is never evicted while its client waits for an answer,
+still reads one, or has sent bytes that are not read yet.
+
+While most connections are silent or within a frame, idle ones are not evicted for new ones: new clients wait in the
+accept queue until one of that majority has used up its time.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from itertools import islice
+from collections.abc import Callable, Iterable
+from itertools import chain, islice
 from typing import Protocol
 
 from kelptrail.codec.frames import FrameError
@@ -25,7 +29,9 @@
 OVERFLOW_IDLE_TIMEOUT_MS = 100.0  # gives a client over the connection limit time to read its answer
 ERROR_LINGER_MS = 1_000.0  # gives a client time to read an error before its connection is closed
 MAX_OVERFLOW = 8  # connections accepted over the limit, so that their requests are refused with an answer
-MAX_EVICTION_CANDIDATES = 16  # connections of each group that are examined to find one that may be closed
+SILENCE_BEFORE_EVICTION_MS = 100.0  # gives a client time to send its first frame, or the rest of a frame
+FRAME_TIME_BEFORE_EVICTION_MS = 250.0  # for a frame whose bytes keep arriving
+MAX_EVICTION_CANDIDATES = 32  # sockets that are examined in one search for a connection that may be closed
 
 
 class ConnectionOwner(Protocol):
@@ -53,8 +59,9 @@
         self._owner, self._time, self._log, self._invariants = owner, time, log, invariants
         self._max_connections = max_connections
         self._max_frame_s = max(FRAME_TIMEOUT_MS, max_timeout_ms) / 1000
-        self.fresh: dict[ClientConnection, None] = {}  # no complete frame received yet; oldest first
-        self.idle: dict[ClientConnection, None] = {}  # no open request; in the order in which they joined the group
+        # Oldest first, but for those on which I/O was pending in a search for a connection to evict.
+        self.fresh: dict[ClientConnection, None] = {}  # no complete frame received yet
+        self.idle: dict[ClientConnection, None] = {}  # no open request
         self.busy: dict[ClientConnection, None] = {}  # at least one open request
         self.closing: dict[ClientConnection, None] = {}  # error written; closed after `ERROR_LINGER_MS` at the latest
         self.overflow: dict[ClientConnection, None] = {}  # accepted over the limit; also a member of a group above
@@ -115,7 +122,11 @@
 
         Clients that may not be accepted stay in the accept queue.
         """
-        return len(self) < self._max_connections + MAX_OVERFLOW or self.evict_one()
+        if self._regular_count < self._max_connections:
+            return True
+        if len(self) >= self._max_connections + MAX_OVERFLOW or self._is_mostly_unfinished():
+            return self.evict_one()
+        return True
 
     def evict_to_limit(self) -> None:
         """Evict connections until another one fits within the limit, or until none can be evicted."""
@@ -123,18 +134,51 @@
             pass
 
     def evict_one(self) -> bool:
-        """Close one connection whose client does not wait for an answer, and return whether there was one.
-
-        Connections that are closing come first, then those without a complete frame, then idle ones.
+        """Close one connection whose client does not wait for an answer, and return whether there was one."""
+        for client in self.closing:
+            self._close_now(client, CloseReason.EVICTED)
+            return True
+        now = self._time()
+        return (
+            self._evict_first(client for client in self._before_any_frame() if _is_silent(client, now))
+            or self._evict_first(client for client in self._within_frame() if _is_silent(client, now))
+            or (not self._is_mostly_unfinished() and self._evict_first(self._between_frames()))
+            or self._evict_first(client for client in self._within_frame() if _is_slow(client, now))
+        )
+
+    def _before_any_frame(self) -> Iterable[ClientConnection]:
+        """Return the connections that have received no bytes."""
+        return (client for client in self.fresh if client.partial_frame_since is None)
+
+    def _within_frame(self) -> Iterable[ClientConnection]:
+        """Return the connections with an incomplete frame and without an open request."""
+        return (client for client in chain(self.fresh, self.idle) if client.partial_frame_since is not None)
+
+    def _between_frames(self) -> Iterable[ClientConnection]:
+        """Return the connections without an incomplete frame or an open request that have received a frame."""
+        return (client for client in self.idle if client.partial_frame_since is None)
+
+    def _is_mostly_unfinished(self) -> bool:
+        """Return whether most connections have no open request and are silent or within a frame."""
+        within_frame = sum(client.partial_frame_since is not None for client in self.idle)
+        return 2 * (len(self.fresh) + within_frame) > len(self)
+
+    def _evict_first(self, candidates: Iterable[ClientConnection]) -> bool:
+        """Close the first candidate on which no I/O is pending; return whether there was one.
+
+        Candidates on which I/O is pending go to the end of their group, so that the next search begins with others.
         """
-        for group in (self.closing, self.fresh, self.idle):
-            for client in islice(group, MAX_EVICTION_CANDIDATES):
-                if group is self.closing:
-                    self._close_now(client, CloseReason.EVICTED)
-                    return True
-                if self._close_if_idle(client, CloseReason.EVICTED):
-                    return True
-        return False
+        pending = []
+        is_evicted = False
+        for client in islice(candidates, MAX_EVICTION_CANDIDATES):
+            if self._close_if_idle(client, CloseReason.EVICTED, within_frame=True):
+                is_evicted = True
+                break
+            pending.append(client)
+        for client in pending:
+            group = self.fresh if client in self.fresh else self.idle
+            group[client] = group.pop(client)
+        return is_evicted
 
     def sweep(self) -> None:
         """Close connections that sent no frame in time, stalled within a frame, or were idle for too long."""
@@ -149,9 +193,8 @@
             (self.idle, IDLE_TIMEOUT_MS, CloseReason.IDLE),
         ):
             for client in list(group):
-                if (now - client.idle_since) * 1000 < timeout_ms:
-                    break
-                self._close_if_idle(client, reason)
+                if (now - client.idle_since) * 1000 >= timeout_ms:
+                    self._close_if_idle(client, reason)
 
     def _close_overflow(self, now: float) -> None:
         for client in list(self.overflow):
@@ -176,14 +219,15 @@
                 else:
                     self._owner.close_unreadable(client, FrameError("incomplete frame"))
 
-    def _close_if_idle(self, client: ClientConnection, reason: CloseReason) -> bool:
+    def _close_if_idle(self, client: ClientConnection, reason: CloseReason, within_frame: bool = False) -> bool:
         """Close a connection unless a request or I/O is pending on it; return whether it was closed.
 
+        `within_frame`: whether an incomplete frame may be cut off; it is no request before its last byte.
         Bytes that were unread before the decision to close are reported as a violation.  Those that arrive after it
         cross the close, which the protocol allows: their client sends the request again.
         """
         unread_bytes = client.connection.transport.unread_bytes()
-        if client.open_requests or client.has_pending_io():
+        if client.open_requests or client.has_pending_io(within_frame):
             return False
         if unread_bytes:
             self._invariants.report_violation(Violation.CLOSED_OVER_REQUEST, "not read", reason=reason.value)
@@ -197,3 +241,14 @@
         self._log(log_events.CLIENT_CONNECTION_CLOSED, reason=reason.value)
         self.remove(client)
         client.connection.close()
+
+
+def _is_silent(client: ClientConnection, now: float) -> bool:
+    """Return whether no bytes, or no further bytes of a frame, have arrived for long enough to evict the connection."""
+    return (now - client.last_received_at) * 1000 >= SILENCE_BEFORE_EVICTION_MS
+
+
+def _is_slow(client: ClientConnection, now: float) -> bool:
+    """Return whether a frame has been incomplete for long enough to evict its connection."""
+    since = client.partial_frame_since
+    return since is not None and (now - since) * 1000 >= FRAME_TIME_BEFORE_EVICTION_MS
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import Any
 
@@ -23,6 +24,7 @@
 from kelptrail.engine.invariants import Violation
 from kelptrail.platform import worker_connection
 from kelptrail.platform.client_connection import ClientConnection
+from kelptrail.platform.client_connections import MAX_EVICTION_CANDIDATES, MAX_OVERFLOW
 
 
 def test_connections_to_workers_stay_within_the_descriptors_and_idle_ones_are_closed() -> None:
@@ -130,6 +132,111 @@
     return received
 
 
+CUT_FRAME = request(1, body=bytes(400))[:300]
+
+
+class Crowd:
+    """Connections that hold no open request and that their clients never use for one.
+
+    `answered` of them got an answer first, `cut` sent a part of a frame, of which `slow` go on by a byte at a time.
+    """
+
+    def __init__(self, port: int, silent: int = 0, cut: int = 0, answered: bool = False, slow: bool = False) -> None:
+        self._port, self._silent, self._cut, self._answered, self._slow = port, silent, cut, answered, slow
+        self._socks: list[socket.socket] = []
+
+    async def __aenter__(self) -> None:
+        self._socks += [connect_raw(self._port) for _ in range(self._cut)]
+        for sock in self._socks:
+            if self._answered:
+                sock.sendall(frames.encode_frame(frames.READY_QUERY, 0, b"\0"))
+                assert await asyncio.to_thread(read_some, sock)
+            sock.sendall(CUT_FRAME)
+        await asyncio.sleep(0.05)  # the parts of frames are read before others connect
+        self._socks += [connect_raw(self._port) for _ in range(self._silent)]
+        self._dripping = asyncio.create_task(self._drip())
+
+    async def _drip(self) -> None:
+        while self._slow:
+            for sock in self._socks:
+                with contextlib.suppress(OSError):  # closed for others
+                    sock.send(b"x")
+            await asyncio.sleep(0.02)
+
+    async def __aexit__(self, *_: object) -> None:
+        self._dripping.cancel()
+        for sock in self._socks:
+            sock.close()
+
+
+# Guards against usual clients that wait in the accept queue behind hundreds that hold connections for nothing.
+@pytest.mark.parametrize(
+    "crowd",
+    [
+        {"cut": 40, "silent": 160},
+        {"cut": 16, "silent": 184},
+        {"silent": 200},
+        {"cut": 200},
+        {"cut": 200, "answered": True},
+        {"cut": 100, "answered": True, "silent": 100},
+        {"cut": 200, "slow": True},
+    ],
+)
+def test_a_new_client_is_served_soon_beside_a_crowd_that_holds_all_connections(crowd: dict[str, Any]) -> None:
+    async def main() -> None:
+        async with PlatformFixture(WorkerStub(echo), sockets=256) as platform:
+            kept = await platform.client()
+            kept.send_request(1)
+            assert await kept.answer_code() == frames.SERVED
+            assert platform.service.client_server.connections._max_connections < 200 - MAX_OVERFLOW
+            async with Crowd(platform.port, **crowd):
+                for stream in range(2, 5):
+                    client = await platform.client()
+                    client.send_request(stream)
+                    assert await client.answer_code(1.2) == frames.SERVED
+                kept.send_request(9)
+                assert await kept.answer_code() == frames.SERVED, "no idle connection made room for the crowd"
+
+    run(main())
+
+
+def test_connections_with_pending_io_do_not_hide_those_behind_them_from_the_search(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with PlatformFixture(WorkerStub(echo), sockets=512) as platform:
+            connections = platform.service.client_server.connections
+            socks = [connect_raw(platform.port) for _ in range(4 * MAX_EVICTION_CANDIDATES)]
+            await until(lambda: len(connections) == len(socks))
+            await asyncio.sleep(0.15)  # all of them may be evicted by their age
+            *pending, last = connections.active
+            monkeypatch.setattr(ClientConnection, "has_pending_io", lambda client, *_: client is not last)
+            assert any(connections.evict_one() for _ in range(4))
+            assert last not in connections.active and len(connections) == len(pending)
+            for sock in socks:
+                sock.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("sent", [b"", CUT_FRAME])
+def test_a_new_connection_has_time_to_send_before_it_is_evicted(sent: bytes) -> None:
+    async def main() -> None:
+        async with PlatformFixture(WorkerStub(echo)) as platform:
+            connections = platform.service.client_server.connections
+            sock = connect_raw(platform.port)
+            sock.sendall(sent)
+            await until(
+                lambda: [client for client in connections.fresh if bool(client.partial_frame_since) == bool(sent)]
+            )
+            assert not connections.evict_one()
+            await asyncio.sleep(0.15)
+            assert connections.evict_one() and len(connections) == 0
+            sock.close()
+
+    run(main())
+
+
 # Guards against a close that is reported as one over a request although the request only crossed it.
 @pytest.mark.parametrize(("arrives_before_the_decision", "reported"), [(False, 0), (True, 1)])
 def test_a_close_over_a_request_is_reported_if_the_request_came_before_the_decision(
@@ -142,7 +249,7 @@
             assert await client.answer_code() == frames.SERVED
             sock = client.writer.get_extra_info("socket").dup()
 
-            def decide_as_a_request_arrives(_: ClientConnection) -> bool:
+            def decide_as_a_request_arrives(_: ClientConnection, *__: bool) -> bool:
                 """Overlook the bytes that came before the decision; send a request after it."""
                 if not arrives_before_the_decision:
                     sock.send(request(2))
