--- a/kelptrail/net/fair_queue.py
+++ b/kelptrail/net/fair_queue.py
@@ -41,7 +41,7 @@
     service: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: that makes the creation of one for each turn several times slower
 class _Place:
     """Where a flow waits."""
 
@@ -70,24 +70,25 @@
     def add(self, flow: FlowT) -> None:
         """Let a flow wait for service; one that is added right after its own service continues."""
         self._insertions += 1
-        start = max(self._virtual_time, flow.virtual_finish)
-        if start > self._virtual_time or flow is self._latest:
+        is_ahead = flow.virtual_finish > self._virtual_time
+        start = flow.virtual_finish if is_ahead else self._virtual_time
+        if is_ahead or flow is self._latest:
             group, other = self._backlog, self._arrivals
             heappush(self._backlog_order, (start, self._insertions, flow))
         else:
             group, other = self._arrivals, self._backlog
             self._arrivals_order.append((self._insertions, flow))
-        if not group.waiting:
-            group.service = max(group.service, other.service)
+        if not group.waiting and group.service < other.service:
+            group.service = other.service
         group.waiting += 1
         self._places[flow] = _Place(group, self._insertions, start)
 
     def take(self) -> FlowT:
         """Remove and return the flow to serve next; `charge` must follow."""
-        self._latest_group = self._next_group()
-        flow = self._take_arrival() if self._latest_group is self._arrivals else self._take_from_backlog()
-        flow.virtual_finish = self._leave(flow).start
-        self._latest = flow
+        group = self._latest_group = self._next_group()
+        flow = self._latest = self._take_arrival() if group is self._arrivals else self._take_from_backlog()
+        group.waiting -= 1
+        flow.virtual_finish = self._places.pop(flow).start
         return flow
 
     def charge(self, flow: FlowT, cost: float) -> None:
@@ -97,9 +98,10 @@
 
     def remove(self, flow: FlowT) -> None:
         """Remove a flow that needs no service any more; without effect if it does not wait."""
-        if flow not in self._places:
+        place = self._places.pop(flow, None)
+        if place is None:
             return
-        self._leave(flow)
+        place.group.waiting -= 1
         entries = len(self._arrivals_order) + len(self._backlog_order)
         if entries >= max(MIN_COMPACTED_ENTRIES, 2 * len(self)):
             self._compact()
@@ -130,11 +132,6 @@
         place = self._places.get(flow)
         return place is not None and place.insertion == insertion
 
-    def _leave(self, flow: FlowT) -> _Place:
-        place = self._places.pop(flow)
-        place.group.waiting -= 1
-        return place
-
     def _compact(self) -> None:
         """Drop the stale entries."""
         self._arrivals_order = deque(entry for entry in self._arrivals_order if self._waits(entry[1], entry[0]))
