No attempt starts for a client whose end waits for its turn of reading

Cause: the end of a connection needs a turn of its own. Trace: ten requests were read after 201 to 239 ms in the queue with the end right behind them; the end was read 54 to 241 ms later.

Change: a connection that waited over 20 ms is read once more in its turn; before an attempt starts, one whose turn is still to come is asked whether it has ended (a peek at its socket, for such connections only).

--- a/kelptrail/net/connection.py
+++ b/kelptrail/net/connection.py
@@ -18,7 +18,7 @@
 
 from .errors import is_connect_retryable, is_transient
 from .read_scheduler import ReadScheduler
-from .transport import Transport
+from .transport import IdleState, Transport
 
 READ_BUFFER_BYTES = 8_192
 MAX_BATCH_BYTES = 65_536
@@ -31,6 +31,7 @@
 # Shared by all connections: the bytes are handled before the next read.
 _READ_BUFFER = bytearray(READ_BUFFER_BYTES)
 _READ_VIEW = memoryview(_READ_BUFFER)
+LONG_WAIT_MS = 20.0  # of a connection for its turn; attempts may begin until 100 ms after a client has gone
 RETRY_MS = 5.0  # pause after a transient failure of a send or receive
 CONNECT_RETRY_MS, MAX_CONNECT_RETRY_MS = 10.0, 80.0  # first and longest pause between two connects
 
@@ -99,6 +100,7 @@
         "_pending",
         "_pending_bytes",
         "_read_retry_timer",
+        "_readable_since",
         "_reads",
         "_retry_timer",
         "_scheduler",
@@ -138,6 +140,7 @@
         self._retry_timer: asyncio.TimerHandle | None = None
         self._sock, self._scheduler = sock, scheduler
         self._reads = self._waits_for_turn = False
+        self._readable_since = 0.0  # loop time at which the connection began to wait for its turn
         self._read_retry_timer: asyncio.TimerHandle | None = None
         self._discarded_bytes = 0
         self.virtual_finish = 0.0  # set by the scheduler
@@ -221,6 +224,11 @@
         self._watch_readable(False)
         self.transport.close()
 
+    def close_if_ended(self) -> None:
+        """Handle the end of a connection that its peer has closed, if it waits for its turn and has no unread bytes."""
+        if self._waits_for_turn and not self.closed and self.transport.probe_idle() is IdleState.CLOSED:
+            self._close_and_notify()
+
     def _close_and_notify(self) -> None:
         if not self.closed:
             on_end = self._on_end
@@ -240,6 +248,7 @@
         if self._scheduler is not None:
             if not self._waits_for_turn:
                 self._waits_for_turn = True
+                self._readable_since = self._loop.time()
                 self._scheduler.add(self)
             return
         for _ in range(MAX_CONSECUTIVE_READS):
@@ -251,27 +260,41 @@
         self._waits_for_turn = False
 
     def read_once(self) -> bool:
-        """Read and handle up to `READ_BUFFER_BYTES`; return whether there may be more input."""
+        """Read and handle up to `READ_BUFFER_BYTES`; return whether there may be more input.
+
+        After a long wait for its turn a connection is read once more: its peer may have closed it meanwhile, and what
+        was read must not be acted on then.
+        """
+        count = self._receive()
+        if 0 < count < READ_BUFFER_BYTES and self._has_waited_long():
+            count = self._receive()
+        return count == READ_BUFFER_BYTES and not self.closed
+
+    def _has_waited_long(self) -> bool:
+        return self._waits_for_turn and (self._loop.time() - self._readable_since) * 1000 >= LONG_WAIT_MS
+
+    def _receive(self) -> int:
+        """Receive and handle some bytes; return their number, 0 if there are none."""
         if self.closed:
-            return False
+            return 0
         try:
             count = self.transport.sock.recv_into(_READ_BUFFER)
         except BlockingIOError:
-            return False
+            return 0
         except OSError as cause:
             if is_transient(cause):
                 self._watch_readable(False)
                 self._read_retry_timer = self._loop.call_later(RETRY_MS / 1000, self._watch_readable, True)
             else:
                 self._close_and_notify()
-            return False
+            return 0
         if not count:
             self._close_and_notify()
         elif self._closing:
             self._discard(count)
         else:
             self._handle(_READ_VIEW[:count])
-        return count == READ_BUFFER_BYTES and not self.closed
+        return count
 
     def _handle(self, data: memoryview) -> None:
         try:
--- a/kelptrail/platform/decision_executor.py
+++ b/kelptrail/platform/decision_executor.py
@@ -163,7 +163,7 @@
                 event_log(decision)
 
     def _start_attempt(self, now: float, attempt: Attempt) -> None:
-        request, client_request = attempt.request, self.client_requests.get(attempt.request)
+        request, client_request = attempt.request, self._waiting_client_request(attempt.request)
         if client_request is None:  # already answered or cancelled; an exception would stop the other decisions
             self._engine.on_attempt_finished(now, attempt, AttemptResult(AttemptStatus.NOT_SENT, True))
             return
@@ -178,6 +178,14 @@
             attempt, lambda: self._render_call(attempt, client_request), size
         )
 
+    def _waiting_client_request(self, request: Request) -> ClientRequest | None:
+        """Return the client's side of a request, None if its client does not wait for the answer any more."""
+        client_request = self.client_requests.get(request)
+        if client_request is None:
+            return None
+        client_request.client.connection.close_if_ended()
+        return self.client_requests.get(request)
+
     def _start_load(self, order: LoadOrder) -> None:
         def may_start() -> bool:
             now = time.monotonic() * 1000
--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -14,7 +14,7 @@
 
 from kelptrail.codec import frames
 from kelptrail.net import read_scheduler
-from kelptrail.net.connection import READ_BUFFER_BYTES
+from kelptrail.net.connection import LONG_WAIT_MS, READ_BUFFER_BYTES
 from kelptrail.net.fair_queue import MIN_COMPACTED_ENTRIES, FairQueue
 from kelptrail.net.read_scheduler import MAX_READ_TIME_S, MAX_READS, ReadScheduler
 from kelptrail.platform.client_connection import ClientConnection
@@ -305,6 +305,53 @@
     run(main())
 
 
+def delay_turns(monkeypatch: pytest.MonkeyPatch, wait_s: float) -> None:
+    """Let each connection wait for each of its turns, as it does beside many others."""
+    loop, add = asyncio.get_running_loop(), ReadScheduler.add
+    monkeypatch.setattr(ReadScheduler, "add", lambda self, reader: loop.call_later(wait_s, add, self, reader))
+
+
+# Guards against attempts for clients that closed their connection while it waited for its turn of reading.
+def test_no_attempt_starts_for_a_client_that_closed_before_its_request_was_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with PlatformFixture(WorkerStub(echo)) as fixture:
+            usual, connections = await fixture.client(), fixture.service.client_server.connections
+            usual.send_request(1, item="00000000000000aa")
+            assert await usual.answer_code() == frames.SERVED
+            delay_turns(monkeypatch, 2 * LONG_WAIT_MS / 1000)
+            for stream in range(2, 7):
+                sock = connect_raw(fixture.port)
+                await until(lambda: len(connections) == 2)
+                sock.send(request(stream, item="00000000000000aa"))
+                sock.close()
+                await until(lambda: len(connections) == 1)
+            usual.send_request(20, item="00000000000000aa")
+            assert await usual.answer_code() == frames.SERVED
+            assert len(fixture.workers[0].calls) == 2, "those of the usual client"
+
+    run(main())
+
+
+def test_no_retry_starts_for_a_client_whose_end_waits_for_its_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    def not_loaded_later(worker: WorkerStub, id_: bytes, _: bytes, writer: asyncio.StreamWriter) -> None:
+        asyncio.get_running_loop().call_later(0.1, writer.write, b"%b MISS - 0\r\n\r\n" % id_)
+
+    async def main() -> None:
+        async with PlatformFixture(WorkerStub(not_loaded_later), WorkerStub(not_loaded_later)) as fixture:
+            connections, workers = fixture.service.client_server.connections, fixture.workers
+            sock = connect_raw(fixture.port)
+            sock.send(request(2))
+            await until(lambda: any(worker.calls for worker in workers))
+            delay_turns(monkeypatch, 1.0)
+            sock.close()
+            await until(lambda: len(connections) == 0)
+            assert sum(len(worker.calls) for worker in workers) == 1
+
+    run(main())
+
+
 def test_a_connection_that_closes_while_it_waits_for_its_turn_is_left_out() -> None:
     async def main() -> None:
         async with PlatformFixture(WorkerStub(echo)) as fixture:
