--- a/kelptrail/net/connection.py
+++ b/kelptrail/net/connection.py
@@ -10,13 +10,12 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 from collections import deque
 from collections.abc import Callable
-from errno import EALREADY, EINPROGRESS, EINTR, EISCONN
 
-from .errors import is_connect_retryable, is_transient
+from .errors import is_transient
+from .pending_write import PendingWrite
 from .read_scheduler import ReadScheduler
 from .transport import IdleState, Transport
 
@@ -33,49 +32,6 @@
 _READ_VIEW = memoryview(_READ_BUFFER)
 LONG_WAIT_MS = 20.0  # of a connection for its turn; attempts may begin until 100 ms after a client has gone
 RETRY_MS = 5.0  # pause after a transient failure of a send or receive
-CONNECT_RETRY_MS, MAX_CONNECT_RETRY_MS = 10.0, 80.0  # first and longest pause between two connects
-
-
-class PendingWrite:
-    """One message to be sent: `data`, or the bytes that `make` returns at the time of sending."""
-
-    __slots__ = ("_data", "_make", "_sent_bytes", "cancelled", "sent", "size", "started")
-
-    def __init__(self, size: int, data: bytes = b"", make: Callable[[], bytes] | None = None) -> None:
-        self.size, self._data, self._make = size, data, make
-        self._sent_bytes = 0
-        # `started`: the socket accepted the first byte.  `sent`: it accepted all bytes, of which there is at least one.
-        self.started = self.sent = self.cancelled = False
-
-    def render(self) -> bytes:
-        """Return the bytes that are still to be sent.
-
-        A deferred write is rendered again by each call until its first byte is sent.
-        """
-        if self.started:
-            return self._data[self._sent_bytes :]
-        if self.cancelled:
-            self._data = b""
-        elif self._make is not None:
-            self._data = self._make()
-        return self._data
-
-    def consume(self, count: int) -> int:
-        """Mark the first unsent bytes of this write as sent, at most `count`; return what is left of `count`.
-
-        `count` is the number of bytes that the socket accepted of this and later writes.
-        """
-        unsent = len(self._data) - self._sent_bytes
-        consumed = min(count, unsent)
-        self._sent_bytes += consumed
-        self.started = self.started or consumed > 0
-        self.sent = self.started and consumed == unsent
-        return count - consumed
-
-    @property
-    def complete(self) -> bool:
-        """Whether no rendered bytes remain to be sent; also true for a write without bytes."""
-        return self._sent_bytes == len(self._data)
 
 
 class Connection:
@@ -378,57 +334,3 @@
 
 def _ignore(*_: object) -> None:
     """Do nothing: replaces the owner's callbacks once the connection is closed."""
-
-
-async def connect(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within_ms: float) -> socket.socket:
-    """Return a connected socket; the host of `address` is an IP address.
-
-    Raises `OSError`, or its subclass `TimeoutError` after `within_ms`.  Shortages of local resources and route failures
-    are retried with backoff.
-
-    The loop's own `sock_connect` is not used: that of uvloop passes even an IP address to `getaddrinfo` in a thread
-    pool.  This costs CPU for each connection, and at shutdown these threads may receive signals for which the loop has
-    no handlers any more.
-    """
-    deadline, pause_ms = loop.time() + within_ms / 1000, CONNECT_RETRY_MS
-    while True:
-        try:
-            return await _connect_once(loop, address, deadline - loop.time())
-        except OSError as cause:
-            if not is_connect_retryable(cause) or loop.time() + pause_ms / 1000 >= deadline:
-                raise
-        await asyncio.sleep(pause_ms / 1000)
-        pause_ms = min(MAX_CONNECT_RETRY_MS, 2 * pause_ms)
-
-
-async def _connect_once(loop: asyncio.AbstractEventLoop, address: tuple[str, int], within_s: float) -> socket.socket:
-    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-    try:
-        sock.setblocking(False)
-        code = sock.connect_ex(address)
-        while code == EINTR:  # the next call reports whether the connect is still in progress
-            code = sock.connect_ex(address)
-        if code in (EINPROGRESS, EALREADY):
-            await _until_writable(loop, sock, within_s)
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code not in (0, EISCONN):
-            raise OSError(code, os.strerror(code))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
-async def _until_writable(loop: asyncio.AbstractEventLoop, sock: socket.socket, within_s: float) -> None:
-    writable: asyncio.Future[None] = loop.create_future()
-    loop.add_writer(sock, _mark_writable, writable)
-    try:
-        async with asyncio.timeout(within_s):
-            await writable
-    finally:
-        loop.remove_writer(sock)
-
-
-def _mark_writable(writable: asyncio.Future[None]) -> None:
-    if not writable.done():
-        writable.set_result(None)
--- a/kelptrail/platform/endpoint_watch.py
+++ b/kelptrail/platform/endpoint_watch.py
@@ -17,7 +17,8 @@
 from functools import partial
 
 from kelptrail.codec.feed import EndpointEvent, FeedError, FeedReader, encode_poll
-from kelptrail.net.connection import Connection, connect
+from kelptrail.net.connecting import connect
+from kelptrail.net.connection import Connection
 
 from . import log_events
 from .log import LogWriter
--- a/kelptrail/platform/worker_connection.py
+++ b/kelptrail/platform/worker_connection.py
@@ -17,8 +17,10 @@
 
 from kelptrail.codec.lines import LineError, LineReader, WorkerAnswer, encode_cancel
 from kelptrail.dispatch.entities import Attempt, AttemptStatus, LoadOrder, ReadinessProbe
-from kelptrail.net.connection import Connection, PendingWrite, connect
+from kelptrail.net.connecting import connect
+from kelptrail.net.connection import Connection
 from kelptrail.net.errors import is_local_shortage
+from kelptrail.net.pending_write import PendingWrite
 
 from . import log_events
 from .log import LogWriter
--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -15,7 +15,7 @@
 import pytest
 
 from kelptrail.codec import frames
-from kelptrail.net.connection import connect
+from kelptrail.net.connecting import connect
 from kelptrail.platform import worker_connection
 
 SMALL_BUFFER_BYTES = 4096  # size of a socket buffer that is to fill up quickly
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -24,7 +24,7 @@
 
 from kelptrail.codec import frames
 from kelptrail.codec.feed import FeedReader
-from kelptrail.net.connection import connect
+from kelptrail.net.connecting import connect
 from kelptrail.platform import config, endpoint_watch
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/worker_connections_fixture.py
+++ b/tests/worker_connections_fixture.py
@@ -12,7 +12,7 @@
 
 from kelptrail.codec.lines import encode_call
 from kelptrail.dispatch.entities import AttemptStatus
-from kelptrail.net.connection import connect
+from kelptrail.net.connecting import connect
 from kelptrail.platform import worker_connection
 from kelptrail.platform.worker_connection import WorkerConnectionLimits
 from kelptrail.platform.worker_connections import WorkerConnections
